Add the whole path, thin

Cause: there was no code; a caller's request has to go through a real gate host to a real target, configured by a record in the log. Retries have no budget, nothing is claimed, probed or shed yet, and the data path is not measured.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+# Set READY to nothing to use a VENV that is set up already.
+READY ?= $(VENV)/ready
+
+export PYTHONPATH := src
+
+.PHONY: test lint format demo check
+
+test: lint check
+
+check: $(READY)
+	$(BIN)/python -m pytest
+
+lint: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports --no-cache
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: $(READY)
+	$(BIN)/python -m fireflyspindle demo
+
+$(VENV)/ready: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
--- /dev/null
+++ b/src/fireflyspindle/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line by `python -m fireflyspindle`."""
+
+from fireflyspindle import cli
+
+cli.main()
--- /dev/null
+++ b/src/fireflyspindle/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the core and the network, by aiohttp."""
--- /dev/null
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -0,0 +1,90 @@
+"""The log service over HTTP with JSON."""
+
+import aiohttp
+import attrs
+
+from fireflyspindle.core import events
+
+READ_WAIT_MS = 1_000
+READ_LIMIT_RECORDS = 500
+APPEND_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = READ_WAIT_MS / 1000 + 2.0
+
+
+@attrs.define
+class Batch:
+    """What one read returned; see `events.LogRead`."""
+
+    entries: list[events.LogEntry]
+    earliest_offset: int
+    next_offset: int
+
+
+@attrs.define
+class Appended:
+    """How an append ended; see `events.AppendSettled`."""
+
+    outcome: events.AppendOutcome
+    offset: int = -1
+
+
+class LogClient:
+    """Reads and appends records of the log's streams."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}/streams"
+        self._session = aiohttp.ClientSession()
+
+    async def read(self, stream: str, from_offset: int) -> Batch | None:
+        """Reads from an offset, waiting for new records; None on failure."""
+        query = {
+            "from": str(from_offset),
+            "limit": str(READ_LIMIT_RECORDS),
+            "wait_ms": str(READ_WAIT_MS),
+        }
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                f"{self._base}/{stream}/records", params=query, timeout=timeout
+            ) as answer:
+                if answer.status != 200:
+                    return None
+                return _batch(await answer.json())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+        except (KeyError, TypeError):
+            return None
+
+    async def append(self, stream: str, body: str) -> Appended:
+        """Appends a record once."""
+        timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                f"{self._base}/{stream}/records",
+                json={"body": body},
+                timeout=timeout,
+            ) as answer:
+                if answer.status == 200:
+                    offset = int((await answer.json())["offset"])
+                    return Appended(events.AppendOutcome.DONE, offset)
+                if 400 <= answer.status < 500:
+                    return Appended(events.AppendOutcome.REFUSED)
+        except aiohttp.ClientConnectorError:
+            return Appended(events.AppendOutcome.REFUSED)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return Appended(events.AppendOutcome.UNKNOWN)
+        except (KeyError, TypeError, ValueError):
+            return Appended(events.AppendOutcome.UNKNOWN)
+        return Appended(events.AppendOutcome.UNKNOWN)
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self._session.close()
+
+
+def _batch(raw: dict) -> Batch:
+    entries = [
+        events.LogEntry(int(item["offset"]), str(item["body"]))
+        for item in raw["records"]
+    ]
+    return Batch(entries, int(raw["earliest"]), int(raw["next"]))
--- /dev/null
+++ b/src/fireflyspindle/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: measurements that run on one machine."""
--- /dev/null
+++ b/src/fireflyspindle/core/__init__.py
@@ -0,0 +1,1 @@
+"""The pure core: a reducer over events, with effects as data."""
--- /dev/null
+++ b/src/fireflyspindle/core/effects.py
@@ -0,0 +1,193 @@
+"""Effects that the reducer asks the shell to carry out."""
+
+import enum
+
+import attrs
+
+
+class Outcome(enum.Enum):
+    """What a caller is told of its request."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@attrs.define
+class SendToTarget:
+    """Send the request of a call to a target.
+
+    Attributes:
+        call_id: Number of the call.
+        attempt: Number of the attempt within the call, from 1.
+        target: Address of the target, "ip:port".
+        timeout_us: Time left for the attempt.
+        hedge: Whether another attempt of the call is still in flight.
+    """
+
+    call_id: int
+    attempt: int
+    target: str
+    timeout_us: int
+    hedge: bool = False
+
+
+@attrs.define
+class CancelAttempt:
+    """Close the connection of an attempt; its answer is no longer wanted.
+
+    The shell reports the end as `AttemptFailed`.
+    """
+
+    call_id: int
+    attempt: int
+
+
+@attrs.define
+class ForwardAnswer:
+    """Stream the answer of this attempt to the caller.
+
+    The shell reports `AttemptEnded`, or `AttemptFailed` when the answer is
+    cut short, in which case it closes the caller's connection too.
+    """
+
+    call_id: int
+    attempt: int
+
+
+@attrs.define
+class AnswerCaller:
+    """Answer the caller from the gate itself.
+
+    Attributes:
+        call_id: Number of the call.
+        outcome: NOT_RUN or UNKNOWN.
+        status: HTTP status.
+        error: Short machine-readable code.
+        detail: Sentence for a person.
+        retry_after_ms: When the caller may ask again, or None.
+    """
+
+    call_id: int
+    outcome: Outcome
+    status: int
+    error: str
+    detail: str
+    retry_after_ms: int | None = None
+
+
+@attrs.define
+class CallFinished:
+    """Every part of a call has ended; the shell drops and records it.
+
+    Attributes:
+        call_id: Number of the call.
+        tenant: Name of the tenant as the configuration knows it.
+        traffic_class: Name of the class as the configuration knows it.
+        target: Address of the last target, or an empty string.
+        outcome: What the caller was told.
+        total_us: Time from arrival to the end.
+        target_us: Time spent waiting for the answering target.
+        attempts: Number of attempts sent.
+    """
+
+    call_id: int
+    tenant: str
+    traffic_class: str
+    target: str
+    outcome: Outcome
+    total_us: int
+    target_us: int
+    attempts: int
+
+
+@attrs.define
+class ReadLog:
+    """Read a stream of the log; the shell long-polls.
+
+    Attributes:
+        stream: Name of the stream.
+        from_offset: First offset wanted.
+        delay_us: Time to wait before the read.
+    """
+
+    stream: str
+    from_offset: int
+    delay_us: int = 0
+
+
+@attrs.define
+class AppendRecord:
+    """Append one record to a stream of the log.
+
+    The shell reports `AppendSettled`.
+    """
+
+    append_id: int
+    stream: str
+    body: str
+
+
+@attrs.define
+class ProbeTarget:
+    """Ask a target for its load; the shell reports `ProbeEnded`."""
+
+    probe_id: int
+    target: str
+
+
+@attrs.define
+class TellPeer:
+    """Send a message to another gate host; a failure is not reported."""
+
+    address: str
+    body: str
+
+
+@attrs.define
+class SetTimer:
+    """Feed `TimerFired` at this monotonic time; replaces the timer before."""
+
+    at_us: int
+
+
+@attrs.define
+class Report:
+    """Write a log line for people on call.
+
+    Attributes:
+        level: "info", "warning" or "error".
+        code: Short machine-readable code.
+        detail: Sentence for a person.
+    """
+
+    level: str
+    code: str
+    detail: str
+
+
+@attrs.define
+class StopListening:
+    """Tell the platform's balancer to send nothing more to this host."""
+
+
+@attrs.define
+class Exit:
+    """Nothing is in flight any more; the process may end."""
+
+
+Effect = (
+    SendToTarget
+    | CancelAttempt
+    | ForwardAnswer
+    | AnswerCaller
+    | CallFinished
+    | ReadLog
+    | AppendRecord
+    | ProbeTarget
+    | TellPeer
+    | SetTimer
+    | Report
+    | StopListening
+    | Exit
+)
--- /dev/null
+++ b/src/fireflyspindle/core/events.py
@@ -0,0 +1,262 @@
+"""Events that the shell feeds to the reducer.
+
+Every event carries `now_us`, the host's monotonic clock in microseconds; the
+reducer reads no clock of its own.
+"""
+
+import enum
+
+import attrs
+
+
+class FailureReason(enum.Enum):
+    """Why an attempt ended without a whole answer."""
+
+    REFUSED = "refused"
+    CONNECT_TIMEOUT = "connect_timeout"
+    DISCONNECTED = "disconnected"
+    TIMEOUT = "timeout"
+    MISMATCHED = "mismatched"
+    TRUNCATED = "truncated"
+    CANCELLED = "cancelled"
+
+
+@attrs.define
+class LoadReport:
+    """The load that a target stated on an answer.
+
+    Attributes:
+        in_flight: Requests at the target, the answered one excluded.
+        leaving: Whether the target is draining.
+    """
+
+    in_flight: int | None = None
+    leaving: bool = False
+
+
+@attrs.define
+class CallArrived:
+    """A caller's request was read up to the end of its headers.
+
+    Attributes:
+        now_us: Monotonic time.
+        call_id: Number of the call, unique on this gate host.
+        path: Request path, without the query.
+        tenant: Name of the tenant, or an empty string.
+        traffic_class: Name of the class, or an empty string.
+        repeatable: Whether the request may run more than once.
+        resendable: Whether the body is held whole, so that it can be sent
+            again.
+        deadline_us: Monotonic time at which the caller gives up, if stated.
+        idempotency_key: The caller's key, or an empty string.
+        body_digest: Hex digest of method, path and body; keyed calls only.
+        key_issued_ms: Wall-clock time in the caller's key, in milliseconds.
+    """
+
+    now_us: int
+    call_id: int
+    path: str
+    tenant: str = ""
+    traffic_class: str = ""
+    repeatable: bool = True
+    resendable: bool = True
+    deadline_us: int | None = None
+    idempotency_key: str = ""
+    body_digest: str = ""
+    key_issued_ms: int = 0
+
+
+@attrs.define
+class AttemptAnswered:
+    """The headers of a target's answer arrived.
+
+    Attributes:
+        now_us: Monotonic time.
+        call_id: Number of the call.
+        attempt: Number of the attempt within the call, from 1.
+        status: HTTP status of the answer.
+        not_run: Whether the target states that it did not run the request.
+        report: Load report on the answer, if any.
+    """
+
+    now_us: int
+    call_id: int
+    attempt: int
+    status: int
+    not_run: bool = False
+    report: LoadReport | None = None
+
+
+@attrs.define
+class AttemptEnded:
+    """The last byte of a forwarded answer reached the caller's connection."""
+
+    now_us: int
+    call_id: int
+    attempt: int
+
+
+@attrs.define
+class AttemptFailed:
+    """An attempt ended without a whole answer.
+
+    Attributes:
+        now_us: Monotonic time.
+        call_id: Number of the call.
+        attempt: Number of the attempt within the call.
+        reason: What happened.
+        sent: Whether a byte of the request may have left this host.
+    """
+
+    now_us: int
+    call_id: int
+    attempt: int
+    reason: FailureReason
+    sent: bool
+
+
+@attrs.define
+class CallerLeft:
+    """The caller closed its connection before it had its whole answer."""
+
+    now_us: int
+    call_id: int
+
+
+@attrs.define
+class TimerFired:
+    """The time asked for by the latest `SetTimer` has come."""
+
+    now_us: int
+
+
+@attrs.define
+class LogEntry:
+    """One record as the log service holds it."""
+
+    offset: int
+    body: str
+
+
+@attrs.define
+class LogRead:
+    """A read of a log stream succeeded.
+
+    Attributes:
+        now_us: Monotonic time.
+        stream: Name of the stream.
+        entries: Records by ascending offset.
+        from_offset: Offset that the read asked for.
+        earliest_offset: Oldest offset that the log still holds.
+        next_offset: Offset that the next appended record will get.
+    """
+
+    now_us: int
+    stream: str
+    entries: list[LogEntry]
+    from_offset: int
+    earliest_offset: int
+    next_offset: int
+
+
+@attrs.define
+class LogReadFailed:
+    """A read of a log stream failed or timed out."""
+
+    now_us: int
+    stream: str
+
+
+class AppendOutcome(enum.Enum):
+    """What is known of an append."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@attrs.define
+class AppendSettled:
+    """An append ended.
+
+    Attributes:
+        now_us: Monotonic time.
+        append_id: Number given by `AppendRecord`.
+        outcome: What is known of it.
+        offset: The record's offset when the outcome is DONE, otherwise -1.
+    """
+
+    now_us: int
+    append_id: int
+    outcome: AppendOutcome
+    offset: int = -1
+
+
+@attrs.define
+class ListedHost:
+    """One entry of the platform's host list."""
+
+    host_id: str
+    address: str
+    leaving: bool = False
+
+
+@attrs.define
+class HostListRead:
+    """The platform's host list was read; it lags."""
+
+    now_us: int
+    gate_hosts: list[ListedHost]
+    targets: list[ListedHost]
+
+
+@attrs.define
+class PeerMessageReceived:
+    """A message from another gate host arrived.
+
+    Attributes:
+        now_us: Monotonic time.
+        body: The message as JSON text, unchecked.
+    """
+
+    now_us: int
+    body: str
+
+
+@attrs.define
+class ProbeEnded:
+    """A probe ended.
+
+    Attributes:
+        now_us: Monotonic time.
+        probe_id: Number given by `ProbeTarget`.
+        report: The load report, or None when the probe failed.
+    """
+
+    now_us: int
+    probe_id: int
+    report: LoadReport | None
+
+
+@attrs.define
+class StopRequested:
+    """The operator or platform asked this gate host to stop."""
+
+    now_us: int
+
+
+Event = (
+    CallArrived
+    | AttemptAnswered
+    | AttemptEnded
+    | AttemptFailed
+    | CallerLeft
+    | TimerFired
+    | LogRead
+    | LogReadFailed
+    | AppendSettled
+    | HostListRead
+    | PeerMessageReceived
+    | ProbeEnded
+    | StopRequested
+)
--- /dev/null
+++ b/src/fireflyspindle/core/records.py
@@ -0,0 +1,168 @@
+"""Configuration records: the frozen envelope and the versioned payloads.
+
+The envelope has one form for all versions of the software. Whether a record
+is accepted follows from the envelopes alone, so that hosts of different
+versions accept the same records. The payload's form is named by its schema
+version.
+"""
+
+import json
+from typing import Any
+
+import attrs
+import cattrs
+import result
+
+READER_VERSION = 1
+MAX_RECORD_BYTES = 256 * 1024
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+@attrs.define(frozen=True)
+class Envelope:
+    """A configuration record as it stands in the log.
+
+    Attributes:
+        record_id: Unique id, chosen by the publisher.
+        kind: "service", "route", "tenant" or "policy".
+        name: Name of the object within its kind.
+        expected_revision: Revision that this record replaces; 0 for none.
+        schema_version: Form of the payload.
+        oldest_reader_version: Oldest reader that can apply the payload.
+        author: Who published it.
+        payload: The object, or None to delete it.
+    """
+
+    record_id: str
+    kind: str
+    name: str
+    expected_revision: int
+    schema_version: int
+    oldest_reader_version: int
+    author: str
+    payload: dict[str, Any] | None
+
+    @property
+    def key(self) -> str:
+        """The key under which revisions are counted."""
+        return f"{self.kind}/{self.name}"
+
+
+@attrs.define(frozen=True)
+class TargetSpec:
+    """One endpoint of a service.
+
+    Attributes:
+        address: "ip:port".
+        failure_domain: Name of the failure domain it runs in.
+        slots: Requests that it runs at once.
+        connection_limit: Connections it takes from all gate hosts together.
+    """
+
+    address: str
+    failure_domain: str = ""
+    slots: int = 4
+    connection_limit: int = 200
+
+
+@attrs.define(frozen=True)
+class Service:
+    """A group of interchangeable targets."""
+
+    targets: tuple[TargetSpec, ...]
+
+
+@attrs.define(frozen=True)
+class Route:
+    """Sends the paths below a prefix to a service."""
+
+    path_prefix: str
+    service: str
+
+
+@attrs.define(frozen=True)
+class Tenant:
+    """A tenant and its limits.
+
+    Attributes:
+        weight: Share relative to other tenants when a gate host queues.
+        max_in_flight: Calls in flight on one gate host.
+    """
+
+    weight: int = 1
+    max_in_flight: int = 1000
+
+
+@attrs.define(frozen=True)
+class Policy:
+    """Tuning of one service.
+
+    Attributes:
+        probes_per_s: Agreed budget of probes, over all gate hosts.
+        default_deadline_ms: Deadline of a call that states none.
+        retry_share: Retries as a share of calls.
+        hedge_share: Hedges as a share of calls.
+    """
+
+    probes_per_s: float = 10.0
+    default_deadline_ms: int = 10_000
+    retry_share: float = 0.10
+    hedge_share: float = 0.05
+
+
+Payload = Service | Route | Tenant | Policy
+
+KINDS: dict[str, type] = {
+    "service": Service,
+    "route": Route,
+    "tenant": Tenant,
+    "policy": Policy,
+}
+
+
+def encode(envelope: Envelope) -> str:
+    """Returns the envelope as JSON text."""
+    return json.dumps(attrs.asdict(envelope), separators=(",", ":"))
+
+
+def decode(body: str) -> result.Result[Envelope, str]:
+    """Reads an envelope; the error says what is wrong with it."""
+    if len(body) > MAX_RECORD_BYTES:
+        return result.Err(
+            f"record has {len(body)} characters; at most"
+            f" {MAX_RECORD_BYTES} are accepted"
+        )
+    try:
+        raw = json.loads(body)
+    except ValueError as error:
+        return result.Err(f"record is not JSON: {error}")
+    return structure(raw, Envelope)
+
+
+def read_payload(envelope: Envelope) -> result.Result[Payload, str]:
+    """Reads the payload of a record that is not a deletion."""
+    if envelope.oldest_reader_version > READER_VERSION:
+        return result.Err(
+            f"{envelope.key} needs reader {envelope.oldest_reader_version};"
+            f" this host reads up to {READER_VERSION}"
+        )
+    payload_class = KINDS.get(envelope.kind)
+    if payload_class is None:
+        known = ", ".join(sorted(KINDS))
+        return result.Err(
+            f"kind {envelope.kind!r} is unknown; use one of {known}"
+        )
+    return structure(envelope.payload, payload_class)
+
+
+def structure(raw: object, into: type) -> result.Result[Any, str]:
+    """Checks plain JSON data against a class and builds it."""
+    if not isinstance(raw, dict):
+        return result.Err(f"expected a JSON object, found {raw!r}")
+    try:
+        return result.Ok(_converter.structure(raw, into))
+    except cattrs.BaseValidationError as error:
+        return result.Err("; ".join(cattrs.transform_error(error)))
+    except (TypeError, ValueError, KeyError) as error:
+        return result.Err(str(error))
--- /dev/null
+++ b/src/fireflyspindle/core/reducer.py
@@ -0,0 +1,78 @@
+"""The reducer: one function over all events, with effects as data."""
+
+from fireflyspindle.core import calls
+from fireflyspindle.core import configuration
+from fireflyspindle.core import drain
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import log
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import timers
+
+
+def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
+    """Returns the effects with which a gate host begins."""
+    state.now_us = now_us
+    state.emit(effects.ReadLog(configuration.STREAM, 0))
+    return _take_effects(state)
+
+
+def reduce(
+    state: state_lib.GateState, event: events.Event
+) -> list[effects.Effect]:
+    """Applies one event to the state and returns the effects to carry out.
+
+    The state is updated in place. Events must carry a time that never runs
+    backwards. The same events on the same seed give the same effects.
+    """
+    state.now_us = event.now_us
+    _apply(state, event)
+    if state.stopping:
+        drain.exit_if_drained(state)
+    return _take_effects(state)
+
+
+def _apply(state: state_lib.GateState, event: events.Event) -> None:
+    match event:
+        case events.CallArrived():
+            calls.on_arrived(state, event)
+        case events.AttemptAnswered():
+            calls.on_answered(state, event)
+        case events.AttemptEnded():
+            calls.on_ended(state, event)
+        case events.AttemptFailed():
+            calls.on_failed(state, event)
+        case events.CallerLeft():
+            calls.on_caller_left(state, event)
+        case events.TimerFired():
+            _fire_timers(state)
+        case events.LogRead():
+            log.on_read(state, event)
+        case events.LogReadFailed():
+            log.on_read_failed(state, event)
+        case events.StopRequested():
+            drain.on_stop_requested(state, event)
+        case _:
+            pass
+
+
+def _fire_timers(state: state_lib.GateState) -> None:
+    state.timers.armed_at_us = None
+    while (timer := state.timers.pop_due(state.now_us)) is not None:
+        match timer:
+            case timers.CallDeadline(call_id):
+                calls.on_deadline(state, call_id)
+            case timers.DrainDeadline():
+                state.emit(effects.Exit())
+
+
+def _take_effects(state: state_lib.GateState) -> list[effects.Effect]:
+    next_at_us = state.timers.next_at_us()
+    armed_at_us = state.timers.armed_at_us
+    if next_at_us is not None:
+        if armed_at_us is None or next_at_us < armed_at_us:
+            state.timers.armed_at_us = next_at_us
+            state.emit(effects.SetTimer(next_at_us))
+    taken = state.outbox
+    state.outbox = []
+    return taken
--- /dev/null
+++ b/src/fireflyspindle/core/routing.py
@@ -0,0 +1,22 @@
+"""The choice of a target for an attempt."""
+
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
+
+
+def choose(
+    service: state_lib.ServiceState, call: state_lib.Call
+) -> targets.Target | None:
+    """Returns the best target that this call has not tried, if any."""
+    tried = {attempt.target.spec.address for attempt in call.attempts.values()}
+    tried.add(call.last_target)
+    best: targets.Target | None = None
+    best_score = 0.0
+    for target in service.targets.values():
+        if target.leaving or target.spec.address in tried:
+            continue
+        score = target.in_flight / target.spec.slots + target.affinity
+        if best is None or score < best_score:
+            best = target
+            best_score = score
+    return best
--- /dev/null
+++ b/src/fireflyspindle/core/state.py
@@ -0,0 +1,128 @@
+"""The state that the reducer owns and updates in place."""
+
+import enum
+import random
+
+import attrs
+
+from fireflyspindle.core import configuration as configuration_lib
+from fireflyspindle.core import effects
+from fireflyspindle.core import targets as targets_lib
+from fireflyspindle.core import timers as timers_lib
+
+
+@attrs.define(frozen=True)
+class CoreSettings:
+    """Settings of the core.
+
+    Attributes:
+        host_id: Id of this gate host's incarnation, unique for each start.
+        failure_domain: Failure domain that this gate host runs in.
+        drain_limit_ms: Hard limit of a planned stop.
+    """
+
+    host_id: str
+    failure_domain: str = ""
+    drain_limit_ms: int = 60_000
+
+
+class CallPhase(enum.Enum):
+    """Where a call stands for its caller."""
+
+    WAITING = "waiting"
+    FORWARDING = "forwarding"
+    ANSWERED = "answered"
+
+
+@attrs.define
+class Attempt:
+    """One sending of a call's request to a target."""
+
+    number: int
+    target: targets_lib.Target
+    started_us: int
+
+
+@attrs.define
+class Call:
+    """A call that has not ended in all its parts.
+
+    Attributes:
+        call_id: Number of the call.
+        service: Name of the service it goes to.
+        tenant: Name of the tenant.
+        traffic_class: Name of the class.
+        repeatable: Whether the request may run more than once.
+        resendable: Whether the shell holds the body for another attempt.
+        arrived_us: Time of arrival.
+        deadline_us: Time at which the caller gives up.
+        phase: Where it stands for its caller.
+        attempts: Attempts that have not ended, by number.
+        sent_attempts: Number of attempts made so far.
+        outcome: What the caller was told, once it was.
+        target_us: Time spent at the answering target.
+        last_target: Address of the target of the latest attempt.
+        maybe_ran: Whether an attempt ended without a word on having run.
+    """
+
+    call_id: int
+    service: str
+    tenant: str
+    traffic_class: str
+    repeatable: bool
+    resendable: bool
+    arrived_us: int
+    deadline_us: int
+    phase: CallPhase = CallPhase.WAITING
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    sent_attempts: int = 0
+    outcome: effects.Outcome | None = None
+    target_us: int = 0
+    last_target: str = ""
+    maybe_ran: bool = False
+
+
+@attrs.define
+class ServiceState:
+    """What this gate host knows of one service."""
+
+    name: str
+    targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+
+
+@attrs.define
+class GateState:
+    """Everything a gate host knows.
+
+    Attributes:
+        settings: Settings of the core.
+        random: Seeded generator; the only source of randomness.
+        now_us: Time of the event at hand.
+        configuration: Records in force.
+        services: State of each service by name.
+        calls: Calls that have not ended, by number.
+        timers: Timers of all matters.
+        stopping: Whether a planned stop has begun.
+        outbox: Effects of the event at hand.
+    """
+
+    settings: CoreSettings
+    random: random.Random
+    now_us: int = 0
+    configuration: configuration_lib.Configuration = attrs.field(
+        factory=configuration_lib.Configuration
+    )
+    services: dict[str, ServiceState] = attrs.field(factory=dict)
+    calls: dict[int, Call] = attrs.field(factory=dict)
+    timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
+    stopping: bool = False
+    outbox: list[effects.Effect] = attrs.field(factory=list)
+
+    def emit(self, effect: effects.Effect) -> None:
+        """Adds an effect to those of the event at hand."""
+        self.outbox.append(effect)
+
+
+def new(settings: CoreSettings, seed: int) -> GateState:
+    """Returns the state of a gate host that has just started."""
+    return GateState(settings=settings, random=random.Random(seed))
--- /dev/null
+++ b/src/fireflyspindle/core/timers.py
@@ -0,0 +1,48 @@
+"""Timers of the reducer: one queue, driven by a single timer of the shell."""
+
+import heapq
+
+import attrs
+
+
+@attrs.define
+class CallDeadline:
+    """The deadline of a call has come."""
+
+    call_id: int
+
+
+@attrs.define
+class DrainDeadline:
+    """The hard limit of a planned stop has come."""
+
+
+Timer = CallDeadline | DrainDeadline
+
+
+@attrs.define
+class TimerQueue:
+    """Timers by time; a timer whose subject has gone is ignored when due.
+
+    Attributes:
+        armed_at_us: Time that the shell was last asked for, or None.
+    """
+
+    armed_at_us: int | None = None
+    _heap: list[tuple[int, int, Timer]] = attrs.field(factory=list)
+    _sequence: int = 0
+
+    def add(self, at_us: int, timer: Timer) -> None:
+        """Adds a timer that is due at `at_us`."""
+        self._sequence += 1
+        heapq.heappush(self._heap, (at_us, self._sequence, timer))
+
+    def pop_due(self, now_us: int) -> Timer | None:
+        """Removes and returns the first timer that is due, if any."""
+        if not self._heap or self._heap[0][0] > now_us:
+            return None
+        return heapq.heappop(self._heap)[2]
+
+    def next_at_us(self) -> int | None:
+        """Returns the time of the earliest timer, if any."""
+        return self._heap[0][0] if self._heap else None
--- /dev/null
+++ b/src/fireflyspindle/logs.py
@@ -0,0 +1,34 @@
+"""Logs as JSON lines."""
+
+import json
+import sys
+from typing import TextIO
+
+import logbook
+
+logger = logbook.Logger("fireflyspindle")
+
+
+class JsonLinesHandler(logbook.StreamHandler):
+    """Writes each record as one JSON object on a line."""
+
+    def __init__(
+        self, stream: TextIO | None = None, level: str = "INFO"
+    ) -> None:
+        super().__init__(stream or sys.stderr, level=level)
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Returns the record as JSON text."""
+        line = {
+            "time": record.time.isoformat(timespec="milliseconds"),
+            "level": record.level_name.lower(),
+            "message": record.message,
+        }
+        line.update(record.kwargs)
+        line.update(record.extra)
+        return json.dumps(line, default=str)
+
+
+def set_up(level: str) -> None:
+    """Sends every log line at `level` or above to standard error."""
+    JsonLinesHandler(level=level).push_application()
--- /dev/null
+++ b/src/fireflyspindle/testing/hosts.py
@@ -0,0 +1,49 @@
+"""A stand-in for the platform's list of live and leaving hosts."""
+
+import asyncio
+
+from aiohttp import web
+
+
+class StandInHosts:
+    """Serves a host list that lags behind what was set.
+
+    Attributes:
+        lag_s: Seconds until a change shows.
+    """
+
+    def __init__(self, lag_s: float = 0.0) -> None:
+        self.lag_s = lag_s
+        self._shown: dict[str, dict[str, dict]] = {"gates": {}, "targets": {}}
+
+    def application(self) -> web.Application:
+        """Returns the application that serves the list."""
+        app = web.Application()
+        app.add_routes([web.get("/hosts", self._read)])
+        return app
+
+    def put(
+        self, group: str, host_id: str, address: str, leaving: bool = False
+    ) -> None:
+        """Adds or changes a host of the group "gates" or "targets"."""
+        entry = {"host_id": host_id, "address": address, "leaving": leaving}
+        self._later(lambda: self._shown[group].update({host_id: entry}))
+
+    def remove(self, group: str, host_id: str) -> None:
+        """Removes a host."""
+        self._later(lambda: self._shown[group].pop(host_id, None))
+
+    def _later(self, change: object) -> None:
+        if self.lag_s <= 0:
+            change()  # type: ignore[operator]
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.lag_s, change)  # type: ignore[arg-type]
+
+    async def _read(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                group: list(found.values())
+                for group, found in self._shown.items()
+            }
+        )
