Split the life of a call into modules with one job

Cause: admission, attempts, retries and hedges will grow apart, and all stood in one module; the shell also derived the outcome from the target's header, although an earlier attempt may have run. Change: answers, attempts, admission, retries and hedging are modules of their own; ForwardAnswer carries the outcome that the reducer decided. Conclusion: each matter has a place to grow in.

--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -148,24 +148,20 @@
         match verdict:
             case effects.AnswerCaller():
                 return _own_answer(verdict)
-            case effects.ForwardAnswer(_, attempt):
-                return await self._forward(exchange, attempt)
+            case effects.ForwardAnswer():
+                return await self._forward(exchange, verdict)
 
     async def _forward(
-        self, exchange: exchange_lib.Exchange, attempt: int
+        self, exchange: exchange_lib.Exchange, verdict: effects.ForwardAnswer
     ) -> web.StreamResponse:
+        attempt = verdict.attempt
         answer = exchange.answers[attempt]
-        outcome = (
-            effects.Outcome.NOT_RUN
-            if headers.NOT_RUN in answer.headers
-            else effects.Outcome.COMPLETE
-        )
         response = web.StreamResponse(
             status=answer.status,
             reason=answer.reason,
             headers=target_client.end_to_end(answer.headers),
         )
-        response.headers[headers.OUTCOME] = outcome.value
+        response.headers[headers.OUTCOME] = verdict.outcome.value
         try:
             await response.prepare(exchange.request)
             async for chunk in answer.content.iter_any():
--- /dev/null
+++ b/src/fireflyspindle/core/answers.py
@@ -0,0 +1,78 @@
+"""Answers that the gate gives itself, and the end of a call."""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import state as state_lib
+
+RETRY_AFTER_MS = 1000
+
+
+def refuse_unrouted(
+    state: state_lib.GateState, event: events.CallArrived
+) -> None:
+    """Refuses a call whose path no route covers."""
+    state.emit(
+        effects.AnswerCaller(
+            call_id=event.call_id,
+            outcome=effects.Outcome.NOT_RUN,
+            status=404,
+            error="no_route",
+            detail=f"no route covers the path {event.path!r}",
+        )
+    )
+    state.emit(
+        effects.CallFinished(
+            call_id=event.call_id,
+            tenant="",
+            traffic_class="",
+            target="",
+            outcome=effects.Outcome.NOT_RUN,
+            total_us=0,
+            target_us=0,
+            attempts=0,
+        )
+    )
+
+
+def give_up(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    status: int,
+    error: str,
+    detail: str,
+) -> None:
+    """Answers the caller at once with what is known of its request."""
+    call.phase = state_lib.CallPhase.ANSWERED
+    call.outcome = (
+        effects.Outcome.UNKNOWN if call.maybe_ran else effects.Outcome.NOT_RUN
+    )
+    state.emit(
+        effects.AnswerCaller(
+            call_id=call.call_id,
+            outcome=call.outcome,
+            status=status,
+            error=error,
+            detail=detail,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+    )
+    finish_if_done(state, call)
+
+
+def finish_if_done(state: state_lib.GateState, call: state_lib.Call) -> None:
+    """Drops a call whose caller is answered and whose attempts ended."""
+    if call.attempts or call.phase is not state_lib.CallPhase.ANSWERED:
+        return
+    del state.calls[call.call_id]
+    state.emit(
+        effects.CallFinished(
+            call_id=call.call_id,
+            tenant=call.tenant,
+            traffic_class=call.traffic_class,
+            target=call.last_target,
+            outcome=call.outcome or effects.Outcome.UNKNOWN,
+            total_us=state.now_us - call.arrived_us,
+            target_us=call.target_us,
+            attempts=call.sent_attempts,
+        )
+    )
--- /dev/null
+++ b/src/fireflyspindle/core/attempts.py
@@ -0,0 +1,56 @@
+"""Attempts: the sending of a call's request to a target, and its end."""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import hedging
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
+
+
+def begin(
+    state: state_lib.GateState, call: state_lib.Call, target: targets.Target
+) -> None:
+    """Sends an attempt of a call to a target."""
+    call.sent_attempts += 1
+    attempt = state_lib.Attempt(call.sent_attempts, target, state.now_us)
+    call.attempts[attempt.number] = attempt
+    call.last_target = target.spec.address
+    targets.on_begin(target, state.now_us)
+    state.emit(
+        effects.SendToTarget(
+            call_id=call.call_id,
+            attempt=attempt.number,
+            target=target.spec.address,
+            timeout_us=call.deadline_us - state.now_us,
+            hedge=len(call.attempts) > 1,
+        )
+    )
+    hedging.schedule(state, call)
+
+
+def release(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+) -> None:
+    """Takes an attempt that has ended off its call and its target."""
+    del call.attempts[attempt.number]
+    targets.on_end(attempt.target, state.now_us)
+
+
+def drop(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+) -> None:
+    """Cancels an attempt and counts it as ended."""
+    state.emit(effects.CancelAttempt(call.call_id, attempt.number))
+    release(state, call, attempt)
+
+
+def cancel_others(
+    state: state_lib.GateState, call: state_lib.Call, kept: int
+) -> None:
+    """Cancels every attempt but the one kept; their ends come as events."""
+    for number in call.attempts:
+        if number != kept:
+            state.emit(effects.CancelAttempt(call.call_id, number))
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -49,10 +49,16 @@
 
     The shell reports `AttemptEnded`, or `AttemptFailed` when the answer is
     cut short, in which case it closes the caller's connection too.
+
+    Attributes:
+        call_id: Number of the call.
+        attempt: Number of the attempt within the call.
+        outcome: What the caller is told, unless the answer is cut short.
     """
 
     call_id: int
     attempt: int
+    outcome: Outcome
 
 
 @attrs.define
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -5,6 +5,7 @@
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import hedging
 from fireflyspindle.core import log
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import timers
@@ -62,6 +63,8 @@
         match timer:
             case timers.CallDeadline(call_id):
                 calls.on_deadline(state, call_id)
+            case timers.HedgeDue(call_id):
+                hedging.on_due(state, call_id)
             case timers.DrainDeadline():
                 state.emit(effects.Exit())
 
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -5,7 +5,9 @@
 
 
 def choose(
-    service: state_lib.ServiceState, call: state_lib.Call
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
 ) -> targets.Target | None:
     """Returns the best target that this call has not tried, if any."""
     tried = {attempt.target.spec.address for attempt in call.attempts.values()}
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from fireflyspindle.core import events
 from fireflyspindle.core import records
 
 
@@ -20,3 +21,21 @@
     in_flight: int = 0
     leaving: bool = False
     affinity: float = 0.0
+
+
+def on_begin(target: Target, now_us: int) -> None:
+    """Counts an attempt that begins."""
+    target.in_flight += 1
+
+
+def on_answered(
+    target: Target, report: events.LoadReport | None, now_us: int
+) -> None:
+    """Takes the load report on an answer."""
+    if report is not None and report.leaving:
+        target.leaving = True
+
+
+def on_end(target: Target, now_us: int) -> None:
+    """Counts an attempt that has ended."""
+    target.in_flight -= 1
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -12,12 +12,19 @@
     call_id: int
 
 
+@attrs.define
+class HedgeDue:
+    """A call that is still waiting may be hedged."""
+
+    call_id: int
+
+
 @attrs.define
 class DrainDeadline:
     """The hard limit of a planned stop has come."""
 
 
-Timer = CallDeadline | DrainDeadline
+Timer = CallDeadline | HedgeDue | DrainDeadline
 
 
 @attrs.define
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -125,7 +125,7 @@
         match effect:
             case effects.SendToTarget():
                 self._begin_attempt(effect)
-            case effects.ForwardAnswer(call_id, _):
+            case effects.ForwardAnswer(call_id):
                 self._exchanges[call_id].decide(effect)
             case effects.AnswerCaller(call_id):
                 self._exchanges[call_id].decide(effect)
