Add the history bench: random faults, and a check of every promise

Cause: the promises were claimed and not shown; they need histories of concurrent runs under faults, checked from outside the reducer. Change: a world of small fakes (log, targets, network between peers) around the real reducers, random faults that overlap, and a check for each promise that reads the observed history alone.

--- a/src/fireflyspindle/bench/virtual.py
+++ b/src/fireflyspindle/bench/virtual.py
@@ -11,6 +11,8 @@
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 
+EventMaker = Callable[[int], events.Event]
+
 
 @attrs.define
 class Timeline:
@@ -59,14 +61,14 @@
         self.stopped = False
         self._timeline = timeline
         self._carry_out = carry_out
-        self._held: list[Callable[[int], events.Event]] = []
+        self._held: list[EventMaker] = []
         self._timer_number = 0
 
     def start(self) -> None:
         """Carries out the effects with which a gate host begins."""
         self._carry_out_all(reducer.start(self.state, self._timeline.now_us))
 
-    def feed(self, make: Callable[[int], events.Event]) -> None:
+    def feed(self, make: EventMaker) -> None:
         """Feeds the event that `make` builds for the present time."""
         if self.stopped:
             return
--- /dev/null
+++ b/src/fireflyspindle/bench/world.py
@@ -0,0 +1,484 @@
+"""Several gate hosts, the log, targets and callers in virtual time.
+
+It carries out the effects of real reducers with small fakes, and writes down
+what an observer would see.
+"""
+
+import random
+
+import attrs
+
+from fireflyspindle.bench import fake_log
+from fireflyspindle.bench import fake_target
+from fireflyspindle.bench import history as history_lib
+from fireflyspindle.bench import virtual
+from fireflyspindle.core import configuration
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import records
+from fireflyspindle.core import state as state_lib
+
+SERVICE = "offer"
+PATH = "/offer"
+GATES = 4
+TARGETS = 5
+ONE_WAY_US = 500
+CONNECT_FAILURE_US = 1_000
+LATE_US = 2_000_000
+HOST_LIST_LAG_US = 2_000_000
+HOST_LIST_PERIOD_US = 1_000_000
+BALANCER_LAG_US = 1_000_000
+KEEP_US = 60_000_000
+
+
+@attrs.define(eq=False)
+class Sent:
+    """One attempt on its way.
+
+    Attributes:
+        host: Gate host that sent it.
+        effect: What was asked for.
+        target: Where it went.
+        work: The request at the target, once it arrived.
+        ended: Whether its end was reported to the gate host.
+        answered: Whether the headers of its answer were reported.
+    """
+
+    host: "Host"
+    effect: effects.SendToTarget
+    target: fake_target.FakeTarget
+    work: fake_target.Work | None = None
+    ended: bool = False
+    answered: bool = False
+
+
+@attrs.define(eq=False)
+class Host:
+    """One incarnation of a gate host.
+
+    Attributes:
+        name: Name of the incarnation, which is its address too.
+        place: Number of its place in the fleet.
+        gate: The reducer on the timeline.
+        sent: Attempts that have not ended, by call and number.
+        open_calls: Calls that it took and that were not told.
+        listed: Whether the balancer sends it callers.
+        disturbed_us: Time at which it was last held up, or began.
+    """
+
+    name: str
+    place: int
+    gate: virtual.VirtualGate
+    sent: dict[tuple[int, int], Sent] = attrs.field(factory=dict)
+    open_calls: set[int] = attrs.field(factory=set)
+    listed: bool = True
+    disturbed_us: int = 0
+
+
+class World:
+    """The fakes, and the observer who writes the history.
+
+    Attributes:
+        timeline: Virtual time.
+        random: Source of the world's randomness.
+        history: What was seen so far.
+        log: The log service.
+        targets: Targets by address.
+        hosts: Gate hosts in force, by place.
+        parted: Places that can't reach the other places.
+        disturbing: Whether answers of targets are disturbed.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.timeline = virtual.Timeline()
+        self.random = random.Random(seed)
+        self.history = history_lib.History()
+        self.log = fake_log.FakeLog(self.timeline, self.random, self._on_append)
+        self.targets = {
+            f"10.0.1.{index}:80": fake_target.FakeTarget(
+                f"10.0.1.{index}:80", self.timeline, self.random
+            )
+            for index in range(TARGETS)
+        }
+        self.hosts: list[Host] = []
+        self.parted: frozenset[int] = frozenset()
+        self.disturbing = False
+        self._by_name: dict[str, Host] = {}
+        self._started = 0
+        self._fold = configuration.Configuration()
+        self._revisions: dict[tuple[str, str], int] = {}
+
+    def start(self) -> None:
+        """Publishes the first records and starts every gate host."""
+        self.publish("service", SERVICE, self.service_payload(), 0)
+        self.publish(
+            "route", SERVICE, {"path_prefix": PATH, "service": SERVICE}, 0
+        )
+        self.publish("policy", SERVICE, attrs.asdict(records.Policy()), 0)
+        self.history.probe_budgets_per_s[SERVICE] = (
+            records.Policy().probes_per_s
+        )
+        for place in range(GATES):
+            self.hosts.append(self._new_host(place))
+        self._list_hosts()
+
+    def service_payload(self) -> dict:
+        """Returns the payload of the service record."""
+        return {"targets": [{"address": address} for address in self.targets]}
+
+    def publish(
+        self, kind: str, name: str, payload: dict, expected_revision: int
+    ) -> int:
+        """Appends a record to the log; returns its offset."""
+        envelope = records.Envelope(
+            record_id=f"r{self.random.getrandbits(64):016x}",
+            kind=kind,
+            name=name,
+            expected_revision=expected_revision,
+            schema_version=1,
+            oldest_reader_version=1,
+            author="operator",
+            payload=payload,
+        )
+        return self.log.append(configuration.STREAM, records.encode(envelope))
+
+    def _on_append(self, stream: str, offset: int, body: str) -> None:
+        if stream != configuration.STREAM:
+            return
+        folded = configuration.fold(self._fold, offset, body)
+        if isinstance(folded, configuration.Applied):
+            self.history.accepted.append(
+                history_lib.AcceptedSeen(
+                    folded.key, folded.revision, self.timeline.now_us
+                )
+            )
+
+    # Gate hosts.
+
+    def _new_host(self, place: int) -> Host:
+        self._started += 1
+        name = f"gate-{place}.{self._started}"
+        gate = virtual.VirtualGate(
+            self.timeline,
+            state_lib.CoreSettings(host_id=name),
+            self.random.getrandbits(32),
+            lambda _gate, effect: self._carry_out(host, effect),
+        )
+        host = Host(name, place, gate, disturbed_us=self.timeline.now_us)
+        self._by_name[name] = host
+        gate.start()
+        return host
+
+    def feed(self, host: Host, make: virtual.EventMaker) -> None:
+        """Feeds an event to a gate host and looks at its records."""
+        self.history.events += 1
+        host.gate.feed(make)
+
+    def crash(self, place: int) -> None:
+        """Kills a gate host; another takes its place."""
+        host = self.hosts[place]
+        host.gate.stopped = True
+        for call in host.open_calls:
+            self.history.calls[call].gate_crashed = True
+        for sent in host.sent.values():
+            if sent.work is not None:
+                sent.target.cancel(sent.work)
+        self._replace(host)
+
+    def stop(self, place: int) -> None:
+        """Begins the planned stop of a gate host."""
+        host = self.hosts[place]
+        self.feed(host, events.StopRequested)
+        self.timeline.after(BALANCER_LAG_US, lambda: self._unlist(host))
+
+    def _unlist(self, host: Host) -> None:
+        host.listed = False
+
+    def _on_exit(self, host: Host) -> None:
+        host.gate.stopped = True
+        for call in host.open_calls:
+            self.history.calls[call].cut_by_stop = True
+        self._replace(host)
+
+    def _replace(self, host: Host) -> None:
+        self.end_span(host)
+        if self.hosts[host.place] is host:
+            self.hosts[host.place] = self._new_host(host.place)
+
+    def disturb(self, host: Host) -> None:
+        """Notes that a gate host is held up from this time on."""
+        self.end_span(host)
+        host.disturbed_us = -1
+
+    def settle(self, host: Host) -> None:
+        """Notes that a gate host is no longer held up."""
+        host.disturbed_us = self.timeline.now_us
+
+    def end_span(self, host: Host) -> None:
+        """Writes down how long a gate host ran undisturbed."""
+        if host.disturbed_us < 0:
+            return
+        self.history.undisturbed.append(
+            history_lib.Undisturbed(
+                host.name, host.disturbed_us, self.timeline.now_us
+            )
+        )
+
+    def observe_revisions(self) -> None:
+        """Writes down the revisions that each gate host has in force."""
+        for host in self.hosts:
+            for key, entry in host.gate.state.configuration.entries.items():
+                if self._revisions.get((host.name, key)) == entry.revision:
+                    continue
+                self._revisions[host.name, key] = entry.revision
+                self.history.revisions.append(
+                    history_lib.RevisionSeen(
+                        host.name, key, entry.revision, self.timeline.now_us
+                    )
+                )
+
+    def _list_hosts(self) -> None:
+        listed = [
+            events.ListedHost(host.name, host.name, not host.listed)
+            for host in self.hosts
+        ]
+        targets = [
+            events.ListedHost(
+                f"{target.address}#{target.incarnation}",
+                target.address,
+                target.leaving,
+            )
+            for target in self.targets.values()
+        ]
+
+        def show() -> None:
+            for host in self.hosts:
+                self.feed(
+                    host,
+                    lambda now_us: events.HostListRead(now_us, listed, targets),
+                )
+
+        self.timeline.after(HOST_LIST_LAG_US, show)
+        self.timeline.after(HOST_LIST_PERIOD_US, self._list_hosts)
+
+    # Effects.
+
+    def _carry_out(self, host: Host, effect: effects.Effect) -> None:
+        match effect:
+            case effects.SendToTarget():
+                self._send(host, effect)
+            case effects.CancelAttempt(call, attempt):
+                self._cancel(host, call, attempt)
+            case effects.ForwardAnswer():
+                self._forward(host, effect)
+            case effects.AnswerCaller(call_id=call, outcome=outcome):
+                self._tell(host, call, outcome, answer_of=call)
+            case effects.ReadLog():
+                self.log.on_read(host.gate, host.name, effect)
+            case effects.AppendRecord():
+                self.log.on_append(host.gate, host.name, effect)
+            case effects.ProbeTarget():
+                self._probe(host, effect)
+            case effects.TellPeer(address, body):
+                self._tell_peer(host, address, body)
+            case effects.Exit():
+                self._on_exit(host)
+            case _:
+                pass
+
+    def _send(self, host: Host, effect: effects.SendToTarget) -> None:
+        target = self.targets[effect.target]
+        sent = Sent(host, effect, target)
+        host.sent[effect.call_id, effect.attempt] = sent
+        self.history.sends.append(
+            history_lib.SendSeen(
+                effect.call_id, host.name, effect.target, self.timeline.now_us
+            )
+        )
+        if target.shut:
+            self._fail_later(
+                sent, events.FailureReason.REFUSED, CONNECT_FAILURE_US
+            )
+            return
+        self.timeline.after(ONE_WAY_US, lambda: self._arrive(sent))
+
+    def _arrive(self, sent: Sent) -> None:
+        if sent.ended:
+            return
+        if sent.target.shut:
+            self._fail_later(sent, events.FailureReason.REFUSED, ONE_WAY_US)
+            return
+        if self.disturbing and self.random.random() < 0.05:
+            self._fail_later(
+                sent, events.FailureReason.DISCONNECTED, ONE_WAY_US
+            )
+            return
+        if sent.target.failing:
+            self._answer(sent, 503, not_run=True)
+            return
+        sent.work = fake_target.Work(
+            on_start=lambda: self._ran(sent),
+            on_done=lambda: self._answer(sent, 200, not_run=False),
+        )
+        sent.target.take(sent.work)
+
+    def _ran(self, sent: Sent) -> None:
+        call = sent.effect.call_id
+        self.history.runs.append(
+            history_lib.RunSeen(
+                call,
+                self.history.calls[call].key,
+                sent.target.address,
+                self.timeline.now_us,
+            )
+        )
+
+    def _answer(self, sent: Sent, status: int, not_run: bool) -> None:
+        delay_us = ONE_WAY_US
+        if self.disturbing:
+            chance = self.random.random()
+            if chance < 0.05:
+                reason = events.FailureReason.DISCONNECTED
+                self._fail_later(sent, reason, ONE_WAY_US)
+                return
+            if chance < 0.08:
+                reason = events.FailureReason.MISMATCHED
+                self._fail_later(sent, reason, ONE_WAY_US)
+                return
+            if chance < 0.15:
+                delay_us = LATE_US
+            if chance < 0.20:
+                self.timeline.after(
+                    2 * delay_us, lambda: self._report(sent, status, not_run)
+                )
+        self.timeline.after(
+            delay_us, lambda: self._report(sent, status, not_run)
+        )
+
+    def _report(self, sent: Sent, status: int, not_run: bool) -> None:
+        if sent.ended:
+            return
+        sent.answered = True
+        report = events.LoadReport(sent.target.in_flight, sent.target.leaving)
+        self.feed(
+            sent.host,
+            lambda now_us: events.AttemptAnswered(
+                now_us,
+                sent.effect.call_id,
+                sent.effect.attempt,
+                status,
+                not_run,
+                report,
+            ),
+        )
+
+    def _fail_later(
+        self, sent: Sent, reason: events.FailureReason, delay_us: int
+    ) -> None:
+        self.timeline.after(delay_us, lambda: self._fail(sent, reason))
+
+    def _fail(self, sent: Sent, reason: events.FailureReason) -> None:
+        if sent.ended:
+            return
+        sent.ended = True
+        key = (sent.effect.call_id, sent.effect.attempt)
+        sent.host.sent.pop(key, None)
+        self.feed(
+            sent.host,
+            lambda now_us: events.AttemptFailed(
+                now_us,
+                sent.effect.call_id,
+                sent.effect.attempt,
+                reason,
+                sent=reason is not events.FailureReason.REFUSED,
+            ),
+        )
+
+    def _cancel(self, host: Host, call: int, attempt: int) -> None:
+        sent = host.sent.get((call, attempt))
+        if sent is None:
+            return
+        if sent.work is not None:
+            sent.target.cancel(sent.work)
+        self._fail_later(sent, events.FailureReason.CANCELLED, 0)
+
+    def _forward(self, host: Host, effect: effects.ForwardAnswer) -> None:
+        sent = host.sent.get((effect.call_id, effect.attempt))
+        answer_of = None
+        if sent is not None and sent.answered:
+            answer_of = sent.effect.call_id
+        if self.disturbing and sent is not None:
+            if self.random.random() < 0.03:
+                self._fail_later(sent, events.FailureReason.TRUNCATED, 100)
+                self._tell(
+                    host, effect.call_id, effects.Outcome.UNKNOWN, answer_of
+                )
+                return
+        self._tell(host, effect.call_id, effect.outcome, answer_of)
+        if sent is None:
+            return
+        sent.ended = True
+        del host.sent[effect.call_id, effect.attempt]
+        self.timeline.after(
+            100,
+            lambda: self.feed(
+                host,
+                lambda now_us: events.AttemptEnded(
+                    now_us, effect.call_id, effect.attempt
+                ),
+            ),
+        )
+
+    def _tell(
+        self,
+        host: Host,
+        call: int,
+        outcome: effects.Outcome,
+        answer_of: int | None,
+    ) -> None:
+        seen = self.history.calls.get(call)
+        if seen is None or seen.told is not None or seen.left:
+            return
+        host.open_calls.discard(call)
+        seen.told = outcome
+        seen.told_us = self.timeline.now_us
+        seen.answer_of = answer_of
+        self.on_told(seen)
+
+    def on_told(self, seen: history_lib.CallSeen) -> None:
+        """Lets a caller act on its answer; overridden by the load."""
+
+    def _probe(self, host: Host, effect: effects.ProbeTarget) -> None:
+        target = self.targets[effect.target]
+        self.history.probes.append(
+            history_lib.ProbeSeen(SERVICE, host.name, self.timeline.now_us)
+        )
+        report = None
+        if not target.shut:
+            report = events.LoadReport(target.in_flight, target.leaving)
+        self.timeline.after(
+            2 * ONE_WAY_US,
+            lambda: self.feed(
+                host,
+                lambda now_us: events.ProbeEnded(
+                    now_us, effect.probe_id, report
+                ),
+            ),
+        )
+
+    def _tell_peer(self, host: Host, address: str, body: str) -> None:
+        peer = self._by_name.get(address)
+        if peer is None or peer.gate.stopped:
+            return
+        if (host.place in self.parted) != (peer.place in self.parted):
+            return
+        copies = self.random.choice((1, 1, 1, 1, 1, 1, 1, 1, 2, 0))
+        for _ in range(copies):
+            delay_us = self.random.randrange(ONE_WAY_US, 10 * ONE_WAY_US)
+            self.timeline.after(
+                delay_us,
+                lambda: self.feed(
+                    peer,
+                    lambda now_us: events.PeerMessageReceived(now_us, body),
+                ),
+            )
--- /dev/null
+++ b/tests/test_history_run.py
@@ -0,0 +1,10 @@
+"""Runs under random faults keep the promises."""
+
+from fireflyspindle.bench import history_run
+
+
+def test_same_seed_gives_the_same_history():
+    first = history_run.run_seed(7).history
+    assert history_run.run_seed(7).history == first
+    assert len(first.calls) > 1_000
+    assert first.faults
