Hand the log's streams to the matters they belong to

A second stream would have been folded as configuration. Reads and appends now name their stream, each stream has its own read position, and an append is settled by the matter that asked for it. A read may ask not to wait.

--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -35,12 +35,20 @@
         self._base = f"http://{address}/streams"
         self._session = aiohttp.ClientSession()
 
-    async def read(self, stream: str, from_offset: int) -> Batch | None:
-        """Reads from an offset, waiting for new records; None on failure."""
+    async def read(
+        self, stream: str, from_offset: int, *, wait: bool = True
+    ) -> Batch | None:
+        """Reads from an offset; None on failure.
+
+        Args:
+            stream: Name of the stream.
+            from_offset: First offset wanted.
+            wait: Whether to wait at the log when there are no new records.
+        """
         query = {
             "from": str(from_offset),
             "limit": str(READ_LIMIT_RECORDS),
-            "wait_ms": str(READ_WAIT_MS),
+            "wait_ms": str(READ_WAIT_MS if wait else 0),
         }
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
         try:
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -115,11 +115,13 @@
         stream: Name of the stream.
         from_offset: First offset wanted.
         delay_us: Time to wait before the read.
+        wait: Whether to wait at the log for new records when there are none.
     """
 
     stream: str
     from_offset: int
     delay_us: int = 0
+    wait: bool = True
 
 
 @attrs.define
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -47,12 +47,20 @@
             calls.on_caller_left(state, event)
         case events.TimerFired():
             _fire_timers(state)
+        case events.StopRequested():
+            drain.on_stop_requested(state, event)
+        case _:
+            _apply_shared(state, event)
+
+
+def _apply_shared(state: state_lib.GateState, event: events.Event) -> None:
+    match event:
         case events.LogRead():
             log.on_read(state, event)
         case events.LogReadFailed():
             log.on_read_failed(state, event)
-        case events.StopRequested():
-            drain.on_stop_requested(state, event)
+        case events.AppendSettled():
+            log.on_append_settled(state, event)
         case _:
             pass
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -90,6 +90,21 @@
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
 
 
+@attrs.define
+class LogPosition:
+    """How far this gate host has read one stream of the log.
+
+    Attributes:
+        next_offset: First offset that has not been read.
+        known_offset: Next offset of the log, or None before the first read.
+        failures: Reads that have failed since the last one that succeeded.
+    """
+
+    next_offset: int = 0
+    known_offset: int | None = None
+    failures: int = 0
+
+
 @attrs.define
 class GateState:
     """Everything a gate host knows.
@@ -101,6 +116,9 @@
         configuration: Records in force.
         services: State of each service by name.
         calls: Calls that have not ended, by number.
+        log_positions: How far each stream of the log has been read.
+        appends: Stream of each append that has not been settled, by number.
+        last_append_id: Number of the latest append.
         timers: Timers of all matters.
         stopping: Whether a planned stop has begun.
         outbox: Effects of the event at hand.
@@ -114,6 +132,9 @@
     )
     services: dict[str, ServiceState] = attrs.field(factory=dict)
     calls: dict[int, Call] = attrs.field(factory=dict)
+    log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
+    appends: dict[int, str] = attrs.field(factory=dict)
+    last_append_id: int = 0
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
     stopping: bool = False
     outbox: list[effects.Effect] = attrs.field(factory=list)
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -133,10 +133,17 @@
                 self._cancel_attempt(effect)
             case effects.CallFinished():
                 self._finish(effect)
+            case _:
+                self._carry_out_shared(effect)
+
+    def _carry_out_shared(self, effect: effects.Effect) -> None:
+        match effect:
             case effects.SetTimer(at_us):
                 self._set_timer(at_us)
             case effects.ReadLog():
                 self._spawn(self._read_log(effect))
+            case effects.AppendRecord():
+                self._spawn(self._append_record(effect))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
@@ -248,7 +255,9 @@
 
     async def _read_log(self, effect: effects.ReadLog) -> None:
         await asyncio.sleep(effect.delay_us / 1e6)
-        batch = await self.log.read(effect.stream, effect.from_offset)
+        batch = await self.log.read(
+            effect.stream, effect.from_offset, wait=effect.wait
+        )
         if batch is None:
             self.submit(events.LogReadFailed(self.now_us(), effect.stream))
             return
@@ -263,6 +272,17 @@
             )
         )
 
+    async def _append_record(self, effect: effects.AppendRecord) -> None:
+        appended = await self.log.append(effect.stream, effect.body)
+        self.submit(
+            events.AppendSettled(
+                now_us=self.now_us(),
+                append_id=effect.append_id,
+                outcome=appended.outcome,
+                offset=appended.offset,
+            )
+        )
+
 
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
