--- /dev/null
+++ b/src/fireflyspindle/bench/overhead.py
@@ -0,0 +1,185 @@
+"""What the gate adds to a call, beside a bare pass-through and no proxy.
+
+Each role is a process of its own, so that no measured server shares an event
+loop with the load: `target`, `pass-through`, `gate` and `load`. `make
+bench-overhead` starts the four.
+"""
+
+import asyncio
+import json
+import math
+
+import attrs
+
+from fireflyspindle.bench import overhead_load
+from fireflyspindle.bench import overhead_servers
+
+PATHS = ("direct", "bare", "gate")
+ROUNDS = 5
+SEGMENT_S = 2.0
+CLOSED_LOOP_CALLERS = 32
+ROLES = ("target", "pass-through", "gate", "load")
+
+
+@attrs.define
+class Samples:
+    """What was measured on one path at one load.
+
+    Attributes:
+        latencies_us: Latency of each call from its scheduled start.
+        seconds: Time measured.
+        cpu_us: Processor time of the proxy.
+        failed: Calls that got no whole answer with status 200.
+    """
+
+    latencies_us: list[float] = attrs.field(factory=list)
+    seconds: float = 0.0
+    cpu_us: float = 0.0
+    failed: int = 0
+
+
+def overhead(
+    *,
+    role: str = "load",
+    base_port: int = 18_300,
+    rates: str = "200,800",
+    rounds: int = ROUNDS,
+    segment_s: float = SEGMENT_S,
+    json_output: bool = False,
+) -> int:
+    """Measures what the gate adds to a call; see `make bench-overhead`.
+
+    Args:
+        role: "target", "pass-through", "gate" or "load".
+        base_port: First of the ports on loopback that the roles use.
+        rates: Calls per second of the open loops, separated by commas.
+        rounds: Times that each load is put on each path, interleaved.
+        segment_s: Length of one load on one path, in seconds.
+        json_output: Print one line of JSON.
+
+    Returns:
+        The exit status.
+    """
+    match role:
+        case "target":
+            asyncio.run(overhead_servers.run_target(base_port))
+        case "pass-through":
+            asyncio.run(overhead_servers.run_pass_through(base_port))
+        case "gate":
+            asyncio.run(overhead_servers.run_gate(base_port))
+        case "load":
+            wanted = [float(rate) for rate in rates.split(",")]
+            found = asyncio.run(_measure(base_port, wanted, rounds, segment_s))
+            print(json.dumps(found, indent=None if json_output else 2))
+        case _:
+            print(f"role {role!r} is unknown; use one of {', '.join(ROLES)}")
+            return 2
+    return 0
+
+
+async def _measure(
+    base_port: int, rates: list[float], rounds: int, segment_s: float
+) -> dict:
+    ports = overhead_servers.Ports(base_port)
+    addresses = {
+        "direct": ports.target,
+        "bare": ports.pass_through,
+        "gate": ports.gate,
+    }
+    clients = {
+        path: overhead_load.Client("127.0.0.1", port)
+        for path, port in addresses.items()
+    }
+    cpu = overhead_load.CpuReader(
+        {"bare": ports.cpu(ports.pass_through), "gate": ports.cpu(ports.gate)}
+    )
+    for path in PATHS:
+        await overhead_load.wait_until_serving(clients[path])
+    found: dict[str, dict[str, Samples]] = {}
+    loads: list[float | None] = [*rates, None]
+    for _ in range(rounds):
+        for rate in loads:
+            label = "closed" if rate is None else f"open_{rate:g}_per_s"
+            by_path = found.setdefault(
+                label, {path: Samples() for path in PATHS}
+            )
+            for path in PATHS:
+                await _segment(
+                    by_path[path], clients[path], cpu, path, rate, segment_s
+                )
+    for client in clients.values():
+        client.close()
+    return _report(found)
+
+
+async def _segment(
+    samples: Samples,
+    client: overhead_load.Client,
+    cpu: overhead_load.CpuReader,
+    path: str,
+    rate_per_s: float | None,
+    seconds: float,
+) -> None:
+    cpu_before_us = await cpu.read_us(path)
+    if rate_per_s is None:
+        latencies_us, failed = await overhead_load.closed_loop(
+            client, CLOSED_LOOP_CALLERS, seconds
+        )
+    else:
+        latencies_us, failed = await overhead_load.open_loop(
+            client, rate_per_s, seconds
+        )
+    samples.cpu_us += await cpu.read_us(path) - cpu_before_us
+    samples.latencies_us += latencies_us
+    samples.failed += failed
+    samples.seconds += seconds
+
+
+def _report(found: dict[str, dict[str, Samples]]) -> dict:
+    report: dict = {}
+    for label, by_path in found.items():
+        section = {path: _summary(by_path[path]) for path in PATHS}
+        report[label] = section
+        if label != "closed":
+            section["added_p99_ratio_to_bare"] = _added_ratio(by_path, 0.99)
+            section["added_p50_ratio_to_bare"] = _added_ratio(by_path, 0.50)
+    closed = report["closed"]
+    report["added_p99_ratio_to_bare"] = max(
+        section["added_p99_ratio_to_bare"]
+        for label, section in report.items()
+        if label.startswith("open")
+    )
+    report["capacity_ratio_to_bare"] = round(
+        closed["gate"]["calls_per_s"] / closed["bare"]["calls_per_s"], 3
+    )
+    return report
+
+
+def _summary(samples: Samples) -> dict:
+    ordered = sorted(samples.latencies_us)
+    count = max(1, len(ordered))
+    return {
+        "calls": len(ordered),
+        "failed": samples.failed,
+        "calls_per_s": round(len(ordered) / samples.seconds, 1),
+        "p50_ms": round(percentile(ordered, 0.50) / 1000, 3),
+        "p99_ms": round(percentile(ordered, 0.99) / 1000, 3),
+        "p99_9_ms": round(percentile(ordered, 0.999) / 1000, 3),
+        "cpu_us_per_call": round(samples.cpu_us / count, 1),
+    }
+
+
+def _added_ratio(by_path: dict[str, Samples], share: float) -> float:
+    at = {
+        path: percentile(sorted(by_path[path].latencies_us), share)
+        for path in PATHS
+    }
+    bare_us = max(1.0, at["bare"] - at["direct"])
+    return round((at["gate"] - at["direct"]) / bare_us, 3)
+
+
+def percentile(ordered: list[float], share: float) -> float:
+    """Returns the value below which a share of the ordered values lies."""
+    if not ordered:
+        return math.nan
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
