--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -1,5 +1,7 @@
 """The life of a call, from arrival to the end of its last attempt."""
 
+from collections.abc import Collection
+
 from fireflyspindle.core import admission
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
@@ -27,8 +29,8 @@
     call = state_lib.Call(
         call_id=event.call_id,
         service=service.name,
-        tenant=event.tenant,
-        traffic_class=event.traffic_class,
+        tenant=_known(event.tenant, state.configuration.tenants),
+        traffic_class=_known(event.traffic_class, state.configuration.classes),
         repeatable=event.repeatable,
         resendable=event.resendable,
         arrived_us=event.now_us,
@@ -36,9 +38,15 @@
     )
     state.calls[call.call_id] = call
     state.timers.add(deadline_us, timers.CallDeadline(call.call_id))
+    retries.on_arrived(state, service)
     admission.offer(state, call)
 
 
+def _known(name: str, configured: Collection[str]) -> str:
+    """Returns a configured name, or an empty string for any other."""
+    return name if name in configured else ""
+
+
 def on_answered(
     state: state_lib.GateState, event: events.AttemptAnswered
 ) -> None:
@@ -52,9 +60,8 @@
         attempts.drop(state, call, attempt)
         answers.finish_if_done(state, call)
         return
-    if event.not_run and retries.may_retry(state, call):
-        attempts.drop(state, call, attempt)
-        admission.send(state, call)
+    if _declined(call, event) and _replaced(state, call, attempt):
+        call.maybe_ran = call.maybe_ran or not event.not_run
         return
     call.phase = state_lib.CallPhase.FORWARDING
     call.outcome = _outcome(call, event)
@@ -65,12 +72,36 @@
     attempts.cancel_others(state, call, attempt.number)
 
 
+def _declined(call: state_lib.Call, event: events.AttemptAnswered) -> bool:
+    """Whether another target may still give a better answer."""
+    if event.not_run:
+        return True
+    return call.repeatable and event.status in retries.RETRIED_STATUSES
+
+
+def _replaced(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+) -> bool:
+    """Drops an attempt whose call has another one, or gets one."""
+    if len(call.attempts) > 1:
+        attempts.drop(state, call, attempt)
+        return True
+    target = retries.plan(state, call, reached_target=True)
+    if target is None:
+        return False
+    attempts.drop(state, call, attempt)
+    attempts.begin(state, call, target)
+    return True
+
+
 def _outcome(
     call: state_lib.Call, event: events.AttemptAnswered
 ) -> effects.Outcome:
     if not event.not_run:
         return effects.Outcome.COMPLETE
-    if call.maybe_ran or len(call.attempts) > 1:
+    if call.maybe_ran:
         return effects.Outcome.UNKNOWN
     return effects.Outcome.NOT_RUN
 
@@ -110,9 +141,12 @@
 ) -> None:
     if call.attempts:
         return
-    if (call.repeatable or not event.sent) and retries.may_retry(state, call):
-        admission.send(state, call)
-        return
+    safe = call.repeatable or not event.sent
+    if safe:
+        target = retries.plan(state, call, reached_target=event.sent)
+        if target is not None:
+            attempts.begin(state, call, target)
+            return
     answers.give_up(
         state,
         call,
--- a/src/fireflyspindle/core/configuration.py
+++ b/src/fireflyspindle/core/configuration.py
@@ -33,6 +33,7 @@
         routes: Services' names in force by path prefix.
         route_prefixes: Path prefixes in force by route name.
         tenants: Tenants in force by name.
+        classes: Classes in force by name.
         policies: Policies in force by service name.
         unreadable: Keys whose newest payload this host can't read, with why.
     """
@@ -44,6 +45,7 @@
     routes: dict[str, str] = attrs.field(factory=dict)
     route_prefixes: dict[str, str] = attrs.field(factory=dict)
     tenants: dict[str, records.Tenant] = attrs.field(factory=dict)
+    classes: dict[str, records.TrafficClass] = attrs.field(factory=dict)
     policies: dict[str, records.Policy] = attrs.field(factory=dict)
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
@@ -127,6 +129,8 @@
             config.routes[payload.path_prefix] = payload.service
         case records.Tenant():
             config.tenants[record.name] = payload
+        case records.TrafficClass():
+            config.classes[record.name] = payload
         case records.Policy():
             config.policies[record.name] = payload
 
@@ -140,6 +144,8 @@
             _withdraw_route(config, record)
         case "tenant":
             config.tenants.pop(record.name, None)
+        case "class":
+            config.classes.pop(record.name, None)
         case "policy":
             config.policies.pop(record.name, None)
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fireflyspindle.core import budgets
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import targets as targets_lib
@@ -88,6 +89,7 @@
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
 
 
 @attrs.define
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 
 import attrs
+import driver
+import pytest
 import pytest_asyncio
 
 from fireflyspindle import demo
@@ -47,3 +49,9 @@
     await gate.wait_closed()
     await target_server.close()
     await log_server.close()
+
+
+@pytest.fixture
+def make_host():
+    """Builds gate hosts whose reducers a test drives by events."""
+    return driver.Host
