Add the policy bench in virtual time

Routing had no measure. The bench drives one reducer per gate host against fakes of targets (slots, queue, own work per call, spells of slowness that belong to the target) and six baselines on the same arrivals.

--- /dev/null
+++ b/src/fireflyspindle/bench/commands.py
@@ -0,0 +1,72 @@
+"""The bench commands of the command line."""
+
+import json as json_lib
+import sys
+from typing import Literal
+
+from fireflyspindle.bench import policy as policy_lib
+from fireflyspindle.bench import policy_model
+
+
+def policy(
+    *,
+    deployment: Literal["zeevaart", "taller"] = "zeevaart",
+    load: float = 0.8,
+    scenario: Literal[
+        "steady",
+        "noisy",
+        "drain",
+        "cold",
+        "fail-fast",
+        "straggler",
+        "burst",
+        "stale",
+        "lying",
+        "missing",
+        "uneven",
+    ] = "noisy",
+    service: Literal["exponential", "heavy"] = "exponential",
+    seeds: int = 3,
+    gates: int = 16,
+    seconds: float = 4.0,
+    json: bool = False,
+) -> int:
+    """Compares the shipped routing with baselines in virtual time.
+
+    Args:
+        deployment: Whose sizes are used.
+        load: Offered work as a share of what the targets' slots can do.
+        scenario: What goes wrong.
+        service: Distribution of the calls' own work.
+        seeds: Number of seeds, from 1 on.
+        gates: Number of gate hosts.
+        seconds: Length of a run in virtual time.
+        json: Print one line of JSON.
+
+    Returns:
+        The exit status: 2 when an argument is out of bounds.
+    """
+    if not 0 < load <= 2 or seeds < 1 or gates < 1 or seconds <= 0:
+        print(
+            "bench policy: --load must lie in (0, 2], --seeds and --gates be"
+            " at least 1 and --seconds be above 0",
+            file=sys.stderr,
+        )
+        return 2
+    plan = policy_model.Plan(
+        deployment=policy_model.DEPLOYMENTS[deployment],
+        load=load,
+        scenario=scenario,
+        service=service,
+        gates=gates,
+        duration_us=int(seconds * 1e6),
+    )
+    figures = policy_lib.compare(plan, seeds)
+    if json:
+        print(json_lib.dumps(figures))
+    else:
+        print(policy_lib.table(figures))
+    return 0
+
+
+COMMANDS = {"policy": policy}
--- /dev/null
+++ b/src/fireflyspindle/bench/policy.py
@@ -0,0 +1,163 @@
+"""The policy bench: the shipped routing against baselines."""
+
+from collections.abc import Callable
+import functools
+from typing import Any, Protocol
+
+import attrs
+
+from fireflyspindle.bench import policy_baselines
+from fireflyspindle.bench import policy_model
+from fireflyspindle.bench import policy_shipped
+from fireflyspindle.core import records
+
+DRAIN_US = 15_000_000
+SHIPPED = "shipped"
+HEDGED = "shipped_hedged"
+QUANTILES = {"p50_ms": 0.5, "p90_ms": 0.9, "p99_ms": 0.99, "p999_ms": 0.999}
+
+
+class Sender(Protocol):
+    """A policy under test."""
+
+    run: policy_baselines.Run
+
+    def send(self, arrival: policy_model.Arrival) -> None:
+        """Sends one call."""
+
+
+Make = Callable[[policy_model.World, int], Sender]
+
+
+def compare(plan: policy_model.Plan, seeds: int) -> dict[str, Any]:
+    """Runs every policy on the same arrivals; returns the figures.
+
+    Args:
+        plan: What is run.
+        seeds: Number of seeds, from 1 on.
+    """
+    runs = {
+        name: [run_one(plan, seed, make) for seed in range(1, seeds + 1)]
+        for name, make in policies(plan).items()
+    }
+    figures = {name: _figures(plan, made) for name, made in runs.items()}
+    return {
+        "deployment": plan.deployment.name,
+        "load": plan.load,
+        "scenario": plan.scenario,
+        "service": plan.service,
+        "gates": plan.gates,
+        "seeds": seeds,
+        "policies": figures,
+        "p99_ratio_to_exact": _ratio(figures, SHIPPED, "exact"),
+        "p99_ratio_to_random": _ratio(figures, SHIPPED, "random"),
+        "p99_ratio_to_least_own": _ratio(figures, SHIPPED, "least_own"),
+        "p99_hedged_ratio_to_exact": _ratio(figures, HEDGED, "exact"),
+        "p99_ratio_to_exact_by_seed": [
+            _ratio_of(ours, exact)
+            for ours, exact in zip(runs[SHIPPED], runs["exact"], strict=True)
+        ],
+        "p99_hedged_ratio_to_exact_by_seed": [
+            _ratio_of(ours, exact)
+            for ours, exact in zip(runs[HEDGED], runs["exact"], strict=True)
+        ],
+    }
+
+
+def policies(plan: policy_model.Plan) -> dict[str, Make]:
+    """Returns what is compared, by name."""
+    probes_per_s = plan.deployment.probes_per_s
+    unhedged = records.Policy(probes_per_s=probes_per_s, hedge_share=0.0)
+    hedged = records.Policy(probes_per_s=probes_per_s)
+    made: dict[str, Make] = {
+        name: _baseline(name) for name in policy_baselines.NAMES
+    }
+    made[SHIPPED] = _shipped(unhedged)
+    made[HEDGED] = _shipped(hedged)
+    return made
+
+
+def _baseline(name: str) -> Make:
+    return lambda world, seed: policy_baselines.Baseline(name, world, seed)
+
+
+def _shipped(policy: records.Policy) -> Make:
+    return lambda world, seed: policy_shipped.Shipped(world, seed, policy)
+
+
+def run_one(
+    plan: policy_model.Plan, seed: int, make: Make
+) -> policy_baselines.Run:
+    """Runs one policy on one seed."""
+    world = policy_model.world(plan, seed)
+    sender = make(world, seed)
+    for arrival in policy_model.arrivals(plan, seed):
+        world.timeline.after(
+            arrival.at_us, functools.partial(sender.send, arrival)
+        )
+    world.timeline.run(plan.duration_us + DRAIN_US)
+    return sender.run
+
+
+def quantile(values: list[int], share: float) -> float:
+    """Returns a quantile, or 0 when there are no values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _figures(
+    plan: policy_model.Plan, runs: list[policy_baselines.Run]
+) -> dict[str, Any]:
+    pooled = [latency for run in runs for latency in run.latencies_us]
+    total = policy_baselines.Run()
+    for run in runs:
+        for field in attrs.fields(policy_baselines.Run):
+            if field.name != "latencies_us":
+                added = getattr(total, field.name) + getattr(run, field.name)
+                setattr(total, field.name, added)
+    virtual_s = plan.duration_us / 1e6 * len(runs) * plan.gates
+    figures: dict[str, Any] = {
+        name: quantile(pooled, share) / 1000
+        for name, share in QUANTILES.items()
+    }
+    figures["p99_ms_by_seed"] = [
+        quantile(run.latencies_us, 0.99) / 1000 for run in runs
+    ]
+    figures["probes_per_call"] = round(total.probes / total.calls, 4)
+    figures["attempts_per_call"] = round(total.attempts / total.calls, 4)
+    figures["control_bytes_per_s"] = total.control_bytes / virtual_s
+    figures["calls"] = total.calls
+    figures["complete"] = total.complete
+    figures["not_run"] = total.not_run
+    figures["unknown"] = total.unknown
+    return figures
+
+
+def _ratio(figures: dict[str, Any], ours: str, theirs: str) -> float:
+    floor_ms = figures[theirs]["p99_ms"]
+    return round(figures[ours]["p99_ms"] / floor_ms, 3) if floor_ms else 0.0
+
+
+def _ratio_of(
+    ours: policy_baselines.Run, theirs: policy_baselines.Run
+) -> float:
+    floor_us = quantile(theirs.latencies_us, 0.99)
+    ours_us = quantile(ours.latencies_us, 0.99)
+    return round(ours_us / floor_us, 3) if floor_us else 0.0
+
+
+def table(figures: dict[str, Any]) -> str:
+    """Returns the figures as a table for people."""
+    columns = [*QUANTILES, "probes_per_call", "attempts_per_call", "not_run"]
+    lines = ["policy".ljust(16) + "".join(name.rjust(18) for name in columns)]
+    for name, row in figures["policies"].items():
+        cells = "".join(f"{row[column]:18.2f}" for column in columns)
+        lines.append(name.ljust(16) + cells)
+    lines.extend(
+        f"{name}: {value}"
+        for name, value in figures.items()
+        if name.startswith("p99")
+    )
+    return "\n".join(lines)
--- /dev/null
+++ b/src/fireflyspindle/bench/policy_shipped.py
@@ -0,0 +1,222 @@
+"""The shipped policy in the policy bench: a real reducer per gate host."""
+
+import attrs
+
+from fireflyspindle.bench import policy_baselines
+from fireflyspindle.bench import policy_model
+from fireflyspindle.bench import virtual
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import records
+from fireflyspindle.core import state as state_lib
+
+ROUTE_PREFIX = "/call"
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """An attempt of the shipped policy on its way."""
+
+    gate: virtual.VirtualGate
+    number: int
+    call_id: int
+    attempt: int
+    target: policy_model.Target
+    job: policy_model.Job
+    open: bool = True
+
+
+class Shipped:
+    """Drives one reducer per gate host against the fakes of the bench."""
+
+    def __init__(
+        self, world: policy_model.World, seed: int, policy: records.Policy
+    ) -> None:
+        self.run = policy_baselines.Run()
+        self._world = world
+        self._targets = {target.address: target for target in world.targets}
+        self._arrivals: list[policy_model.Arrival] = []
+        self._attempts: dict[tuple[int, int], Attempt] = {}
+        self._numbers: dict[virtual.VirtualGate, int] = {}
+        self.gates: list[virtual.VirtualGate] = []
+        for number in range(world.plan.gates):
+            domain = f"domain-{number % policy_model.FAILURE_DOMAINS}"
+            gate = virtual.VirtualGate(
+                world.timeline,
+                state_lib.CoreSettings(f"gate-{number}", domain),
+                seed * 1000 + number,
+                self._carry_out,
+            )
+            self._numbers[gate] = number
+            self.gates.append(gate)
+            gate.start()
+            gate.feed(lambda now_us: _configuration(now_us, world, policy))
+
+    def send(self, arrival: policy_model.Arrival) -> None:
+        """Feeds one call to its gate host."""
+        call_id = len(self._arrivals)
+        self._arrivals.append(arrival)
+        self.run.calls += 1
+        self.gates[arrival.gate].feed(
+            lambda now_us: events.CallArrived(
+                now_us=now_us,
+                call_id=call_id,
+                path=ROUTE_PREFIX,
+                repeatable=arrival.repeatable,
+            )
+        )
+
+    def _carry_out(
+        self, gate: virtual.VirtualGate, effect: effects.Effect
+    ) -> None:
+        match effect:
+            case effects.SendToTarget():
+                self._send(gate, effect)
+            case effects.CancelAttempt(call_id, number):
+                self._cancel(self._attempts[call_id, number])
+            case effects.ForwardAnswer(call_id, number):
+                self._complete(call_id, number)
+            case effects.AnswerCaller(outcome=effects.Outcome.NOT_RUN):
+                self.run.not_run += 1
+            case effects.AnswerCaller():
+                self.run.unknown += 1
+            case effects.ProbeTarget():
+                self._probe(gate, effect)
+            case effects.TellPeer(_, body):
+                self.run.control_bytes += len(body)
+
+    def _send(
+        self, gate: virtual.VirtualGate, effect: effects.SendToTarget
+    ) -> None:
+        timeline = self._world.timeline
+        target = self._targets[effect.target]
+        number = self._numbers[gate]
+        one_way_us = self._world.one_way_us(number, target)
+        arrival = self._arrivals[effect.call_id]
+
+        def done(ran: bool) -> None:
+            report = events.LoadReport(target.report(), target.leaving)
+            timeline.after(
+                one_way_us, lambda: self._answer(attempt, ran, report)
+            )
+
+        job = policy_model.Job(arrival.work_us, done)
+        attempt = Attempt(
+            gate, number, effect.call_id, effect.attempt, target, job
+        )
+        self._attempts[effect.call_id, effect.attempt] = attempt
+        self.run.attempts += 1
+        timeline.after(one_way_us, lambda: target.take(job))
+
+    def _answer(
+        self, attempt: Attempt, ran: bool, report: events.LoadReport
+    ) -> None:
+        if not attempt.open:
+            return
+        attempt.gate.feed(
+            lambda now_us: events.AttemptAnswered(
+                now_us=now_us,
+                call_id=attempt.call_id,
+                attempt=attempt.attempt,
+                status=200 if ran else 503,
+                not_run=not ran,
+                report=report,
+            )
+        )
+
+    def _complete(self, call_id: int, number: int) -> None:
+        attempt = self._attempts[call_id, number]
+        attempt.open = False
+        timeline = self._world.timeline
+        arrival = self._arrivals[call_id]
+        self.run.complete += 1
+        self.run.add_latency(self._world.plan, arrival, timeline.now_us)
+        timeline.after(
+            0,
+            lambda: attempt.gate.feed(
+                lambda now_us: events.AttemptEnded(now_us, call_id, number)
+            ),
+        )
+
+    def _cancel(self, attempt: Attempt) -> None:
+        if not attempt.open:
+            return
+        attempt.open = False
+        timeline = self._world.timeline
+        one_way_us = self._world.one_way_us(attempt.number, attempt.target)
+        timeline.after(one_way_us, lambda: attempt.target.cancel(attempt.job))
+        timeline.after(
+            0,
+            lambda: attempt.gate.feed(
+                lambda now_us: events.AttemptFailed(
+                    now_us=now_us,
+                    call_id=attempt.call_id,
+                    attempt=attempt.attempt,
+                    reason=events.FailureReason.CANCELLED,
+                    sent=True,
+                )
+            ),
+        )
+
+    def _probe(
+        self, gate: virtual.VirtualGate, effect: effects.ProbeTarget
+    ) -> None:
+        self.run.probes += 1
+        timeline = self._world.timeline
+        target = self._targets[effect.target]
+        one_way_us = self._world.one_way_us(self._numbers[gate], target)
+
+        def arrive() -> None:
+            report = events.LoadReport(target.report(), target.leaving)
+            timeline.after(one_way_us, lambda: back(report))
+
+        def back(report: events.LoadReport) -> None:
+            gate.feed(
+                lambda now_us: events.ProbeEnded(
+                    now_us, effect.probe_id, report
+                )
+            )
+
+        timeline.after(one_way_us, arrive)
+
+
+def _configuration(
+    now_us: int, world: policy_model.World, policy: records.Policy
+) -> events.LogRead:
+    deployment = world.plan.deployment
+    service = records.Service(
+        tuple(
+            records.TargetSpec(
+                target.address,
+                f"domain-{target.domain}",
+                deployment.slots,
+                deployment.connection_limit,
+            )
+            for target in world.targets
+        )
+    )
+    route = records.Route(ROUTE_PREFIX, deployment.service)
+    bodies = [
+        _record("service", deployment.service, service),
+        _record("route", deployment.service, route),
+        _record("policy", deployment.service, policy),
+    ]
+    entries = [
+        events.LogEntry(offset, body) for offset, body in enumerate(bodies)
+    ]
+    return events.LogRead(now_us, "configuration", entries, 0, 0, len(entries))
+
+
+def _record(kind: str, name: str, payload: records.Payload) -> str:
+    return records.encode(
+        records.Envelope(
+            record_id=f"{kind}-{name}",
+            kind=kind,
+            name=name,
+            expected_revision=0,
+            schema_version=1,
+            oldest_reader_version=1,
+            author="bench",
+            payload=attrs.asdict(payload),
+        )
+    )
--- a/src/fireflyspindle/cli.py
+++ b/src/fireflyspindle/cli.py
@@ -13,6 +13,7 @@
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import logs
 from fireflyspindle import settings as settings_lib
+from fireflyspindle.bench import commands as bench_commands
 
 
 def gate(*, settings: pathlib.Path) -> int:
@@ -61,4 +62,8 @@
 
 def main() -> None:
     """Runs the command that the arguments name."""
-    sys.exit(defopt.run({"gate": gate, "demo": demo}))
+    sys.exit(
+        defopt.run(
+            {"gate": gate, "demo": demo, "bench": bench_commands.COMMANDS}
+        )
+    )
