--- a/src/fireflyspindle/adapters/exchange.py
+++ b/src/fireflyspindle/adapters/exchange.py
@@ -1,12 +1,22 @@
 """One caller's request on its way through a gate host."""
 
 import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from typing import TYPE_CHECKING, Any
 
-import aiohttp
-from aiohttp import web
+from aiohttp import http
+from aiohttp import streams
 import attrs
 
-from fireflyspindle.core import effects
+if TYPE_CHECKING:
+    from fireflyspindle.adapters import caller_connection
+    from fireflyspindle.adapters import target_client
+
+Work = Coroutine[Any, Any, None]
+
+
+class UploadError(Exception):
+    """The caller's body can't be carried to its end."""
 
 
 @attrs.define(eq=False)
@@ -16,30 +26,63 @@
     Attributes:
         call_id: Number of the call.
         request_id: Id sent to the target and in log lines.
-        request: The caller's request.
+        message: Head of the caller's request.
+        repeatable: Whether the request may run more than once.
         body: The body when it is held whole, otherwise None.
-        verdict: Resolves to the decision on the caller's answer.
-        answers: Answers of targets whose headers arrived, by attempt.
-        tasks: Running attempts by number.
+        payload: The body as it arrives, when it is not held.
+        body_limit_bytes: Largest body that is carried.
+        caller: The caller's connection, until it is answered or gone.
+        attempts: Attempts by number.
+        too_large: Whether the body went over its limit on the way.
     """
 
     call_id: int
     request_id: str
-    request: web.BaseRequest
+    message: http.RawRequestMessage
+    repeatable: bool
     body: bytes | None
-    verdict: asyncio.Future[effects.ForwardAnswer | effects.AnswerCaller]
-    answers: dict[int, aiohttp.ClientResponse] = attrs.field(factory=dict)
-    tasks: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
-
-    def decide(
-        self, verdict: effects.ForwardAnswer | effects.AnswerCaller
-    ) -> None:
-        """Hands the decision to the caller's task, if it still waits."""
-        if not self.verdict.done():
-            self.verdict.set_result(verdict)
-
-    def drop_answer(self, attempt: int) -> None:
-        """Closes the connection of an answer that nobody wants."""
-        answer = self.answers.pop(attempt, None)
-        if answer is not None:
-            answer.close()
+    payload: streams.StreamReader
+    body_limit_bytes: int
+    caller: "caller_connection.CallerConnection | None"
+    attempts: "dict[int, target_client.Attempt]" = attrs.field(factory=dict)
+    too_large: bool = False
+
+    @property
+    def states_body(self) -> bool:
+        """Whether the request states a body, be it an empty one."""
+        return self.message.chunked or "Content-Length" in self.message.headers
+
+    @property
+    def stated_length(self) -> int | None:
+        """Length of the body that the caller stated, in bytes."""
+        text = self.message.headers.get("Content-Length")
+        return int(text) if text is not None else None
+
+    def cut_caller(self) -> None:
+        """Closes the caller's connection, so that it sees the cut."""
+        caller = self.caller
+        self.caller = None
+        if caller is not None:
+            caller.abort()
+
+    async def upload(self) -> AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        Raises:
+            UploadError: The caller left, or the body is too large.
+        """
+        total_bytes = 0
+        while True:
+            try:
+                data = await self.payload.readany()
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                raise UploadError(str(error)) from error
+            if not data:
+                return
+            total_bytes += len(data)
+            if total_bytes > self.body_limit_bytes:
+                self.too_large = True
+                raise UploadError("the body is too large")
+            yield data
--- /dev/null
+++ b/src/fireflyspindle/adapters/wire.py
@@ -0,0 +1,115 @@
+"""Heads of HTTP/1.1 messages, built from the bytes that were received."""
+
+from collections.abc import Sequence
+
+from aiohttp import http
+
+from fireflyspindle import headers
+
+Message = http.RawRequestMessage | http.RawResponseMessage
+
+_CARRIED_TO_TARGETS = frozenset(
+    name.lower().encode()
+    for name in (headers.TENANT, headers.CLASS, headers.REPEATABLE)
+)
+_CARRIED_TO_CALLERS: frozenset[bytes] = frozenset()
+_NEVER_CONNECTION_NAMED = frozenset({b"host", b"idempotency-key"})
+
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+
+def request_head(
+    message: http.RawRequestMessage,
+    target: str,
+    added: Sequence[bytes],
+    length: int | None,
+    chunked: bool,
+) -> bytes:
+    """Returns the head of a caller's request for a target.
+
+    Args:
+        message: Head of the caller's request.
+        target: Address of the target, for a caller that names no host.
+        added: Header lines of the gate's own.
+        length: Length of the body in bytes, when it is known.
+        chunked: Whether the body goes out in chunks.
+    """
+    path = message.path
+    if not path.startswith("/") and message.url.absolute:
+        path = message.url.raw_path_qs
+    lines = [
+        message.method.encode("ascii"),
+        b" ",
+        path.encode("utf-8", "surrogateescape"),
+        b" HTTP/1.1\r\n",
+    ]
+    if "Host" not in message.headers:
+        lines.append(b"Host: %b\r\n" % target.encode("ascii"))
+    _add_carried(lines, message, _CARRIED_TO_TARGETS)
+    lines += added
+    _add_framing(lines, length, chunked)
+    return b"".join(lines)
+
+
+def answer_head(
+    message: http.RawResponseMessage,
+    added: Sequence[bytes],
+    length: int | None,
+    chunked: bool,
+) -> bytes:
+    """Returns the head of a target's answer for a caller.
+
+    Args:
+        message: Head of the target's answer.
+        added: Header lines of the gate's own.
+        length: Length to state, in bytes, or None to state none.
+        chunked: Whether the body goes out in chunks.
+    """
+    reason = message.reason.encode("utf-8", "surrogateescape")
+    lines = [b"HTTP/1.1 %d %b\r\n" % (message.code, reason)]
+    _add_carried(lines, message, _CARRIED_TO_CALLERS)
+    lines += added
+    _add_framing(lines, length, chunked)
+    return b"".join(lines)
+
+
+def _add_carried(
+    lines: list[bytes], message: Message, own: frozenset[bytes]
+) -> None:
+    dropped = headers.HOP_BY_HOP
+    named = message.headers.getall("Connection", None)
+    if named:
+        dropped = dropped.union(_connection_named(named))
+    for name, value in message.raw_headers:
+        lowered = name.lower()
+        if lowered in dropped:
+            continue
+        if lowered.startswith(headers.OWN_PREFIX) and lowered not in own:
+            continue
+        lines.append(b"%b: %b\r\n" % (name, value))
+
+
+def _connection_named(values: Sequence[str]) -> set[bytes]:
+    named = {
+        token.strip().lower().encode("utf-8", "surrogateescape")
+        for value in values
+        for token in value.split(",")
+    }
+    return named - _NEVER_CONNECTION_NAMED
+
+
+def _add_framing(lines: list[bytes], length: int | None, chunked: bool) -> None:
+    if chunked:
+        lines.append(b"Transfer-Encoding: chunked\r\n\r\n")
+    elif length is not None:
+        lines.append(b"Content-Length: %d\r\n\r\n" % length)
+    else:
+        lines.append(b"\r\n")
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns data as one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- a/src/fireflyspindle/bench/overhead.py
+++ b/src/fireflyspindle/bench/overhead.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import math
+from typing import Any
 
 import attrs
 
@@ -138,7 +139,9 @@
 def _report(found: dict[str, dict[str, Samples]]) -> dict:
     report: dict = {}
     for label, by_path in found.items():
-        section = {path: _summary(by_path[path]) for path in PATHS}
+        section: dict[str, Any] = {
+            path: _summary(by_path[path]) for path in PATHS
+        }
         report[label] = section
         if label != "closed":
             section["added_p99_ratio_to_bare"] = _added_ratio(by_path, 0.99)
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -1,17 +1,18 @@
 """The shell of a gate host: carries out effects and reports back as events."""
 
 import asyncio
-from collections.abc import Coroutine
+import collections
+from collections.abc import Mapping
 import random
 import time
 
-import aiohttp
 from aiohttp import web
 
 from fireflyspindle import headers
 from fireflyspindle import logs
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle import settings as settings_lib
+from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import control_api
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
@@ -22,6 +23,8 @@
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 
+MAX_DIGITS = 9
+
 
 class Gate:
     """One gate host in this process.
@@ -44,46 +47,42 @@
         self._exchanges: dict[int, exchange_lib.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._runners: list[web.BaseRunner] = []
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._reducing = False
         self._exit = asyncio.Event()
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the log."""
         self.log = log_client.LogClient(self._settings.platform.log_address)
-        self._client = target_client.TargetClient()
-        server = gate_server.GateServer(
+        self._client = target_client.TargetClient(self, self.spawn)
+        limits = self._settings.limits
+        self._server = gate_server.GateServer(
             self,
             self._settings.gate.host_id,
-            self._settings.limits.body_buffer_bytes,
-        )
-        callers = web.ServerRunner(
-            web.Server(
-                server.handle,
-                access_log=None,
-                auto_decompress=False,
-                handler_cancellation=True,
-            )
+            gate_server.BodyLimits(
+                limits.body_buffer_bytes, limits.request_body_bytes
+            ),
         )
-        await self._listen(callers, self._settings.gate.callers_address)
-        control = web.AppRunner(control_api.application(self), access_log=None)
-        await self._listen(control, self._settings.gate.control_address)
+        await self._server.start(self._settings.gate.callers_address)
+        app = control_api.application(self)
+        self._control = web.AppRunner(app, access_log=None)
+        await self._listen(self._control, self._settings.gate.control_address)
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
         host, _, port = address.rpartition(":")
         await runner.setup()
         await web.TCPSite(runner, host.strip("[]"), int(port)).start()
-        self._runners.append(runner)
 
     @property
     def callers_address(self) -> str:
         """The address on which callers are served, with its real port."""
-        return _address(self._runners[0])
+        return self._server.address
 
     @property
     def control_address(self) -> str:
         """The control address, with its real port."""
-        return _address(self._runners[1])
+        return _address(self._control)
 
     def request_stop(self) -> None:
         """Begins a planned stop; `wait_closed` returns when it is done."""
@@ -97,9 +96,9 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for runner in self._runners:
-            await runner.cleanup()
-        await self._client.close()
+        await self._server.close()
+        self._client.close()
+        await self._control.cleanup()
         await self.log.close()
 
     def now_us(self) -> int:
@@ -114,8 +113,21 @@
         self.submit(event)
 
     def submit(self, event: events.Event) -> None:
-        """Feeds an event to the reducer and carries out the effects."""
-        self._carry_out_all(reducer.reduce(self.state, event))
+        """Feeds an event to the reducer and carries out the effects.
+
+        An event that comes up while effects are carried out waits until all
+        of them are, so that effects take place in the order of the events.
+        """
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._events:
+                first = self._events.popleft()
+                self._carry_out_all(reducer.reduce(self.state, first))
+        finally:
+            self._reducing = False
 
     def _carry_out_all(self, asked: list[effects.Effect]) -> None:
         for effect in asked:
@@ -124,11 +136,11 @@
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendToTarget():
-                self._begin_attempt(effect)
-            case effects.ForwardAnswer(call_id):
-                self._exchanges[call_id].decide(effect)
+                self._client.begin(self._exchanges[effect.call_id], effect)
+            case effects.ForwardAnswer():
+                self._forward(effect)
             case effects.AnswerCaller(call_id):
-                self._exchanges[call_id].decide(effect)
+                answers.answer(self._exchanges[call_id], effect)
             case effects.CancelAttempt():
                 self._cancel_attempt(effect)
             case effects.CallFinished():
@@ -141,9 +153,9 @@
             case effects.SetTimer(at_us):
                 self._set_timer(at_us)
             case effects.ReadLog():
-                self._spawn(self._read_log(effect))
+                self.spawn(self._read_log(effect))
             case effects.AppendRecord():
-                self._spawn(self._append_record(effect))
+                self.spawn(self._append_record(effect))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
@@ -151,7 +163,8 @@
             case _:
                 pass
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+    def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
+        """Starts a task that ends with the gate at the latest."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -168,79 +181,91 @@
         self._timer = None
         self.submit(events.TimerFired(self.now_us()))
 
-    def _begin_attempt(self, effect: effects.SendToTarget) -> None:
-        exchange = self._exchanges[effect.call_id]
-        task = self._spawn(self._attempt(exchange, effect))
-        exchange.tasks[effect.attempt] = task
-
-    async def _attempt(
-        self, exchange: exchange_lib.Exchange, effect: effects.SendToTarget
-    ) -> None:
-        try:
-            answer = await self._client.send(
-                exchange, effect.target, effect.timeout_us
-            )
-        except asyncio.CancelledError:
-            self._fail(effect, events.FailureReason.CANCELLED)
-            raise
-        if isinstance(answer, events.FailureReason):
-            self._fail(effect, answer)
-            return
-        exchange.answers[effect.attempt] = answer
+    def on_answer(self, attempt: target_client.Attempt) -> None:
+        """Takes the head of a target's answer."""
+        answer = attempt.answer
+        assert answer is not None
+        given = answer.message.headers
         self.submit(
             events.AttemptAnswered(
                 now_us=self.now_us(),
-                call_id=effect.call_id,
-                attempt=effect.attempt,
-                status=answer.status,
-                not_run=headers.NOT_RUN in answer.headers,
-                report=_report(answer),
+                call_id=attempt.exchange.call_id,
+                attempt=attempt.number,
+                status=answer.message.code,
+                not_run=headers.NOT_RUN in given,
+                report=_report(given),
             )
         )
 
-    def _fail(
-        self, effect: effects.SendToTarget, reason: events.FailureReason
+    def on_failed(
+        self, attempt: target_client.Attempt, reason: events.FailureReason
     ) -> None:
+        """Takes the end of an attempt without a whole answer."""
+        attempt.ended = True
         self.submit(
             events.AttemptFailed(
                 now_us=self.now_us(),
-                call_id=effect.call_id,
-                attempt=effect.attempt,
+                call_id=attempt.exchange.call_id,
+                attempt=attempt.number,
                 reason=reason,
-                sent=target_client.was_sent(reason),
+                sent=attempt.sent,
             )
         )
 
-    def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
+    def _forward(self, effect: effects.ForwardAnswer) -> None:
         exchange = self._exchanges[effect.call_id]
-        if effect.attempt in exchange.answers:
-            exchange.drop_answer(effect.attempt)
-            asyncio.get_running_loop().call_soon(
-                self._report_cancelled, effect.call_id, effect.attempt
-            )
+        attempt = exchange.attempts[effect.attempt]
+        relay = answers.Relay(exchange, attempt)
+        if relay.begin(effect.outcome):
+            self._end(attempt)
             return
-        task = exchange.tasks.get(effect.attempt)
-        if task is not None:
-            task.cancel()
+        attempt.relayed = True
+        attempt.tasks.append(self.spawn(self._relay(relay, attempt)))
 
-    def _report_cancelled(self, call_id: int, attempt: int) -> None:
+    async def _relay(
+        self, relay: answers.Relay, attempt: target_client.Attempt
+    ) -> None:
+        whole = await relay.run()
+        if attempt.ended:
+            return
+        if whole:
+            self._end(attempt)
+            return
+        attempt.abort()
+        self.on_failed(attempt, events.FailureReason.TRUNCATED)
+
+    def _end(self, attempt: target_client.Attempt) -> None:
+        attempt.release()
         self.submit(
-            events.AttemptFailed(
-                now_us=self.now_us(),
-                call_id=call_id,
-                attempt=attempt,
-                reason=events.FailureReason.CANCELLED,
-                sent=True,
+            events.AttemptEnded(
+                self.now_us(), attempt.exchange.call_id, attempt.number
             )
         )
 
+    def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
+        exchange = self._exchanges[effect.call_id]
+        attempt = exchange.attempts[effect.attempt]
+        if attempt.ended:
+            return
+        if attempt.relayed and exchange.caller is not None:
+            exchange.cut_caller()
+            if not exchange.repeatable:
+                return
+        if attempt.answer is None or attempt.relayed:
+            attempt.abort()
+        elif attempt.answer.payload.is_eof():
+            attempt.release()
+        elif exchange.repeatable:
+            attempt.abort()
+        else:
+            self.spawn(answers.discard(attempt))
+        self.on_failed(attempt, events.FailureReason.CANCELLED)
+
     def _finish(self, effect: effects.CallFinished) -> None:
         exchange = self._exchanges.pop(effect.call_id)
-        labels = {"tenant": effect.tenant, "class": effect.traffic_class}
-        added_us = effect.total_us - effect.target_us
-        self.metrics.total_s.observe(labels, effect.total_us / 1e6)
-        self.metrics.added_s.observe(labels, added_us / 1e6)
-        self.metrics.outcomes.inc({**labels, "outcome": effect.outcome.value})
+        self.metrics.on_call_finished(effect)
+        if not logs.enabled("DEBUG"):
+            return
         logs.logger.debug(
             "call finished",
             request_id=exchange.request_id,
@@ -289,9 +314,10 @@
     return f"{host}:{port}"
 
 
-def _report(answer: aiohttp.ClientResponse) -> events.LoadReport:
-    text = answer.headers.get(headers.IN_FLIGHT, "")
+def _report(given: Mapping[str, str]) -> events.LoadReport:
+    text = given.get(headers.IN_FLIGHT, "")
+    valid = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
     return events.LoadReport(
-        in_flight=int(text) if text.isdecimal() else None,
-        leaving=headers.LEAVING in answer.headers,
+        in_flight=int(text) if valid else None,
+        leaving=headers.LEAVING in given,
     )
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -14,17 +14,23 @@
 LEAVING = "Fireflyspindle-Leaving"
 NOT_RUN = "Fireflyspindle-Not-Run"
 
-# Headers of one connection, never carried on (RFC 9110, section 7.6.1).
+# Every header of the gate's own, in lower case.
+OWN_PREFIX = b"fireflyspindle-"
+
+# Headers of one connection, never carried on (RFC 9110, section 7.6.1), and
+# those that frame the body or ask the next hop, which each side sets anew.
 HOP_BY_HOP = frozenset(
     {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
     }
 )
--- a/src/fireflyspindle/logs.py
+++ b/src/fireflyspindle/logs.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-logger = logbook.Logger("fireflyspindle")
+logger = logbook.Logger("fireflyspindle", level=logbook.INFO)
 
 
 class JsonLinesHandler(logbook.StreamHandler):
@@ -29,6 +29,12 @@
         return json.dumps(line, default=str)
 
 
+def enabled(level: str) -> bool:
+    """Whether records of a level are written; cheap enough for each call."""
+    return bool(logbook.lookup_level(level) >= logger.level)
+
+
 def set_up(level: str) -> None:
     """Sends every log line at `level` or above to standard error."""
+    logger.level = logbook.lookup_level(level)
     JsonLinesHandler(level=level).push_application()
--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -101,12 +101,16 @@
 
     Attributes:
         body_buffer_bytes: Largest request body that is held for a retry.
+        request_body_bytes: Largest request body that is carried.
         drain_limit_ms: Hard limit of a planned stop.
     """
 
     body_buffer_bytes: int = attrs.field(
         default=65_536, validator=_check_positive
     )
+    request_body_bytes: int = attrs.field(
+        default=64 * 1024 * 1024, validator=_check_positive
+    )
     drain_limit_ms: int = attrs.field(default=60_000, validator=_check_positive)
 
 
