Check settings as a whole, and show the promises in a demo

Cause: a wrong key of the settings hid the errors behind it and named neither value nor remedy; the demo had one gate host and no faults. Change: settings are built with every error named by key, value and what is accepted; teams with digests of their tokens; a stand-in system for tests and the demo; the demo drains, slows and fails targets, stops a gate host and counts four promises from the targets' journals; stand-ins can be run by hand.

--- /dev/null
+++ b/src/fireflyspindle/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, a module for each group."""
--- /dev/null
+++ b/src/fireflyspindle/commands/stand_in.py
@@ -0,0 +1,98 @@
+"""Commands that run a stand-in of the platform or a target, to try by hand."""
+
+import asyncio
+from collections.abc import Callable
+import signal
+import sys
+
+from aiohttp import web
+
+from fireflyspindle import testing
+from fireflyspindle.commands import status
+
+LOG_ADDRESS = "127.0.0.1:7001"
+HOSTS_ADDRESS = "127.0.0.1:7002"
+TARGET_ADDRESS = "127.0.0.1:7101"
+
+
+def log(*, address: str = LOG_ADDRESS) -> int:
+    """Runs a stand-in for the log service; it keeps records in memory.
+
+    Args:
+        address: IP number and port to listen on.
+
+    Returns:
+        The exit status.
+    """
+    return asyncio.run(_serve(address, _log_application))
+
+
+def hosts(*, address: str = HOSTS_ADDRESS, lag_s: float = 0.0) -> int:
+    """Runs a stand-in for the host list; it is empty at first.
+
+    Args:
+        address: IP number and port to listen on.
+        lag_s: Seconds until a change shows.
+
+    Returns:
+        The exit status.
+    """
+    return asyncio.run(
+        _serve(address, lambda: testing.StandInHosts(lag_s).application())
+    )
+
+
+def target(
+    *,
+    address: str = TARGET_ADDRESS,
+    slots: int = 4,
+    mean_service_ms: float = 10.0,
+) -> int:
+    """Runs a stand-in for a target that echoes each request.
+
+    Args:
+        address: IP number and port to listen on.
+        slots: Requests that it runs at once.
+        mean_service_ms: Mean of its exponential service time.
+
+    Returns:
+        The exit status.
+    """
+    if slots < 1 or mean_service_ms < 0:
+        print(
+            "--slots must be at least 1, --mean-service-ms at least 0",
+            file=sys.stderr,
+        )
+        return status.BAD_USE
+    return asyncio.run(
+        _serve(
+            address,
+            lambda: testing.StandInTarget(
+                address, slots, mean_service_ms
+            ).application(),
+        )
+    )
+
+
+def _log_application() -> web.Application:
+    return testing.StandInLog().application()
+
+
+async def _serve(address: str, make: Callable[[], web.Application]) -> int:
+    server = testing.Server(make())
+    try:
+        real = await server.start(address)
+    except (OSError, ValueError) as error:
+        print(f"can't listen on {address!r}: {error}", file=sys.stderr)
+        return status.FAILURE
+    print(f"listening on {real}", flush=True)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    await server.close()
+    return status.SUCCESS
+
+
+COMMANDS = {"log": log, "hosts": hosts, "target": target}
--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -2,25 +2,31 @@
 
 import ipaddress
 import pathlib
+import re
 import tomllib
 
 import attrs
-import cattrs
 import result
 
+from fireflyspindle import validation
+
+MAX_PORT = 65_535
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,100}")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_KEY_PATTERN = re.compile(r"[a-z]+/([A-Za-z0-9._-]+|\*)")
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-def _check_address(_: object, field: attrs.Attribute, value: str) -> None:
+def _check_address(_: object, _field: attrs.Attribute, value: str) -> None:
     host, _colon, port = value.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        valid = 0 <= int(port) <= 65535
+        valid = port.isdecimal() and int(port) <= MAX_PORT
     except ValueError:
         valid = False
     if not valid:
         raise ValueError(
-            f"{field.name} = {value!r}; give an IP number and a port,"
+            f"found {value!r}; give an IP number and a port up to {MAX_PORT},"
             ' such as "10.0.0.7:8080"'
         )
 
@@ -32,25 +38,43 @@
         _check_address(instance, field, address)
 
 
-def _check_name(_: object, field: attrs.Attribute, value: str) -> None:
-    if not value or len(value) > 100 or not value.isprintable():
+def _check_name(_: object, _field: attrs.Attribute, value: str) -> None:
+    if not _NAME.fullmatch(value):
         raise ValueError(
-            f"{field.name} = {value!r}; give 1 to 100 printable characters"
+            f"found {value!r}; give 1 to 100 letters, digits, dots, hyphens"
+            " or underscores"
         )
 
 
-def _check_positive(_: object, field: attrs.Attribute, value: int) -> None:
+def _check_positive(_: object, _field: attrs.Attribute, value: int) -> None:
     if value <= 0:
-        raise ValueError(f"{field.name} = {value}; give a number above 0")
+        raise ValueError(f"found {value}; give a number above 0")
 
 
-def _check_level(_: object, field: attrs.Attribute, value: str) -> None:
+def _check_level(_: object, _field: attrs.Attribute, value: str) -> None:
     if value not in LOG_LEVELS:
+        raise ValueError(f"found {value!r}; use one of {', '.join(LOG_LEVELS)}")
+
+
+def _check_digest(_: object, _field: attrs.Attribute, value: str) -> None:
+    if not _SHA256.fullmatch(value):
         raise ValueError(
-            f"{field.name} = {value!r}; use one of {', '.join(LOG_LEVELS)}"
+            f"found {len(value)} characters; give the SHA-256 digest of the"
+            " token as 64 hexadecimal digits, as `fireflyspindle hash-token`"
+            " prints it"
         )
 
 
+def _check_patterns(
+    _: object, _field: attrs.Attribute, value: tuple[str, ...]
+) -> None:
+    for pattern in value:
+        if pattern != "*" and not _KEY_PATTERN.fullmatch(pattern):
+            raise ValueError(
+                f'found {pattern!r}; give "kind/name", "kind/*" or "*"'
+            )
+
+
 @attrs.define(frozen=True)
 class GateSettings:
     """Section [gate].
@@ -117,6 +141,32 @@
     level: str = attrs.field(default="INFO", validator=_check_level)
 
 
+@attrs.define(frozen=True)
+class TeamSettings:
+    """One entry of [[administration.teams]].
+
+    Attributes:
+        name: Name of the team, written down as the author of its changes.
+        token_sha256: Digest of the team's token, in hexadecimal.
+        may_write: Keys that the team may write: "kind/name", "kind/*" or "*".
+    """
+
+    name: str = attrs.field(validator=_check_name)
+    token_sha256: str = attrs.field(validator=_check_digest)
+    may_write: tuple[str, ...] = attrs.field(validator=_check_patterns)
+
+
+@attrs.define(frozen=True)
+class AdministrationSettings:
+    """Section [administration].
+
+    Attributes:
+        teams: Who may publish what; nobody may when there is none.
+    """
+
+    teams: tuple[TeamSettings, ...] = ()
+
+
 @attrs.define(frozen=True)
 class Settings:
     """Every setting of a gate host."""
@@ -126,9 +176,9 @@
     peers: PeerSettings = attrs.field(factory=PeerSettings)
     limits: LimitSettings = attrs.field(factory=LimitSettings)
     logging: LogSettings = attrs.field(factory=LogSettings)
-
-
-_converter = cattrs.Converter(forbid_extra_keys=True)
+    administration: AdministrationSettings = attrs.field(
+        factory=AdministrationSettings
+    )
 
 
 def parse(text: str) -> result.Result[Settings, list[str]]:
@@ -137,10 +187,7 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return result.Err([f"not TOML: {error}"])
-    try:
-        return result.Ok(_converter.structure(raw, Settings))
-    except cattrs.BaseValidationError as error:
-        return result.Err(cattrs.transform_error(error, path="settings"))
+    return validation.build(Settings, raw, "")
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, list[str]]:
--- a/src/fireflyspindle/testing/__init__.py
+++ b/src/fireflyspindle/testing/__init__.py
@@ -3,6 +3,17 @@
 from fireflyspindle.testing.hosts import StandInHosts
 from fireflyspindle.testing.log import StandInLog
 from fireflyspindle.testing.server import Server
+from fireflyspindle.testing.system import StandInSystem
+from fireflyspindle.testing.system import gate_settings
+from fireflyspindle.testing.system import publish
 from fireflyspindle.testing.target import StandInTarget
 
-__all__ = ["Server", "StandInHosts", "StandInLog", "StandInTarget"]
+__all__ = [
+    "Server",
+    "StandInHosts",
+    "StandInLog",
+    "StandInSystem",
+    "StandInTarget",
+    "gate_settings",
+    "publish",
+]
--- a/src/fireflyspindle/testing/target.py
+++ b/src/fireflyspindle/testing/target.py
@@ -18,6 +18,8 @@
         failing: Whether it fails every request at once with 503.
         leaving: Whether it states that it is leaving.
         journal: Number of runs by request id.
+        runs_by_path: Number of runs by request path.
+        probes: Number of probes that it answered.
     """
 
     def __init__(
@@ -32,6 +34,8 @@
         self.failing = False
         self.leaving = False
         self.journal: collections.Counter[str] = collections.Counter()
+        self.probes = 0
+        self.runs_by_path: collections.Counter[str] = collections.Counter()
         self._slots = asyncio.Semaphore(slots)
         self._in_flight = 0
         self._random = random.Random(seed)
@@ -56,6 +60,7 @@
         request_id = request.headers.get(headers.REQUEST_ID, "")
         body = await request.read()
         self.journal[request_id] += 1
+        self.runs_by_path[request.raw_path] += 1
         if self.mean_service_ms:
             rate_per_ms = 1 / self.mean_service_ms
             await asyncio.sleep(self._random.expovariate(rate_per_ms) / 1000)
