--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,10 +3,8 @@
 from collections.abc import AsyncIterator
 
 import attrs
-import pytest
 import pytest_asyncio
 
-import driver
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import testing
 
