--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,8 +3,10 @@
 from collections.abc import AsyncIterator
 
 import attrs
+import pytest
 import pytest_asyncio
 
+import driver
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import testing
 
@@ -36,3 +38,9 @@
         )
         gate = await parts.add_gate("gate-1")
         yield System(parts.log, target, gate, f"http://{gate.callers_address}")
+
+
+@pytest.fixture
+def make_host():
+    """Builds gate hosts whose reducers a test drives by events."""
+    return driver.Host
