--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -20,7 +20,7 @@
     if service is None:
         answers.refuse_unrouted(state, event)
         return
-    policy = state.configuration.policies.get(service.name, records.Policy())
+    policy = state.configuration.policy(service.name)
     deadline_us = event.deadline_us
     if deadline_us is None:
         deadline_us = event.now_us + policy.default_deadline_ms * 1000
--- a/src/fireflyspindle/core/configuration.py
+++ b/src/fireflyspindle/core/configuration.py
@@ -1,24 +1,19 @@
 """The fold of configuration records into the configuration in force."""
 
+from collections.abc import Iterable
+
 import attrs
 import result
 
+from fireflyspindle.core import entries as entries_lib
 from fireflyspindle.core import records
+from fireflyspindle.core import routes as routes_lib
+from fireflyspindle.core import verdicts as verdicts_lib
 
 STREAM = "configuration"
+DEFAULTS_KEY = "defaults/policy"
 
-
-@attrs.define
-class Entry:
-    """The accepted state of one key.
-
-    Attributes:
-        revision: Offset of the accepted record plus one; 0 means none.
-        record: The accepted record.
-    """
-
-    revision: int
-    record: records.Envelope
+Entry = entries_lib.Entry
 
 
 @attrs.define
@@ -26,33 +21,49 @@
     """Every accepted record by key, and the payloads in force.
 
     Attributes:
+        reader_version: Newest payloads that this host can read.
         next_offset: First offset of the stream that is not folded yet.
-        known_offset: Next offset of the log as far as this host has heard.
+        known_offset: Next offset that must be reached before this host holds
+            a whole configuration; None before anyone has told.
+        joined: Whether a whole configuration was reached once.
+        lost_before_offset: Records below this offset were lost to this host
+            before it could fold them; None when there are none.
         entries: Accepted records by key, deletions included.
+        digest: Hash of the keys and their revisions.
         services: Services in force by name.
-        routes: Services' names in force by path prefix.
-        route_prefixes: Path prefixes in force by route name.
+        routes: Routes in force.
         tenants: Tenants in force by name.
         policies: Policies in force by service name.
+        default_policy: Policy of services that have none of their own.
         unreadable: Keys whose newest payload this host can't read, with why.
+        verdicts: What became of the latest records.
     """
 
+    reader_version: int = records.READER_VERSION
     next_offset: int = 0
     known_offset: int | None = None
+    joined: bool = False
+    lost_before_offset: int | None = None
     entries: dict[str, Entry] = attrs.field(factory=dict)
+    digest: int = 0
     services: dict[str, records.Service] = attrs.field(factory=dict)
-    routes: dict[str, str] = attrs.field(factory=dict)
-    route_prefixes: dict[str, str] = attrs.field(factory=dict)
+    routes: routes_lib.RouteTable = attrs.field(factory=routes_lib.RouteTable)
     tenants: dict[str, records.Tenant] = attrs.field(factory=dict)
     policies: dict[str, records.Policy] = attrs.field(factory=dict)
+    default_policy: records.Policy = attrs.field(factory=records.Policy)
     unreadable: dict[str, str] = attrs.field(factory=dict)
+    verdicts: verdicts_lib.Verdicts = attrs.field(
+        factory=verdicts_lib.Verdicts
+    )
 
     @property
     def complete(self) -> bool:
-        """Whether the fold has reached the newest offset heard of."""
-        if self.known_offset is None:
-            return False
-        return self.next_offset >= self.known_offset
+        """Whether a whole configuration was reached and none was lost since."""
+        return self.joined and self.lost_before_offset is None
+
+    def policy(self, service: str) -> records.Policy:
+        """Returns the policy of a service."""
+        return self.policies.get(service, self.default_policy)
 
 
 @attrs.define(frozen=True)
@@ -72,6 +83,13 @@
     found_revision: int
 
 
+@attrs.define(frozen=True)
+class Repeated:
+    """A record that is in the log already came again; it changes nothing."""
+
+    key: str
+
+
 @attrs.define(frozen=True)
 class Unreadable:
     """A record was accepted or skipped, but can't be put in force here."""
@@ -80,13 +98,23 @@
     why: str
 
 
-Folded = Applied | Conflict | Unreadable
+@attrs.define(frozen=True)
+class Missing:
+    """A record was not folded since records before it are missing here."""
+
+    next_offset: int
+    offset: int
+
+
+Folded = Applied | Conflict | Repeated | Unreadable | Missing
 
 
 def fold(config: Configuration, offset: int, body: str) -> Folded | None:
     """Folds the record at `offset`; one that was folded before is ignored."""
     if offset < config.next_offset:
         return None
+    if offset > config.next_offset:
+        return Missing(config.next_offset, offset)
     config.next_offset = offset + 1
     match records.decode(body):
         case result.Err(why):
@@ -97,65 +125,98 @@
 
 def _accept(
     config: Configuration, offset: int, record: records.Envelope
-) -> Folded:
+) -> Folded | None:
     entry = config.entries.get(record.key)
     found_revision = entry.revision if entry else 0
+    if found_revision > offset:
+        return None
+    if entry is not None and entry.record.record_id == record.record_id:
+        return Repeated(record.key)
     if record.expected_revision != found_revision:
+        conflict = verdicts_lib.Refused(offset, found_revision)
+        config.verdicts.add(record.record_id, conflict)
         return Conflict(record.key, record.expected_revision, found_revision)
-    config.entries[record.key] = Entry(offset + 1, record)
-    if record.payload is None:
-        _withdraw(config, record)
-        return Applied(record.key, offset + 1)
-    match records.read_payload(record):
-        case result.Err(why):
-            config.unreadable[record.key] = why
-            return Unreadable(offset, why)
-        case result.Ok(payload):
-            _put_in_force(config, record, payload)
-    return Applied(record.key, offset + 1)
+    revision = offset + 1
+    config.verdicts.add(record.record_id, verdicts_lib.Accepted(offset))
+    _set_entry(
+        config,
+        entries_lib.replace(entry, revision, record, config.reader_version),
+    )
+    why = config.unreadable.get(record.key)
+    if why is not None:
+        return Unreadable(offset, why)
+    return Applied(record.key, revision)
+
+
+def merge(
+    config: Configuration, entries: Iterable[Entry], covered_offset: int
+) -> None:
+    """Takes in the whole state of another host.
+
+    Args:
+        config: The configuration; only keys with a higher revision change.
+        entries: Every entry of the other state.
+        covered_offset: Every record below it is accounted for in `entries`.
+    """
+    for entry in entries:
+        mine = config.entries.get(entry.record.key)
+        if mine is None or mine.revision < entry.revision:
+            _set_entry(config, entry)
+    config.next_offset = max(config.next_offset, covered_offset)
+    lost = config.lost_before_offset
+    if lost is not None and config.next_offset >= lost:
+        config.lost_before_offset = None
+
+
+def _set_entry(config: Configuration, entry: Entry) -> None:
+    key = entry.record.key
+    config.digest ^= entries_lib.digest(config.entries.get(key))
+    config.digest ^= entries_lib.digest(entry)
+    config.entries[key] = entry
+    config.unreadable.pop(key, None)
+    if entry.record.payload is None:
+        _withdraw(config, entry.record)
+        return
+    for record in (entry.record, *entry.fallbacks):
+        match records.read_payload(record, config.reader_version):
+            case result.Ok(payload):
+                _put_in_force(config, entry, payload)
+                return
+            case result.Err(why):
+                config.unreadable.setdefault(key, why)
 
 
 def _put_in_force(
-    config: Configuration, record: records.Envelope, payload: records.Payload
+    config: Configuration, entry: Entry, payload: records.Payload
 ) -> None:
-    _withdraw(config, record)
+    record = entry.record
     match payload:
         case records.Service():
             config.services[record.name] = payload
         case records.Route():
-            config.route_prefixes[record.name] = payload.path_prefix
-            config.routes[payload.path_prefix] = payload.service
+            config.routes.put(record.name, payload, entry.revision)
         case records.Tenant():
             config.tenants[record.name] = payload
-        case records.Policy():
+        case records.Policy() if record.kind == "policy":
             config.policies[record.name] = payload
+        case records.Policy() if record.key == DEFAULTS_KEY:
+            config.default_policy = payload
 
 
 def _withdraw(config: Configuration, record: records.Envelope) -> None:
-    config.unreadable.pop(record.key, None)
     match record.kind:
         case "service":
             config.services.pop(record.name, None)
         case "route":
-            _withdraw_route(config, record)
+            config.routes.remove(record.name)
         case "tenant":
             config.tenants.pop(record.name, None)
         case "policy":
             config.policies.pop(record.name, None)
-
-
-def _withdraw_route(config: Configuration, record: records.Envelope) -> None:
-    prefix = config.route_prefixes.pop(record.name, None)
-    if prefix is not None:
-        config.routes.pop(prefix, None)
+        case "defaults" if record.key == DEFAULTS_KEY:
+            config.default_policy = records.Policy()
 
 
 def route(config: Configuration, path: str) -> str | None:
     """Returns the service with the longest prefix of `path`, by segments."""
-    prefix = path
-    while prefix:
-        service = config.routes.get(prefix)
-        if service is not None:
-            return service
-        prefix = prefix.rpartition("/")[0]
-    return config.routes.get("/")
+    return config.routes.service_of(path)
--- /dev/null
+++ b/src/fireflyspindle/core/entries.py
@@ -0,0 +1,73 @@
+"""Accepted records by key, deletions included.
+
+The entry of a key with the higher revision holds everything that the lower
+one decided, so entries from any source are merged by maximum revision.
+"""
+
+import hashlib
+
+import attrs
+
+from fireflyspindle.core import records
+
+MAX_FALLBACKS = 2
+
+
+@attrs.define(frozen=True)
+class Entry:
+    """The accepted state of one key.
+
+    Attributes:
+        revision: Offset of the accepted record plus one; 0 means none.
+        record: The accepted record.
+        fallbacks: Records accepted before, the newest first, for hosts that
+            can't read `record`.
+    """
+
+    revision: int
+    record: records.Envelope
+    fallbacks: tuple[records.Envelope, ...] = ()
+
+
+def replace(
+    entry: Entry | None,
+    revision: int,
+    record: records.Envelope,
+    reader_version: int,
+) -> Entry:
+    """Returns the entry of a key after a record was accepted.
+
+    An earlier record stays as a fallback when older readers can apply it and
+    nothing newer, or when it is the newest that this host can read.
+    """
+    if entry is None or record.payload is None:
+        return Entry(revision, record)
+    kept: list[records.Envelope] = []
+    oldest_reader = record.oldest_reader_version
+    readable = is_readable(record, reader_version)
+    for earlier in (entry.record, *entry.fallbacks):
+        older = earlier.oldest_reader_version < oldest_reader
+        rescue = not readable and is_readable(earlier, reader_version)
+        if older or rescue:
+            kept.append(earlier)
+        oldest_reader = min(oldest_reader, earlier.oldest_reader_version)
+        readable = readable or rescue
+    return Entry(revision, record, tuple(kept[:MAX_FALLBACKS]))
+
+
+def is_readable(record: records.Envelope, reader_version: int) -> bool:
+    """Whether a reader can apply a record; deletions always."""
+    if record.payload is None:
+        return True
+    return records.read_payload(record, reader_version).is_ok()
+
+
+def digest(entry: Entry | None) -> int:
+    """Returns a 64-bit hash of an entry's key and revision; 0 for none.
+
+    The exclusive or over all entries is the digest of a configuration.
+    """
+    if entry is None:
+        return 0
+    text = f"{entry.record.key}@{entry.revision}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
--- a/src/fireflyspindle/core/records.py
+++ b/src/fireflyspindle/core/records.py
@@ -3,9 +3,12 @@
 The envelope has one form for all versions of the software. Whether a record
 is accepted follows from the envelopes alone, so that hosts of different
 versions accept the same records. The payload's form is named by its schema
-version.
+version. A payload of a schema version that this host doesn't know, but whose
+oldest reader is not newer than this host, is read in the newest form known
+here, and fields unknown here are ignored.
 """
 
+from collections.abc import Callable
 import json
 from typing import Any
 
@@ -13,10 +16,26 @@
 import cattrs
 import result
 
-READER_VERSION = 1
+from fireflyspindle.core import checks
+
+READER_VERSION = 2
 MAX_RECORD_BYTES = 256 * 1024
+MAX_REVISION = 2**53
+MAX_VERSION = 10_000
+MAX_TARGETS = 1_000
+
+
+def _new_converter(*, forbid_extra_keys: bool) -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
+    converter.register_structure_hook(int, checks.strict_int)
+    converter.register_structure_hook(float, checks.strict_float)
+    converter.register_structure_hook(str, checks.strict_str)
+    converter.register_structure_hook(bool, checks.strict_bool)
+    return converter
 
-_converter = cattrs.Converter(forbid_extra_keys=True)
+
+strict_converter = _new_converter(forbid_extra_keys=True)
+lenient_converter = _new_converter(forbid_extra_keys=False)
 
 
 @attrs.define(frozen=True)
@@ -25,7 +44,8 @@
 
     Attributes:
         record_id: Unique id, chosen by the publisher.
-        kind: "service", "route", "tenant" or "policy".
+        kind: "service", "route", "tenant", "policy" or "defaults"; others
+            are kept but not put in force.
         name: Name of the object within its kind.
         expected_revision: Revision that this record replaces; 0 for none.
         schema_version: Form of the payload.
@@ -34,13 +54,17 @@
         payload: The object, or None to delete it.
     """
 
-    record_id: str
-    kind: str
-    name: str
-    expected_revision: int
-    schema_version: int
-    oldest_reader_version: int
-    author: str
+    record_id: str = attrs.field(validator=checks.name)
+    kind: str = attrs.field(validator=checks.name)
+    name: str = attrs.field(validator=checks.name)
+    expected_revision: int = attrs.field(
+        validator=checks.between(0, MAX_REVISION)
+    )
+    schema_version: int = attrs.field(validator=checks.between(1, MAX_VERSION))
+    oldest_reader_version: int = attrs.field(
+        validator=checks.between(1, MAX_VERSION)
+    )
+    author: str = attrs.field(validator=checks.name)
     payload: dict[str, Any] | None
 
     @property
@@ -49,6 +73,24 @@
         return f"{self.kind}/{self.name}"
 
 
+def _check_targets(
+    _: object, field: attrs.Attribute, value: tuple["TargetSpec", ...]
+) -> None:
+    if len(value) > MAX_TARGETS:
+        raise ValueError(
+            f"{field.name} has {len(value)} targets; at most {MAX_TARGETS}"
+            " are accepted"
+        )
+    seen: set[str] = set()
+    for target in value:
+        if target.address in seen:
+            raise ValueError(
+                f"{field.name}: {target.address} is listed twice; list each"
+                " address once"
+            )
+        seen.add(target.address)
+
+
 @attrs.define(frozen=True)
 class TargetSpec:
     """One endpoint of a service.
@@ -60,25 +102,68 @@
         connection_limit: Connections it takes from all gate hosts together.
     """
 
-    address: str
+    address: str = attrs.field(validator=checks.address)
+    failure_domain: str = attrs.field(
+        default="", validator=checks.optional_name
+    )
+    slots: int = attrs.field(default=4, validator=checks.between(1, 10_000))
+    connection_limit: int = attrs.field(
+        default=200, validator=checks.between(1, 1_000_000)
+    )
+
+
+@attrs.define(frozen=True)
+class Service:
+    """A group of interchangeable targets; schema version 1 of its payload."""
+
+    targets: tuple[TargetSpec, ...] = attrs.field(validator=_check_targets)
+
+
+@attrs.define(frozen=True)
+class TargetGroup:
+    """Endpoints that differ in their address only.
+
+    Attributes:
+        addresses: "ip:port" of each.
+        failure_domain: Name of the failure domain they run in.
+        slots: Requests that each runs at once.
+        connection_limit: Connections each takes from all gate hosts together.
+    """
+
+    addresses: tuple[str, ...]
     failure_domain: str = ""
     slots: int = 4
     connection_limit: int = 200
 
 
 @attrs.define(frozen=True)
-class Service:
-    """A group of interchangeable targets."""
-
-    targets: tuple[TargetSpec, ...]
+class GroupedService:
+    """Schema version 2 of a service's payload; smaller for many targets."""
+
+    groups: tuple[TargetGroup, ...]
+
+    def service(self) -> Service:
+        """Returns the service in the form that the rest of the core uses."""
+        return Service(
+            tuple(
+                TargetSpec(
+                    address,
+                    group.failure_domain,
+                    group.slots,
+                    group.connection_limit,
+                )
+                for group in self.groups
+                for address in group.addresses
+            )
+        )
 
 
 @attrs.define(frozen=True)
 class Route:
     """Sends the paths below a prefix to a service."""
 
-    path_prefix: str
-    service: str
+    path_prefix: str = attrs.field(validator=checks.path_prefix)
+    service: str = attrs.field(validator=checks.name)
 
 
 @attrs.define(frozen=True)
@@ -90,8 +175,10 @@
         max_in_flight: Calls in flight on one gate host.
     """
 
-    weight: int = 1
-    max_in_flight: int = 1000
+    weight: int = attrs.field(default=1, validator=checks.between(1, 1_000))
+    max_in_flight: int = attrs.field(
+        default=1000, validator=checks.between(1, 1_000_000)
+    )
 
 
 @attrs.define(frozen=True)
@@ -105,19 +192,45 @@
         hedge_share: Hedges as a share of calls.
     """
 
-    probes_per_s: float = 10.0
-    default_deadline_ms: int = 10_000
-    retry_share: float = 0.10
-    hedge_share: float = 0.05
+    probes_per_s: float = attrs.field(
+        default=10.0, validator=checks.between(0, 10_000)
+    )
+    default_deadline_ms: int = attrs.field(
+        default=10_000, validator=checks.between(1, 3_600_000)
+    )
+    retry_share: float = attrs.field(
+        default=0.10, validator=checks.between(0, 1)
+    )
+    hedge_share: float = attrs.field(
+        default=0.05, validator=checks.between(0, 1)
+    )
 
 
 Payload = Service | Route | Tenant | Policy
 
-KINDS: dict[str, type] = {
-    "service": Service,
-    "route": Route,
-    "tenant": Tenant,
-    "policy": Policy,
+
+@attrs.define(frozen=True)
+class Schema:
+    """One version of a kind's payload.
+
+    Attributes:
+        version: Schema version.
+        reader_version: Oldest reader that knows it.
+        form: Class of the payload.
+    """
+
+    version: int
+    reader_version: int
+    form: type
+
+
+# Schemas of each kind, the newest last.
+SCHEMAS: dict[str, tuple[Schema, ...]] = {
+    "service": (Schema(1, 1, Service), Schema(2, 2, GroupedService)),
+    "route": (Schema(1, 1, Route),),
+    "tenant": (Schema(1, 1, Tenant),),
+    "policy": (Schema(1, 1, Policy),),
+    "defaults": (Schema(1, 1, Policy),),
 }
 
 
@@ -128,40 +241,86 @@
 
 def decode(body: str) -> result.Result[Envelope, str]:
     """Reads an envelope; the error says what is wrong with it."""
-    if len(body) > MAX_RECORD_BYTES:
+    size_bytes = len(body.encode(errors="replace"))
+    if size_bytes > MAX_RECORD_BYTES:
         return result.Err(
-            f"record has {len(body)} characters; at most"
+            f"record has {size_bytes} bytes; at most"
             f" {MAX_RECORD_BYTES} are accepted"
         )
+    return load_json(body).and_then(lambda raw: structure(raw, Envelope))
+
+
+def load_json(body: str) -> result.Result[object, str]:
+    """Reads JSON text that may be torn or hostile."""
     try:
-        raw = json.loads(body)
+        return result.Ok(json.loads(body))
+    except RecursionError:
+        return result.Err("JSON is nested too deeply")
     except ValueError as error:
-        return result.Err(f"record is not JSON: {error}")
-    return structure(raw, Envelope)
+        return result.Err(f"not JSON: {error}")
+
 
+def read_payload(
+    envelope: Envelope, reader_version: int = READER_VERSION
+) -> result.Result[Payload, str]:
+    """Reads the payload of a record that is not a deletion.
 
-def read_payload(envelope: Envelope) -> result.Result[Payload, str]:
-    """Reads the payload of a record that is not a deletion."""
-    if envelope.oldest_reader_version > READER_VERSION:
+    Args:
+        envelope: The record.
+        reader_version: Version of the reader to act as; newest by default.
+    """
+    if envelope.oldest_reader_version > reader_version:
         return result.Err(
             f"{envelope.key} needs reader {envelope.oldest_reader_version};"
-            f" this host reads up to {READER_VERSION}"
+            f" this host reads up to {reader_version}"
         )
-    payload_class = KINDS.get(envelope.kind)
-    if payload_class is None:
-        known = ", ".join(sorted(KINDS))
+    if envelope.kind not in SCHEMAS:
+        known = ", ".join(sorted(SCHEMAS))
         return result.Err(
             f"kind {envelope.kind!r} is unknown; use one of {known}"
         )
-    return structure(envelope.payload, payload_class)
-
-
-def structure(raw: object, into: type) -> result.Result[Any, str]:
+    schemas = [
+        schema
+        for schema in SCHEMAS[envelope.kind]
+        if schema.reader_version <= reader_version
+    ]
+    newest = schemas[-1]
+    if envelope.schema_version > newest.version:
+        return _read_form(
+            envelope.payload, newest.form, lenient_converter
+        )
+    for schema in schemas:
+        if schema.version == envelope.schema_version:
+            return _read_form(envelope.payload, schema.form, strict_converter)
+    return result.Err(
+        f"{envelope.key}: schema version {envelope.schema_version} is no"
+        f" longer read; give {newest.version}"
+    )
+
+
+def _read_form(
+    raw: object, form: type, converter: cattrs.Converter
+) -> result.Result[Payload, str]:
+    match structure(raw, form, converter):
+        case result.Ok(GroupedService() as grouped):
+            return build(grouped.service)
+        case read:
+            return read
+
+
+def structure(
+    raw: object, into: type, converter: cattrs.Converter = strict_converter
+) -> result.Result[Any, str]:
     """Checks plain JSON data against a class and builds it."""
     if not isinstance(raw, dict):
-        return result.Err(f"expected a JSON object, found {raw!r}")
+        return result.Err(f"expected a JSON object, found {raw!r:.100}")
+    return build(lambda: converter.structure(raw, into))
+
+
+def build(make: Callable[[], Any]) -> result.Result[Any, str]:
+    """Runs a constructor; a check that fails becomes an error."""
     try:
-        return result.Ok(_converter.structure(raw, into))
+        return result.Ok(make())
     except cattrs.BaseValidationError as error:
         return result.Err("; ".join(cattrs.transform_error(error)))
     except (TypeError, ValueError, KeyError) as error:
