--- a/src/fireflyspindle/bench/fake_log.py
+++ b/src/fireflyspindle/bench/fake_log.py
@@ -127,7 +127,8 @@
             if name in self.down_for:
                 self._timeline.after(FAILURE_US, fail)
                 return
-            if self.stream(asked.stream).next_offset > asked.from_offset:
+            ready = self.stream(asked.stream).next_offset > asked.from_offset
+            if ready or not asked.wait:
                 answer()
                 return
             waiting = self._waiting.setdefault(asked.stream, [])
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -6,7 +6,6 @@
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
-from fireflyspindle.core import records
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
--- a/src/fireflyspindle/core/checks.py
+++ b/src/fireflyspindle/core/checks.py
@@ -13,13 +13,13 @@
 
 
 def between(low: float, high: float) -> Validator:
-    """Returns a validator of numbers from `low` to `high`."""
+    """Returns a validator of None and of numbers from `low` to `high`."""
 
     def check(_: object, field: attrs.Attribute, value: object) -> None:
+        if value is None:
+            return
         if not isinstance(value, int | float) or not low <= value <= high:
-            raise ValueError(
-                f"{field.name} = {value!r}; give {low} to {high}"
-            )
+            raise ValueError(f"{field.name} = {value!r}; give {low} to {high}")
 
     return check
 
--- a/src/fireflyspindle/core/configuration.py
+++ b/src/fireflyspindle/core/configuration.py
@@ -33,6 +33,7 @@
         services: Services in force by name.
         routes: Routes in force.
         tenants: Tenants in force by name.
+        classes: Classes in force by name.
         policies: Policies in force by service name.
         default_policy: Policy of services that have none of their own.
         unreadable: Keys whose newest payload this host can't read, with why.
@@ -49,12 +50,11 @@
     services: dict[str, records.Service] = attrs.field(factory=dict)
     routes: routes_lib.RouteTable = attrs.field(factory=routes_lib.RouteTable)
     tenants: dict[str, records.Tenant] = attrs.field(factory=dict)
+    classes: dict[str, records.TrafficClass] = attrs.field(factory=dict)
     policies: dict[str, records.Policy] = attrs.field(factory=dict)
     default_policy: records.Policy = attrs.field(factory=records.Policy)
     unreadable: dict[str, str] = attrs.field(factory=dict)
-    verdicts: verdicts_lib.Verdicts = attrs.field(
-        factory=verdicts_lib.Verdicts
-    )
+    verdicts: verdicts_lib.Verdicts = attrs.field(factory=verdicts_lib.Verdicts)
 
     @property
     def complete(self) -> bool:
@@ -123,6 +123,11 @@
             return _accept(config, offset, record)
 
 
+def skip_to(config: Configuration, offset: int) -> None:
+    """Passes over offsets that the log itself states to hold no record."""
+    config.next_offset = max(config.next_offset, offset)
+
+
 def _accept(
     config: Configuration, offset: int, record: records.Envelope
 ) -> Folded | None:
@@ -197,6 +202,8 @@
             config.routes.put(record.name, payload, entry.revision)
         case records.Tenant():
             config.tenants[record.name] = payload
+        case records.TrafficClass():
+            config.classes[record.name] = payload
         case records.Policy() if record.kind == "policy":
             config.policies[record.name] = payload
         case records.Policy() if record.key == DEFAULTS_KEY:
@@ -211,6 +218,8 @@
             config.routes.remove(record.name)
         case "tenant":
             config.tenants.pop(record.name, None)
+        case "class":
+            config.classes.pop(record.name, None)
         case "policy":
             config.policies.pop(record.name, None)
         case "defaults" if record.key == DEFAULTS_KEY:
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -71,17 +71,27 @@
 ) -> None:
     config = state.configuration
     config.known_offset = max(config.known_offset or 0, event.next_offset)
+    if event.earliest_offset > config.next_offset:
+        config.lost_before_offset = event.earliest_offset
     for entry in event.entries:
-        _report(state, configuration.fold(config, entry.offset, entry.body))
+        if config.lost_before_offset is not None:
+            break
+        configuration.skip_to(config, entry.offset)
+        report_folded(
+            state, configuration.fold(config, entry.offset, entry.body)
+        )
     if event.entries:
         refresh_services(state)
+    if config.next_offset >= config.known_offset:
+        config.joined = True
     here.next_offset = config.next_offset
     read_on(state, event.stream)
 
 
-def _report(
+def report_folded(
     state: state_lib.GateState, folded: configuration.Folded | None
 ) -> None:
+    """Writes what became of a record, for people on call."""
     match folded:
         case configuration.Conflict(key, expected, found):
             detail = f"{key}: expected revision {expected}, found {found}"
@@ -89,9 +99,27 @@
         case configuration.Unreadable(offset, why):
             detail = f"record at offset {offset}: {why}"
             state.emit(effects.Report("error", "record_unreadable", detail))
+        case configuration.Repeated(key):
+            detail = f"{key}: the record came again and changed nothing"
+            state.emit(effects.Report("info", "record_repeated", detail))
         case configuration.Applied(key, revision):
             detail = f"{key} is in force at revision {revision}"
             state.emit(effects.Report("info", "record_applied", detail))
+            _report_doubtful_route(state, key)
+
+
+def _report_doubtful_route(state: state_lib.GateState, key: str) -> None:
+    kind, _, name = key.partition("/")
+    config = state.configuration
+    if kind != "route":
+        return
+    for other in config.routes.sharing(name):
+        detail = f"{key} has the path prefix of route/{other}; the newer wins"
+        state.emit(effects.Report("warning", "route_shadows", detail))
+    service = config.routes.service_named_by(name)
+    if service is not None and service not in config.services:
+        detail = f"{key} leads to service {service!r}, which has no record"
+        state.emit(effects.Report("warning", "route_to_no_service", detail))
 
 
 def refresh_services(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/records.py
+++ b/src/fireflyspindle/core/records.py
@@ -44,8 +44,8 @@
 
     Attributes:
         record_id: Unique id, chosen by the publisher.
-        kind: "service", "route", "tenant", "policy" or "defaults"; others
-            are kept but not put in force.
+        kind: "service", "route", "tenant", "class", "policy" or "defaults";
+            others are kept but not put in force.
         name: Name of the object within its kind.
         expected_revision: Revision that this record replaces; 0 for none.
         schema_version: Form of the payload.
@@ -171,14 +171,36 @@
     """A tenant and its limits.
 
     Attributes:
-        weight: Share relative to other tenants when a gate host queues.
-        max_in_flight: Calls in flight on one gate host.
+        weight: Share relative to other tenants when a gate host queues,
+            1 to 1000.
+        max_in_flight: Calls in flight on one gate host, 1 to 1000000.
+        max_calls_per_s: Calls admitted per second over all gate hosts, 0.1
+            to 1000000; None for no limit.
     """
 
-    weight: int = attrs.field(default=1, validator=checks.between(1, 1_000))
+    weight: int = attrs.field(default=1, validator=checks.between(1, 1000))
     max_in_flight: int = attrs.field(
         default=1000, validator=checks.between(1, 1_000_000)
     )
+    max_calls_per_s: float | None = attrs.field(
+        default=None, validator=checks.between(0.1, 1_000_000)
+    )
+
+
+@attrs.define(frozen=True)
+class TrafficClass:
+    """A class of calls and its limits.
+
+    Attributes:
+        weight: Share relative to other classes of the same tenant when a
+            gate host queues, 1 to 1000.
+        max_in_flight: Calls in flight on one gate host, 1 to 1000000.
+    """
+
+    weight: int = attrs.field(default=1, validator=checks.between(1, 1000))
+    max_in_flight: int = attrs.field(
+        default=1_000_000, validator=checks.between(1, 1_000_000)
+    )
 
 
 @attrs.define(frozen=True)
@@ -186,10 +208,17 @@
     """Tuning of one service.
 
     Attributes:
-        probes_per_s: Agreed budget of probes, over all gate hosts.
-        default_deadline_ms: Deadline of a call that states none.
-        retry_share: Retries as a share of calls.
-        hedge_share: Hedges as a share of calls.
+        probes_per_s: Agreed budget of probes, over all gate hosts, 0 to
+            10000.
+        default_deadline_ms: Deadline of a call that states none, 1 to
+            3600000.
+        retry_share: Retries as a share of calls, 0 to 1.
+        hedge_share: Hedges as a share of calls, 0 to 1.
+        max_queued_calls: Calls that one gate host queues, 0 to 100000.
+        max_ejected_share: Largest share of the targets that one gate host
+            ejects at a time, 0 to 0.9.
+        slow_start_ms: Time over which a cold target reaches its full share
+            of the calls, 0 to 600000.
     """
 
     probes_per_s: float = attrs.field(
@@ -204,9 +233,18 @@
     hedge_share: float = attrs.field(
         default=0.05, validator=checks.between(0, 1)
     )
+    max_queued_calls: int = attrs.field(
+        default=200, validator=checks.between(0, 100_000)
+    )
+    max_ejected_share: float = attrs.field(
+        default=0.5, validator=checks.between(0, 0.9)
+    )
+    slow_start_ms: int = attrs.field(
+        default=5_000, validator=checks.between(0, 600_000)
+    )
 
 
-Payload = Service | Route | Tenant | Policy
+Payload = Service | Route | Tenant | TrafficClass | Policy
 
 
 @attrs.define(frozen=True)
@@ -229,6 +267,7 @@
     "service": (Schema(1, 1, Service), Schema(2, 2, GroupedService)),
     "route": (Schema(1, 1, Route),),
     "tenant": (Schema(1, 1, Tenant),),
+    "class": (Schema(1, 1, TrafficClass),),
     "policy": (Schema(1, 1, Policy),),
     "defaults": (Schema(1, 1, Policy),),
 }
@@ -286,9 +325,7 @@
     ]
     newest = schemas[-1]
     if envelope.schema_version > newest.version:
-        return _read_form(
-            envelope.payload, newest.form, lenient_converter
-        )
+        return _read_form(envelope.payload, newest.form, lenient_converter)
     for schema in schemas:
         if schema.version == envelope.schema_version:
             return _read_form(envelope.payload, schema.form, strict_converter)
@@ -322,6 +359,13 @@
     try:
         return result.Ok(make())
     except cattrs.BaseValidationError as error:
-        return result.Err("; ".join(cattrs.transform_error(error)))
+        found = cattrs.transform_error(error, format_exception=_describe)
+        return result.Err("; ".join(found))
     except (TypeError, ValueError, KeyError) as error:
         return result.Err(str(error))
+
+
+def _describe(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, ValueError) and error.args:
+        return str(error)
+    return cattrs.v.format_exception(error, kind)
--- a/src/fireflyspindle/core/routes.py
+++ b/src/fireflyspindle/core/routes.py
@@ -47,6 +47,13 @@
         prefix = self._prefixes.get(name, "")
         return sorted(set(self._claims.get(prefix, {})) - {name})
 
+    def service_named_by(self, name: str) -> str | None:
+        """Returns the service that a record leads to, if it is in force."""
+        prefix = self._prefixes.get(name)
+        if prefix is None:
+            return None
+        return self._claims[prefix][name].service
+
     def service_of(self, path: str) -> str | None:
         """Returns the service of the longest prefix of `path`, by segments."""
         prefix = path
--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -1,5 +1,6 @@
 """Settings of a gate host, read from a TOML file and checked as a whole."""
 
+import ipaddress
 import pathlib
 import tomllib
 
@@ -7,15 +8,21 @@
 import cattrs
 import result
 
-from fireflyspindle.core import addresses
-
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 def _check_address(_: object, field: attrs.Attribute, value: str) -> None:
-    why = addresses.problem(value)
-    if why is not None:
-        raise ValueError(f"{field.name}: {why}")
+    host, _colon, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 <= int(port) <= 65535
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError(
+            f"{field.name} = {value!r}; give an IP number and a port,"
+            ' such as "10.0.0.7:8080"'
+        )
 
 
 def _check_addresses(
