--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fireflyspindle.core import budgets
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import targets as targets_lib
@@ -62,6 +63,7 @@
         outcome: What the caller was told, once it was.
         target_us: Time spent at the answering target.
         last_target: Address of the target of the latest attempt.
+        tried: Addresses of the targets of all attempts.
         maybe_ran: Whether an attempt ended without a word on having run.
     """
 
@@ -79,6 +81,7 @@
     outcome: effects.Outcome | None = None
     target_us: int = 0
     last_target: str = ""
+    tried: set[str] = attrs.field(factory=set)
     maybe_ran: bool = False
 
 
@@ -88,6 +91,7 @@
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
 
 
 @attrs.define
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,10 @@
 from collections.abc import AsyncIterator
 
 import attrs
+import pytest
 import pytest_asyncio
 
+import driver
 from fireflyspindle import demo
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import testing
@@ -47,3 +49,9 @@
     await gate.wait_closed()
     await target_server.close()
     await log_server.close()
+
+
+@pytest.fixture
+def make_host():
+    """Builds gate hosts whose reducers a test drives by events."""
+    return driver.Host
