--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -160,6 +160,7 @@
         """Ends the request being served; its answer has been written."""
         self.busy = False
         self.reading_body = False
+        self.exchange = None
         self.since_s = self._loop.time()
         if not keep_alive:
             self._linger()
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -13,6 +13,9 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
+# Time after its deadline for which a non-repeatable request may run on.
+RUN_ON_LIMIT_US = 60_000_000
+
 
 def on_arrived(state: state_lib.GateState, event: events.CallArrived) -> None:
     """Admits a call and sends its first attempt, or refuses it."""
@@ -56,6 +59,7 @@
     attempt = call.attempts[event.attempt]
     targets.on_answered(attempt.target, event.report, state.now_us)
     if call.phase is not state_lib.CallPhase.WAITING:
+        call.outcome = call.outcome or _outcome(call, event)
         attempts.drop(state, call, attempt)
         answers.finish_if_done(state, call)
         return
@@ -163,21 +167,35 @@
     if call is None:
         return
     call.phase = state_lib.CallPhase.ANSWERED
-    if call.outcome is None:
-        call.outcome = effects.Outcome.UNKNOWN
     if call.repeatable:
+        call.outcome = call.outcome or effects.Outcome.UNKNOWN
         attempts.cancel_others(state, call, 0)
     answers.finish_if_done(state, call)
 
 
 def on_deadline(state: state_lib.GateState, call_id: int) -> None:
-    """Gives up on a call whose deadline has come."""
+    """Gives up on a call whose deadline has come.
+
+    The deadline covers the whole answer, so one that is still on its way is
+    cut. A non-repeatable request runs on for a while, for its outcome.
+    """
     call = state.calls.get(call_id)
-    if call is None or call.phase is not state_lib.CallPhase.WAITING:
+    if call is None:
         return
-    call.maybe_ran = call.maybe_ran or bool(call.attempts)
-    if call.repeatable:
+    overdue_us = state.now_us - call.deadline_us
+    forwarding = call.phase is state_lib.CallPhase.FORWARDING
+    if call.repeatable or forwarding or overdue_us >= RUN_ON_LIMIT_US:
         attempts.cancel_others(state, call, 0)
+    if not call.repeatable and call.attempts and overdue_us < RUN_ON_LIMIT_US:
+        state.timers.add(
+            call.deadline_us + RUN_ON_LIMIT_US, timers.CallDeadline(call_id)
+        )
+    if forwarding:
+        call.phase = state_lib.CallPhase.ANSWERED
+        call.outcome = effects.Outcome.UNKNOWN
+    if call.phase is not state_lib.CallPhase.WAITING:
+        return
+    call.maybe_ran = call.maybe_ran or bool(call.attempts)
     answers.give_up(
         state, call, 504, "deadline", "the deadline of the call has come"
     )
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -77,7 +77,24 @@
                 state.emit(effects.Exit())
 
 
+def _drop_stale_timers(state: state_lib.GateState) -> None:
+    """Drops the first timers of calls that have ended.
+
+    Most calls end long before their deadline; what is left in the queue is
+    of the order of the calls in flight.
+    """
+    while True:
+        match state.timers.first():
+            case timers.CallDeadline(call_id) | timers.HedgeDue(call_id):
+                if call_id in state.calls:
+                    return
+                state.timers.drop_first()
+            case _:
+                return
+
+
 def _take_effects(state: state_lib.GateState) -> list[effects.Effect]:
+    _drop_stale_timers(state)
     next_at_us = state.timers.next_at_us()
     armed_at_us = state.timers.armed_at_us
     if next_at_us is not None:
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -50,6 +50,14 @@
             return None
         return heapq.heappop(self._heap)[2]
 
+    def first(self) -> Timer | None:
+        """Returns the earliest timer, if any."""
+        return self._heap[0][2] if self._heap else None
+
+    def drop_first(self) -> None:
+        """Removes the earliest timer."""
+        heapq.heappop(self._heap)
+
     def next_at_us(self) -> int | None:
         """Returns the time of the earliest timer, if any."""
         return self._heap[0][0] if self._heap else None
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -263,6 +263,7 @@
 
     def _finish(self, effect: effects.CallFinished) -> None:
         exchange = self._exchanges.pop(effect.call_id)
+        exchange.attempts.clear()
         self.metrics.on_call_finished(effect)
         if not logs.enabled("DEBUG"):
             return
