--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 export PYTHONPATH := src
 
-.PHONY: test lint format demo check
+.PHONY: test lint format demo check bench-overhead
 
 test: lint check
 
@@ -31,3 +31,12 @@
 	$(BIN)/pip install --quiet -r requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
 	touch $@
+
+# Four processes on loopback for about a minute; ARGS goes to the load.
+bench-overhead: $(READY)
+	@bench="$(BIN)/python -m fireflyspindle bench overhead"; \
+	$$bench --role target & target=$$!; \
+	$$bench --role pass-through & pass_through=$$!; \
+	$$bench --role gate & gate=$$!; \
+	$$bench --role load $(ARGS); status=$$?; \
+	kill $$target $$pass_through $$gate; exit $$status
--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Literal
 
+from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
 from fireflyspindle.bench import policy_model
 
@@ -69,4 +70,4 @@
     return 0
 
 
-COMMANDS = {"policy": policy}
+COMMANDS = {"overhead": overhead_lib.overhead, "policy": policy}
--- a/src/fireflyspindle/bench/overhead.py
+++ b/src/fireflyspindle/bench/overhead.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
-import json
+import json as json_lib
 import math
+import sys
 from typing import Any
 
 import attrs
@@ -46,7 +47,7 @@
     rates: str = "200,800",
     rounds: int = ROUNDS,
     segment_s: float = SEGMENT_S,
-    json_output: bool = False,
+    json: bool = False,
 ) -> int:
     """Measures what the gate adds to a call; see `make bench-overhead`.
 
@@ -56,7 +57,7 @@
         rates: Calls per second of the open loops, separated by commas.
         rounds: Times that each load is put on each path, interleaved.
         segment_s: Length of one load on one path, in seconds.
-        json_output: Print one line of JSON.
+        json: Print one line of JSON.
 
     Returns:
         The exit status.
@@ -71,13 +72,18 @@
         case "load":
             wanted = [float(rate) for rate in rates.split(",")]
             found = asyncio.run(_measure(base_port, wanted, rounds, segment_s))
-            print(json.dumps(found, indent=None if json_output else 2))
+            print(json_lib.dumps(found, indent=None if json else 2))
         case _:
-            print(f"role {role!r} is unknown; use one of {', '.join(ROLES)}")
-            return 2
+            return _unknown_role(role)
     return 0
 
 
+def _unknown_role(role: str) -> int:
+    known = ", ".join(ROLES)
+    print(f"role {role!r} is unknown; use one of {known}", file=sys.stderr)
+    return 2
+
+
 async def _measure(
     base_port: int, rates: list[float], rounds: int, segment_s: float
 ) -> dict:
--- a/src/fireflyspindle/bench/overhead_servers.py
+++ b/src/fireflyspindle/bench/overhead_servers.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 import attrs
 
-from fireflyspindle import demo
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import settings as settings_lib
 from fireflyspindle import testing
@@ -82,9 +81,11 @@
     ports = Ports(base_port)
     log = testing.StandInLog()
     address = f"127.0.0.1:{ports.target}"
-    demo.publish(log, "service", "dossier", {"targets": [{"address": address}]})
+    testing.publish(
+        log, "service", "dossier", {"targets": [{"address": address}]}
+    )
     route = {"path_prefix": "/dossier", "service": "dossier"}
-    demo.publish(log, "route", "dossier", route)
+    testing.publish(log, "route", "dossier", route)
     await testing.Server(log.application()).start(f"127.0.0.1:{ports.log}")
     loop = asyncio.get_running_loop()
     server = await loop.create_server(_Target, "127.0.0.1", ports.target)
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -167,6 +167,8 @@
     if call is None:
         return
     call.phase = state_lib.CallPhase.ANSWERED
+    if not call.attempts and not call.maybe_ran:
+        call.outcome = effects.Outcome.NOT_RUN
     if call.repeatable:
         call.outcome = call.outcome or effects.Outcome.UNKNOWN
         attempts.cancel_others(state, call, 0)
