Route by own counts, others' reports and ages of attempts; hedge

Routing looked at own attempts in flight only. The score now adds a moving average of the other gate hosts' attempts from the reports on answers, the queue that the latest report shows and the age of own attempts, and weighs reports by how well they follow own attempts. A call is hedged after a quantile of its service's latency, within the hedge budget.

--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -29,6 +29,7 @@
     service: Literal["exponential", "heavy"] = "exponential",
     seeds: int = 3,
     gates: int = 16,
+    noise: Literal["start", "rate"] = "start",
     seconds: float = 4.0,
     json: bool = False,
 ) -> int:
@@ -41,6 +42,8 @@
         service: Distribution of the calls' own work.
         seeds: Number of seeds, from 1 on.
         gates: Number of gate hosts.
+        noise: Whether a spell of slowness slows the whole of each request
+            that starts in it, or work only while it lasts.
         seconds: Length of a run in virtual time.
         json: Print one line of JSON.
 
@@ -61,6 +64,7 @@
         service=service,
         gates=gates,
         duration_us=int(seconds * 1e6),
+        noise=noise,
     )
     figures = policy_lib.compare(plan, seeds)
     if json:
--- a/src/fireflyspindle/bench/policy.py
+++ b/src/fireflyspindle/bench/policy.py
@@ -47,6 +47,7 @@
         "scenario": plan.scenario,
         "service": plan.service,
         "gates": plan.gates,
+        "noise": plan.noise,
         "seeds": seeds,
         "policies": figures,
         "p99_ratio_to_exact": _ratio(figures, SHIPPED, "exact"),
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -1,10 +1,14 @@
 """Attempts: the sending of a call's request to a target, and its end."""
 
 from fireflyspindle.core import effects
+from fireflyspindle.core import events
 from fireflyspindle.core import hedging
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
+SERVER_ERROR_STATUS = 500
+
 
 def begin(
     state: state_lib.GateState, call: state_lib.Call, target: targets.Target
@@ -16,6 +20,7 @@
     call.last_target = target.spec.address
     call.tried.add(target.spec.address)
     targets.on_begin(target, state.now_us)
+    load_lib.on_begin(target.load, state.now_us)
     state.emit(
         effects.SendToTarget(
             call_id=call.call_id,
@@ -28,6 +33,30 @@
     hedging.schedule(state, call)
 
 
+def learn(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+) -> None:
+    """Takes the time and the load report of an answer into the estimates."""
+    service = state.services.get(call.service)
+    if service is None:
+        return
+    answered = not event.not_run and event.status < SERVER_ERROR_STATUS
+    if answered and call.phase is state_lib.CallPhase.WAITING:
+        first_us = min(other.started_us for other in call.attempts.values())
+        load_lib.on_latency(service.load, state.now_us - first_us)
+    if event.report is not None and event.report.in_flight is not None:
+        load_lib.on_report(
+            service.load,
+            attempt.target.load,
+            event.report.in_flight,
+            attempt.target.in_flight - 1,
+            state.now_us,
+        )
+
+
 def release(
     state: state_lib.GateState,
     call: state_lib.Call,
@@ -36,6 +65,7 @@
     """Takes an attempt that has ended off its call and its target."""
     del call.attempts[attempt.number]
     targets.on_end(attempt.target, state.now_us)
+    load_lib.on_end(attempt.target.load, attempt.started_us)
 
 
 def drop(
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import hedging
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
@@ -41,6 +42,7 @@
     state.calls[call.call_id] = call
     state.timers.add(deadline_us, timers.CallDeadline(call.call_id))
     retries.on_arrived(state, service)
+    hedging.on_arrived(state, service)
     admission.offer(state, call)
 
 
@@ -58,6 +60,7 @@
         return
     attempt = call.attempts[event.attempt]
     targets.on_answered(attempt.target, event.report, state.now_us)
+    attempts.learn(state, call, attempt, event)
     if call.phase is not state_lib.CallPhase.WAITING:
         call.outcome = call.outcome or _outcome(call, event)
         attempts.drop(state, call, attempt)
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -1,11 +1,53 @@
-"""Hedges: a second attempt of a slow repeatable call, within a budget."""
+"""Hedges: a second attempt of a slow repeatable call, within a budget.
 
+A call still waiting after nearly all of its service's calls have their answer
+is sent to a second target; the first answer wins and the other attempt is
+cancelled (Dean and Barroso, "The tail at scale", 2013).
+"""
+
+from fireflyspindle.core import attempts
+from fireflyspindle.core import routing
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import timers
+
+LEAST_SAMPLES = 100
+HEDGED_SHARE_AIM = 1.25
+
+
+def on_arrived(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> None:
+    """Credits the hedge budget of a service with one call."""
+    policy = state.configuration.policy(service.name)
+    service.hedge_budget.earn(policy.hedge_share)
 
 
 def schedule(state: state_lib.GateState, call: state_lib.Call) -> None:
     """Sets the time at which a call that is not answered is hedged."""
+    if not call.repeatable or not call.resendable or call.sent_attempts > 1:
+        return
+    service = state.services.get(call.service)
+    if service is None or service.load.latencies.samples < LEAST_SAMPLES:
+        return
+    share = state.configuration.policy(service.name).hedge_share
+    if share <= 0:
+        return
+    aim = 1 - min(0.5, share * HEDGED_SHARE_AIM)
+    delay_us = service.load.latencies.quantile_us(aim)
+    if state.now_us + delay_us < call.deadline_us:
+        state.timers.add(state.now_us + delay_us, timers.HedgeDue(call.call_id))
 
 
 def on_due(state: state_lib.GateState, call_id: int) -> None:
     """Hedges a call that is still waiting, if the budget allows it."""
+    call = state.calls.get(call_id)
+    if call is None or call.phase is not state_lib.CallPhase.WAITING:
+        return
+    if len(call.attempts) != 1 or call.sent_attempts != 1:
+        return
+    service = state.services.get(call.service)
+    if service is None:
+        return
+    target = routing.choose(state, service, call)
+    if target is not None and service.hedge_budget.spend():
+        attempts.begin(state, call, target)
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -3,6 +3,7 @@
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import routing
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
@@ -138,10 +139,7 @@
         for spec in payload.targets:
             target = before.get(spec.address)
             if target is None:
-                target = targets.Target(spec, affinity=_affinity(state))
+                target = targets.Target(spec)
             target.spec = spec
             service.targets[spec.address] = target
-
-
-def _affinity(state: state_lib.GateState) -> float:
-    return state.random.random() * 0.01
+        routing.refresh(state, service)
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -1,8 +1,24 @@
-"""The choice of a target for an attempt."""
+"""The choice of a target for an attempt.
 
+Each candidate gets a score in attempts in flight; the least one is chosen. A
+gate host uses a stable subset of a large service, and looks at a few other
+targets each time, so that the cost does not grow with the service.
+"""
+
+import hashlib
+
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
+MAX_CANDIDATES = 24
+SAMPLED_CANDIDATES = 4
+
+OTHERS_WEIGHT = 0.5
+QUEUED_WEIGHT = 0.15
+AGE_WEIGHT = 0.4
+OTHER_DOMAIN_PENALTY = 0.05
+
 
 def choose(
     state: state_lib.GateState,
@@ -12,11 +28,77 @@
     """Returns the best target that this call has not tried, if any."""
     best: targets.Target | None = None
     best_score = 0.0
-    for target in service.targets.values():
+    trust = service.load.trust()
+    for target in _candidates(state, service):
         if target.leaving or target.spec.address in call.tried:
             continue
-        score = target.in_flight / target.spec.slots + target.affinity
+        if target.in_flight >= target.connection_share:
+            continue
+        score = _score(state, service.load, target, trust)
         if best is None or score < best_score:
             best = target
             best_score = score
     return best
+
+
+def _score(
+    state: state_lib.GateState,
+    service: load_lib.ServiceLoad,
+    target: targets.Target,
+    trust: float,
+) -> float:
+    """Returns the load to expect at a target, in attempts per slot."""
+    own = target.in_flight
+    now_us = state.now_us
+    score = own + target.affinity
+    if own:
+        age_us = own * now_us - target.load.started_sum_us
+        score += AGE_WEIGHT * age_us / service.typical_us
+    if trust:
+        others = load_lib.others(service, target.load, now_us)
+        slots = target.spec.slots
+        queued = load_lib.queued(target.load, own, slots, now_us)
+        score += trust * (OTHERS_WEIGHT * others + QUEUED_WEIGHT * queued)
+    return score / target.spec.slots
+
+
+def _candidates(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> list[targets.Target]:
+    if len(service.candidates) == len(service.targets):
+        return service.candidates
+    sampled = state.random.sample(service.others, SAMPLED_CANDIDATES)
+    return service.candidates + sampled
+
+
+def refresh(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> None:
+    """Picks the candidates of a service after its targets have changed."""
+    policy = state.configuration.policy(service.name)
+    domain = state.settings.failure_domain
+    for target in service.targets.values():
+        limit = target.spec.connection_limit // policy.gate_hosts_max
+        target.connection_share = max(1, limit)
+        target.affinity = _affinity(state, target)
+        if target.spec.failure_domain != domain:
+            target.affinity += OTHER_DOMAIN_PENALTY
+    ranked = list(service.targets.values())
+    if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
+        ranked.sort(key=lambda target: _affinity(state, target))
+        service.others = ranked[MAX_CANDIDATES:]
+        service.candidates = ranked[:MAX_CANDIDATES]
+        return
+    service.others = []
+    service.candidates = ranked
+
+
+def _affinity(state: state_lib.GateState, target: targets.Target) -> float:
+    """Returns this gate host's fixed preference, from 0 to 0.01.
+
+    Ranking by a hash of host and target is rendezvous hashing (Thaler and
+    Ravishankar, 1998): a change of targets moves no other target's rank.
+    """
+    text = f"{state.settings.host_id} {target.spec.address}".encode()
+    digest = hashlib.blake2b(text, digest_size=6).digest()
+    return int.from_bytes(digest, "big") / (1 << 48) * 0.01
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import budgets
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
 
@@ -87,11 +88,25 @@
 
 @attrs.define
 class ServiceState:
-    """What this gate host knows of one service."""
+    """What this gate host knows of one service.
+
+    Attributes:
+        name: Name of the service.
+        targets: Every target by address.
+        candidates: Targets that this gate host looks at for each choice.
+        others: Targets of a large service that are only sampled.
+        load: Estimates of load over all targets.
+        retry_budget: Budget of retries.
+        hedge_budget: Budget of hedges.
+    """
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    candidates: list[targets_lib.Target] = attrs.field(factory=list)
+    others: list[targets_lib.Target] = attrs.field(factory=list)
+    load: load_lib.ServiceLoad = attrs.field(factory=load_lib.ServiceLoad)
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    hedge_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
 
 
 @attrs.define
