--- /dev/null
+++ b/src/fireflyspindle/core/in_force.py
@@ -0,0 +1,114 @@
+"""Bringing what a gate host does in line with the configuration."""
+
+from collections.abc import Iterable
+
+from fireflyspindle.core import configuration
+from fireflyspindle.core import effects
+from fireflyspindle.core import entries as entries_lib
+from fireflyspindle.core import events
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
+
+
+def fold_records(
+    state: state_lib.GateState,
+    found: Iterable[events.LogEntry],
+    *,
+    with_holes: bool = False,
+) -> None:
+    """Folds records that follow one another, and puts them in force.
+
+    Records before the fold are passed over; the first one that leaves a gap
+    ends the work.
+
+    Args:
+        state: State of the gate host.
+        found: Records by ascending offset.
+        with_holes: Whether offsets without a record hold none in the log.
+    """
+    config = state.configuration
+    before = config.next_offset
+    for entry in found:
+        if with_holes:
+            configuration.skip_to(config, entry.offset)
+        if entry.offset > config.next_offset:
+            break
+        if entry.offset == config.next_offset:
+            state.recent_records.add(entry.offset, entry.body)
+        report_folded(
+            state, configuration.fold(config, entry.offset, entry.body)
+        )
+    if config.next_offset > before:
+        refresh_services(state)
+
+
+def merge_state(
+    state: state_lib.GateState,
+    entries: Iterable[entries_lib.Entry],
+    covered_offset: int,
+) -> None:
+    """Takes in a whole state, and puts what is newer in force."""
+    config = state.configuration
+    configuration.merge(config, entries, covered_offset)
+    detail = f"a state up to offset {covered_offset} was taken in"
+    state.emit(effects.Report("info", "state_merged", detail))
+    refresh_services(state)
+
+
+def report_folded(
+    state: state_lib.GateState, folded: configuration.Folded | None
+) -> None:
+    """Writes what became of a record, for people on call."""
+    match folded:
+        case configuration.Conflict(key, expected, found):
+            detail = f"{key}: expected revision {expected}, found {found}"
+            state.emit(effects.Report("warning", "record_conflict", detail))
+        case configuration.Unreadable(offset, why):
+            detail = f"record at offset {offset}: {why}"
+            state.emit(effects.Report("error", "record_unreadable", detail))
+        case configuration.Repeated(key):
+            detail = f"{key}: the record came again and changed nothing"
+            state.emit(effects.Report("info", "record_repeated", detail))
+        case configuration.Applied(key, revision):
+            detail = f"{key} is in force at revision {revision}"
+            state.emit(effects.Report("info", "record_applied", detail))
+            _report_doubtful_route(state, key)
+
+
+def _report_doubtful_route(state: state_lib.GateState, key: str) -> None:
+    kind, _, name = key.partition("/")
+    config = state.configuration
+    if kind != "route":
+        return
+    for other in config.routes.sharing(name):
+        detail = f"{key} has the path prefix of route/{other}; the newer wins"
+        state.emit(effects.Report("warning", "route_shadows", detail))
+    service = config.routes.service_named_by(name)
+    if service is not None and service not in config.services:
+        detail = f"{key} leads to service {service!r}, which has no record"
+        state.emit(effects.Report("warning", "route_to_no_service", detail))
+
+
+def refresh_services(state: state_lib.GateState) -> None:
+    """Brings services and targets in line with the configuration.
+
+    A target that stays configured keeps its counters.
+    """
+    config = state.configuration
+    for name in list(state.services):
+        if name not in config.services:
+            del state.services[name]
+    for name, payload in config.services.items():
+        service = state.services.setdefault(name, state_lib.ServiceState(name))
+        before = service.targets
+        service.targets = {}
+        for spec in payload.targets:
+            target = before.get(spec.address)
+            if target is None:
+                target = targets.Target(spec, affinity=_affinity(state))
+            target.spec = spec
+            service.targets[spec.address] = target
+
+
+def _affinity(state: state_lib.GateState) -> float:
+    return state.random.random() * 0.01
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -1,38 +1,12 @@
 """Reading the log's streams into the state."""
 
 from fireflyspindle.core import configuration
-from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import recovery
+from fireflyspindle.core import snapshot_looks
+from fireflyspindle.core import snapshots
 from fireflyspindle.core import state as state_lib
-from fireflyspindle.core import targets
-
-READ_RETRY_DELAY_US = 200_000
-
-
-def position(state: state_lib.GateState, stream: str) -> state_lib.LogPosition:
-    """Returns how far a stream has been read."""
-    return state.log_positions.setdefault(stream, state_lib.LogPosition())
-
-
-def read_on(
-    state: state_lib.GateState,
-    stream: str,
-    *,
-    wait: bool = True,
-    delay_us: int = 0,
-) -> None:
-    """Asks for the records of a stream after those read so far."""
-    from_offset = position(state, stream).next_offset
-    state.emit(effects.ReadLog(stream, from_offset, delay_us, wait))
-
-
-def append(state: state_lib.GateState, stream: str, body: str) -> int:
-    """Appends a record; returns the number that `AppendSettled` will carry."""
-    state.last_append_id += 1
-    append_id = state.last_append_id
-    state.appends[append_id] = stream
-    state.emit(effects.AppendRecord(append_id, stream, body))
-    return append_id
+from fireflyspindle.core import streams
 
 
 def on_append_settled(
@@ -40,18 +14,22 @@
 ) -> None:
     """Hands the end of an append to the matter that asked for it."""
     match state.appends.pop(event.append_id, None):
+        case snapshots.STREAM:
+            snapshot_looks.on_append_settled(state, event)
         case _:
             pass
 
 
 def on_read(state: state_lib.GateState, event: events.LogRead) -> None:
     """Hands what was read to the matter that the stream belongs to."""
-    here = position(state, event.stream)
+    here = streams.position(state, event.stream)
     here.failures = 0
     here.known_offset = max(here.known_offset or 0, event.next_offset)
     match event.stream:
         case configuration.STREAM:
-            _on_configuration_read(state, event, here)
+            recovery.on_configuration_read(state, event)
+        case snapshots.STREAM:
+            recovery.on_snapshots_read(state, event)
         case _:
             pass
 
@@ -60,88 +38,9 @@
     state: state_lib.GateState, event: events.LogReadFailed
 ) -> None:
     """Asks for the same offset again, a little later."""
-    position(state, event.stream).failures += 1
-    read_on(state, event.stream, delay_us=READ_RETRY_DELAY_US)
-
-
-def _on_configuration_read(
-    state: state_lib.GateState,
-    event: events.LogRead,
-    here: state_lib.LogPosition,
-) -> None:
-    config = state.configuration
-    config.known_offset = max(config.known_offset or 0, event.next_offset)
-    if event.earliest_offset > config.next_offset:
-        config.lost_before_offset = event.earliest_offset
-    for entry in event.entries:
-        if config.lost_before_offset is not None:
-            break
-        configuration.skip_to(config, entry.offset)
-        report_folded(
-            state, configuration.fold(config, entry.offset, entry.body)
-        )
-    if event.entries:
-        refresh_services(state)
-    if config.next_offset >= config.known_offset:
-        config.joined = True
-    here.next_offset = config.next_offset
-    read_on(state, event.stream)
-
-
-def report_folded(
-    state: state_lib.GateState, folded: configuration.Folded | None
-) -> None:
-    """Writes what became of a record, for people on call."""
-    match folded:
-        case configuration.Conflict(key, expected, found):
-            detail = f"{key}: expected revision {expected}, found {found}"
-            state.emit(effects.Report("warning", "record_conflict", detail))
-        case configuration.Unreadable(offset, why):
-            detail = f"record at offset {offset}: {why}"
-            state.emit(effects.Report("error", "record_unreadable", detail))
-        case configuration.Repeated(key):
-            detail = f"{key}: the record came again and changed nothing"
-            state.emit(effects.Report("info", "record_repeated", detail))
-        case configuration.Applied(key, revision):
-            detail = f"{key} is in force at revision {revision}"
-            state.emit(effects.Report("info", "record_applied", detail))
-            _report_doubtful_route(state, key)
-
-
-def _report_doubtful_route(state: state_lib.GateState, key: str) -> None:
-    kind, _, name = key.partition("/")
-    config = state.configuration
-    if kind != "route":
+    streams.position(state, event.stream).failures += 1
+    if event.stream == snapshots.STREAM:
+        recovery.on_snapshots_read_failed(state)
         return
-    for other in config.routes.sharing(name):
-        detail = f"{key} has the path prefix of route/{other}; the newer wins"
-        state.emit(effects.Report("warning", "route_shadows", detail))
-    service = config.routes.service_named_by(name)
-    if service is not None and service not in config.services:
-        detail = f"{key} leads to service {service!r}, which has no record"
-        state.emit(effects.Report("warning", "route_to_no_service", detail))
-
-
-def refresh_services(state: state_lib.GateState) -> None:
-    """Brings services and targets in line with the configuration.
-
-    A target that stays configured keeps its counters.
-    """
-    config = state.configuration
-    for name in list(state.services):
-        if name not in config.services:
-            del state.services[name]
-    for name, payload in config.services.items():
-        service = state.services.setdefault(name, state_lib.ServiceState(name))
-        before = service.targets
-        service.targets = {}
-        for spec in payload.targets:
-            target = before.get(spec.address)
-            if target is None:
-                target = targets.Target(spec, affinity=_affinity(state))
-            target.spec = spec
-            service.targets[spec.address] = target
-
-
-def _affinity(state: state_lib.GateState) -> float:
-    return state.random.random() * 0.01
+    delay_us = streams.retry_delay_us(state, event.stream)
+    streams.read_on(state, event.stream, delay_us=delay_us)
--- /dev/null
+++ b/src/fireflyspindle/core/members.py
@@ -0,0 +1,184 @@
+"""What a gate host knows of the other gate hosts, as plain data.
+
+A row about a host is replaced by one with a higher incarnation, or with the
+same incarnation and a higher beat, so rows may come late, twice and in any
+order (after SWIM: Das, Gupta, Motivala, 2002).
+"""
+
+import attrs
+
+from fireflyspindle.core import checks
+from fireflyspindle.core import events
+from fireflyspindle.core import records
+
+MAX_MEMBERS = 1_024
+MAX_SHARED_CHARACTERS = 512
+LEAST_SILENT_US = 20_000_000
+SILENT_US_PER_MEMBER = 2_000_000
+
+
+@attrs.define(frozen=True)
+class Row:
+    """What a gate host last said of itself.
+
+    Attributes:
+        host_id: Its name.
+        address: Its control address, or an empty string.
+        incarnation: Grows with each start of the host.
+        beat: Grows with each message of the incarnation.
+        next_offset: First configuration offset that it has not in force.
+        reader_version: Newest payloads that it can read.
+        complete: Whether it holds a whole configuration.
+        stopping: Whether its planned stop has begun.
+    """
+
+    host_id: str = attrs.field(validator=checks.name)
+    address: str = attrs.field(validator=checks.optional_name)
+    incarnation: int = attrs.field(
+        validator=checks.between(0, records.MAX_REVISION)
+    )
+    beat: int = attrs.field(validator=checks.between(0, records.MAX_REVISION))
+    next_offset: int = attrs.field(
+        validator=checks.between(0, records.MAX_REVISION)
+    )
+    reader_version: int = attrs.field(
+        default=1, validator=checks.between(1, records.MAX_VERSION)
+    )
+    complete: bool = False
+    stopping: bool = False
+
+    def is_newer_than(self, other: "Row") -> bool:
+        """Whether this row replaces another one about the same host."""
+        mine = (self.incarnation, self.beat)
+        return mine > (other.incarnation, other.beat)
+
+
+@attrs.define
+class Member:
+    """Another gate host.
+
+    Attributes:
+        row: What it last said of itself.
+        heard_us: Time at which a newer row about it last came.
+        shared: What its routing shares, opaque here.
+        differs: Whether its configuration was seen to differ at one offset.
+    """
+
+    row: Row
+    heard_us: int
+    shared: str = ""
+    differs: bool = False
+
+
+@attrs.define
+class Membership:
+    """Every gate host that was heard of, and the platform's list.
+
+    Attributes:
+        members: Hosts by name, without this one.
+        listed: Gate hosts of the platform's list by name; it lags.
+        beat: Number of the latest message of this host.
+        shared: What this host's routing shares, opaque here.
+        started_us: Time at which this host started.
+        ticks: Number of rounds so far.
+        told: What was last told to all peers at once.
+        behind_before: Whether this host was behind a peer a round ago.
+        budget_bytes: Bytes that may be told at present.
+        refused_messages: Messages that could not be read.
+        unknown_messages: Messages of a kind unknown to this version.
+    """
+
+    members: dict[str, Member] = attrs.field(factory=dict)
+    listed: dict[str, events.ListedHost] = attrs.field(factory=dict)
+    beat: int = 0
+    shared: str = ""
+    started_us: int = 0
+    ticks: int = 0
+    told: tuple = ()
+    behind_before: bool = False
+    budget_bytes: float = 0.0
+    refused_messages: int = 0
+    unknown_messages: int = 0
+
+
+def take(membership: Membership, row: Row, now_us: int) -> Member | None:
+    """Takes in a row; returns the host if the row was news."""
+    known = membership.members.get(row.host_id)
+    if known is None:
+        if len(membership.members) >= MAX_MEMBERS:
+            return None
+        known = Member(row, now_us)
+        membership.members[row.host_id] = known
+        return known
+    if not row.is_newer_than(known.row):
+        return None
+    if row.incarnation != known.row.incarnation:
+        known.shared = ""
+        known.differs = False
+    known.row = row
+    known.heard_us = now_us
+    return known
+
+
+def silent_after_us(membership: Membership) -> int:
+    """Returns the time after which a host that is not heard counts as gone."""
+    expected_us = len(membership.members) * SILENT_US_PER_MEMBER
+    return max(LEAST_SILENT_US, expected_us)
+
+
+def live(membership: Membership, now_us: int) -> list[Member]:
+    """Returns the hosts that were heard lately."""
+    oldest_us = now_us - silent_after_us(membership)
+    return [
+        member
+        for member in membership.members.values()
+        if member.heard_us >= oldest_us
+    ]
+
+
+def forget_silent(membership: Membership, now_us: int) -> None:
+    """Drops hosts that were silent for long and aren't on the list.
+
+    It takes three times the time after which a host counts as gone, so that
+    no row about it goes round any more and brings it back.
+    """
+    oldest_us = now_us - 3 * silent_after_us(membership)
+    for host_id, member in list(membership.members.items()):
+        if member.heard_us < oldest_us and host_id not in membership.listed:
+            del membership.members[host_id]
+
+
+def offsets(membership: Membership, now_us: int) -> dict[str, int | None]:
+    """Returns the next offset in force by host, None where it is unknown.
+
+    Hosts that are listed and were not heard are included; stopping and
+    leaving ones are not.
+    """
+    found: dict[str, int | None] = {
+        host_id: None
+        for host_id, host in membership.listed.items()
+        if not host.leaving
+    }
+    for member in live(membership, now_us):
+        found[member.row.host_id] = member.row.next_offset
+        if member.row.stopping:
+            del found[member.row.host_id]
+    return found
+
+
+def lowest_reader_version(
+    membership: Membership, own_version: int, now_us: int
+) -> int:
+    """Returns the oldest reader among the live hosts and this one."""
+    versions = [
+        member.row.reader_version
+        for member in live(membership, now_us)
+        if not member.row.stopping
+    ]
+    return min([own_version, *versions])
+
+
+def newest_offset(membership: Membership, now_us: int) -> int:
+    """Returns the highest next offset that a live host has in force."""
+    found = [member.row.next_offset for member in live(membership, now_us)]
+    return max(found, default=0)
--- /dev/null
+++ b/src/fireflyspindle/core/membership.py
@@ -0,0 +1,230 @@
+"""The other gate hosts: rounds of messages, and what comes from peers."""
+
+import attrs
+import result
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import members
+from fireflyspindle.core import peers
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import state_transfer
+from fireflyspindle.core import telling
+from fireflyspindle.core import timers
+
+ROUND_US = 500_000
+ROUNDS_PER_HEARTBEAT = 4
+FAN_OUT_OF_NEWS = 3
+ROWS_PER_HEARTBEAT = 4
+SIGNS_PER_HEARTBEAT = 8
+BUDGET_BYTES_PER_S = 1_500
+BUDGET_BURST_BYTES = 15_000
+REPORT_EVERY_REFUSED = 100
+
+
+def start(state: state_lib.GateState) -> None:
+    """Sets the time of the first round; hosts are spread by chance."""
+    state.membership.started_us = state.now_us
+    state.membership.budget_bytes = BUDGET_BURST_BYTES
+    delay_us = int(state.random.random() * ROUND_US)
+    state.timers.add(state.now_us + delay_us, timers.PeersDue())
+
+
+def on_due(state: state_lib.GateState) -> None:
+    """Tells peers what is new, and at times that this host lives."""
+    membership = state.membership
+    state.timers.add(state.now_us + ROUND_US, timers.PeersDue())
+    membership.ticks += 1
+    earned = BUDGET_BYTES_PER_S * ROUND_US / 1e6
+    membership.budget_bytes = min(
+        BUDGET_BURST_BYTES, membership.budget_bytes + earned
+    )
+    members.forget_silent(membership, state.now_us)
+    _tell_round(state)
+    state_transfer.catch_up(state)
+
+
+def _tell_round(state: state_lib.GateState) -> None:
+    membership = state.membership
+    joining = not state.configuration.complete
+    news = _news(state)
+    is_news = news != membership.told
+    due = membership.ticks % ROUNDS_PER_HEARTBEAT == 0
+    if not (joining or is_news or due) or membership.budget_bytes <= 0:
+        return
+    membership.told = news
+    addresses = telling.addresses(state)
+    fan_out = FAN_OUT_OF_NEWS if joining or is_news else 1
+    chosen = state.random.sample(addresses, min(fan_out, len(addresses)))
+    for address in chosen:
+        size = telling.tell(state, address, _heartbeat(state, reply=joining))
+        membership.budget_bytes -= size
+
+
+def _news(state: state_lib.GateState) -> tuple:
+    return (
+        state.configuration.next_offset,
+        state.configuration.complete,
+        state.stopping,
+        _signs(state),
+    )
+
+
+def _signs(state: state_lib.GateState) -> tuple[peers.LeavingTarget, ...]:
+    return ()
+
+
+def _heartbeat(state: state_lib.GateState, *, reply: bool) -> peers.Heartbeat:
+    membership = state.membership
+    live = members.live(membership, state.now_us)
+    signs = _signs(state)
+    return peers.Heartbeat(
+        digest=f"{state.configuration.digest:016x}",
+        reply=reply,
+        rows=tuple(
+            member.row
+            for member in state.random.sample(
+                live, min(ROWS_PER_HEARTBEAT, len(live))
+            )
+        ),
+        leaving=tuple(
+            state.random.sample(signs, min(SIGNS_PER_HEARTBEAT, len(signs)))
+        ),
+        shared=membership.shared[: members.MAX_SHARED_CHARACTERS],
+    )
+
+
+def on_message(
+    state: state_lib.GateState, event: events.PeerMessageReceived
+) -> None:
+    """Takes in a message; one that can't be read is counted and dropped."""
+    match peers.decode(event.body):
+        case result.Err(why):
+            _refuse(state, why)
+        case result.Ok(peers.UnknownKind()):
+            state.membership.unknown_messages += 1
+        case result.Ok(peers.Message(sender, content)):
+            _take_message(state, sender, content)
+
+
+def _refuse(state: state_lib.GateState, why: str) -> None:
+    membership = state.membership
+    membership.refused_messages += 1
+    if membership.refused_messages % REPORT_EVERY_REFUSED == 1:
+        count = membership.refused_messages
+        detail = f"message {count} of a peer was refused: {why:.300}"
+        state.emit(effects.Report("warning", "peer_message_refused", detail))
+
+
+def _take_message(
+    state: state_lib.GateState, sender: members.Row, content: peers.Content
+) -> None:
+    if sender.host_id == state.settings.host_id:
+        return
+    member = members.take(state.membership, sender, state.now_us)
+    known = state.membership.members.get(sender.host_id)
+    if known is None or sender.incarnation < known.row.incarnation:
+        return
+    address = telling.address_of(state, known)
+    match content:
+        case peers.Heartbeat():
+            _take_heartbeat(state, sender, content)
+            if member is not None:
+                member.shared = content.shared
+            if content.reply and address:
+                telling.tell(state, address, _heartbeat(state, reply=False))
+        case _:
+            if address:
+                _take_transfer(state, address, content)
+
+
+def _take_transfer(
+    state: state_lib.GateState, address: str, content: peers.Content
+) -> None:
+    match content:
+        case peers.RecordsAsked():
+            state_transfer.on_records_asked(state, address, content)
+        case peers.RecordsTold():
+            state_transfer.on_records_told(state, address, content)
+        case peers.StateAsked():
+            state_transfer.on_state_asked(state, address, content)
+        case peers.StateTold():
+            state_transfer.on_state_told(state, address, content)
+
+
+def _take_heartbeat(
+    state: state_lib.GateState, sender: members.Row, content: peers.Heartbeat
+) -> None:
+    for row in content.rows:
+        if row.host_id != state.settings.host_id:
+            members.take(state.membership, row, state.now_us)
+    _compare(state, sender, content.digest)
+
+
+def _compare(
+    state: state_lib.GateState, sender: members.Row, digest: str
+) -> None:
+    config = state.configuration
+    member = state.membership.members[sender.host_id]
+    comparable = config.complete and sender.complete and digest != ""
+    if not comparable or sender.next_offset != config.next_offset:
+        return
+    differs = digest != f"{config.digest:016x}"
+    if differs and not member.differs:
+        detail = (
+            f"{sender.host_id} has another configuration in force at offset"
+            f" {sender.next_offset}; restart the host that differs from the"
+            " rest"
+        )
+        state.emit(effects.Report("error", "configuration_differs", detail))
+    member.differs = differs
+
+
+def on_host_list(
+    state: state_lib.GateState, event: events.HostListRead
+) -> None:
+    """Takes in the gate hosts of the platform's list."""
+    state.membership.listed = {
+        host.host_id: host
+        for host in event.gate_hosts
+        if host.host_id != state.settings.host_id
+    }
+
+
+def hosts_without(
+    state: state_lib.GateState, next_offset: int
+) -> dict[str, int | None]:
+    """Returns the hosts that don't have an offset in force yet.
+
+    Args:
+        state: State of the gate host.
+        next_offset: Offset of the record plus one.
+
+    Returns:
+        The next offset in force of each such host, None if it is unknown.
+    """
+    found = members.offsets(state.membership, state.now_us)
+    found[state.settings.host_id] = state.configuration.next_offset
+    return {
+        host_id: offset
+        for host_id, offset in found.items()
+        if offset is None or offset < next_offset
+    }
+
+
+def summary(state: state_lib.GateState) -> dict:
+    """Returns the other hosts as JSON data, for people on call."""
+    membership = state.membership
+    return {
+        "refused_messages": membership.refused_messages,
+        "unknown_messages": membership.unknown_messages,
+        "hosts": {
+            host_id: {
+                **attrs.asdict(member.row),
+                "silent_ms": (state.now_us - member.heard_us) // 1000,
+                "listed": host_id in membership.listed,
+                "differs": member.differs,
+            }
+            for host_id, member in sorted(membership.members.items())
+        },
+    }
--- /dev/null
+++ b/src/fireflyspindle/core/recent_records.py
@@ -0,0 +1,54 @@
+"""The latest configuration records, kept to be told to peers."""
+
+import collections
+
+import attrs
+
+MAX_CHARACTERS = 512 * 1024
+MAX_TOLD_CHARACTERS = 64 * 1024
+
+
+@attrs.define
+class RecentRecords:
+    """A run of records without a gap, the latest at its end.
+
+    Attributes:
+        next_offset: Offset after the last record.
+    """
+
+    next_offset: int = 0
+    _bodies: collections.deque[str] = attrs.field(factory=collections.deque)
+    _characters: int = 0
+
+    @property
+    def first_offset(self) -> int:
+        """Offset of the oldest record that is kept."""
+        return self.next_offset - len(self._bodies)
+
+    def add(self, offset: int, body: str) -> None:
+        """Adds a record; after a gap the ones before it are dropped."""
+        if offset != self.next_offset:
+            self._bodies.clear()
+            self._characters = 0
+        self._bodies.append(body)
+        self._characters += len(body)
+        self.next_offset = offset + 1
+        while self._characters > MAX_CHARACTERS and len(self._bodies) > 1:
+            self._characters -= len(self._bodies.popleft())
+
+    def since(self, offset: int) -> tuple[str, ...] | None:
+        """Returns records from an offset on, or None if it is not kept.
+
+        At least one record is returned, and no more than fit one message.
+        """
+        if not self.first_offset <= offset < self.next_offset:
+            return None
+        found: list[str] = []
+        size = 0
+        for index in range(offset - self.first_offset, len(self._bodies)):
+            body = self._bodies[index]
+            size += len(body)
+            if found and size > MAX_TOLD_CHARACTERS:
+                break
+            found.append(body)
+        return tuple(found)
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -1,12 +1,14 @@
 """The reducer: one function over all events, with effects as data."""
 
 from fireflyspindle.core import calls
-from fireflyspindle.core import configuration
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
 from fireflyspindle.core import log
+from fireflyspindle.core import membership
+from fireflyspindle.core import recovery
+from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import timers
 
@@ -14,7 +16,8 @@
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
     """Returns the effects with which a gate host begins."""
     state.now_us = now_us
-    state.emit(effects.ReadLog(configuration.STREAM, 0))
+    recovery.start(state)
+    membership.start(state)
     return _take_effects(state)
 
 
@@ -59,6 +62,10 @@
             log.on_read(state, event)
         case events.LogReadFailed():
             log.on_read_failed(state, event)
+        case events.HostListRead():
+            membership.on_host_list(state, event)
+        case events.PeerMessageReceived():
+            membership.on_message(state, event)
         case events.AppendSettled():
             log.on_append_settled(state, event)
         case _:
@@ -73,6 +80,10 @@
                 calls.on_deadline(state, call_id)
             case timers.HedgeDue(call_id):
                 hedging.on_due(state, call_id)
+            case timers.PeersDue():
+                membership.on_due(state)
+            case timers.SnapshotDue(number):
+                snapshot_looks.on_due(state, number)
             case timers.DrainDeadline():
                 state.emit(effects.Exit())
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -8,6 +8,10 @@
 from fireflyspindle.core import budgets
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
+from fireflyspindle.core import members
+from fireflyspindle.core import recent_records as recent_records_lib
+from fireflyspindle.core import records
+from fireflyspindle.core import recovery_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
 
@@ -20,11 +24,21 @@
         host_id: Id of this gate host's incarnation, unique for each start.
         failure_domain: Failure domain that this gate host runs in.
         drain_limit_ms: Hard limit of a planned stop.
+        incarnation: Grows with each start of the host.
+        control_address: Address at which peers reach this gate host.
+        peer_addresses: Control addresses of peers to ask at first.
+        reader_version: Newest configuration payloads that are read.
+        log_keep_s: Time for which the log keeps a record.
     """
 
     host_id: str
     failure_domain: str = ""
     drain_limit_ms: int = 60_000
+    incarnation: int = 0
+    control_address: str = ""
+    peer_addresses: tuple[str, ...] = ()
+    reader_version: int = records.READER_VERSION
+    log_keep_s: int = 3_600
 
 
 class CallPhase(enum.Enum):
@@ -120,6 +134,9 @@
         configuration: Records in force.
         services: State of each service by name.
         calls: Calls that have not ended, by number.
+        recent_records: The latest configuration records, for peers.
+        recovery: How the whole configuration is reached and kept.
+        membership: The other gate hosts.
         log_positions: How far each stream of the log has been read.
         appends: Stream of each append that has not been settled, by number.
         last_append_id: Number of the latest append.
@@ -136,6 +153,13 @@
     )
     services: dict[str, ServiceState] = attrs.field(factory=dict)
     calls: dict[int, Call] = attrs.field(factory=dict)
+    recent_records: recent_records_lib.RecentRecords = attrs.field(
+        factory=recent_records_lib.RecentRecords
+    )
+    recovery: recovery_state.Recovery = attrs.field(
+        factory=recovery_state.Recovery
+    )
+    membership: members.Membership = attrs.field(factory=members.Membership)
     log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
     appends: dict[int, str] = attrs.field(factory=dict)
     last_append_id: int = 0
@@ -150,4 +174,6 @@
 
 def new(settings: CoreSettings, seed: int) -> GateState:
     """Returns the state of a gate host that has just started."""
-    return GateState(settings=settings, random=random.Random(seed))
+    state = GateState(settings=settings, random=random.Random(seed))
+    state.configuration.reader_version = settings.reader_version
+    return state
--- /dev/null
+++ b/src/fireflyspindle/core/telling.py
@@ -0,0 +1,56 @@
+"""Sending messages to peers, and where they are reached."""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import members
+from fireflyspindle.core import peers
+from fireflyspindle.core import state as state_lib
+
+
+def own_row(state: state_lib.GateState) -> members.Row:
+    """Returns what this host says of itself, with a new beat."""
+    state.membership.beat += 1
+    return members.Row(
+        host_id=state.settings.host_id,
+        address=state.settings.control_address,
+        incarnation=state.settings.incarnation,
+        beat=state.membership.beat,
+        next_offset=state.configuration.next_offset,
+        reader_version=state.settings.reader_version,
+        complete=state.configuration.complete,
+        stopping=state.stopping,
+    )
+
+
+def tell(
+    state: state_lib.GateState, address: str, content: peers.Content
+) -> int:
+    """Sends a message to one peer; returns its size in bytes."""
+    body = peers.encode(peers.Message(own_row(state), content))
+    state.emit(effects.TellPeer(address, body))
+    return len(body)
+
+
+def address_of(state: state_lib.GateState, member: members.Member) -> str:
+    """Returns where a host is reached, or an empty string."""
+    if member.row.address:
+        return member.row.address
+    listed = state.membership.listed.get(member.row.host_id)
+    return listed.address if listed else ""
+
+
+def addresses(state: state_lib.GateState) -> list[str]:
+    """Returns where other gate hosts may be reached, without doubles."""
+    membership = state.membership
+    found = [
+        address_of(state, member)
+        for member in members.live(membership, state.now_us)
+    ]
+    found += [
+        host.address
+        for host in membership.listed.values()
+        if not host.leaving and host.host_id not in membership.members
+    ]
+    if not membership.members:
+        found += state.settings.peer_addresses
+    own = (state.settings.control_address, "")
+    return sorted({address for address in found if address not in own})
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -24,7 +24,23 @@
     """The hard limit of a planned stop has come."""
 
 
-Timer = CallDeadline | HedgeDue | DrainDeadline
+@attrs.define
+class PeersDue:
+    """A round of messages to peers is due."""
+
+
+@attrs.define
+class SnapshotDue:
+    """It is time to see whether the log needs a snapshot.
+
+    Attributes:
+        number: Number of the timer; only the latest one counts.
+    """
+
+    number: int
+
+
+Timer = CallDeadline | HedgeDue | DrainDeadline | PeersDue | SnapshotDue
 
 
 @attrs.define
