--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -7,8 +7,10 @@
 
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle.adapters import log_client
+from fireflyspindle.adapters import peers
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
+from fireflyspindle.core import membership
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
 
@@ -20,11 +22,18 @@
     metrics: metrics_lib.Metrics
     log: log_client.LogClient
 
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+
+    def submit(self, event: events.Event) -> None:
+        """Feeds an event to the reducer."""
+
 
 def application(gate: Gate) -> web.Application:
     """Returns the application that serves the control address."""
     handlers = _Handlers(gate)
-    app = web.Application(client_max_size=records.MAX_RECORD_BYTES)
+    app = web.Application(client_max_size=peers.MAX_BODY_BYTES)
+    app.add_routes(peers.routes(gate))
     app.add_routes(
         [
             web.get("/health/live", handlers.live),
@@ -103,9 +112,30 @@
     """Returns why a gate host takes no calls, or None when it does."""
     if state.stopping:
         return "stopping"
-    if not state.configuration.complete:
-        return "the configuration has not been read whole yet"
-    return None
+    return configuration_gap(state)
+
+
+def configuration_gap(state: state_lib.GateState) -> str | None:
+    """Returns what this host lacks of the configuration, or None."""
+    config = state.configuration
+    if config.complete:
+        return None
+    if config.lost_before_offset is not None:
+        return (
+            f"records before offset {config.lost_before_offset} expired in"
+            f" the log before this host read them (it is at"
+            f" {config.next_offset}); it waits for a snapshot or a peer"
+        )
+    if config.known_offset is None:
+        hosts = len(state.membership.members)
+        return (
+            "neither the log nor a peer has told the configuration yet;"
+            f" {hosts} peers were heard"
+        )
+    return (
+        f"the configuration is read up to offset {config.next_offset} of"
+        f" {config.known_offset}"
+    )
 
 
 def summary(state: state_lib.GateState) -> dict:
@@ -117,8 +147,11 @@
         "calls": len(state.calls),
         "configuration": {
             "next_offset": state.configuration.next_offset,
+            "complete": state.configuration.complete,
+            "digest": f"{state.configuration.digest:016x}",
             "unreadable": state.configuration.unreadable,
         },
+        "membership": membership.summary(state),
         "services": {
             service.name: {
                 target.spec.address: {
--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -5,7 +5,7 @@
 
 from fireflyspindle.core import events
 
-READ_WAIT_MS = 1_000
+READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
 APPEND_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = READ_WAIT_MS / 1000 + 2.0
@@ -60,7 +60,7 @@
                 return _batch(await answer.json())
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
-        except (KeyError, TypeError):
+        except (KeyError, TypeError, AttributeError):
             return None
 
     async def append(self, stream: str, body: str) -> Appended:
@@ -91,8 +91,13 @@
 
 
 def _batch(raw: dict) -> Batch:
-    entries = [
-        events.LogEntry(int(item["offset"]), str(item["body"]))
-        for item in raw["records"]
-    ]
+    by_offset = {int(item["offset"]): _entry(item) for item in raw["records"]}
+    entries = [by_offset[offset] for offset in sorted(by_offset)]
     return Batch(entries, int(raw["earliest"]), int(raw["next"]))
+
+
+def _entry(item: dict) -> events.LogEntry:
+    """Reads one record; a torn one keeps its offset and has no body."""
+    body = item.get("body")
+    text = body if isinstance(body, str) else ""
+    return events.LogEntry(int(item["offset"]), text)
--- a/src/fireflyspindle/core/in_force.py
+++ b/src/fireflyspindle/core/in_force.py
@@ -29,7 +29,8 @@
     config = state.configuration
     before = config.next_offset
     for entry in found:
-        if with_holes:
+        if with_holes and entry.offset > config.next_offset:
+            _report_hole(state, config.next_offset, entry.offset)
             configuration.skip_to(config, entry.offset)
         if entry.offset > config.next_offset:
             break
@@ -42,6 +43,11 @@
         refresh_services(state)
 
 
+def _report_hole(state: state_lib.GateState, first: int, end: int) -> None:
+    detail = f"the log holds no record at offsets {first} to {end - 1}"
+    state.emit(effects.Report("error", "record_missing", detail))
+
+
 def merge_state(
     state: state_lib.GateState,
     entries: Iterable[entries_lib.Entry],
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+import attrs
 
 from fireflyspindle import headers
 from fireflyspindle import logs
@@ -16,6 +17,7 @@
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
 from fireflyspindle.adapters import log_client
+from fireflyspindle.adapters import peers
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -38,6 +40,8 @@
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
             drain_limit_ms=settings.limits.drain_limit_ms,
+            incarnation=time.time_ns() // 1_000_000,
+            peer_addresses=settings.peers.addresses,
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
@@ -50,6 +54,7 @@
     async def start(self) -> None:
         """Opens the addresses and begins to read the log."""
         self.log = log_client.LogClient(self._settings.platform.log_address)
+        self._peers = peers.PeerClient()
         self._client = target_client.TargetClient()
         server = gate_server.GateServer(
             self,
@@ -67,6 +72,9 @@
         await self._listen(callers, self._settings.gate.callers_address)
         control = web.AppRunner(control_api.application(self), access_log=None)
         await self._listen(control, self._settings.gate.control_address)
+        self.state.settings = attrs.evolve(
+            self.state.settings, control_address=self.control_address
+        )
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
@@ -100,6 +108,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._client.close()
+        await self._peers.close()
         await self.log.close()
 
     def now_us(self) -> int:
@@ -144,6 +153,8 @@
                 self._spawn(self._read_log(effect))
             case effects.AppendRecord():
                 self._spawn(self._append_record(effect))
+            case effects.TellPeer(address, body):
+                self._spawn(self._peers.tell(address, body))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
