--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -29,10 +29,19 @@
 
 
 class LogClient:
-    """Reads and appends records of the log's streams."""
+    """Reads and appends records of the log's streams.
 
-    def __init__(self, address: str) -> None:
+    Args:
+        address: Address of the log service.
+        append_timeout_s: Time after which the outcome of an append is taken
+            for unknown.
+    """
+
+    def __init__(
+        self, address: str, append_timeout_s: float = APPEND_TIMEOUT_S
+    ) -> None:
         self._base = f"http://{address}/streams"
+        self._append_timeout_s = append_timeout_s
         self._session = aiohttp.ClientSession()
 
     async def read(
@@ -64,8 +73,13 @@
             return None
 
     async def append(self, stream: str, body: str) -> Appended:
-        """Appends a record once."""
-        timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
+        """Appends a record once.
+
+        Returns:
+            DONE with the offset; REFUSED when the record is certainly not in
+            the log; UNKNOWN when it may be, or may come into it later.
+        """
+        timeout = aiohttp.ClientTimeout(total=self._append_timeout_s)
         try:
             async with self._session.post(
                 f"{self._base}/{stream}/records",
--- a/src/fireflyspindle/testing/log.py
+++ b/src/fireflyspindle/testing/log.py
@@ -1,26 +1,43 @@
-"""A stand-in for the platform's append-only log service."""
+"""A stand-in for the platform's append-only log service, with faults."""
 
 import asyncio
+import collections
 
 from aiohttp import web
 import attrs
 
 MAX_WAIT_MS = 30_000
 MAX_BATCH_RECORDS = 1_000
+MAX_REQUEST_BYTES = 2 * 1024 * 1024
+BUDGET_WINDOW_S = 1.0
 
 
 @attrs.define
 class Stream:
-    """One stream: the bodies still held, and the offset of the first."""
+    """One stream: the bodies still held, and the offset of the first.
+
+    Attributes:
+        earliest_offset: Offset of the oldest record that is held.
+        bodies: Records that are held.
+        appended_s: Time at which each of them was appended.
+    """
 
     earliest_offset: int = 0
     bodies: list[str] = attrs.field(factory=list)
+    appended_s: list[float] = attrs.field(factory=list)
 
     @property
     def next_offset(self) -> int:
         """Offset that the next record will get."""
         return self.earliest_offset + len(self.bodies)
 
+    def drop(self, count: int) -> None:
+        """Drops the oldest records."""
+        count = max(0, min(count, len(self.bodies)))
+        del self.bodies[:count]
+        del self.appended_s[:count]
+        self.earliest_offset += count
+
 
 class StandInLog:
     """Keeps streams in memory and serves them over HTTP with JSON.
@@ -28,19 +45,38 @@
     Attributes:
         streams: Streams by name.
         down: Whether every request is refused with 503.
+        delay_s: Time that passes before a request is carried out.
+        answer_delay_s: Time that passes before it is answered.
         lose_answers: Number of appends to come that take effect but whose
             answer is lost.
+        lose_requests: Number of appends to come that take no effect and
+            whose connection is cut.
+        duplicate_appends: Number of appends to come that are stored twice.
+        garble_reads: Number of reads to come whose answer is cut in half.
+        keep_s: Time for which a record is held; None for ever.
+        appends_per_s: Appends that are carried out in a second; the others
+            are refused with 429. None for no limit.
+        reads: Number of reads that were asked for.
     """
 
     def __init__(self) -> None:
         self.streams: dict[str, Stream] = {}
         self.down = False
+        self.delay_s = 0.0
+        self.answer_delay_s = 0.0
         self.lose_answers = 0
+        self.lose_requests = 0
+        self.duplicate_appends = 0
+        self.garble_reads = 0
+        self.keep_s: float | None = None
+        self.appends_per_s: int | None = None
+        self.reads = 0
+        self._recent_s: collections.deque[float] = collections.deque()
         self._appended = asyncio.Event()
 
     def application(self) -> web.Application:
         """Returns the application that serves the log."""
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_REQUEST_BYTES)
         app.add_routes(
             [
                 web.post("/streams/{name}/records", self._append),
@@ -53,6 +89,7 @@
         """Appends a record and returns its offset."""
         stream = self._stream(name)
         stream.bodies.append(body)
+        stream.appended_s.append(_now_s())
         self._appended.set()
         self._appended = asyncio.Event()
         return stream.next_offset - 1
@@ -60,36 +97,84 @@
     def expire(self, name: str, before_offset: int) -> None:
         """Drops the records below an offset."""
         stream = self._stream(name)
-        dropped = max(0, before_offset - stream.earliest_offset)
-        dropped = min(dropped, len(stream.bodies))
-        del stream.bodies[:dropped]
-        stream.earliest_offset += dropped
+        stream.drop(before_offset - stream.earliest_offset)
+
+    def tear(self, name: str, offset: int) -> None:
+        """Cuts a record in half."""
+        stream = self._stream(name)
+        index = offset - stream.earliest_offset
+        body = stream.bodies[index]
+        stream.bodies[index] = body[: len(body) // 2]
 
     def _stream(self, name: str) -> Stream:
-        return self.streams.setdefault(name, Stream())
+        stream = self.streams.setdefault(name, Stream())
+        if self.keep_s is not None:
+            oldest_s = _now_s() - self.keep_s
+            stream.drop(sum(at_s < oldest_s for at_s in stream.appended_s))
+        return stream
 
     async def _append(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(self.delay_s)
         if self.down:
-            return web.json_response({"error": "down"}, status=503)
-        raw = await request.json()
-        offset = self.append(request.match_info["name"], str(raw["body"]))
-        if self.lose_answers > 0 and request.transport is not None:
+            return _refusal(503, "down", "the log is down")
+        try:
+            body = str((await request.json())["body"])
+        except (ValueError, KeyError, TypeError):
+            return _refusal(400, "bad_request", 'give {"body": TEXT}')
+        if not self._within_budget():
+            return _refusal(429, "too_many_appends", "append less often")
+        if self.lose_requests > 0:
+            self.lose_requests -= 1
+            return _cut(request)
+        name = request.match_info["name"]
+        offset = self.append(name, body)
+        if self.duplicate_appends > 0:
+            self.duplicate_appends -= 1
+            self.append(name, body)
+        await asyncio.sleep(self.answer_delay_s)
+        if self.lose_answers > 0:
             self.lose_answers -= 1
-            request.transport.abort()
+            return _cut(request)
         return web.json_response({"offset": offset})
 
+    def _within_budget(self) -> bool:
+        if self.appends_per_s is None:
+            return True
+        now_s = _now_s()
+        while self._recent_s and self._recent_s[0] <= now_s - BUDGET_WINDOW_S:
+            self._recent_s.popleft()
+        if len(self._recent_s) >= self.appends_per_s:
+            return False
+        self._recent_s.append(now_s)
+        return True
+
     async def _read(self, request: web.Request) -> web.Response:
+        self.reads += 1
+        await asyncio.sleep(self.delay_s)
         if self.down:
-            return web.json_response({"error": "down"}, status=503)
+            return _refusal(503, "down", "the log is down")
         name = request.match_info["name"]
-        from_offset = int(request.query.get("from", "0"))
-        limit = min(int(request.query.get("limit", "100")), MAX_BATCH_RECORDS)
-        wait_ms = min(int(request.query.get("wait_ms", "0")), MAX_WAIT_MS)
-        await self._wait_for(name, from_offset, wait_ms)
+        try:
+            from_offset = max(0, int(request.query.get("from", "0")))
+            limit = int(request.query.get("limit", "100"))
+            wait_ms = int(request.query.get("wait_ms", "0"))
+        except ValueError as error:
+            return _refusal(400, "bad_request", str(error))
+        await self._wait_for(name, from_offset, min(wait_ms, MAX_WAIT_MS))
+        answer = self._page(name, from_offset, min(limit, MAX_BATCH_RECORDS))
+        if self.garble_reads > 0:
+            self.garble_reads -= 1
+            text = answer.text or ""
+            return web.Response(
+                text=text[: len(text) // 2], content_type="application/json"
+            )
+        return answer
+
+    def _page(self, name: str, from_offset: int, limit: int) -> web.Response:
         stream = self._stream(name)
         first = max(from_offset, stream.earliest_offset)
         start = first - stream.earliest_offset
-        bodies = stream.bodies[start : start + limit]
+        bodies = stream.bodies[start : start + max(0, limit)]
         return web.json_response(
             {
                 "records": [
@@ -108,3 +193,20 @@
                     await self._appended.wait()
         except TimeoutError:
             return
+
+
+def _now_s() -> float:
+    try:
+        return asyncio.get_running_loop().time()
+    except RuntimeError:
+        return 0.0
+
+
+def _refusal(status: int, error: str, detail: str) -> web.Response:
+    return web.json_response({"error": error, "detail": detail}, status=status)
+
+
+def _cut(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
