Provoke the failures of recovery and membership in virtual time

Cause: nothing drove several reducers through expiry, outages, pauses, partitions and malformed messages together.

--- /dev/null
+++ b/src/fireflyspindle/bench/fleet.py
@@ -0,0 +1,215 @@
+"""A fleet of real reducers that share a configuration, in virtual time."""
+
+from collections.abc import Callable
+import json
+import random
+
+import attrs
+
+from fireflyspindle.bench import fake_log
+from fireflyspindle.bench import virtual
+from fireflyspindle.core import configuration
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import records
+from fireflyspindle.core import state as state_lib
+
+SECOND_US = 1_000_000
+LEAST_ONE_WAY_US = 300
+MOST_ONE_WAY_US = 1_000
+SEED_PEERS = 3
+REQUEST_HEADER_BYTES = 130
+ANSWER_BYTES = 130
+
+
+@attrs.define(eq=False)
+class Host:
+    """One gate host of the fleet.
+
+    Attributes:
+        address: Its control address, which is its name too.
+        gate: Its reducer.
+        sent_bytes: Bytes of messages and answers that it sent to peers.
+        received_bytes: Bytes of messages and answers that it got from peers.
+        messages: Messages that it sent to peers.
+        reports: Codes of the log lines that it wrote.
+    """
+
+    address: str
+    gate: virtual.VirtualGate
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    messages: int = 0
+    reports: list[str] = attrs.field(factory=list)
+
+    @property
+    def configuration(self) -> configuration.Configuration:
+        """The configuration of the host."""
+        return self.gate.state.configuration
+
+
+class Fleet:
+    """Gate hosts, the log between them, and the network.
+
+    Attributes:
+        timeline: Virtual time.
+        random: Source of the network's randomness.
+        log: The log service.
+        hosts: Hosts that run, by address.
+        parted: Addresses that can't reach the other addresses.
+        lost_share: Share of the messages between peers that are lost.
+        on_event: Called after each event that a host was fed.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        log_keep_s: int = 3_600,
+        on_event: Callable[[Host], None] = lambda _host: None,
+    ) -> None:
+        self.timeline = virtual.Timeline()
+        self.random = random.Random(seed)
+        self.log = fake_log.FakeLog(
+            self.timeline, self.random, lambda *_appended: None
+        )
+        self.hosts: dict[str, Host] = {}
+        self.parted: frozenset[str] = frozenset()
+        self.lost_share = 0.0
+        self.on_event = on_event
+        self._log_keep_s = log_keep_s
+        self._started = 0
+
+    def publish(
+        self,
+        kind: str,
+        name: str,
+        payload: dict | None,
+        expected_revision: int = 0,
+    ) -> int:
+        """Appends a record to the log at once; returns its revision."""
+        envelope = records.Envelope(
+            record_id=f"{self.random.getrandbits(64):016x}",
+            kind=kind,
+            name=name,
+            expected_revision=expected_revision,
+            schema_version=1,
+            oldest_reader_version=1,
+            author="bench",
+            payload=payload,
+        )
+        body = records.encode(envelope)
+        return self.log.append(configuration.STREAM, body) + 1
+
+    def add(
+        self,
+        reader_version: int = records.READER_VERSION,
+        host_id: str = "",
+        incarnation: int = 1,
+    ) -> Host:
+        """Starts a host that knows a few of the running ones."""
+        self._started += 1
+        number = self._started
+        address = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+        known = sorted(self.hosts)
+        seeds = self.random.sample(known, min(SEED_PEERS, len(known)))
+        settings = state_lib.CoreSettings(
+            host_id=host_id or f"gate-{number}",
+            incarnation=incarnation,
+            control_address=f"{address}:81",
+            peer_addresses=tuple(seeds),
+            reader_version=reader_version,
+            log_keep_s=self._log_keep_s,
+        )
+        gate = virtual.VirtualGate(
+            self.timeline,
+            settings,
+            self.random.getrandbits(32),
+            lambda _gate, effect: self._carry_out(host, effect),
+        )
+        host = Host(settings.control_address, gate)
+        self.hosts[host.address] = host
+        gate.start()
+        return host
+
+    def remove(self, host: Host) -> None:
+        """Kills a host without a word."""
+        host.gate.stopped = True
+        del self.hosts[host.address]
+
+    def run(self, seconds: float) -> None:
+        """Lets virtual time pass."""
+        self.timeline.run(self.timeline.now_us + int(seconds * SECOND_US))
+
+    def run_until(
+        self, reached: Callable[[], bool], limit_s: float = 60.0
+    ) -> float | None:
+        """Lets time pass until a condition holds.
+
+        Returns:
+            The seconds that passed, or None when the limit was reached.
+        """
+        begun_us = self.timeline.now_us
+        limit_us = begun_us + int(limit_s * SECOND_US)
+        while self.timeline.now_us < limit_us:
+            if reached():
+                return (self.timeline.now_us - begun_us) / SECOND_US
+            self.run(0.01)
+        return None
+
+    def in_force(self, revision: int) -> bool:
+        """Whether the record of a revision is folded on every host."""
+        return all(
+            host.configuration.next_offset >= revision
+            for host in self.hosts.values()
+        )
+
+    def tell(self, host: Host, body: str) -> None:
+        """Delivers a message to a host at once."""
+        host.gate.feed(lambda now_us: events.PeerMessageReceived(now_us, body))
+        self.on_event(host)
+
+    def _carry_out(self, host: Host, effect: effects.Effect) -> None:
+        match effect:
+            case effects.ReadLog():
+                self.log.on_read(host.gate, host.address, effect)
+            case effects.AppendRecord():
+                self.log.on_append(host.gate, host.address, effect)
+            case effects.TellPeer(address, body):
+                self._tell_peer(host, address, body)
+            case effects.Report(_, code, _):
+                host.reports.append(code)
+
+    def _tell_peer(self, host: Host, address: str, body: str) -> None:
+        size = len(body) + REQUEST_HEADER_BYTES
+        host.messages += 1
+        host.sent_bytes += size
+        peer = self.hosts.get(address)
+        parted = (host.address in self.parted) != (address in self.parted)
+        lost = self.random.random() < self.lost_share
+        if peer is None or parted or lost:
+            return
+        host.received_bytes += ANSWER_BYTES
+        peer.received_bytes += size
+        peer.sent_bytes += ANSWER_BYTES
+        delay_us = self.random.randrange(LEAST_ONE_WAY_US, MOST_ONE_WAY_US)
+        self.timeline.after(delay_us, lambda: self.tell(peer, body))
+
+
+def service_payload(targets: int, number: int) -> dict:
+    """Returns the payload of a service record with so many targets."""
+    return {
+        "targets": [
+            {
+                "address": f"10.{100 + number}.{index >> 8}.{index & 255}:8080",
+                "failure_domain": f"domain-{index % 5}",
+                "slots": 4,
+                "connection_limit": 260,
+            }
+            for index in range(targets)
+        ]
+    }
+
+
+def payload_bytes(payload: dict) -> int:
+    """Returns the size of a payload as JSON text."""
+    return len(json.dumps(payload, separators=(",", ":")))
