Test the data path against targets and callers that misbehave

Messages go byte for byte between raw ends in the tests. Mended on the way: a Transfer-Encoding other than chunked was taken for an empty body, and an answer 101 without an upgrade was waited past.

--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -197,6 +197,10 @@
         if expected.lower() != "100-continue":
             detail = f'header Expect is {expected[:40]!r}; give "100-continue"'
             return answers.BadRequest(417, "bad_header", detail)
+        coding = message.headers.get("Transfer-Encoding", "chunked")
+        if coding.lower() != "chunked":
+            detail = f'Transfer-Encoding is {coding[:40]!r}; give "chunked"'
+            return answers.BadRequest(400, "bad_header", detail)
         stated = message.headers.get("Content-Length")
         limit_bytes = self._body_limits.carried_bytes
         if stated is not None and int(stated) > limit_bytes:
--- a/src/fireflyspindle/adapters/target_connection.py
+++ b/src/fireflyspindle/adapters/target_connection.py
@@ -1,6 +1,7 @@
 """A connection to a target, with at most one request on it at a time."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Protocol
 
 import aiohttp
@@ -75,6 +76,11 @@
             and not transport.is_closing()
         )
 
+    @property
+    def holds_back(self) -> bool:
+        """Whether reading waits until what was read has been taken."""
+        return self._reading_paused
+
     def begin(self, waiter: Waiter, data: bytes, method: str) -> None:
         """Writes a request, or its head, and waits for the answer."""
         assert self.transport is not None
@@ -136,7 +142,7 @@
         except http.HttpProcessingError:
             self._fail(events.FailureReason.MISMATCHED)
             return
-        final = [pair for pair in messages if pair[0].code >= 200]
+        final = [pair for pair in messages if pair[0].code not in wire.INTERIM]
         if upgraded or len(final) > 1 or (final and self._payload is not None):
             self._reusable = False
         if upgraded:
@@ -169,6 +175,8 @@
         length: int | None,
         request_id: str,
     ) -> events.FailureReason | None:
+        if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+            return events.FailureReason.MISMATCHED
         echoed = message.headers.getall(headers.REQUEST_ID, ())
         if any(value != request_id for value in echoed):
             return events.FailureReason.MISMATCHED
--- a/src/fireflyspindle/adapters/wire.py
+++ b/src/fireflyspindle/adapters/wire.py
@@ -15,6 +15,9 @@
 _CARRIED_TO_CALLERS: frozenset[bytes] = frozenset()
 _NEVER_CONNECTION_NAMED = frozenset({b"host", b"idempotency-key"})
 
+# Statuses of answers that come before the real one.
+INTERIM = frozenset({100, 102, 103, 104})
+
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -13,6 +13,7 @@
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle import settings as settings_lib
 from fireflyspindle.adapters import answers
+from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import control_api
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
@@ -33,6 +34,7 @@
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
+        exchanges: Calls in flight, by number.
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
@@ -44,7 +46,7 @@
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
-        self._exchanges: dict[int, exchange_lib.Exchange] = {}
+        self.exchanges: dict[int, exchange_lib.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._events: collections.deque[events.Event] = collections.deque()
@@ -84,6 +86,11 @@
         """The control address, with its real port."""
         return _address(self._control)
 
+    @property
+    def callers(self) -> set[caller_connection.CallerConnection]:
+        """Open connections of callers."""
+        return self._server.connections
+
     def request_stop(self) -> None:
         """Begins a planned stop; `wait_closed` returns when it is done."""
         self.submit(events.StopRequested(self.now_us()))
@@ -109,7 +116,7 @@
         self, exchange: exchange_lib.Exchange, event: events.CallArrived
     ) -> None:
         """Takes in a call."""
-        self._exchanges[exchange.call_id] = exchange
+        self.exchanges[exchange.call_id] = exchange
         self.submit(event)
 
     def submit(self, event: events.Event) -> None:
@@ -136,11 +143,11 @@
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendToTarget():
-                self._client.begin(self._exchanges[effect.call_id], effect)
+                self._client.begin(self.exchanges[effect.call_id], effect)
             case effects.ForwardAnswer():
                 self._forward(effect)
             case effects.AnswerCaller(call_id):
-                answers.answer(self._exchanges[call_id], effect)
+                answers.answer(self.exchanges[call_id], effect)
             case effects.CancelAttempt():
                 self._cancel_attempt(effect)
             case effects.CallFinished():
@@ -213,7 +220,7 @@
         )
 
     def _forward(self, effect: effects.ForwardAnswer) -> None:
-        exchange = self._exchanges[effect.call_id]
+        exchange = self.exchanges[effect.call_id]
         attempt = exchange.attempts[effect.attempt]
         relay = answers.Relay(exchange, attempt)
         if relay.begin(effect.outcome):
@@ -243,7 +250,7 @@
         )
 
     def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
-        exchange = self._exchanges[effect.call_id]
+        exchange = self.exchanges[effect.call_id]
         attempt = exchange.attempts[effect.attempt]
         if attempt.ended:
             return
@@ -262,7 +269,7 @@
         self.on_failed(attempt, events.FailureReason.CANCELLED)
 
     def _finish(self, effect: effects.CallFinished) -> None:
-        exchange = self._exchanges.pop(effect.call_id)
+        exchange = self.exchanges.pop(effect.call_id)
         exchange.attempts.clear()
         self.metrics.on_call_finished(effect)
         if not logs.enabled("DEBUG"):
--- a/src/fireflyspindle/metrics.py
+++ b/src/fireflyspindle/metrics.py
@@ -26,7 +26,7 @@
 
 
 @attrs.define
-class _Series:
+class Series:
     """Counts of latencies by bucket, the last one open above."""
 
     counts: list[int] = attrs.field(
@@ -35,17 +35,18 @@
     sum_us: int = 0
 
     def observe(self, value_us: int) -> None:
+        """Counts one latency."""
         self.counts[bisect.bisect_left(LATENCY_BUCKETS_US, value_us)] += 1
         self.sum_us += value_us
 
 
 @attrs.define
-class _CallSeries:
+class CallSeries:
     """What is counted for one tenant and class."""
 
-    total: _Series = attrs.field(factory=_Series)
-    added: _Series = attrs.field(factory=_Series)
-    target: _Series = attrs.field(factory=_Series)
+    total: Series = attrs.field(factory=Series)
+    added: Series = attrs.field(factory=Series)
+    target: Series = attrs.field(factory=Series)
     outcomes: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
@@ -61,13 +62,13 @@
         super().__init__(name, doc, registry=registry)
         self._filled: list[tuple[dict[str, str], dict[Any, float]]] = []
 
-    def fill(self, series: list[tuple[dict[str, str], _Series]]) -> None:
+    def fill(self, series: list[tuple[dict[str, str], Series]]) -> None:
         """Replaces what the histogram shows."""
         self._filled = [
             (labels, self._cumulative(found)) for labels, found in series
         ]
 
-    def _cumulative(self, series: _Series) -> dict[Any, float]:
+    def _cumulative(self, series: Series) -> dict[Any, float]:
         running = list(itertools.accumulate(series.counts))
         shown: dict[Any, float] = {
             bound_us / 1e6: float(count)
@@ -90,6 +91,7 @@
 
     Attributes:
         registry: Registry of every collector.
+        calls: Counts of calls by tenant and class.
         counts: Counters without labels, by name without prefix and suffix.
         gauges: Values that go up and down, by name without prefix.
     """
@@ -98,7 +100,7 @@
         self.registry = collectors.Registry()
         self.counts: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
-        self._calls: dict[tuple[str, str], _CallSeries] = {}
+        self.calls: dict[tuple[str, str], CallSeries] = {}
         self._total = self._histogram(
             "call_seconds", "Time from a call's arrival to its end."
         )
@@ -131,9 +133,9 @@
     def on_call_finished(self, effect: effects.CallFinished) -> None:
         """Counts a call that has ended."""
         key = (effect.tenant, effect.traffic_class)
-        series = self._calls.get(key)
+        series = self.calls.get(key)
         if series is None:
-            series = self._calls[key] = _CallSeries()
+            series = self.calls[key] = CallSeries()
         series.total.observe(effect.total_us)
         series.added.observe(effect.total_us - effect.target_us)
         series.target.observe(effect.target_us)
@@ -149,7 +151,7 @@
     def _fill(self) -> None:
         labelled = [
             ({"tenant": tenant or OTHER, "class": name or OTHER}, series)
-            for (tenant, name), series in self._calls.items()
+            for (tenant, name), series in self.calls.items()
         ]
         self._total.fill([(labels, s.total) for labels, s in labelled])
         self._added.fill([(labels, s.added) for labels, s in labelled])
--- a/src/fireflyspindle/testing/__init__.py
+++ b/src/fireflyspindle/testing/__init__.py
@@ -2,6 +2,10 @@
 
 from fireflyspindle.testing.hosts import StandInHosts
 from fireflyspindle.testing.log import StandInLog
+from fireflyspindle.testing.raw import RawCaller
+from fireflyspindle.testing.raw import RawMessage
+from fireflyspindle.testing.raw import ScriptedTarget
+from fireflyspindle.testing.raw import connect
 from fireflyspindle.testing.server import Server
 from fireflyspindle.testing.system import StandInSystem
 from fireflyspindle.testing.system import gate_settings
@@ -9,11 +13,15 @@
 from fireflyspindle.testing.target import StandInTarget
 
 __all__ = [
+    "RawCaller",
+    "RawMessage",
+    "ScriptedTarget",
     "Server",
     "StandInHosts",
     "StandInLog",
     "StandInSystem",
     "StandInTarget",
+    "connect",
     "gate_settings",
     "publish",
 ]
--- a/src/fireflyspindle/testing/target.py
+++ b/src/fireflyspindle/testing/target.py
@@ -48,7 +48,11 @@
 
     async def _handle(self, request: web.Request) -> web.Response:
         if self.failing:
-            return web.Response(status=503, headers={headers.NOT_RUN: "yes"})
+            return web.json_response(
+                {"error": "failing", "target": self.name},
+                status=503,
+                headers={headers.NOT_RUN: "yes"},
+            )
         self._in_flight += 1
         try:
             async with self._slots:
--- /dev/null
+++ b/tests/test_caller_faults.py
@@ -0,0 +1,196 @@
+"""Callers that leave, cut their upload or send what can't be served."""
+
+import asyncio
+import json
+
+import pytest
+
+from fireflyspindle import headers
+import wire
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+HOST = "Host: dossier.example"
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "named"),
+    [
+        (b"nonsense\r\n\r\n", b"400", ""),
+        (b"GET /dossier HTTP/1.1\r\n\r\n", b"400", "Host"),
+        (wire.request("GET", "/dossier", "Bad Name: x"), b"400", ""),
+        (
+            wire.request("GET", "/dossier", "X-Long: " + "x" * 70_000),
+            b"400",
+            "",
+        ),
+        (wire.request("GET", "/dossier/" + "x" * 70_000), b"400", ""),
+        (
+            wire.request("POST", "/dossier", "Transfer-Encoding: chunked")[:-2]
+            + b"Content-Length: 3\r\n\r\n0\r\n\r\n",
+            b"400",
+            "",
+        ),
+        (
+            wire.request("POST", "/dossier", "Content-Length: 3", body=b"abcd"),
+            b"400",
+            "",
+        ),
+        (
+            wire.request("POST", "/dossier", "Transfer-Encoding: x, chunked")
+            + b"0\r\n\r\n",
+            b"400",
+            "x, chunked",
+        ),
+        (wire.request("CONNECT", "dossier:443"), b"405", "CONNECT"),
+        (wire.request("GET", "/dossier", "Expect: tea"), b"417", "tea"),
+        (
+            wire.request("PUT", "/dossier", "Content-Length: 99000000000"),
+            b"413",
+            "99000000000",
+        ),
+        (
+            wire.request("GET", "/dossier", f"{headers.DEADLINE_MS}: soon"),
+            b"400",
+            "soon",
+        ),
+        (
+            wire.request("GET", "/dossier", f"{headers.DEADLINE_MS}: 0"),
+            b"400",
+            "3600000",
+        ),
+        (
+            wire.request("GET", "/dossier", f"{headers.REPEATABLE}: perhaps"),
+            b"400",
+            "perhaps",
+        ),
+        (
+            wire.request("GET", "/dossier", f"{headers.TENANT}: {'x' * 101}"),
+            b"400",
+            headers.TENANT,
+        ),
+        (wire.request("GET", "/nowhere"), b"404", "/nowhere"),
+        (wire.request("OPTIONS", "*"), b"404", "*"),
+    ],
+)
+async def test_bad_request_is_refused_and_reaches_no_target(
+    request_bytes, status, named
+):
+    async with wire.running(wire.replies(OK)) as running:
+        answer = await running.ask(request_bytes)
+    assert running.targets[0].requests == []
+    assert answer.first_line.split()[1] == status
+    assert answer.values(headers.OUTCOME) == [b"not-run"]
+    stated = json.loads(answer.body)
+    assert stated["outcome"] == "not-run"
+    assert named in stated["detail"]
+
+
+async def test_bytes_after_a_bad_request_are_not_served():
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        answer = await caller.ask(b"nonsense\r\n\r\n" + wire.request())
+        rest = await caller.reader.read()
+        caller.close()
+    assert answer.first_line.split()[1] == b"400"
+    assert rest == b""
+    assert running.targets[0].requests == []
+
+
+async def test_body_is_asked_for_when_the_caller_waits_for_that():
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        lines = ["Expect: 100-continue", "Content-Length: 5"]
+        caller.writer.write(wire.request("PUT", "/dossier", *lines))
+        asked = await caller.reader.readuntil(b"\r\n\r\n")
+        answer = await caller.ask(b"offer")
+        caller.close()
+    assert asked == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert answer.body == b"ok"
+    seen = running.targets[0].requests[0]
+    assert seen.body == b"offer"
+    assert seen.values("Expect") == []
+
+
+async def test_leaving_caller_cancels_a_repeatable_call():
+    async def behave(_request, _writer):
+        arrived.set()
+
+    arrived = asyncio.Event()
+    async with wire.running(behave) as running:
+        caller = await running.caller()
+        caller.writer.write(wire.request())
+        await arrived.wait()
+        caller.close()
+        await wire.until(lambda: running.targets[0].closed == 1)
+        await wire.until(lambda: running.outcomes() == {"unknown": 1})
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [OK, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nlate body"],
+    ids=["small", "in two parts"],
+)
+async def test_sent_non_repeatable_call_runs_on_without_its_caller(answer):
+    async def behave(_request, writer):
+        arrived.set()
+        await wire.until(lambda: left)
+        writer.write(answer[:-3])
+        await writer.drain()
+        writer.write(answer[-3:])
+        ended.append(not writer.is_closing())
+
+    arrived = asyncio.Event()
+    left = []
+    ended = []
+    async with wire.running(behave) as running:
+        caller = await running.caller()
+        caller.writer.write(wire.request("POST", body=b"deposit"))
+        await arrived.wait()
+        caller.close()
+        await wire.until(lambda: not running.gate.callers)
+        left.append(True)
+        await wire.until(lambda: running.outcomes() == {"complete": 1})
+    assert ended == [True]
+    assert len(running.targets[0].requests) == 1
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [["Content-Length: 1000000"], ["Transfer-Encoding: chunked"]],
+    ids=["length", "chunked"],
+)
+async def test_cut_upload_is_cut_at_the_target_too(lines):
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        caller.writer.write(wire.request("PUT", "/dossier", *lines))
+        caller.writer.write(b"a\r\nhalf of it\r\n")
+        await wire.until(lambda: running.targets[0].connections == 1)
+        caller.close()
+        await wire.until(lambda: running.targets[0].closed == 1)
+        await wire.until(lambda: running.outcomes() == {"unknown": 1})
+    assert not any(seen.whole for seen in running.targets[0].requests)
+
+
+async def test_held_body_that_is_cut_short_reaches_no_target():
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        caller.writer.write(
+            wire.request("PUT", "/dossier", "Content-Length: 50") + b"half"
+        )
+        await wire.until(lambda: running.gate.callers)
+        caller.close()
+        await wire.until(lambda: not running.gate.callers)
+    assert running.targets[0].connections == 0
+
+
+async def test_early_answer_ends_the_upload():
+    async with wire.running(wire.replies(OK)) as running:
+        running.targets[0].reads_bodies = False
+        caller = await running.caller()
+        head = wire.request("PUT", "/dossier", "Content-Length: 1000000")
+        answer = await caller.ask(head + b"x" * 1000)
+        rest = await caller.reader.read()
+        caller.close()
+    assert answer.body == b"ok"
+    assert answer.values("Connection") == [b"close"]
+    assert rest == b""
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,238 @@
+"""Requests and answers come through a gate host unchanged."""
+
+import gzip
+
+import pytest
+
+from fireflyspindle import headers
+import wire
+
+PACKED = gzip.compress(b"dossier" * 100)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/dossier/%7e%2F?a=%20b&&x=%41",
+        "/dossier/a;b=1//c/../d?",
+        "/dossier?q=1?2#",
+    ],
+)
+async def test_target_gets_the_path_byte_for_byte(path):
+    async with wire.running(wire.replies(OK)) as running:
+        answer = await running.ask(wire.request("GET", path))
+    assert answer.first_line == b"HTTP/1.1 200 OK"
+    seen = running.targets[0].requests[0]
+    assert seen.first_line == f"GET {path} HTTP/1.1".encode()
+
+
+async def test_end_to_end_headers_reach_the_target_and_no_others():
+    lines = [
+        "X-Crew: galley",
+        "Cookie: a=1; b=2",
+        "x-crew: deck",
+        "Connection: X-Hop, keep-alive",
+        "X-Hop: 1",
+        "TE: trailers",
+        "Proxy-Authorization: secret",
+        "Fireflyspindle-Request-Id: forged",
+        "Fireflyspindle-In-Flight: 7",
+        "Fireflyspindle-Tenant: bureau",
+    ]
+    async with wire.running(wire.replies(OK)) as running:
+        await running.ask(wire.request("GET", "/dossier", *lines))
+    seen = running.targets[0].requests[0]
+    assert seen.head.split(b"\r\n")[1:6] == [
+        b"Host: dossier.example",
+        b"X-Crew: galley",
+        b"Cookie: a=1; b=2",
+        b"x-crew: deck",
+        b"Fireflyspindle-Tenant: bureau",
+    ]
+    assert seen.values(headers.REQUEST_ID)[0].startswith(b"gate-1-")
+    names = {line.partition(b":")[0] for line in seen.head.split(b"\r\n")[6:]}
+    assert names == {
+        headers.REQUEST_ID.encode(),
+        headers.DEADLINE_MS.encode(),
+    }
+
+
+@pytest.mark.parametrize(
+    ("lines", "sent", "seen_framing", "seen_body"),
+    [
+        (["Content-Length: 0"], b"", b"Content-Length: 0", b""),
+        (["Content-Length: 3"], b"abc", b"Content-Length: 3", b"abc"),
+        (
+            ["Content-Encoding: gzip", f"Content-Length: {len(PACKED)}"],
+            PACKED,
+            b"Content-Length: %d" % len(PACKED),
+            PACKED,
+        ),
+        (
+            ["Content-Length: 3000000"],
+            b"x" * 3_000_000,
+            b"Content-Length: 3000000",
+            b"x" * 3_000_000,
+        ),
+        (
+            ["Transfer-Encoding: chunked"],
+            b"%x\r\n" % 2_000_000 + b"y" * 2_000_000 + b"\r\n0\r\n\r\n",
+            b"Transfer-Encoding: chunked",
+            b"y" * 2_000_000,
+        ),
+    ],
+    ids=["empty", "small", "packed", "large", "chunked"],
+)
+async def test_body_reaches_the_target(lines, sent, seen_framing, seen_body):
+    async with wire.running(wire.replies(OK)) as running:
+        request = wire.request("PUT", "/dossier", *lines) + sent
+        answer = await running.ask(request)
+    assert answer.body == b"ok"
+    seen = running.targets[0].requests[0]
+    assert seen_framing in seen.head.split(b"\r\n")
+    assert seen.whole
+    assert seen.body == seen_body
+
+
+@pytest.mark.parametrize(
+    ("method", "sent", "body", "framing"),
+    [
+        ("HEAD", b"200 OK\r\nContent-Length: 9\r\n\r\n", b"", b"9"),
+        ("GET", b"204 No Content\r\n\r\n", b"", None),
+        ("GET", b"304 Not Modified\r\nContent-Length: 9\r\n\r\n", b"", b"9"),
+        ("GET", b"200 OK\r\nContent-Length: 0\r\n\r\n", b"", b"0"),
+        (
+            "GET",
+            b"200 OK\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n"
+            % len(PACKED)
+            + PACKED,
+            PACKED,
+            b"%d" % len(PACKED),
+        ),
+        (
+            "GET",
+            b"200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            b"abcde",
+            b"5",
+        ),
+        (
+            "GET",
+            b"302 Found\r\nLocation: /dossier/2\r\nContent-Length: 1\r\n\r\n-",
+            b"-",
+            b"1",
+        ),
+        (
+            "GET",
+            b"103 Early Hints\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n-",
+            b"-",
+            b"1",
+        ),
+        (
+            "GET",
+            b"200 OK\r\nContent-Length: 4000000\r\n\r\n" + b"z" * 4_000_000,
+            b"z" * 4_000_000,
+            b"4000000",
+        ),
+    ],
+    ids=[
+        "head",
+        "204",
+        "304",
+        "empty",
+        "packed",
+        "chunked",
+        "redirect",
+        "hints first",
+        "large",
+    ],
+)
+async def test_answer_reaches_the_caller(method, sent, body, framing):
+    async with wire.running(wire.replies(b"HTTP/1.1 " + sent)) as running:
+        caller = await running.caller()
+        expects_body = framing is not None and bool(body)
+        for _ in range(2):
+            answer = await caller.ask(wire.request(method), expects_body)
+            assert answer.body == body
+            assert answer.values("Content-Length") == (
+                [framing] if framing else []
+            )
+            assert answer.values(headers.OUTCOME) == [b"complete"]
+        caller.close()
+    assert running.targets[0].connections == 1
+
+
+async def test_answer_keeps_repeated_headers_and_drops_the_targets_claims():
+    sent = (
+        b"HTTP/1.1 200 Fine\r\nSet-Cookie: a=1\r\nset-cookie: b=2\r\n"
+        b"Connection: X-Hop\r\nX-Hop: 1\r\nFireflyspindle-In-Flight: 3\r\n"
+        b"Fireflyspindle-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+    )
+    async with wire.running(wire.replies(sent)) as running:
+        answer = await running.ask(wire.request())
+    lines = answer.head.split(b"\r\n")
+    assert lines[:3] == [
+        b"HTTP/1.1 200 Fine",
+        b"Set-Cookie: a=1",
+        b"set-cookie: b=2",
+    ]
+    assert answer.values(headers.OUTCOME) == [b"complete"]
+    assert len(lines) == 6
+
+
+async def test_cookies_of_one_caller_never_reach_another_ones_request():
+    sent = b"HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nContent-Length: 0\r\n\r\n"
+    async with wire.running(wire.replies(sent)) as running:
+        await running.ask(wire.request())
+        await running.ask(wire.request())
+    assert running.targets[0].requests[1].values("Cookie") == []
+
+
+async def test_streamed_chunks_reach_the_caller_before_the_answer_ends():
+    async def behave(_request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"3\r\nabc\r\n")
+        await wire.until(lambda: first_seen)
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+
+    first_seen = []
+    async with wire.running(behave) as running:
+        caller = await running.caller()
+        caller.writer.write(wire.request())
+        await caller.reader.readuntil(b"3\r\nabc\r\n")
+        first_seen.append(True)
+        rest = await caller.reader.readuntil(b"0\r\n\r\n")
+        caller.close()
+    assert rest == b"2\r\nde\r\n0\r\n\r\n"
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    async def behave(request, writer):
+        path = request.first_line.split()[1]
+        size = b"Content-Length: %d\r\n\r\n" % len(path)
+        writer.write(b"HTTP/1.1 200 OK\r\n" + size + path)
+
+    paths = [f"/dossier/{index}" for index in range(20)]
+    async with wire.running(behave) as running:
+        caller = await running.caller()
+        caller.writer.write(b"".join(wire.request("GET", p) for p in paths))
+        seen = [(await caller.ask(b"")).body.decode() for _ in paths]
+        caller.close()
+    assert seen == paths
+
+
+async def test_old_caller_gets_an_answer_that_ends_with_its_connection():
+    async def behave(_request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await writer.drain()
+        writer.write(b"3\r\nabc\r\n0\r\n\r\n")
+
+    async with wire.running(behave) as running:
+        caller = await running.caller()
+        caller.writer.write(b"GET /dossier HTTP/1.0\r\n\r\n")
+        answer = await caller.reader.read()
+    assert answer.endswith(b"abc")
+    assert b"Transfer-Encoding" not in answer
+    assert running.targets[0].requests[0].values("Host")
--- /dev/null
+++ b/tests/test_target_faults.py
@@ -0,0 +1,193 @@
+"""Targets that cut, cross, delay or garble their answers."""
+
+import asyncio
+
+import pytest
+
+from fireflyspindle import headers
+import wire
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "then"),
+    [
+        (b"", "close"),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", "close"),
+        (b"not HTTP at all\r\n\r\n", "keep"),
+        (b"HTTP/1.1 200 OK\r\nFireflyspindle-Request-Id: x\r\n" + OK[17:], ""),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + OK[17:], "keep"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + CHUNKED[17:], "keep"),
+        (b"HTTP/1.1 200 OK\r\n\r\nwithout a length", "close"),
+        (b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n", "keep"),
+    ],
+    ids=[
+        "nothing",
+        "half a head",
+        "garbage",
+        "crossed",
+        "two lengths",
+        "smuggled",
+        "endless",
+        "upgrade",
+    ],
+)
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+async def test_answer_without_a_sound_head_is_unknown(method, sent, then):
+    async with wire.running(wire.replies(sent, then)) as running:
+        answer = await running.ask(wire.request(method))
+        await wire.until(lambda: running.targets[0].closed == 1)
+    assert answer.first_line == b"HTTP/1.1 502 Bad Gateway"
+    assert answer.values(headers.OUTCOME) == [b"unknown"]
+    assert len(running.targets[0].requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("framing", "rest"),
+    [
+        (b"Content-Length: 9\r\n\r\n", b"1234"),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\n1234\r\n"),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\n1234\r\nzz\r\n"),
+    ],
+    ids=["length", "chunks", "garbled"],
+)
+async def test_truncated_answer_is_cut_for_the_caller_too(framing, rest):
+    async def behave(_request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing)
+        [exchange] = running.gate.exchanges.values()
+        await wire.until(lambda: exchange.attempts[1].relayed)
+        writer.write(rest)
+        writer.close()
+
+    async with wire.running(behave) as running:
+        answer = await running.ask(wire.request())
+        await wire.until(lambda: running.outcomes() == {"unknown": 1})
+    assert answer is None or not answer.whole
+
+
+async def test_bytes_out_of_turn_never_become_the_next_answer():
+    async def behave(request, writer):
+        if request.first_line.startswith(b"GET /dossier/first "):
+            writer.write(OK + OK.replace(b"ok", b"no"))
+        else:
+            writer.write(OK.replace(b"ok", b"me"))
+
+    async with wire.running(behave) as running:
+        first = await running.ask(wire.request("GET", "/dossier/first"))
+        second = await running.ask(wire.request("GET", "/dossier/second"))
+    assert (first.body, second.body) == (b"ok", b"me")
+    assert running.targets[0].connections == 2
+
+
+async def test_bytes_on_an_idle_connection_close_it():
+    writers = []
+
+    async def behave(_request, writer):
+        writers.append(writer)
+        writer.write(OK)
+
+    async with wire.running(behave) as running:
+        await running.ask(wire.request())
+        writers[0].write(OK.replace(b"ok", b"no"))
+        await wire.until(lambda: running.targets[0].closed == 1)
+        second = await running.ask(wire.request())
+    assert second.body == b"ok"
+
+
+@pytest.mark.parametrize("method", ["DELETE", "PUT", "POST"])
+async def test_non_repeatable_request_on_a_closed_connection_runs_once(method):
+    async def behave(request, writer):
+        if request.first_line.startswith(b"GET"):
+            writer.write(OK)
+        else:
+            writer.close()
+
+    async with wire.running(behave, behave) as running:
+        for _ in range(4):
+            await running.ask(wire.request())
+        answer = await running.ask(wire.request(method, body=b"deposit"))
+    runs = [
+        seen
+        for target in running.targets
+        for seen in target.requests
+        if seen.first_line.startswith(method.encode())
+    ]
+    assert len(runs) == 1
+    assert answer.values(headers.OUTCOME) == [b"unknown"]
+
+
+async def test_repeatable_request_on_a_closed_connection_is_sent_again():
+    async def behave(request, writer):
+        if request.first_line.startswith(b"GET /dossier/kept "):
+            writer.write(OK)
+        elif len(refused) < 1:
+            refused.append(request)
+            writer.close()
+        else:
+            writer.write(OK)
+
+    refused = []
+    async with wire.running(behave, behave) as running:
+        for _ in range(30):
+            await running.ask(wire.request("GET", "/dossier/kept"))
+        answer = await running.ask(wire.request("GET", "/dossier/lost"))
+    assert answer.values(headers.OUTCOME) == [b"complete"]
+
+
+async def test_refused_connection_is_not_run():
+    async with wire.running(wire.replies(OK)) as running:
+        await running.targets[0].close()
+        answer = await running.ask(wire.request("POST", body=b"offer"))
+    assert answer.first_line.split()[1] == b"503"
+    assert answer.values(headers.OUTCOME) == [b"not-run"]
+    assert int(answer.values(headers.RETRY_AFTER)[0]) >= 1
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_late_head_is_unknown_at_the_deadline(method):
+    async def behave(_request, writer):
+        await asyncio.Event().wait()
+
+    async with wire.running(behave) as running:
+        answer = await running.ask(
+            wire.request(method, "/dossier", f"{headers.DEADLINE_MS}: 50")
+        )
+    assert answer.first_line.split()[1] == b"504"
+    assert answer.values(headers.OUTCOME) == [b"unknown"]
+
+
+async def test_late_body_is_cut_at_the_deadline():
+    async def behave(_request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+        await asyncio.Event().wait()
+
+    async with wire.running(behave) as running:
+        answer = await running.ask(
+            wire.request("GET", "/dossier", f"{headers.DEADLINE_MS}: 50")
+        )
+        await wire.until(lambda: running.outcomes() == {"unknown": 1})
+    assert (answer.body, answer.whole) == (b"half", False)
+
+
+async def test_slow_caller_holds_back_the_target():
+    async def behave(_request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000000\r\n\r\n")
+        for _ in range(200):
+            writer.write(b"x" * 1_000_000)
+            await writer.drain()
+
+    async with wire.running(behave) as running:
+        caller = await running.caller()
+        caller.writer.write(wire.request())
+        await caller.reader.readuntil(b"\r\n\r\n")
+        caller.writer.transport.pause_reading()
+        [exchange] = running.gate.exchanges.values()
+        connection = exchange.attempts[1].connection
+        await wire.until(
+            lambda: exchange.caller.writing_paused and connection.holds_back
+        )
+        held_bytes = exchange.caller.transport.get_write_buffer_size()
+        caller.close()
+    assert held_bytes < 1_000_000
--- /dev/null
+++ b/tests/wire.py
@@ -0,0 +1,104 @@
+"""One gate host between a raw caller and scripted targets."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+import contextlib
+
+import attrs
+
+from fireflyspindle import gate as gate_lib
+from fireflyspindle import testing
+from fireflyspindle.testing import raw
+
+WAIT_S = 10.0
+
+
+@attrs.define
+class Wire:
+    """A gate host whose route /dossier leads to scripted targets."""
+
+    gate: gate_lib.Gate
+    targets: list[testing.ScriptedTarget]
+
+    async def caller(self) -> testing.RawCaller:
+        """Opens a caller's connection."""
+        return await testing.connect(self.gate.callers_address)
+
+    async def ask(
+        self, request: bytes, body_expected: bool = True
+    ) -> testing.RawMessage | None:
+        """Sends a request on a connection of its own."""
+        caller = await self.caller()
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await caller.ask(request, body_expected)
+        finally:
+            caller.close()
+
+    def outcomes(self) -> dict[str, int]:
+        """Returns the number of recorded calls by outcome."""
+        found: dict[str, int] = {}
+        for series in self.gate.metrics.calls.values():
+            for outcome, count in series.outcomes.items():
+                found[outcome] = found.get(outcome, 0) + count
+        return found
+
+
+def request(
+    method: str = "GET",
+    path: str = "/dossier/1",
+    *lines: str,
+    body: bytes = b"",
+) -> bytes:
+    """Returns the bytes of a request; a body gets its Content-Length."""
+    head = [f"{method} {path} HTTP/1.1", "Host: dossier.example", *lines]
+    if body:
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*head, "", ""]).encode() + body
+
+
+def replies(answer: bytes, then: str = "keep") -> raw.Behaviour:
+    """Returns a behaviour that writes fixed bytes, then closes or keeps."""
+
+    async def behave(
+        _request: testing.RawMessage, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(answer)
+        await writer.drain()
+        if then == "close":
+            writer.close()
+
+    return behave
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Waits until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
+@contextlib.asynccontextmanager
+async def running(*behaviours: raw.Behaviour) -> AsyncIterator[Wire]:
+    """Runs a gate host before one scripted target for each behaviour."""
+    async with testing.StandInSystem() as parts:
+        targets = [testing.ScriptedTarget(found) for found in behaviours]
+        addresses = [await target.start() for target in targets]
+        testing.publish(
+            parts.log,
+            "service",
+            "dossier",
+            {"targets": [{"address": address} for address in addresses]},
+        )
+        testing.publish(
+            parts.log,
+            "route",
+            "dossier",
+            {"path_prefix": "/dossier", "service": "dossier"},
+        )
+        gate = await parts.add_gate("gate-1")
+        try:
+            yield Wire(gate, targets)
+        finally:
+            for target in targets:
+                await target.close()
