Claim keyed calls in the log before they are sent

Cause: the same request may come twice by different gate hosts, and a gate host may be paused or replaced between deciding and sending. Change: a call that is not repeatable and carries an idempotency key is sent only once its claim was read back as the lowest offset of its key. Claims and outcomes travel in group commits within a fixed share of the fleet's appends. Ruled out: a lease (a paused holder wakes into a wrong belief); claims as the only record of a refusal (a caller told 'not run' could not come again).

--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -1,5 +1,6 @@
 """Answers that the gate gives itself, and the end of a call."""
 
+from fireflyspindle.core import claim_outcomes
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
@@ -11,10 +12,13 @@
     state: state_lib.GateState, event: events.CallArrived
 ) -> None:
     """Refuses a call whose path no route covers."""
+    outcome = effects.Outcome.NOT_RUN
+    if event.other_copies:
+        outcome = effects.Outcome.UNKNOWN
     state.emit(
         effects.AnswerCaller(
             call_id=event.call_id,
-            outcome=effects.Outcome.NOT_RUN,
+            outcome=outcome,
             status=404,
             error="no_route",
             detail=f"no route covers the path {event.path!r}",
@@ -26,7 +30,7 @@
             tenant="",
             traffic_class="",
             target="",
-            outcome=effects.Outcome.NOT_RUN,
+            outcome=outcome,
             total_us=0,
             target_us=0,
             attempts=0,
@@ -42,20 +46,32 @@
     detail: str,
 ) -> None:
     """Answers the caller at once with what is known of its request."""
-    call.phase = state_lib.CallPhase.ANSWERED
-    call.outcome = (
-        effects.Outcome.UNKNOWN if call.maybe_ran else effects.Outcome.NOT_RUN
-    )
-    state.emit(
+    outcome = effects.Outcome.NOT_RUN
+    if call.maybe_ran:
+        outcome = effects.Outcome.UNKNOWN
+    tell(
+        state,
+        call,
         effects.AnswerCaller(
             call_id=call.call_id,
-            outcome=call.outcome,
+            outcome=outcome,
             status=status,
             error=error,
             detail=detail,
             retry_after_ms=RETRY_AFTER_MS,
-        )
+        ),
     )
+
+
+def tell(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    answer: effects.AnswerCaller,
+) -> None:
+    """Answers the caller; the call ends once its attempts have."""
+    call.phase = state_lib.CallPhase.ANSWERED
+    call.outcome = answer.outcome
+    state.emit(answer)
     finish_if_done(state, call)
 
 
@@ -64,6 +80,8 @@
     if call.attempts or call.phase is not state_lib.CallPhase.ANSWERED:
         return
     del state.calls[call.call_id]
+    if call.claim is not None:
+        claim_outcomes.on_finished(state, call, call.claim)
     state.emit(
         effects.CallFinished(
             call_id=call.call_id,
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Collection
 
-from fireflyspindle.core import admission
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
+from fireflyspindle.core import claims
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -39,7 +39,7 @@
     state.calls[call.call_id] = call
     state.timers.add(deadline_us, timers.CallDeadline(call.call_id))
     retries.on_arrived(state, service)
-    admission.offer(state, call)
+    claims.offer(state, call, event)
 
 
 def _known(name: str, configured: Collection[str]) -> str:
@@ -56,6 +56,8 @@
         return
     attempt = call.attempts[event.attempt]
     targets.on_answered(attempt.target, event.report, state.now_us)
+    if not event.not_run:
+        call.status = event.status
     if call.phase is not state_lib.CallPhase.WAITING:
         attempts.drop(state, call, attempt)
         answers.finish_if_done(state, call)
--- /dev/null
+++ b/src/fireflyspindle/core/claim_keys.py
@@ -0,0 +1,73 @@
+"""Idempotency keys: their form, and what stands for them in the log."""
+
+import hashlib
+
+import attrs
+import result
+
+MAX_KEY_CHARACTERS = 200
+KEY_FORM = "<milliseconds since 1970>-<1 to 180 letters, digits, ., _ or ->"
+
+_ISSUED_DIGITS = range(1, 15)
+_OPAQUE_EXTRA = frozenset("._-")
+
+
+@attrs.define(frozen=True)
+class KeyRef:
+    """An idempotency key within its tenant, as claims know it.
+
+    Attributes:
+        key_id: Hash of tenant and key, 128 bits.
+        issued_ms: Wall-clock time in the key.
+        digest: Hash of method, path and body, 64 bits.
+    """
+
+    key_id: int
+    issued_ms: int
+    digest: int
+
+
+def issued_ms(key: str) -> result.Result[int, str]:
+    """Reads the time of issue of a caller's key; the error says what to do."""
+    stamp, dash, opaque = key.partition("-")
+    well_formed = (
+        dash
+        and len(key) <= MAX_KEY_CHARACTERS
+        and stamp.isascii()
+        and stamp.isdecimal()
+        and len(stamp) in _ISSUED_DIGITS
+        and _is_opaque(opaque)
+    )
+    if not well_formed:
+        return result.Err(f"key {key[:40]!r} is malformed; give {KEY_FORM}")
+    return result.Ok(int(stamp))
+
+
+def _is_opaque(text: str) -> bool:
+    if not text or not text.isascii():
+        return False
+    return all(char.isalnum() or char in _OPAQUE_EXTRA for char in text)
+
+
+def body_digest(method: str, raw_path: str, body: bytes) -> str:
+    """Returns the hex digest of what a keyed request asks for."""
+    hasher = hashlib.sha256()
+    hasher.update(f"{method}\n{raw_path}\n".encode())
+    hasher.update(body)
+    return hasher.hexdigest()
+
+
+def reference(
+    tenant: str, key: str, issued: int, request_digest: str
+) -> KeyRef:
+    """Returns what stands for a key, so that the log holds no caller's data."""
+    return KeyRef(
+        key_id=_hash(f"{tenant}\0{key}", size_bytes=16),
+        issued_ms=issued,
+        digest=_hash(request_digest, size_bytes=8),
+    )
+
+
+def _hash(text: str, size_bytes: int) -> int:
+    hashed = hashlib.blake2b(text.encode(), digest_size=size_bytes)
+    return int.from_bytes(hashed.digest(), "big")
--- /dev/null
+++ b/src/fireflyspindle/core/claim_records.py
@@ -0,0 +1,154 @@
+"""Records of the claims stream: one batch of claims and outcomes each."""
+
+import enum
+import json
+from typing import Any
+
+import attrs
+import result
+
+from fireflyspindle.core import claim_keys
+
+VERSION = 1
+
+
+class ClaimOutcome(enum.Enum):
+    """How the request of a claim ended, as its owner wrote it down.
+
+    NOT_RUN releases the key: the next claim of it may own it.
+    """
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@attrs.define(frozen=True)
+class Claim:
+    """A gate host's claim of a key.
+
+    Attributes:
+        number: Number of the claim, unique within its writer.
+        key: The key.
+    """
+
+    number: int
+    key: claim_keys.KeyRef
+
+
+@attrs.define(frozen=True)
+class OutcomeNote:
+    """How the request of a claim of the same writer ended.
+
+    Attributes:
+        number: Number of the claim.
+        key: The key.
+        outcome: How it ended.
+        status: HTTP status of the target's answer, or 0.
+    """
+
+    number: int
+    key: claim_keys.KeyRef
+    outcome: ClaimOutcome
+    status: int = 0
+
+
+@attrs.define(frozen=True)
+class Batch:
+    """One record of the stream.
+
+    Attributes:
+        writer: Incarnation of the gate host that wrote it.
+        number: Number of the batch, unique within its writer.
+        wall_ms: Wall-clock time at which it was formed.
+        claims: Claims, in the order in which they count.
+        outcomes: Outcomes of claims of the same writer.
+    """
+
+    writer: str
+    number: int
+    wall_ms: int
+    claims: tuple[Claim, ...] = ()
+    outcomes: tuple[OutcomeNote, ...] = ()
+
+
+@attrs.define(frozen=True)
+class Unreadable:
+    """A record that this host can't read.
+
+    Attributes:
+        why: What is wrong with it.
+        newer: Whether newer software wrote it, so that it may hold claims.
+    """
+
+    why: str
+    newer: bool
+
+
+def encode(batch: Batch) -> str:
+    """Returns a batch as JSON text, with a row for each claim and outcome."""
+    return json.dumps(
+        {
+            "version": VERSION,
+            "writer": batch.writer,
+            "number": batch.number,
+            "wall_ms": batch.wall_ms,
+            "claims": [
+                [claim.number, *_key_row(claim.key)] for claim in batch.claims
+            ],
+            "outcomes": [
+                [note.number, *_key_row(note.key), note.outcome.value]
+                + [note.status]
+                for note in batch.outcomes
+            ],
+        },
+        separators=(",", ":"),
+    )
+
+
+def decode(body: str) -> result.Result[Batch, Unreadable]:
+    """Reads a batch."""
+    try:
+        raw = json.loads(body)
+        version = raw["version"]
+        if isinstance(version, int) and version > VERSION:
+            why = f"version {version} is newer than {VERSION}"
+            return result.Err(Unreadable(why, newer=True))
+        return result.Ok(_batch(raw))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        why = f"{type(error).__name__}: {error}"
+        return result.Err(Unreadable(why, newer=False))
+
+
+def _batch(raw: dict[str, Any]) -> Batch:
+    return Batch(
+        writer=str(raw["writer"]),
+        number=int(raw["number"]),
+        wall_ms=int(raw["wall_ms"]),
+        claims=tuple(_claim(*row) for row in raw["claims"]),
+        outcomes=tuple(_note(*row) for row in raw["outcomes"]),
+    )
+
+
+def _key_row(key: claim_keys.KeyRef) -> tuple[str, int, str]:
+    return (f"{key.key_id:x}", key.issued_ms, f"{key.digest:x}")
+
+
+def _key(key_id: str, issued_ms: int, digest: str) -> claim_keys.KeyRef:
+    return claim_keys.KeyRef(int(key_id, 16), int(issued_ms), int(digest, 16))
+
+
+def _claim(number: int, key_id: str, issued_ms: int, digest: str) -> Claim:
+    return Claim(int(number), _key(key_id, issued_ms, digest))
+
+
+def _note(
+    number: int,
+    key_id: str,
+    issued_ms: int,
+    digest: str,
+    outcome: str,
+    status: int,
+) -> OutcomeNote:
+    key = _key(key_id, issued_ms, digest)
+    return OutcomeNote(int(number), key, ClaimOutcome(outcome), int(status))
--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -1,5 +1,6 @@
 """The planned stop of a gate host."""
 
+from fireflyspindle.core import claim_batches
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
@@ -21,5 +22,7 @@
 
 def exit_if_drained(state: state_lib.GateState) -> None:
     """Ends the process once the last call in flight has ended."""
-    if state.stopping and not state.calls:
+    if not state.stopping or state.calls:
+        return
+    if claim_batches.idle(state):
         state.emit(effects.Exit())
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -67,11 +67,13 @@
 
     Attributes:
         call_id: Number of the call.
-        outcome: NOT_RUN or UNKNOWN.
+        outcome: What is known of the request; COMPLETE only of one that
+            came earlier with the same key.
         status: HTTP status.
         error: Short machine-readable code.
         detail: Sentence for a person.
         retry_after_ms: When the caller may ask again, or None.
+        recorded_status: HTTP status of the earlier request's answer, or 0.
     """
 
     call_id: int
@@ -80,6 +82,7 @@
     error: str
     detail: str
     retry_after_ms: int | None = None
+    recorded_status: int = 0
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -51,6 +51,9 @@
         idempotency_key: The caller's key, or an empty string.
         body_digest: Hex digest of method, path and body; keyed calls only.
         key_issued_ms: Wall-clock time in the caller's key, in milliseconds.
+        wall_ms: Wall-clock time of arrival, in milliseconds.
+        other_copies: Whether the caller sent the key before or elsewhere
+            too, if it states that.
     """
 
     now_us: int
@@ -64,6 +67,8 @@
     idempotency_key: str = ""
     body_digest: str = ""
     key_issued_ms: int = 0
+    wall_ms: int = 0
+    other_copies: bool | None = None
 
 
 @attrs.define
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -1,57 +1,37 @@
 """Reading the log's streams into the state."""
 
+from fireflyspindle.core import claim_batches
+from fireflyspindle.core import claim_reads
+from fireflyspindle.core import claims
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import streams
 from fireflyspindle.core import targets
 
-READ_RETRY_DELAY_US = 200_000
-
-
-def position(state: state_lib.GateState, stream: str) -> state_lib.LogPosition:
-    """Returns how far a stream has been read."""
-    return state.log_positions.setdefault(stream, state_lib.LogPosition())
-
-
-def read_on(
-    state: state_lib.GateState,
-    stream: str,
-    *,
-    wait: bool = True,
-    delay_us: int = 0,
-) -> None:
-    """Asks for the records of a stream after those read so far."""
-    from_offset = position(state, stream).next_offset
-    state.emit(effects.ReadLog(stream, from_offset, delay_us, wait))
-
-
-def append(state: state_lib.GateState, stream: str, body: str) -> int:
-    """Appends a record; returns the number that `AppendSettled` will carry."""
-    state.last_append_id += 1
-    append_id = state.last_append_id
-    state.appends[append_id] = stream
-    state.emit(effects.AppendRecord(append_id, stream, body))
-    return append_id
-
 
 def on_append_settled(
     state: state_lib.GateState, event: events.AppendSettled
 ) -> None:
     """Hands the end of an append to the matter that asked for it."""
     match state.appends.pop(event.append_id, None):
+        case claim_batches.STREAM:
+            claims.on_append_settled(state, event)
         case _:
             pass
 
 
 def on_read(state: state_lib.GateState, event: events.LogRead) -> None:
     """Hands what was read to the matter that the stream belongs to."""
-    here = position(state, event.stream)
+    here = streams.position(state, event.stream)
     here.failures = 0
     here.known_offset = max(here.known_offset or 0, event.next_offset)
     match event.stream:
         case configuration.STREAM:
             _on_configuration_read(state, event, here)
+        case claim_batches.STREAM:
+            claims.on_read(state, event)
         case _:
             pass
 
@@ -60,8 +40,11 @@
     state: state_lib.GateState, event: events.LogReadFailed
 ) -> None:
     """Asks for the same offset again, a little later."""
-    position(state, event.stream).failures += 1
-    read_on(state, event.stream, delay_us=READ_RETRY_DELAY_US)
+    streams.position(state, event.stream).failures += 1
+    if event.stream == claim_batches.STREAM:
+        claim_reads.on_read_failed(state)
+        return
+    streams.read_on(state, event.stream, delay_us=streams.READ_RETRY_DELAY_US)
 
 
 def _on_configuration_read(
@@ -76,7 +59,7 @@
     if event.entries:
         refresh_services(state)
     here.next_offset = config.next_offset
-    read_on(state, event.stream)
+    streams.read_on(state, event.stream)
 
 
 def _report(
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -1,6 +1,8 @@
 """The reducer: one function over all events, with effects as data."""
 
 from fireflyspindle.core import calls
+from fireflyspindle.core import claim_reads
+from fireflyspindle.core import claims
 from fireflyspindle.core import configuration
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
@@ -15,6 +17,7 @@
     """Returns the effects with which a gate host begins."""
     state.now_us = now_us
     state.emit(effects.ReadLog(configuration.STREAM, 0))
+    claim_reads.start(state)
     return _take_effects(state)
 
 
@@ -73,6 +76,8 @@
                 calls.on_deadline(state, call_id)
             case timers.HedgeDue(call_id):
                 hedging.on_due(state, call_id)
+            case timers.ClaimsDue():
+                claims.on_due(state)
             case timers.DrainDeadline():
                 state.emit(effects.Exit())
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -6,6 +6,7 @@
 import attrs
 
 from fireflyspindle.core import budgets
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import targets as targets_lib
@@ -20,11 +21,13 @@
         host_id: Id of this gate host's incarnation, unique for each start.
         failure_domain: Failure domain that this gate host runs in.
         drain_limit_ms: Hard limit of a planned stop.
+        claims: Settings of claims.
     """
 
     host_id: str
     failure_domain: str = ""
     drain_limit_ms: int = 60_000
+    claims: claim_state.ClaimSettings = claim_state.ClaimSettings()
 
 
 class CallPhase(enum.Enum):
@@ -65,6 +68,8 @@
         last_target: Address of the target of the latest attempt.
         tried: Addresses of the targets of all attempts.
         maybe_ran: Whether an attempt ended without a word on having run.
+        status: HTTP status of a target's answer that ran it, or 0.
+        claim: Its part in the claims of its key, if it has one.
     """
 
     call_id: int
@@ -83,6 +88,8 @@
     last_target: str = ""
     tried: set[str] = attrs.field(factory=set)
     maybe_ran: bool = False
+    status: int = 0
+    claim: claim_state.ClaimUse | None = None
 
 
 @attrs.define
@@ -116,6 +123,7 @@
     Attributes:
         settings: Settings of the core.
         random: Seeded generator; the only source of randomness.
+        claims: Claims of keyed calls.
         now_us: Time of the event at hand.
         configuration: Records in force.
         services: State of each service by name.
@@ -130,6 +138,7 @@
 
     settings: CoreSettings
     random: random.Random
+    claims: claim_state.ClaimState
     now_us: int = 0
     configuration: configuration_lib.Configuration = attrs.field(
         factory=configuration_lib.Configuration
@@ -149,5 +158,15 @@
 
 
 def new(settings: CoreSettings, seed: int) -> GateState:
-    """Returns the state of a gate host that has just started."""
-    return GateState(settings=settings, random=random.Random(seed))
+    """Returns the state of a gate host that has just started.
+
+    The seed must differ for each start of a host: claims tell a host from the
+    one that it replaces by it.
+    """
+    incarnation = random.Random(seed).getrandbits(64)
+    writer = f"{settings.host_id}/{incarnation:016x}"
+    return GateState(
+        settings=settings,
+        random=random.Random(seed),
+        claims=claim_state.ClaimState(settings.claims, writer),
+    )
--- /dev/null
+++ b/src/fireflyspindle/core/streams.py
@@ -0,0 +1,32 @@
+"""The log's streams: how far each was read, reads and appends."""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import state as state_lib
+
+READ_RETRY_DELAY_US = 200_000
+
+
+def position(state: state_lib.GateState, stream: str) -> state_lib.LogPosition:
+    """Returns how far a stream has been read."""
+    return state.log_positions.setdefault(stream, state_lib.LogPosition())
+
+
+def read_on(
+    state: state_lib.GateState,
+    stream: str,
+    *,
+    wait: bool = True,
+    delay_us: int = 0,
+) -> None:
+    """Asks for the records of a stream after those read so far."""
+    from_offset = position(state, stream).next_offset
+    state.emit(effects.ReadLog(stream, from_offset, delay_us, wait))
+
+
+def append(state: state_lib.GateState, stream: str, body: str) -> int:
+    """Appends a record; returns the number that `AppendSettled` will carry."""
+    state.last_append_id += 1
+    append_id = state.last_append_id
+    state.appends[append_id] = stream
+    state.emit(effects.AppendRecord(append_id, stream, body))
+    return append_id
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -24,7 +24,12 @@
     """The hard limit of a planned stop has come."""
 
 
-Timer = CallDeadline | HedgeDue | DrainDeadline
+@attrs.define
+class ClaimsDue:
+    """A batch of claims may leave, or their stream be read."""
+
+
+Timer = CallDeadline | HedgeDue | DrainDeadline | ClaimsDue
 
 
 @attrs.define
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,293 @@
+"""At most once: several gate hosts, one log, every kind of fault."""
+
+import pytest
+
+import claim_fleet
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+
+COMPLETE = effects.Outcome.COMPLETE
+NOT_RUN = effects.Outcome.NOT_RUN
+UNKNOWN = effects.Outcome.UNKNOWN
+LOST = events.AppendOutcome.UNKNOWN
+REFUSED = events.AppendOutcome.REFUSED
+MINUTE_US = 60_000_000
+
+
+@pytest.fixture
+def fleet():
+    made = claim_fleet.Fleet()
+    made.settle_all(rounds=2)
+    return made
+
+
+def is_sent(gate, seen):
+    return seen.call_id in gate.running
+
+
+def test_call_is_sent_once_its_claim_is_read_back(fleet):
+    gate = fleet.gates[0]
+    seen = fleet.call(gate, fleet.key("a"))
+    assert not is_sent(gate, seen)
+    gate.settle(gate.appends[0], events.AppendOutcome.DONE)
+    assert not is_sent(gate, seen)
+    gate.read()
+    assert is_sent(gate, seen)
+
+
+def test_two_gates_at_the_same_instant_send_once(fleet):
+    key = fleet.key("a")
+    first = fleet.call(fleet.gates[0], key, copies=True)
+    second = fleet.call(fleet.gates[1], key, copies=True)
+    fleet.settle_all()
+    assert fleet.sends[key] == 1
+    fleet.answer(fleet.gates[0], first, status=201)
+    fleet.settle_all()
+    assert (second.told, second.status) == (COMPLETE, 409)
+
+
+@pytest.mark.parametrize(
+    ("answer", "told"),
+    [({"status": 201}, COMPLETE), ({"status": 500}, COMPLETE)],
+)
+def test_later_copy_is_told_the_recorded_outcome(fleet, answer, told):
+    key = fleet.key("a")
+    first = fleet.call(fleet.gates[0], key)
+    fleet.settle_all()
+    fleet.answer(fleet.gates[0], first, **answer)
+    fleet.settle_all()
+    for gate in fleet.gates:
+        assert fleet.call(gate, key, copies=True).told is told
+
+
+def test_unsent_claim_is_released_and_the_key_runs_elsewhere(fleet):
+    first_gate, second_gate = fleet.gates[:2]
+    key = fleet.key("a")
+    first = fleet.call(first_gate, key, deadline_ms=50)
+    first_gate.settle(first_gate.appends[0], LOST)
+    late = fleet.late[0]
+    fleet.advance(60_000)
+    assert first.told is NOT_RUN
+    fleet.land(late)
+    second = fleet.call(second_gate, key)
+    fleet.settle_all()
+    assert is_sent(second_gate, second)
+    assert not is_sent(first_gate, first)
+
+
+def test_landing_again_does_not_take_a_released_key(fleet):
+    first_gate, second_gate = fleet.gates[:2]
+    key = fleet.key("a")
+    fleet.call(first_gate, key, deadline_ms=50)
+    append = first_gate.appends[0]
+    fleet.land(append)
+    fleet.advance(60_000)
+    fleet.settle_all()
+    fleet.land_again(append)
+    second = fleet.call(second_gate, key)
+    fleet.settle_all()
+    assert is_sent(second_gate, second)
+
+
+def test_doubtful_append_is_settled_by_reading_then_made_again(fleet):
+    gate = fleet.gates[0]
+    seen = fleet.call(gate, fleet.key("a"))
+    gate.settle(gate.appends[0], LOST)
+    assert not gate.appends
+    fleet.settle_all()
+    assert is_sent(gate, seen)
+    assert len(fleet.bodies) == 1
+
+
+def test_doubtful_append_that_took_effect_is_not_made_again(fleet):
+    gate = fleet.gates[0]
+    seen = fleet.call(gate, fleet.key("a"))
+    fleet.land(gate.appends[0])
+    gate.settle(gate.appends[0], LOST)
+    fleet.settle_all()
+    assert is_sent(gate, seen)
+    assert len(fleet.bodies) == 1
+
+
+@pytest.mark.parametrize(
+    ("copies", "told"), [(None, NOT_RUN), (False, NOT_RUN), (True, UNKNOWN)]
+)
+def test_log_down_refuses_at_the_deadline(fleet, copies, told):
+    gate = fleet.gates[0]
+    seen = fleet.call(gate, fleet.key("a"), copies=copies, deadline_ms=500)
+    for _ in range(20):
+        for append in list(gate.appends):
+            gate.settle(append, REFUSED)
+        assert seen.told is None
+        fleet.advance(24_000)
+    fleet.advance(24_000)
+    assert seen.told is told
+    fleet.settle_all()
+    assert not fleet.bodies
+
+
+@pytest.mark.parametrize("read_before_pause", [False, True])
+def test_owner_paused_for_a_minute_does_not_send(fleet, read_before_pause):
+    paused, other = fleet.gates[:2]
+    key = fleet.key("a")
+    fleet.advance(60_000)
+    first = fleet.call(paused, key, copies=True)
+    fleet.land(paused.appends[0])
+    fleet.advance(MINUTE_US, paused=[paused])
+    second = fleet.call(other, key, copies=True)
+    other.read()
+    fleet.advance(2_000_000, paused=[paused])
+    assert second.told is UNKNOWN
+    paused.now_us = fleet.now_us
+    if read_before_pause:
+        paused.read()
+        assert first.told is NOT_RUN
+    fleet.settle_all()
+    assert first.told is not None
+    assert not fleet.sends[key]
+    third = fleet.call(other, key, copies=True)
+    fleet.settle_all()
+    assert is_sent(other, third)
+
+
+def test_replaced_owner_leaves_the_key_unknown(fleet):
+    key = fleet.key("a")
+    fleet.call(fleet.gates[0], key)
+    fleet.settle_all()
+    fleet.gates[0] = fleet.new_gate()
+    fleet.settle_all()
+    copies = [fleet.call(gate, key, copies=True) for gate in fleet.gates]
+    fleet.advance(2_000_000)
+    assert [seen.told for seen in copies] == [UNKNOWN] * 3
+    assert fleet.sends[key] == 1
+
+
+def test_planned_stop_waits_for_the_outcome_to_be_written(fleet):
+    gate = fleet.gates[0]
+    key = fleet.key("a")
+    first = fleet.call(gate, key)
+    fleet.settle_all()
+    gate.feed(events.StopRequested)
+    fleet.answer(gate, first)
+    assert not gate.of(effects.Exit)
+    fleet.settle_all()
+    assert gate.of(effects.Exit)
+    assert fleet.call(fleet.gates[1], key, copies=True).told is COMPLETE
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "copies", "status", "told"),
+    [
+        (0, None, 0, None),
+        (299_000, None, 0, None),
+        (301_000, None, 410, NOT_RUN),
+        (301_000, True, 410, UNKNOWN),
+        (400_000, None, 410, UNKNOWN),
+        (400_000, False, 410, NOT_RUN),
+        (-59_000, None, 0, None),
+        (-61_000, None, 400, NOT_RUN),
+        (-61_000, True, 400, NOT_RUN),
+    ],
+)
+def test_key_is_taken_within_its_time(fleet, age_ms, copies, status, told):
+    fleet.advance(MINUTE_US)
+    seen = fleet.call(fleet.gates[0], fleet.key("a", age_ms), copies=copies)
+    assert (seen.status, seen.told) == (status, told)
+
+
+def test_other_body_is_refused(fleet):
+    key = fleet.key("a")
+    fleet.call(fleet.gates[0], key)
+    at_owner = fleet.call(fleet.gates[0], key, digest="e")
+    fleet.settle_all()
+    elsewhere = fleet.call(fleet.gates[1], key, digest="e")
+    for seen in (at_owner, elsewhere):
+        assert (seen.status, seen.told) == (422, NOT_RUN)
+
+
+def test_copy_at_the_same_gate_gets_the_outcome_of_the_first(fleet):
+    gate = fleet.gates[0]
+    key = fleet.key("a")
+    first = fleet.call(gate, key, copies=True)
+    second = fleet.call(gate, key, copies=True)
+    fleet.settle_all()
+    fleet.answer(gate, first)
+    fleet.settle_all()
+    assert second.told is COMPLETE
+
+
+def test_key_that_the_target_declined_runs_when_it_comes_again(fleet):
+    gate, other = fleet.gates[:2]
+    key = fleet.key("a")
+    first = fleet.call(gate, key)
+    fleet.settle_all()
+    for _ in range(5):
+        if is_sent(gate, first):
+            fleet.answer(gate, first, status=503, not_run=True)
+    assert first.told is NOT_RUN
+    fleet.settle_all()
+    second = fleet.call(other, key)
+    fleet.settle_all()
+    assert is_sent(other, second)
+
+
+def test_new_gate_after_expiry_does_not_send_an_old_key(fleet):
+    key = fleet.key("a")
+    first = fleet.call(fleet.gates[0], key)
+    fleet.settle_all()
+    fleet.answer(fleet.gates[0], first)
+    fleet.settle_all()
+    fleet.advance(MINUTE_US)
+    fleet.earliest = len(fleet.bodies)
+    fleet.call(fleet.gates[0], fleet.key("b"))
+    fleet.settle_all()
+    fresh = fleet.new_gate()
+    fleet.gates.append(fresh)
+    fleet.settle_all()
+    seen = fleet.call(fresh, key, copies=True)
+    assert (seen.status, seen.told) == (503, UNKNOWN)
+
+
+def test_late_claim_of_a_forgotten_key_is_not_sent(fleet):
+    gate, other = fleet.gates[:2]
+    key = fleet.key("a")
+    first = fleet.call(gate, key, copies=True, deadline_ms=3_600_000)
+    late = gate.appends[0]
+    second = fleet.call(other, key, copies=True)
+    other.settle(other.appends[0], events.AppendOutcome.DONE)
+    other.read()
+    assert is_sent(other, second)
+    for _ in range(7):
+        fleet.advance(MINUTE_US)
+        fleet.call(gate, fleet.key("b"))
+    fleet.land(late)
+    fleet.settle_all()
+    assert not is_sent(gate, first)
+
+
+def test_unreadable_newer_record_closes_the_keys_before_it(fleet):
+    gate = fleet.gates[0]
+    key = fleet.key("a")
+    fleet.call(gate, fleet.key("b"))
+    fleet.bodies.append('{"version":2}')
+    fleet.landed_us.append(fleet.now_us)
+    fleet.settle_all()
+    seen = fleet.call(gate, key)
+    assert (seen.status, seen.told) == (503, UNKNOWN)
+
+
+def test_batches_keep_within_the_hosts_share(fleet):
+    gate = fleet.gates[0]
+    gate.effects.clear()
+    for number in range(1000):
+        fleet.call(gate, fleet.key(f"k{number}"), deadline_ms=60_000)
+        while gate.appends:
+            gate.settle(gate.appends[0], events.AppendOutcome.DONE)
+        if gate.reads:
+            gate.read()
+        fleet.advance(1_000)
+    settings = gate.state.claims.settings
+    share_per_s = settings.fleet_appends_per_s / settings.max_gate_hosts
+    appends = gate.of(effects.AppendRecord)
+    assert len(appends) <= share_per_s + 5
+    assert sum(fleet.sends.values()) > 900
