--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -12,6 +12,7 @@
 
 from fireflyspindle import headers
 from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import keyed_requests
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -105,13 +106,30 @@
     async def _serve(
         self, request: web.BaseRequest, event: events.CallArrived
     ) -> web.StreamResponse:
+        keyed: keyed_requests.KeyedRequest | None = None
+        if not event.repeatable:
+            match keyed_requests.read(request.headers):
+                case result.Err(why):
+                    return _refusal(BadRequest(400, "bad_key", why))
+                case result.Ok(keyed):
+                    pass
         length = request.content_length
         body: bytes | None = None
         if not request.body_exists:
             body = b""
         elif length is not None and length <= self._body_buffer_bytes:
             body = await request.read()
+        elif keyed is not None:
+            body = await self._read_within_limit(request)
+        if keyed is not None:
+            if body is None:
+                detail = keyed_requests.too_large(self._body_buffer_bytes)
+                return _refusal(BadRequest(413, "body_too_large", detail))
+            keyed_requests.stamp(
+                event, keyed, request.method, request.raw_path, body
+            )
         event.resendable = body is not None
+        event.now_us = self._shell.now_us()
         exchange = exchange_lib.Exchange(
             call_id=event.call_id,
             request_id=f"{self._host_id}-{event.call_id}",
@@ -126,6 +144,17 @@
             self._caller_left(exchange)
             raise
 
+    async def _read_within_limit(
+        self, request: web.BaseRequest
+    ) -> bytes | None:
+        """Reads a body of unstated length; None when it is too large."""
+        body = bytearray()
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > self._body_buffer_bytes:
+                return None
+        return bytes(body)
+
     def _caller_left(self, exchange: exchange_lib.Exchange) -> None:
         now_us = self._shell.now_us()
         self._shell.submit(events.CallerLeft(now_us, exchange.call_id))
@@ -225,4 +254,6 @@
         "detail": verdict.detail,
         "retry_after_ms": verdict.retry_after_ms,
     }
+    if verdict.recorded_status:
+        body["recorded_status"] = verdict.recorded_status
     return web.json_response(body, status=verdict.status, headers=stated)
--- /dev/null
+++ b/src/fireflyspindle/adapters/keyed_requests.py
@@ -0,0 +1,76 @@
+"""What a caller states of the idempotency key of its request."""
+
+import time
+
+import attrs
+import multidict
+import result
+
+from fireflyspindle import headers
+from fireflyspindle.core import claim_keys
+from fireflyspindle.core import events
+
+_YES_NO: dict[str, bool | None] = {"": None, "yes": True, "no": False}
+
+
+@attrs.define(frozen=True)
+class KeyedRequest:
+    """The key of a request that is not repeatable.
+
+    Attributes:
+        key: The caller's key.
+        issued_ms: Wall-clock time in the key.
+        other_copies: Whether the caller sent the key before or elsewhere
+            too, if it states that.
+    """
+
+    key: str
+    issued_ms: int
+    other_copies: bool | None
+
+
+def read(
+    given: multidict.CIMultiDictProxy[str] | multidict.CIMultiDict[str],
+) -> result.Result[KeyedRequest | None, str]:
+    """Reads the key; None when there is none, the error says what is wrong."""
+    keys = given.getall(headers.IDEMPOTENCY_KEY, [])
+    if not keys:
+        return result.Ok(None)
+    if len(keys) > 1:
+        return result.Err(
+            f"header {headers.IDEMPOTENCY_KEY} is given {len(keys)} times;"
+            " give it once"
+        )
+    copies = given.get(headers.OTHER_COPIES, "").lower()
+    if copies not in _YES_NO:
+        return result.Err(
+            f"header {headers.OTHER_COPIES} is {copies[:20]!r};"
+            ' give "yes" or "no"'
+        )
+    return claim_keys.issued_ms(keys[0]).map(
+        lambda issued: KeyedRequest(keys[0], issued, _YES_NO[copies])
+    )
+
+
+def stamp(
+    event: events.CallArrived,
+    keyed: KeyedRequest,
+    method: str,
+    raw_path: str,
+    body: bytes,
+) -> None:
+    """Puts the key, the digest of the request and the time on the event."""
+    event.idempotency_key = keyed.key
+    event.key_issued_ms = keyed.issued_ms
+    event.other_copies = keyed.other_copies
+    event.body_digest = claim_keys.body_digest(method, raw_path, body)
+    event.wall_ms = time.time_ns() // 1_000_000
+
+
+def too_large(limit_bytes: int) -> str:
+    """Returns what is said of a keyed request whose body can't be held."""
+    return (
+        f"a request with {headers.IDEMPOTENCY_KEY} carries at most"
+        f" {limit_bytes} bytes, since its body is compared with that of a"
+        " later request with the key"
+    )
--- a/src/fireflyspindle/core/claim_records.py
+++ b/src/fireflyspindle/core/claim_records.py
@@ -97,8 +97,12 @@
                 [claim.number, *_key_row(claim.key)] for claim in batch.claims
             ],
             "outcomes": [
-                [note.number, *_key_row(note.key), note.outcome.value]
-                + [note.status]
+                [
+                    note.number,
+                    *_key_row(note.key),
+                    note.outcome.value,
+                    note.status,
+                ]
                 for note in batch.outcomes
             ],
         },
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -5,6 +5,7 @@
 DEADLINE_MS = "Fireflyspindle-Deadline-Ms"
 REPEATABLE = "Fireflyspindle-Repeatable"
 IDEMPOTENCY_KEY = "Idempotency-Key"
+OTHER_COPIES = "Fireflyspindle-Other-Copies"
 REQUEST_ID = "Fireflyspindle-Request-Id"
 
 OUTCOME = "Fireflyspindle-Outcome"
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -36,11 +36,13 @@
         self.fleet.settle_all(rounds=1)
 
     def gate(self, number):
+        """Returns a gate host unless it is paused."""
         gate = self.fleet.gates[number]
         return None if number in self.paused else gate
 
     @stateful.rule(number=gates, name=strategies.integers(0, KEYS - 1))
     def copy_arrives(self, number, name):
+        """A caller sends a request or a copy of it."""
         gate = self.gate(number)
         if gate is None:
             return
@@ -61,12 +63,14 @@
 
     @stateful.rule(name=strategies.integers(0, KEYS - 1))
     def caller_takes_a_new_key(self, name):
+        """The next copy is a new request."""
         self.keys.pop(name, None)
 
     @stateful.rule(
         number=gates, outcome=strategies.sampled_from(OUTCOMES), lands=picks
     )
     def append_settles(self, number, outcome, lands):
+        """An append ends for its gate host."""
         gate = self.gate(number)
         if gate is None or not gate.appends:
             return
@@ -79,12 +83,14 @@
 
     @stateful.rule(number=gates)
     def append_lands_before_its_answer(self, number):
+        """An append takes effect."""
         appends = self.fleet.gates[number].appends
         if appends:
             self.fleet.land(appends[0])
 
     @stateful.rule(pick=picks, again=picks)
     def late_append_lands(self, pick, again):
+        """An append of unknown outcome takes effect, or does so twice."""
         late = self.fleet.late
         if not late:
             return
@@ -95,6 +101,7 @@
 
     @stateful.rule(number=gates, limit=strategies.integers(0, 3))
     def read_ends(self, number, limit):
+        """A read ends."""
         gate = self.gate(number)
         if gate is None or not gate.reads:
             return
@@ -103,11 +110,13 @@
 
     @stateful.rule(by_ms=strategies.sampled_from([5, 60, 300, 1500, 70_000]))
     def time_passes(self, by_ms):
+        """Time passes for all hosts that are not paused."""
         paused = [self.fleet.gates[number] for number in self.paused]
         self.fleet.advance(by_ms * 1000, paused)
 
     @stateful.rule(number=gates)
     def host_is_paused_or_wakes(self, number):
+        """A host freezes, or goes on."""
         if number in self.paused:
             self.paused.remove(number)
             self.fleet.gates[number].now_us = self.fleet.now_us
@@ -116,6 +125,7 @@
 
     @stateful.rule(number=gates, skew_ms=strategies.integers(-2500, 2500))
     def host_is_replaced(self, number, skew_ms):
+        """A host dies with all it knows; another starts."""
         for seen in self.fleet.gates[number].calls.values():
             seen.lost = seen.told is None
         self.fleet.late += self.fleet.gates[number].appends
@@ -124,6 +134,7 @@
 
     @stateful.rule(number=gates, status=strategies.sampled_from([0, 200, 503]))
     def target_answers(self, number, status):
+        """A target answers, declines or breaks off."""
         gate = self.gate(number)
         if gate is None or not gate.running:
             return
@@ -139,6 +150,7 @@
 
     @stateful.rule(number=gates, pick=picks)
     def caller_leaves(self, number, pick):
+        """A caller closes its connection."""
         gate = self.gate(number)
         waiting = [s for s in gate.calls.values() if not s.told] if gate else []
         if not waiting:
@@ -150,6 +162,7 @@
 
     @stateful.rule()
     def log_expires(self):
+        """The log drops what is older than its time of keeping."""
         self.fleet.expire(LOG_KEEP_MS)
 
     def teardown(self):
