--- a/src/fireflyspindle/adapters/keyed_requests.py
+++ b/src/fireflyspindle/adapters/keyed_requests.py
@@ -52,17 +52,19 @@
     )
 
 
-def stamp(
-    event: events.CallArrived,
-    keyed: KeyedRequest,
-    method: str,
-    raw_path: str,
-    body: bytes,
-) -> None:
-    """Puts the key, the digest of the request and the time on the event."""
+def put(event: events.CallArrived, keyed: KeyedRequest | None) -> None:
+    """Puts the key, if there is one, on the event."""
+    if keyed is None:
+        return
     event.idempotency_key = keyed.key
     event.key_issued_ms = keyed.issued_ms
     event.other_copies = keyed.other_copies
+
+
+def stamp(
+    event: events.CallArrived, method: str, raw_path: str, body: bytes
+) -> None:
+    """Puts the digest of a keyed request and the time on its event."""
     event.body_digest = claim_keys.body_digest(method, raw_path, body)
     event.wall_ms = time.time_ns() // 1_000_000
 
