--- a/src/fireflyspindle/core/claim_reads.py
+++ b/src/fireflyspindle/core/claim_reads.py
@@ -55,7 +55,8 @@
 
 def on_read_failed(state: state_lib.GateState) -> None:
     """Reads again a little later."""
-    _read(state, delay_us=streams.READ_RETRY_DELAY_US)
+    delay_us = streams.retry_delay_us(state, claim_batches.STREAM)
+    _read(state, delay_us=delay_us)
 
 
 def read_on(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/streams.py
+++ b/src/fireflyspindle/core/streams.py
@@ -4,6 +4,7 @@
 from fireflyspindle.core import state as state_lib
 
 READ_RETRY_DELAY_US = 200_000
+MAX_READ_RETRY_DELAY_US = 2_000_000
 
 
 def position(state: state_lib.GateState, stream: str) -> state_lib.LogPosition:
@@ -30,3 +31,11 @@
     state.appends[append_id] = stream
     state.emit(effects.AppendRecord(append_id, stream, body))
     return append_id
+
+
+def retry_delay_us(state: state_lib.GateState, stream: str) -> int:
+    """Returns the time to wait after a failed read: it doubles, with jitter."""
+    failures = position(state, stream).failures
+    doubled_us = READ_RETRY_DELAY_US * 2 ** min(failures - 1, 8)
+    longest_us = min(doubled_us, MAX_READ_RETRY_DELAY_US)
+    return int(longest_us * (0.5 + state.random.random() / 2))
