Add the administration API and the operators' commands

Cause: operators could publish by an unprotected address only, were told nothing of conflicts, and a lost answer left them guessing. Change: publish, validate, read, history, conflicts, in force by host; tokens of teams as digests, compared in constant time, with the keys each may write; the verdict is the fold's, never the append's; commands publish, validate, show, history, status and hash-token; examples of both deployments at their real sizes, and two programs. Conclusion: in-force counts this host alone until membership is there.

--- a/src/fireflyspindle/__init__.py
+++ b/src/fireflyspindle/__init__.py
@@ -4,6 +4,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import records
 from fireflyspindle.core.reducer import reduce
+from fireflyspindle.core.reducer import start
 from fireflyspindle.core.state import CoreSettings
 from fireflyspindle.core.state import GateState
 from fireflyspindle.core.state import new as new_state
@@ -23,4 +24,5 @@
     "new_state",
     "records",
     "reduce",
+    "start",
 ]
--- /dev/null
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -0,0 +1,390 @@
+"""The administration API: operators publish and read records by HTTP."""
+
+import asyncio
+from typing import Any, Protocol
+import uuid
+
+from aiohttp import web
+import attrs
+import result
+
+from fireflyspindle import administration
+from fireflyspindle import logs
+from fireflyspindle import settings as settings_lib
+from fireflyspindle.adapters import log_client
+from fireflyspindle.core import configuration
+from fireflyspindle.core import events
+from fireflyspindle.core import in_force
+from fireflyspindle.core import publishing
+from fireflyspindle.core import records
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import verdicts
+
+POLL_S = 0.02
+MAX_WAIT_MS = 60_000
+HISTORY_PAGE_RECORDS = 500
+_TEAM = web.RequestKey("team", settings_lib.TeamSettings)
+
+
+class Gate(Protocol):
+    """What the administration API needs of a gate."""
+
+    state: state_lib.GateState
+    log: log_client.LogClient
+    settings: settings_lib.Settings
+
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+
+
+@attrs.define(frozen=True)
+class Change:
+    """What an operator sends to publish a record.
+
+    Attributes:
+        kind: Kind of the record.
+        name: Name of the object within its kind.
+        expected_revision: Revision that the record replaces; 0 for none.
+        payload: The object, or None to delete it.
+        schema_version: Form of the payload.
+        oldest_reader_version: Oldest reader that can apply the payload.
+        record_id: Unique id; the same id again is harmless. One is made up
+            when it is empty.
+    """
+
+    kind: str
+    name: str
+    expected_revision: int
+    payload: dict[str, Any] | None
+    schema_version: int = 1
+    oldest_reader_version: int = 1
+    record_id: str = ""
+
+    def envelope(self, author: str) -> records.Envelope:
+        """Returns the record as it will stand in the log.
+
+        Raises:
+            ValueError: A field is out of bounds.
+        """
+        return records.Envelope(
+            record_id=self.record_id or uuid.uuid4().hex,
+            kind=self.kind,
+            name=self.name,
+            expected_revision=self.expected_revision,
+            schema_version=self.schema_version,
+            oldest_reader_version=self.oldest_reader_version,
+            author=author,
+            payload=self.payload,
+        )
+
+
+@attrs.define(frozen=True)
+class Refusal:
+    """An answer that says why nothing was done, or that it is unknown."""
+
+    status: int
+    error: str
+    detail: str
+
+    def response(self) -> web.Response:
+        """Returns the answer."""
+        return web.json_response(
+            {"error": self.error, "detail": self.detail}, status=self.status
+        )
+
+
+def application(gate: Gate) -> web.Application:
+    """Returns the application that serves below /admin."""
+    handlers = _Handlers(gate)
+    app = web.Application(
+        client_max_size=2 * records.MAX_RECORD_BYTES,
+        middlewares=[_authentication(gate.settings.administration.teams)],
+    )
+    app.add_routes(
+        [
+            web.get("/records", handlers.read_all),
+            web.get("/records/{kind}/{name:.+}", handlers.read_one),
+            web.post("/records", handlers.publish),
+            web.post("/validate", handlers.validate),
+            web.get("/history", handlers.history),
+            web.get("/in-force", handlers.in_force),
+        ]
+    )
+    return app
+
+
+def _authentication(
+    teams: tuple[settings_lib.TeamSettings, ...],
+) -> Any:
+    @web.middleware
+    async def check(request: web.Request, handler: Any) -> web.StreamResponse:
+        given = request.headers.get("Authorization", "")
+        team = administration.authenticate(teams, given)
+        if team is None:
+            logs.logger.warning(
+                "administration denied",
+                code="bad_token",
+                path=request.path,
+                remote=request.remote,
+            )
+            refusal = Refusal(
+                401,
+                "bad_token",
+                "no team has the token given; send the header"
+                " `Authorization: Bearer TOKEN`",
+            )
+            return refusal.response()
+        request[_TEAM] = team
+        response: web.StreamResponse = await handler(request)
+        return response
+
+    return check
+
+
+class _Handlers:
+    def __init__(self, gate: Gate) -> None:
+        self._gate = gate
+
+    @property
+    def _config(self) -> configuration.Configuration:
+        return self._gate.state.configuration
+
+    async def read_all(self, _request: web.Request) -> web.Response:
+        entries = sorted(self._config.entries.items())
+        return web.json_response(
+            {
+                "next_offset": self._config.next_offset,
+                "records": [self._shown(entry) for _, entry in entries],
+            }
+        )
+
+    async def read_one(self, request: web.Request) -> web.Response:
+        key = f"{request.match_info['kind']}/{request.match_info['name']}"
+        entry = self._config.entries.get(key)
+        if entry is None:
+            detail = f"no record has the key {key!r}"
+            return Refusal(404, "no_record", detail).response()
+        return web.json_response(self._shown(entry))
+
+    def _shown(self, entry: configuration.Entry) -> dict:
+        shown = attrs.asdict(entry.record)
+        shown["revision"] = entry.revision
+        shown["offset"] = entry.revision - 1
+        shown["unreadable"] = self._config.unreadable.get(entry.record.key)
+        return shown
+
+    async def validate(self, request: web.Request) -> web.Response:
+        match await _read_change(request):
+            case Refusal() as refusal:
+                return refusal.response()
+            case records.Envelope(key=key):
+                return web.json_response({"valid": True, "key": key})
+
+    async def publish(self, request: web.Request) -> web.Response:
+        wait_ms = _whole_number(request, "wait_ms", 0, MAX_WAIT_MS)
+        if isinstance(wait_ms, Refusal):
+            return wait_ms.response()
+        change = await _read_change(request)
+        if isinstance(change, Refusal):
+            return change.response()
+        team = request[_TEAM]
+        if not administration.may_write(team, change.key):
+            return _denied(team, change.key).response()
+        found = self._config.entries.get(change.key)
+        revision = found.revision if found else 0
+        if change.expected_revision < revision and not _is_same(found, change):
+            return _conflict(change, revision).response()
+        settled = await self._append(change)
+        logs.logger.info(
+            "record published",
+            code="record_published",
+            key=change.key,
+            author=change.author,
+            record_id=change.record_id,
+            settled=type(settled).__name__,
+        )
+        return await self._answer(change, settled, wait_ms)
+
+    async def _append(self, change: records.Envelope) -> publishing.Settled:
+        appended = await self._gate.log.append(
+            configuration.STREAM, records.encode(change)
+        )
+        attempt = publishing.Attempt(
+            change, appended.outcome, appended.offset, self._gate.now_us()
+        )
+        while True:
+            settled = publishing.settle(
+                self._config, attempt, self._gate.now_us()
+            )
+            if not isinstance(settled, publishing.Pending):
+                return settled
+            await asyncio.sleep(POLL_S)
+
+    async def _answer(
+        self,
+        change: records.Envelope,
+        settled: publishing.Settled,
+        wait_ms: int,
+    ) -> web.Response:
+        match settled:
+            case publishing.Accepted(offset):
+                shown = await self._wait_in_force(offset, wait_ms)
+                shown["key"] = change.key
+                shown["revision"] = settled.revision
+                shown["record_id"] = change.record_id
+                return web.json_response(shown)
+            case publishing.Conflict(found_revision=found_revision):
+                return _conflict(change, found_revision).response()
+            case publishing.NotAppended():
+                detail = "the log did not take the record; publish it again"
+                return Refusal(503, "not_appended", detail).response()
+            case _:
+                detail = (
+                    "the log may or may not hold the record; publish it again"
+                    f" with the record id {change.record_id}, which is harmless"
+                )
+                return Refusal(504, "unknown", detail).response()
+
+    async def in_force(self, request: web.Request) -> web.Response:
+        offset = _whole_number(request, "offset", 0, records.MAX_REVISION)
+        wait_ms = _whole_number(request, "wait_ms", 0, MAX_WAIT_MS)
+        for each in (offset, wait_ms):
+            if isinstance(each, Refusal):
+                return each.response()
+        assert isinstance(offset, int)
+        assert isinstance(wait_ms, int)
+        return web.json_response(await self._wait_in_force(offset, wait_ms))
+
+    async def _wait_in_force(self, offset: int, wait_ms: int) -> dict:
+        until_us = self._gate.now_us() + wait_ms * 1000
+        while True:
+            hosts = in_force.by_host(self._gate.state, offset)
+            everywhere = all(hosts.values())
+            if everywhere or self._gate.now_us() >= until_us:
+                return {
+                    "offset": offset,
+                    "in_force_everywhere": everywhere,
+                    "hosts": hosts,
+                }
+            await asyncio.sleep(POLL_S)
+
+    async def history(self, request: web.Request) -> web.Response:
+        key = request.query.get("key")
+        conflicts_only = request.query.get("conflicts") == "yes"
+        shown: list[dict] = []
+        offset = 0
+        while True:
+            batch = await self._gate.log.read(
+                configuration.STREAM, offset, wait=False
+            )
+            if batch is None:
+                detail = "the log can't be read; ask again later"
+                return Refusal(503, "log_down", detail).response()
+            for entry in batch.entries:
+                shown += self._past(entry, key, conflicts_only)
+                offset = entry.offset + 1
+            if not batch.entries or offset >= batch.next_offset:
+                break
+        return web.json_response(
+            {"earliest_offset": batch.earliest_offset, "records": shown}
+        )
+
+    def _past(
+        self, entry: events.LogEntry, key: str | None, conflicts_only: bool
+    ) -> list[dict]:
+        decoded = records.decode(entry.body)
+        if isinstance(decoded, result.Err):
+            return []
+        record = decoded.ok_value
+        if key is not None and record.key != key:
+            return []
+        accepted = self._was_accepted(record.record_id, entry.offset)
+        if conflicts_only and accepted is not False:
+            return []
+        shown = attrs.asdict(record)
+        shown["offset"] = entry.offset
+        shown["accepted"] = accepted
+        return [shown]
+
+    def _was_accepted(self, record_id: str, offset: int) -> bool | None:
+        match self._config.verdicts.get(record_id):
+            case verdicts.Accepted(accepted_offset):
+                return accepted_offset == offset
+            case verdicts.Refused():
+                return False
+            case _:
+                return None
+
+
+async def _read_change(request: web.Request) -> records.Envelope | Refusal:
+    raw = records.load_json(await request.text())
+    checked = raw.and_then(
+        lambda found: check_change(found, request[_TEAM].name)
+    )
+    if isinstance(checked, result.Err):
+        return Refusal(400, "bad_record", checked.err_value)
+    return checked.ok_value
+
+
+def check_change(
+    raw: object, author: str
+) -> result.Result[records.Envelope, str]:
+    """Checks what an operator sends, and builds the record for the log."""
+    change = records.structure(raw, Change)
+    envelope = change.and_then(
+        lambda made: records.build(lambda: made.envelope(author))
+    )
+    return envelope.and_then(_check_payload)
+
+
+def _check_payload(
+    envelope: records.Envelope,
+) -> result.Result[records.Envelope, str]:
+    size_bytes = len(records.encode(envelope).encode())
+    if size_bytes > records.MAX_RECORD_BYTES:
+        return result.Err(
+            f"record has {size_bytes} bytes; at most"
+            f" {records.MAX_RECORD_BYTES} are accepted"
+        )
+    if envelope.payload is None:
+        return result.Ok(envelope)
+    return records.read_payload(envelope).map(lambda _: envelope)
+
+
+def _is_same(
+    entry: configuration.Entry | None, change: records.Envelope
+) -> bool:
+    return entry is not None and entry.record.record_id == change.record_id
+
+
+def _conflict(change: records.Envelope, revision: int) -> Refusal:
+    return Refusal(
+        409,
+        "conflict",
+        f"{change.key} has revision {revision}, not"
+        f" {change.expected_revision}; read it, and publish again on top of"
+        " what you find",
+    )
+
+
+def _denied(team: settings_lib.TeamSettings, key: str) -> Refusal:
+    logs.logger.warning(
+        "administration denied", code="key_denied", team=team.name, key=key
+    )
+    accepted = ", ".join(team.may_write) or "none"
+    return Refusal(
+        403,
+        "key_denied",
+        f"team {team.name} may not write {key}; it may write {accepted}",
+    )
+
+
+def _whole_number(
+    request: web.Request, name: str, low: int, high: int
+) -> int | Refusal:
+    text = request.query.get(name, str(low))
+    if text.isdecimal() and low <= int(text) <= high:
+        return int(text)
+    return Refusal(
+        400, "bad_query", f"{name} is {text!r}; give {low} to {high}"
+    )
--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -3,38 +3,31 @@
 from typing import Protocol
 
 from aiohttp import web
-import result
 
 from fireflyspindle import metrics as metrics_lib
-from fireflyspindle.adapters import log_client
-from fireflyspindle.core import configuration
-from fireflyspindle.core import events
-from fireflyspindle.core import records
+from fireflyspindle.adapters import admin_api
 from fireflyspindle.core import state as state_lib
 
 
-class Gate(Protocol):
+class Gate(admin_api.Gate, Protocol):
     """What the control API needs of a gate."""
 
-    state: state_lib.GateState
     metrics: metrics_lib.Metrics
-    log: log_client.LogClient
 
 
 def application(gate: Gate) -> web.Application:
     """Returns the application that serves the control address."""
     handlers = _Handlers(gate)
-    app = web.Application(client_max_size=records.MAX_RECORD_BYTES)
+    app = web.Application()
     app.add_routes(
         [
             web.get("/health/live", handlers.live),
             web.get("/health/ready", handlers.ready),
             web.get("/state", handlers.state),
             web.get("/metrics", handlers.metrics),
-            web.get("/admin/records", handlers.read_all),
-            web.post("/admin/records", handlers.publish),
         ]
     )
+    app.add_subapp("/admin/", admin_api.application(gate))
     return app
 
 
@@ -59,45 +52,6 @@
         content, http_headers = self._gate.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
-    async def read_all(self, _request: web.Request) -> web.Response:
-        entries = self._gate.state.configuration.entries
-        return web.json_response(
-            {
-                key: {
-                    "revision": entry.revision,
-                    "author": entry.record.author,
-                    "payload": entry.record.payload,
-                }
-                for key, entry in sorted(entries.items())
-            }
-        )
-
-    async def publish(self, request: web.Request) -> web.Response:
-        body = await request.text()
-        match records.decode(body).and_then(_readable):
-            case result.Err(why):
-                return web.json_response(
-                    {"error": "bad_record", "detail": why}, status=400
-                )
-            case result.Ok(envelope):
-                encoded = records.encode(envelope)
-        appended = await self._gate.log.append(configuration.STREAM, encoded)
-        match appended.outcome:
-            case events.AppendOutcome.DONE:
-                return web.json_response({"offset": appended.offset})
-            case events.AppendOutcome.REFUSED:
-                return web.json_response({"error": "log_refused"}, status=503)
-            case events.AppendOutcome.UNKNOWN:
-                return web.json_response({"error": "unknown"}, status=504)
-
-
-def _readable(
-    envelope: records.Envelope,
-) -> result.Result[records.Envelope, str]:
-    if envelope.payload is None:
-        return result.Ok(envelope)
-    return records.read_payload(envelope).map(lambda _: envelope)
-
 
 def not_ready_reason(state: state_lib.GateState) -> str | None:
     """Returns why a gate host takes no calls, or None when it does."""
--- a/src/fireflyspindle/cli.py
+++ b/src/fireflyspindle/cli.py
@@ -7,11 +7,15 @@
 from fireflyspindle.bench import commands as bench_commands
 from fireflyspindle.commands import demo
 from fireflyspindle.commands import gate
+from fireflyspindle.commands import records
 from fireflyspindle.commands import stand_in
+from fireflyspindle.commands import token
 
 COMMANDS = {
     "gate": gate.gate,
     "demo": demo.demo,
+    **records.COMMANDS,
+    "hash-token": token.hash_token,
     "bench": bench_commands.COMMANDS,
     "stand-in": stand_in.COMMANDS,
 }
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -27,13 +27,14 @@
     """One gate host in this process.
 
     Attributes:
+        settings: Settings of this gate host.
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
-        self._settings = settings
+        self.settings = settings
         core_settings = state_lib.CoreSettings(
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
@@ -49,12 +50,12 @@
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the log."""
-        self.log = log_client.LogClient(self._settings.platform.log_address)
+        self.log = log_client.LogClient(self.settings.platform.log_address)
         self._client = target_client.TargetClient()
         server = gate_server.GateServer(
             self,
-            self._settings.gate.host_id,
-            self._settings.limits.body_buffer_bytes,
+            self.settings.gate.host_id,
+            self.settings.limits.body_buffer_bytes,
         )
         callers = web.ServerRunner(
             web.Server(
@@ -64,9 +65,9 @@
                 handler_cancellation=True,
             )
         )
-        await self._listen(callers, self._settings.gate.callers_address)
+        await self._listen(callers, self.settings.gate.callers_address)
         control = web.AppRunner(control_api.application(self), access_log=None)
-        await self._listen(control, self._settings.gate.control_address)
+        await self._listen(control, self.settings.gate.control_address)
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
--- a/src/fireflyspindle/testing/system.py
+++ b/src/fireflyspindle/testing/system.py
@@ -103,6 +103,10 @@
         self.hosts.put("targets", target.name, address)
         return address
 
+    def gate_settings(self, host_id: str) -> settings_lib.Settings:
+        """Returns settings of a gate host of this system."""
+        return gate_settings(host_id, self._log_address, self._hosts_address)
+
     async def add_gate(
         self, host_id: str, settings: settings_lib.Settings | None = None
     ) -> gate_lib.Gate:
@@ -111,10 +115,7 @@
         Raises:
             TimeoutError: It was not ready within `READY_TIMEOUT_S`.
         """
-        gate = gate_lib.Gate(
-            settings
-            or gate_settings(host_id, self._log_address, self._hosts_address)
-        )
+        gate = gate_lib.Gate(settings or self.gate_settings(host_id))
         await gate.start()
         self.gates[host_id] = gate
         self.hosts.put("gates", host_id, gate.control_address)
--- /dev/null
+++ b/tests/test_admin_api.py
@@ -0,0 +1,171 @@
+"""Publishing and reading records by the administration API."""
+
+import json
+
+import aiohttp
+import attrs
+import pytest
+import pytest_asyncio
+
+from fireflyspindle import administration
+from fireflyspindle import settings as settings_lib
+from fireflyspindle import testing
+
+TEAMS = settings_lib.AdministrationSettings(
+    teams=(
+        settings_lib.TeamSettings(
+            "platform", administration.digest("platform-token"), ("*",)
+        ),
+        settings_lib.TeamSettings(
+            "bureau",
+            administration.digest("bureau-token"),
+            ("tenant/*", "route/dossier"),
+        ),
+    )
+)
+
+
+class Operator:
+    """Sends requests as one team."""
+
+    def __init__(self, session, base, token):
+        self._session = session
+        self._base = base
+        self._headers = {"Authorization": f"Bearer {token}"}
+
+    async def ask(self, method, path, content=None, **fields):
+        """Returns the status and the answer."""
+        given = {"data": content} if isinstance(content, str) else {}
+        if isinstance(content, dict):
+            given = {"json": content}
+        async with self._session.request(
+            method,
+            self._base + path,
+            headers=self._headers,
+            params=fields,
+            **given,
+        ) as answer:
+            return answer.status, await answer.json()
+
+
+@pytest_asyncio.fixture
+async def admin():
+    """A gate host, with a function that makes operators."""
+    async with testing.StandInSystem() as system:
+        plain = system.gate_settings("gate-1")
+        gate = await system.add_gate(
+            "gate-1", attrs.evolve(plain, administration=TEAMS)
+        )
+        async with aiohttp.ClientSession() as session:
+            base = f"http://{gate.control_address}/admin"
+
+            def operator(token="platform-token"):
+                return Operator(session, base, token)
+
+            operator.log = system.log
+            yield operator
+
+
+def tenant(name="a", expected_revision=0, **fields):
+    return {
+        "kind": "tenant",
+        "name": name,
+        "expected_revision": expected_revision,
+        "payload": {"weight": 2},
+        **fields,
+    }
+
+
+async def test_published_record_is_read_back(admin):
+    status, accepted = await admin().ask(
+        "POST", "/records", tenant(), wait_ms="5000"
+    )
+    assert status == 200
+    assert accepted["in_force_everywhere"]
+    status, found = await admin().ask("GET", "/records/tenant/a")
+    assert status == 200
+    assert found["revision"] == accepted["revision"]
+    assert found["author"] == "platform"
+    assert found["payload"] == {"weight": 2}
+    status, reached = await admin().ask(
+        "GET", "/in-force", offset=str(accepted["offset"])
+    )
+    assert reached["hosts"] == {"gate-1": True}
+
+
+async def test_second_of_two_changes_is_a_conflict(admin):
+    await admin().ask("POST", "/records", tenant())
+    status, refused = await admin().ask(
+        "POST", "/records", tenant(payload={"weight": 5})
+    )
+    assert (status, refused["error"]) == (409, "conflict")
+    assert "revision 1, not 0" in refused["detail"]
+
+
+async def test_same_record_id_again_is_accepted_once(admin):
+    again = tenant(record_id="change-7")
+    first = await admin().ask("POST", "/records", again)
+    second = await admin().ask("POST", "/records", again)
+    assert first[0] == second[0] == 200
+    assert first[1]["revision"] == second[1]["revision"]
+
+
+async def test_append_whose_answer_is_lost_is_settled_by_reading(admin):
+    admin.log.lose_answers = 1
+    status, accepted = await admin().ask("POST", "/records", tenant())
+    assert (status, accepted["revision"]) == (200, 1)
+    assert admin.log.streams["configuration"].next_offset == 1
+
+
+async def test_history_names_winners_and_losers(admin):
+    await admin().ask("POST", "/records", tenant())
+    body = json.dumps({**tenant(), "record_id": "late", "author": "raw"})
+    raw = {**json.loads(body), "schema_version": 1, "oldest_reader_version": 1}
+    admin.log.append("configuration", json.dumps(raw))
+    await admin().ask("POST", "/records", tenant(expected_revision=1))
+    _, told = await admin().ask("GET", "/history", key="tenant/a")
+    assert [each["accepted"] for each in told["records"]] == [True, False, True]
+    _, told = await admin().ask("GET", "/history", conflicts="yes")
+    assert [each["record_id"] for each in told["records"]] == ["late"]
+
+
+@pytest.mark.parametrize(
+    ("token", "content", "status", "error"),
+    [
+        ("wrong", tenant(), 401, "bad_token"),
+        ("", tenant(), 401, "bad_token"),
+        ("bureau-token", tenant(kind="class"), 403, "key_denied"),
+        ("platform-token", "{torn", 400, "bad_record"),
+        ("platform-token", tenant(kind="colour"), 400, "bad_record"),
+        ("platform-token", tenant(colour=1), 400, "bad_record"),
+        ("platform-token", tenant(expected_revision=-1), 400, "bad_record"),
+        ("platform-token", tenant(payload={"weight": "x"}), 400, "bad_record"),
+        ("platform-token", tenant(name=""), 400, "bad_record"),
+    ],
+)
+async def test_bad_change_is_refused_and_nothing_appended(
+    admin, token, content, status, error
+):
+    found, refused = await admin(token).ask("POST", "/records", content)
+    assert (found, refused["error"]) == (status, error)
+    assert refused["detail"]
+    assert "configuration" not in admin.log.streams or (
+        admin.log.streams["configuration"].next_offset == 0
+    )
+
+
+async def test_team_may_write_its_keys(admin):
+    status, _ = await admin("bureau-token").ask("POST", "/records", tenant())
+    assert status == 200
+    _, found = await admin().ask("GET", "/records/tenant/a")
+    assert found["author"] == "bureau"
+
+
+async def test_log_down_is_said_and_nothing_is_lost(admin):
+    admin.log.down = True
+    status, refused = await admin().ask("POST", "/records", tenant())
+    assert status in (503, 504)
+    assert refused["error"] in ("not_appended", "unknown")
+    admin.log.down = False
+    status, _ = await admin().ask("POST", "/records", tenant())
+    assert status == 200
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,27 @@
+"""The examples run, and their settings and records are sound."""
+
+import pathlib
+import runpy
+
+import pytest
+
+from fireflyspindle import settings
+from fireflyspindle.commands import records as commands
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+
+@pytest.mark.parametrize("user", ["zeevaart", "taller"])
+def test_settings_and_records_are_sound(user):
+    assert settings.load(EXAMPLES / user / "gate.toml").is_ok()
+    assert commands.validate(file=EXAMPLES / user / "records.toml") == 0
+
+
+def test_reducer_example_sends_to_a_target(capsys):
+    runpy.run_path(str(EXAMPLES / "reducer.py"), run_name="__main__")
+    assert "SendToTarget(call_id=1, attempt=1" in capsys.readouterr().out
+
+
+def test_library_example_answers(capsys):
+    runpy.run_path(str(EXAMPLES / "library.py"), run_name="__main__")
+    assert capsys.readouterr().out.startswith("complete\n")
