--- a/src/fireflyspindle/adapters/admin_api.py
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -14,7 +14,7 @@
 from fireflyspindle.adapters import log_client
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
-from fireflyspindle.core import in_force
+from fireflyspindle.core import membership
 from fireflyspindle.core import publishing
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
@@ -258,13 +258,13 @@
     async def _wait_in_force(self, offset: int, wait_ms: int) -> dict:
         until_us = self._gate.now_us() + wait_ms * 1000
         while True:
-            hosts = in_force.by_host(self._gate.state, offset)
-            everywhere = all(hosts.values())
+            behind = membership.hosts_without(self._gate.state, offset + 1)
+            everywhere = not behind
             if everywhere or self._gate.now_us() >= until_us:
                 return {
                     "offset": offset,
                     "in_force_everywhere": everywhere,
-                    "hosts": hosts,
+                    "behind": behind,
                 }
             await asyncio.sleep(POLL_S)
 
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -24,7 +24,23 @@
     """The hard limit of a planned stop has come."""
 
 
-Timer = CallDeadline | HedgeDue | DrainDeadline
+@attrs.define
+class PeersDue:
+    """A round of messages to peers is due."""
+
+
+@attrs.define
+class SnapshotDue:
+    """It is time to see whether the log needs a snapshot.
+
+    Attributes:
+        number: Number of the timer; only the latest one counts.
+    """
+
+    number: int
+
+
+Timer = CallDeadline | HedgeDue | DrainDeadline | PeersDue | SnapshotDue
 
 
 @attrs.define
@@ -50,6 +66,14 @@
             return None
         return heapq.heappop(self._heap)[2]
 
+    def first(self) -> Timer | None:
+        """Returns the earliest timer, if any."""
+        return self._heap[0][2] if self._heap else None
+
+    def drop_first(self) -> None:
+        """Removes the earliest timer."""
+        heapq.heappop(self._heap)
+
     def next_at_us(self) -> int | None:
         """Returns the time of the earliest timer, if any."""
         return self._heap[0][0] if self._heap else None
