--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -32,13 +32,14 @@
     """One gate host in this process.
 
     Attributes:
+        settings: Settings of this gate host.
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
-        self._settings = settings
+        self.settings = settings
         core_settings = state_lib.CoreSettings(
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
@@ -57,21 +58,21 @@
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the log."""
-        self.log = log_client.LogClient(self._settings.platform.log_address)
+        self.log = log_client.LogClient(self.settings.platform.log_address)
         self._peers = peers.PeerClient()
         self._client = target_client.TargetClient(self, self.spawn)
-        limits = self._settings.limits
+        limits = self.settings.limits
         self._server = gate_server.GateServer(
             self,
-            self._settings.gate.host_id,
+            self.settings.gate.host_id,
             gate_server.BodyLimits(
                 limits.body_buffer_bytes, limits.request_body_bytes
             ),
         )
-        await self._server.start(self._settings.gate.callers_address)
+        await self._server.start(self.settings.gate.callers_address)
         app = control_api.application(self)
         self._control = web.AppRunner(app, access_log=None)
-        await self._listen(self._control, self._settings.gate.control_address)
+        await self._listen(self._control, self.settings.gate.control_address)
         self.state.settings = attrs.evolve(
             self.state.settings, control_address=self.control_address
         )
