--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -14,6 +14,7 @@
 from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import keyed_requests
 from fireflyspindle.core import events
 
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -143,7 +144,10 @@
         payload: streams.StreamReader,
     ) -> None:
         """Serves one request of a caller."""
-        match self._arrival(message):
+        arrived = self._arrival(message).and_then(
+            lambda event: _with_key(event, message)
+        )
+        match arrived:
             case result.Err(refusal):
                 answers.refuse(connection, refusal)
             case result.Ok(event):
@@ -222,7 +226,9 @@
         if "Expect" in message.headers:
             connection.write(caller_connection.CONTINUE)
         stated = message.headers.get("Content-Length")
-        if stated is None or int(stated) > self._body_limits.held_bytes:
+        limit_bytes = self._body_limits.held_bytes
+        known = stated is not None or bool(event.idempotency_key)
+        if not known or int(stated or 0) > limit_bytes:
             event.resendable = False
             self._open(connection, message, payload, event, None)
             return
@@ -237,7 +243,7 @@
         event: events.CallArrived,
     ) -> None:
         try:
-            body = await payload.read()
+            body = await _read(payload, self._body_limits.held_bytes)
         except asyncio.CancelledError:
             raise
         except Exception:
@@ -249,6 +255,7 @@
             return
         waited_us = self._shell.now_us() - event.now_us
         event.now_us += waited_us
+        event.resendable = body is not None
         self._open(connection, message, payload, event, body)
 
     def _open(
@@ -259,6 +266,13 @@
         event: events.CallArrived,
         body: bytes | None,
     ) -> None:
+        if event.idempotency_key:
+            if body is None:
+                detail = keyed_requests.too_large(self._body_limits.held_bytes)
+                refusal = answers.BadRequest(413, "body_too_large", detail)
+                answers.refuse(connection, refusal)
+                return
+            keyed_requests.stamp(event, message.method, message.path, body)
         exchange = exchange_lib.Exchange(
             call_id=event.call_id,
             request_id=f"{self._request_id_prefix}-{event.call_id}",
@@ -283,6 +297,32 @@
         )
 
 
+def _with_key(
+    event: events.CallArrived, message: http.RawRequestMessage
+) -> result.Result[events.CallArrived, answers.BadRequest]:
+    """Puts the idempotency key of a non-repeatable request on its event."""
+    if event.repeatable:
+        return result.Ok(event)
+    match keyed_requests.read(message.headers):
+        case result.Err(why):
+            return result.Err(answers.BadRequest(400, "bad_key", why))
+        case result.Ok(key):
+            keyed_requests.put(event, key)
+    return result.Ok(event)
+
+
+async def _read(
+    payload: streams.StreamReader, limit_bytes: int
+) -> bytes | None:
+    """Reads a body; None when it is larger than the limit."""
+    body = bytearray()
+    while data := await payload.readany():
+        body += data
+        if len(body) > limit_bytes:
+            return None
+    return bytes(body)
+
+
 def _is_deadline(text: str) -> bool:
     if not text.isascii() or not text.isdecimal():
         return False
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -7,6 +7,7 @@
 import time
 
 from aiohttp import web
+import attrs
 
 from fireflyspindle import headers
 from fireflyspindle import logs
@@ -18,6 +19,7 @@
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
 from fireflyspindle.adapters import log_client
+from fireflyspindle.adapters import peers
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -31,6 +33,7 @@
     """One gate host in this process.
 
     Attributes:
+        settings: Settings of this gate host.
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
@@ -38,11 +41,13 @@
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
-        self._settings = settings
+        self.settings = settings
         core_settings = state_lib.CoreSettings(
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
             drain_limit_ms=settings.limits.drain_limit_ms,
+            incarnation=time.time_ns() // 1_000_000,
+            peer_addresses=settings.peers.addresses,
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
@@ -55,20 +60,24 @@
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the log."""
-        self.log = log_client.LogClient(self._settings.platform.log_address)
+        self.log = log_client.LogClient(self.settings.platform.log_address)
+        self._peers = peers.PeerClient()
         self._client = target_client.TargetClient(self, self.spawn)
-        limits = self._settings.limits
+        limits = self.settings.limits
         self._server = gate_server.GateServer(
             self,
-            self._settings.gate.host_id,
+            self.settings.gate.host_id,
             gate_server.BodyLimits(
                 limits.body_buffer_bytes, limits.request_body_bytes
             ),
         )
-        await self._server.start(self._settings.gate.callers_address)
+        await self._server.start(self.settings.gate.callers_address)
         app = control_api.application(self)
         self._control = web.AppRunner(app, access_log=None)
-        await self._listen(self._control, self._settings.gate.control_address)
+        await self._listen(self._control, self.settings.gate.control_address)
+        self.state.settings = attrs.evolve(
+            self.state.settings, control_address=self.control_address
+        )
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
@@ -105,6 +114,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._server.close()
         self._client.close()
+        await self._peers.close()
         await self._control.cleanup()
         await self.log.close()
 
@@ -163,6 +173,8 @@
                 self.spawn(self._read_log(effect))
             case effects.AppendRecord():
                 self.spawn(self._append_record(effect))
+            case effects.TellPeer(address, body):
+                self.spawn(self._peers.tell(address, body))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
