--- a/src/fireflyspindle/adapters/answers.py
+++ b/src/fireflyspindle/adapters/answers.py
@@ -81,6 +81,8 @@
         "detail": detail,
         "retry_after_ms": verdict.retry_after_ms,
     }
+    if verdict.recorded_status:
+        body["recorded_status"] = verdict.recorded_status
     head_only = exchange.message.method == "HEAD"
     caller.write(_own(status, lines, body, head_only))
     caller.finish(keep_alive)
