--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -5,7 +5,7 @@
 
 from fireflyspindle.core import events
 
-READ_WAIT_MS = 1_000
+READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
 APPEND_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = READ_WAIT_MS / 1000 + 2.0
@@ -29,10 +29,19 @@
 
 
 class LogClient:
-    """Reads and appends records of the log's streams."""
+    """Reads and appends records of the log's streams.
 
-    def __init__(self, address: str) -> None:
+    Args:
+        address: Address of the log service.
+        append_timeout_s: Time after which the outcome of an append is taken
+            for unknown.
+    """
+
+    def __init__(
+        self, address: str, append_timeout_s: float = APPEND_TIMEOUT_S
+    ) -> None:
         self._base = f"http://{address}/streams"
+        self._append_timeout_s = append_timeout_s
         self._session = aiohttp.ClientSession()
 
     async def read(
@@ -60,12 +69,17 @@
                 return _batch(await answer.json())
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
-        except (KeyError, TypeError):
+        except (KeyError, TypeError, AttributeError):
             return None
 
     async def append(self, stream: str, body: str) -> Appended:
-        """Appends a record once."""
-        timeout = aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S)
+        """Appends a record once.
+
+        Returns:
+            DONE with the offset; REFUSED when the record is certainly not in
+            the log; UNKNOWN when it may be, or may come into it later.
+        """
+        timeout = aiohttp.ClientTimeout(total=self._append_timeout_s)
         try:
             async with self._session.post(
                 f"{self._base}/{stream}/records",
@@ -91,8 +105,13 @@
 
 
 def _batch(raw: dict) -> Batch:
-    entries = [
-        events.LogEntry(int(item["offset"]), str(item["body"]))
-        for item in raw["records"]
-    ]
+    by_offset = {int(item["offset"]): _entry(item) for item in raw["records"]}
+    entries = [by_offset[offset] for offset in sorted(by_offset)]
     return Batch(entries, int(raw["earliest"]), int(raw["next"]))
+
+
+def _entry(item: dict) -> events.LogEntry:
+    """Reads one record; a torn one keeps its offset and has no body."""
+    body = item.get("body")
+    text = body if isinstance(body, str) else ""
+    return events.LogEntry(int(item["offset"]), text)
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -6,9 +6,14 @@
 import attrs
 
 from fireflyspindle.core import budgets
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import load as load_lib
+from fireflyspindle.core import members
+from fireflyspindle.core import recent_records as recent_records_lib
+from fireflyspindle.core import records
+from fireflyspindle.core import recovery_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
 
@@ -21,11 +26,23 @@
         host_id: Id of this gate host's incarnation, unique for each start.
         failure_domain: Failure domain that this gate host runs in.
         drain_limit_ms: Hard limit of a planned stop.
+        claims: Settings of claims.
+        incarnation: Grows with each start of the host.
+        control_address: Address at which peers reach this gate host.
+        peer_addresses: Control addresses of peers to ask at first.
+        reader_version: Newest configuration payloads that are read.
+        log_keep_s: Time for which the log keeps a record.
     """
 
     host_id: str
     failure_domain: str = ""
     drain_limit_ms: int = 60_000
+    claims: claim_state.ClaimSettings = claim_state.ClaimSettings()
+    incarnation: int = 0
+    control_address: str = ""
+    peer_addresses: tuple[str, ...] = ()
+    reader_version: int = records.READER_VERSION
+    log_keep_s: int = 3_600
 
 
 class CallPhase(enum.Enum):
@@ -66,6 +83,8 @@
         last_target: Address of the target of the latest attempt.
         tried: Addresses of the targets of all attempts.
         maybe_ran: Whether an attempt ended without a word on having run.
+        status: HTTP status of a target's answer that ran it, or 0.
+        claim: Its part in the claims of its key, if it has one.
     """
 
     call_id: int
@@ -84,6 +103,8 @@
     last_target: str = ""
     tried: set[str] = attrs.field(factory=set)
     maybe_ran: bool = False
+    status: int = 0
+    claim: claim_state.ClaimUse | None = None
 
 
 @attrs.define
@@ -131,10 +152,14 @@
     Attributes:
         settings: Settings of the core.
         random: Seeded generator; the only source of randomness.
+        claims: Claims of keyed calls.
         now_us: Time of the event at hand.
         configuration: Records in force.
         services: State of each service by name.
         calls: Calls that have not ended, by number.
+        recent_records: The latest configuration records, for peers.
+        recovery: How the whole configuration is reached and kept.
+        membership: The other gate hosts.
         log_positions: How far each stream of the log has been read.
         appends: Stream of each append that has not been settled, by number.
         last_append_id: Number of the latest append.
@@ -145,12 +170,20 @@
 
     settings: CoreSettings
     random: random.Random
+    claims: claim_state.ClaimState
     now_us: int = 0
     configuration: configuration_lib.Configuration = attrs.field(
         factory=configuration_lib.Configuration
     )
     services: dict[str, ServiceState] = attrs.field(factory=dict)
     calls: dict[int, Call] = attrs.field(factory=dict)
+    recent_records: recent_records_lib.RecentRecords = attrs.field(
+        factory=recent_records_lib.RecentRecords
+    )
+    recovery: recovery_state.Recovery = attrs.field(
+        factory=recovery_state.Recovery
+    )
+    membership: members.Membership = attrs.field(factory=members.Membership)
     log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
     appends: dict[int, str] = attrs.field(factory=dict)
     last_append_id: int = 0
@@ -164,5 +197,17 @@
 
 
 def new(settings: CoreSettings, seed: int) -> GateState:
-    """Returns the state of a gate host that has just started."""
-    return GateState(settings=settings, random=random.Random(seed))
+    """Returns the state of a gate host that has just started.
+
+    The seed must differ for each start of a host: claims tell a host from the
+    one that it replaces by it.
+    """
+    incarnation = random.Random(seed).getrandbits(64)
+    writer = f"{settings.host_id}/{incarnation:016x}"
+    state = GateState(
+        settings=settings,
+        random=random.Random(seed),
+        claims=claim_state.ClaimState(settings.claims, writer),
+    )
+    state.configuration.reader_version = settings.reader_version
+    return state
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -7,16 +7,19 @@
 import time
 
 from aiohttp import web
+import attrs
 
 from fireflyspindle import headers
 from fireflyspindle import logs
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle import settings as settings_lib
 from fireflyspindle.adapters import answers
+from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import control_api
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
 from fireflyspindle.adapters import log_client
+from fireflyspindle.adapters import peers
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -30,21 +33,25 @@
     """One gate host in this process.
 
     Attributes:
+        settings: Settings of this gate host.
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
+        exchanges: Calls in flight, by number.
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
-        self._settings = settings
+        self.settings = settings
         core_settings = state_lib.CoreSettings(
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
             drain_limit_ms=settings.limits.drain_limit_ms,
+            incarnation=time.time_ns() // 1_000_000,
+            peer_addresses=settings.peers.addresses,
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
-        self._exchanges: dict[int, exchange_lib.Exchange] = {}
+        self.exchanges: dict[int, exchange_lib.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._events: collections.deque[events.Event] = collections.deque()
@@ -53,20 +60,24 @@
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the log."""
-        self.log = log_client.LogClient(self._settings.platform.log_address)
+        self.log = log_client.LogClient(self.settings.platform.log_address)
+        self._peers = peers.PeerClient()
         self._client = target_client.TargetClient(self, self.spawn)
-        limits = self._settings.limits
+        limits = self.settings.limits
         self._server = gate_server.GateServer(
             self,
-            self._settings.gate.host_id,
+            self.settings.gate.host_id,
             gate_server.BodyLimits(
                 limits.body_buffer_bytes, limits.request_body_bytes
             ),
         )
-        await self._server.start(self._settings.gate.callers_address)
+        await self._server.start(self.settings.gate.callers_address)
         app = control_api.application(self)
         self._control = web.AppRunner(app, access_log=None)
-        await self._listen(self._control, self._settings.gate.control_address)
+        await self._listen(self._control, self.settings.gate.control_address)
+        self.state.settings = attrs.evolve(
+            self.state.settings, control_address=self.control_address
+        )
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
     async def _listen(self, runner: web.BaseRunner, address: str) -> None:
@@ -84,6 +95,11 @@
         """The control address, with its real port."""
         return _address(self._control)
 
+    @property
+    def callers(self) -> set[caller_connection.CallerConnection]:
+        """Open connections of callers."""
+        return self._server.connections
+
     def request_stop(self) -> None:
         """Begins a planned stop; `wait_closed` returns when it is done."""
         self.submit(events.StopRequested(self.now_us()))
@@ -98,6 +114,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._server.close()
         self._client.close()
+        await self._peers.close()
         await self._control.cleanup()
         await self.log.close()
 
@@ -109,7 +126,7 @@
         self, exchange: exchange_lib.Exchange, event: events.CallArrived
     ) -> None:
         """Takes in a call."""
-        self._exchanges[exchange.call_id] = exchange
+        self.exchanges[exchange.call_id] = exchange
         self.submit(event)
 
     def submit(self, event: events.Event) -> None:
@@ -136,11 +153,11 @@
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendToTarget():
-                self._client.begin(self._exchanges[effect.call_id], effect)
+                self._client.begin(self.exchanges[effect.call_id], effect)
             case effects.ForwardAnswer():
                 self._forward(effect)
             case effects.AnswerCaller(call_id):
-                answers.answer(self._exchanges[call_id], effect)
+                answers.answer(self.exchanges[call_id], effect)
             case effects.CancelAttempt():
                 self._cancel_attempt(effect)
             case effects.CallFinished():
@@ -156,6 +173,8 @@
                 self.spawn(self._read_log(effect))
             case effects.AppendRecord():
                 self.spawn(self._append_record(effect))
+            case effects.TellPeer(address, body):
+                self.spawn(self._peers.tell(address, body))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
@@ -213,7 +232,7 @@
         )
 
     def _forward(self, effect: effects.ForwardAnswer) -> None:
-        exchange = self._exchanges[effect.call_id]
+        exchange = self.exchanges[effect.call_id]
         attempt = exchange.attempts[effect.attempt]
         relay = answers.Relay(exchange, attempt)
         if relay.begin(effect.outcome):
@@ -243,7 +262,7 @@
         )
 
     def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
-        exchange = self._exchanges[effect.call_id]
+        exchange = self.exchanges[effect.call_id]
         attempt = exchange.attempts[effect.attempt]
         if attempt.ended:
             return
@@ -262,7 +281,7 @@
         self.on_failed(attempt, events.FailureReason.CANCELLED)
 
     def _finish(self, effect: effects.CallFinished) -> None:
-        exchange = self._exchanges.pop(effect.call_id)
+        exchange = self.exchanges.pop(effect.call_id)
         exchange.attempts.clear()
         self.metrics.on_call_finished(effect)
         if not logs.enabled("DEBUG"):
