--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -58,7 +58,8 @@
 
         Returns:
             The answer with its body unread, or why there is none. Only
-            REFUSED and CONNECT_TIMEOUT mean that no byte has left.
+            REFUSED, UNREACHABLE and CONNECT_TIMEOUT mean that no byte has
+            left.
         """
         request = exchange.request
         timeout_s = timeout_us / 1e6
@@ -79,8 +80,10 @@
             return events.FailureReason.CONNECT_TIMEOUT
         except TimeoutError:
             return events.FailureReason.TIMEOUT
-        except aiohttp.ClientConnectorError:
-            return events.FailureReason.REFUSED
+        except aiohttp.ClientConnectorError as error:
+            if isinstance(error.os_error, ConnectionRefusedError):
+                return events.FailureReason.REFUSED
+            return events.FailureReason.UNREACHABLE
         except (aiohttp.ClientError, SecondSendError, OSError):
             return events.FailureReason.DISCONNECTED
 
@@ -93,6 +96,7 @@
     """Whether a byte of the request may have left before the failure."""
     return reason not in (
         events.FailureReason.REFUSED,
+        events.FailureReason.UNREACHABLE,
         events.FailureReason.CONNECT_TIMEOUT,
     )
 
--- a/src/fireflyspindle/bench/policy_shipped.py
+++ b/src/fireflyspindle/bench/policy_shipped.py
@@ -74,8 +74,9 @@
                 self._send(gate, effect)
             case effects.CancelAttempt(call_id, number):
                 self._cancel(self._attempts[call_id, number])
-            case effects.ForwardAnswer(call_id, number):
-                self._complete(call_id, number)
+            case effects.ForwardAnswer(call_id, number, outcome):
+                self._count(call_id, outcome)
+                self._end(call_id, number)
             case effects.AnswerCaller(outcome=effects.Outcome.NOT_RUN):
                 self.run.not_run += 1
             case effects.AnswerCaller():
@@ -124,14 +125,22 @@
             )
         )
 
-    def _complete(self, call_id: int, number: int) -> None:
+    def _count(self, call_id: int, outcome: effects.Outcome) -> None:
+        match outcome:
+            case effects.Outcome.COMPLETE:
+                now_us = self._world.timeline.now_us
+                arrival = self._arrivals[call_id]
+                self.run.complete += 1
+                self.run.add_latency(self._world.plan, arrival, now_us)
+            case effects.Outcome.NOT_RUN:
+                self.run.not_run += 1
+            case effects.Outcome.UNKNOWN:
+                self.run.unknown += 1
+
+    def _end(self, call_id: int, number: int) -> None:
         attempt = self._attempts[call_id, number]
         attempt.open = False
-        timeline = self._world.timeline
-        arrival = self._arrivals[call_id]
-        self.run.complete += 1
-        self.run.add_latency(self._world.plan, arrival, timeline.now_us)
-        timeline.after(
+        self._world.timeline.after(
             0,
             lambda: attempt.gate.feed(
                 lambda now_us: events.AttemptEnded(now_us, call_id, number)
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -7,11 +7,11 @@
 from fireflyspindle.core import attempts
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
+from fireflyspindle.core import ejection
 from fireflyspindle.core import events
-from fireflyspindle.core import records
+from fireflyspindle.core import leaving
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
-from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
 
@@ -22,7 +22,7 @@
     if service is None:
         answers.refuse_unrouted(state, event)
         return
-    policy = state.configuration.policies.get(service.name, records.Policy())
+    policy = state.configuration.policy(service.name)
     deadline_us = event.deadline_us
     if deadline_us is None:
         deadline_us = event.now_us + policy.default_deadline_ms * 1000
@@ -55,7 +55,7 @@
     if call is None or event.attempt not in call.attempts:
         return
     attempt = call.attempts[event.attempt]
-    targets.on_answered(attempt.target, event.report, state.now_us)
+    _learn_from_answer(state, call, attempt, event)
     if call.phase is not state_lib.CallPhase.WAITING:
         attempts.drop(state, call, attempt)
         answers.finish_if_done(state, call)
@@ -72,6 +72,20 @@
     attempts.cancel_others(state, call, attempt.number)
 
 
+def _learn_from_answer(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+) -> None:
+    address = attempt.target.spec.address
+    if event.report is not None:
+        leaving.on_report(state, address, event.report)
+    service = state.services.get(call.service)
+    if service is not None:
+        ejection.on_answered(state, attempt, service, event)
+
+
 def _declined(call: state_lib.Call, event: events.AttemptAnswered) -> bool:
     """Whether another target may still give a better answer."""
     if event.not_run:
@@ -121,7 +135,11 @@
     call = state.calls.get(event.call_id)
     if call is None or event.attempt not in call.attempts:
         return
-    attempts.release(state, call, call.attempts[event.attempt])
+    attempt = call.attempts[event.attempt]
+    attempts.release(state, call, attempt)
+    service = state.services.get(call.service)
+    if service is not None:
+        ejection.on_failed(state, attempt, service, event)
     call.maybe_ran = call.maybe_ran or event.sent
     match call.phase:
         case state_lib.CallPhase.WAITING:
--- a/src/fireflyspindle/core/configuration.py
+++ b/src/fireflyspindle/core/configuration.py
@@ -49,6 +49,10 @@
     policies: dict[str, records.Policy] = attrs.field(factory=dict)
     unreadable: dict[str, str] = attrs.field(factory=dict)
 
+    def policy(self, service: str) -> records.Policy:
+        """Returns the policy in force for a service."""
+        return self.policies.get(service, records.Policy())
+
     @property
     def complete(self) -> bool:
         """Whether the fold has reached the newest offset heard of."""
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -124,6 +124,19 @@
     wait: bool = True
 
 
+@attrs.define
+class ReadHostList:
+    """Read the platform's host list.
+
+    The shell reports `HostListRead` or `HostListReadFailed`.
+
+    Attributes:
+        delay_us: Time to wait before the read.
+    """
+
+    delay_us: int
+
+
 @attrs.define
 class AppendRecord:
     """Append one record to a stream of the log.
@@ -191,6 +204,7 @@
     | AnswerCaller
     | CallFinished
     | ReadLog
+    | ReadHostList
     | AppendRecord
     | ProbeTarget
     | TellPeer
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -13,6 +13,7 @@
     """Why an attempt ended without a whole answer."""
 
     REFUSED = "refused"
+    UNREACHABLE = "unreachable"
     CONNECT_TIMEOUT = "connect_timeout"
     DISCONNECTED = "disconnected"
     TIMEOUT = "timeout"
@@ -28,10 +29,13 @@
     Attributes:
         in_flight: Requests at the target, the answered one excluded.
         leaving: Whether the target is draining.
+        incarnation: Id of the target's incarnation, new for each start, or
+            an empty string.
     """
 
     in_flight: int | None = None
     leaving: bool = False
+    incarnation: str = ""
 
 
 @attrs.define
@@ -194,7 +198,13 @@
 
 @attrs.define
 class ListedHost:
-    """One entry of the platform's host list."""
+    """One entry of the platform's host list.
+
+    Attributes:
+        host_id: Id of the host's incarnation, new for each start.
+        address: "ip:port".
+        leaving: Whether the host is draining.
+    """
 
     host_id: str
     address: str
@@ -210,6 +220,13 @@
     targets: list[ListedHost]
 
 
+@attrs.define
+class HostListReadFailed:
+    """A read of the host list failed or timed out."""
+
+    now_us: int
+
+
 @attrs.define
 class PeerMessageReceived:
     """A message from another gate host arrived.
@@ -256,6 +273,7 @@
     | LogReadFailed
     | AppendSettled
     | HostListRead
+    | HostListReadFailed
     | PeerMessageReceived
     | ProbeEnded
     | StopRequested
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -3,6 +3,9 @@
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import leaving
+from fireflyspindle.core import records
+from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
@@ -110,9 +113,27 @@
         for spec in payload.targets:
             target = before.get(spec.address)
             if target is None:
-                target = targets.Target(spec, affinity=_affinity(state))
+                target = _new_target(state, service, spec, cold=bool(before))
             target.spec = spec
             service.targets[spec.address] = target
+        service.ejected = {
+            address: target
+            for address, target in service.targets.items()
+            if target.ejected
+        }
+
+
+def _new_target(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    spec: records.TargetSpec,
+    cold: bool,
+) -> targets.Target:
+    target = targets.Target(spec, affinity=_affinity(state))
+    target.leaving = leaving.is_leaving(state, spec.address)
+    if cold:
+        slow_start.begin(state, service, target)
+    return target
 
 
 def _affinity(state: state_lib.GateState) -> float:
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -6,6 +6,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
+from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import timers
@@ -15,6 +16,7 @@
     """Returns the effects with which a gate host begins."""
     state.now_us = now_us
     state.emit(effects.ReadLog(configuration.STREAM, 0))
+    host_list.start(state)
     return _take_effects(state)
 
 
@@ -59,6 +61,10 @@
             log.on_read(state, event)
         case events.LogReadFailed():
             log.on_read_failed(state, event)
+        case events.HostListRead():
+            host_list.on_read(state, event)
+        case events.HostListReadFailed():
+            host_list.on_read_failed(state)
         case events.AppendSettled():
             log.on_append_settled(state, event)
         case _:
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -1,6 +1,5 @@
 """Retries: whether a call may be sent once more."""
 
-from fireflyspindle.core import records
 from fireflyspindle.core import routing
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
@@ -15,7 +14,7 @@
     state: state_lib.GateState, service: state_lib.ServiceState
 ) -> None:
     """Credits the retry budget of a service with one call."""
-    policy = state.configuration.policies.get(service.name, records.Policy())
+    policy = state.configuration.policy(service.name)
     service.retry_budget.earn(policy.retry_share)
 
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import budgets
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
+from fireflyspindle.core import incarnations
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
 
@@ -87,10 +88,22 @@
 
 @attrs.define
 class ServiceState:
-    """What this gate host knows of one service."""
+    """What this gate host knows of one service.
+
+    Attributes:
+        name: Name of the service.
+        targets: Targets by address.
+        ejected: Targets that are ejected, by address.
+        retry_budget: Retries that it may still make.
+        latency_us: Moving average of the time to a good answer; 0 for none.
+        failure_share: Moving average of failed attempts.
+    """
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    latency_us: float = 0.0
+    failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
 
 
@@ -123,6 +136,7 @@
         log_positions: How far each stream of the log has been read.
         appends: Stream of each append that has not been settled, by number.
         last_append_id: Number of the latest append.
+        tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
         stopping: Whether a planned stop has begun.
         outbox: Effects of the event at hand.
@@ -139,6 +153,7 @@
     log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
     appends: dict[int, str] = attrs.field(factory=dict)
     last_append_id: int = 0
+    tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
     stopping: bool = False
     outbox: list[effects.Effect] = attrs.field(factory=list)
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -2,10 +2,42 @@
 
 import attrs
 
-from fireflyspindle.core import events
 from fireflyspindle.core import records
 
 
+@attrs.define
+class Health:
+    """Outcomes and times of a target as this gate host sees them.
+
+    Attributes:
+        outcomes: Attempts judged.
+        answers: Answers whose time was taken.
+        failures_in_row: Failures since the last good answer.
+        refusals: Refused connections since the last answer.
+        failure_share: Moving average of failed attempts.
+        latency_us: Moving average of the time to an answer.
+        last_us: Time that the last attempt took.
+        ejections: Ejections whose pauses still add up.
+        ejected_us: Time at which it was ejected.
+        ejected_until_us: Time from which an ejected target is tried.
+        trials_passed: Trial calls that went well in a row.
+        returned_us: Time at which it came back from an ejection.
+    """
+
+    outcomes: int = 0
+    answers: int = 0
+    failures_in_row: int = 0
+    refusals: int = 0
+    failure_share: float = 0.0
+    latency_us: float = 0.0
+    last_us: int = 0
+    ejections: int = 0
+    ejected_us: int = 0
+    ejected_until_us: int = 0
+    trials_passed: int = 0
+    returned_us: int = 0
+
+
 @attrs.define
 class Target:
     """One endpoint as this gate host sees it.
@@ -13,7 +45,11 @@
     Attributes:
         spec: The endpoint as configured.
         in_flight: Attempts of this gate host that have not ended.
-        leaving: Whether a sign of leaving was seen; it stays for good.
+        leaving: Whether its present incarnation is leaving.
+        ejected: Whether it is left out but for trial calls.
+        health: Outcomes and times as this gate host sees them.
+        cold_from_us: Time at which its slow start began.
+        warm_at_us: Time at which its slow start ends.
         affinity: This host's fixed random preference, to break ties.
     """
 
@@ -21,6 +57,10 @@
     in_flight: int = 0
     leaving: bool = False
     affinity: float = 0.0
+    ejected: bool = False
+    health: Health = attrs.field(factory=Health)
+    cold_from_us: int = 0
+    warm_at_us: int = 0
 
 
 def on_begin(target: Target, now_us: int) -> None:
@@ -28,14 +68,6 @@
     target.in_flight += 1
 
 
-def on_answered(
-    target: Target, report: events.LoadReport | None, now_us: int
-) -> None:
-    """Takes the load report on an answer."""
-    if report is not None and report.leaving:
-        target.leaving = True
-
-
 def on_end(target: Target, now_us: int) -> None:
     """Counts an attempt that has ended."""
     target.in_flight -= 1
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -15,6 +15,7 @@
 from fireflyspindle.adapters import control_api
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
@@ -22,6 +23,8 @@
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 
+MAX_INCARNATION_CHARACTERS = 100
+
 
 class Gate:
     """One gate host in this process.
@@ -51,6 +54,9 @@
         """Opens the addresses and begins to read the log."""
         self.log = log_client.LogClient(self._settings.platform.log_address)
         self._client = target_client.TargetClient()
+        self._host_list = host_list_lib.HostListClient(
+            self._settings.platform.host_list_address
+        )
         server = gate_server.GateServer(
             self,
             self._settings.gate.host_id,
@@ -101,6 +107,7 @@
             await runner.cleanup()
         await self._client.close()
         await self.log.close()
+        await self._host_list.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
@@ -144,6 +151,8 @@
                 self._spawn(self._read_log(effect))
             case effects.AppendRecord():
                 self._spawn(self._append_record(effect))
+            case effects.ReadHostList(delay_us):
+                self._spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
@@ -283,6 +292,16 @@
             )
         )
 
+    async def _read_host_list(self, delay_us: int) -> None:
+        await asyncio.sleep(delay_us / 1e6)
+        found = await self._host_list.read()
+        if found is None:
+            self.submit(events.HostListReadFailed(self.now_us()))
+            return
+        self.submit(
+            events.HostListRead(self.now_us(), found.gates, found.targets)
+        )
+
 
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
@@ -294,4 +313,7 @@
     return events.LoadReport(
         in_flight=int(text) if text.isdecimal() else None,
         leaving=headers.LEAVING in answer.headers,
+        incarnation=answer.headers.get(headers.INCARNATION, "")[
+            :MAX_INCARNATION_CHARACTERS
+        ],
     )
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -12,6 +12,7 @@
 
 IN_FLIGHT = "Fireflyspindle-In-Flight"
 LEAVING = "Fireflyspindle-Leaving"
+INCARNATION = "Fireflyspindle-Incarnation"
 NOT_RUN = "Fireflyspindle-Not-Run"
 
 # Headers of one connection, never carried on (RFC 9110, section 7.6.1).
--- a/src/fireflyspindle/testing/target.py
+++ b/src/fireflyspindle/testing/target.py
@@ -17,6 +17,7 @@
         mean_service_ms: Mean of the exponential service time.
         failing: Whether it fails every request at once with 503.
         leaving: Whether it states that it is leaving.
+        incarnation: Id that it states in its answers, if any.
         journal: Number of runs by request id.
     """
 
@@ -31,6 +32,7 @@
         self.mean_service_ms = mean_service_ms
         self.failing = False
         self.leaving = False
+        self.incarnation = ""
         self.journal: collections.Counter[str] = collections.Counter()
         self._slots = asyncio.Semaphore(slots)
         self._in_flight = 0
@@ -63,6 +65,8 @@
             headers.IN_FLIGHT: str(self._in_flight - 1),
             headers.REQUEST_ID: request_id,
         }
+        if self.incarnation:
+            stated[headers.INCARNATION] = self.incarnation
         if self.leaving:
             stated[headers.LEAVING] = "yes"
         return web.json_response(
