Leave out targets that leave, fail or lag; start cold ones slowly

Cause: a sign of leaving was lost with a record change and known to one gate host only; a target that failed within a millisecond looked idle and drew load; a cold target got a full share at once. Change: signs bind one incarnation, by the answers' header and the host list's id, are told to peers and end only with an id never seen before. Targets are ejected by failures in a row, share of failures, and answers four times slower than the service's, at most half of them at a time; the pause grows with the cost of a failure, trial calls bring them back. New incarnations and returned targets start slowly. The host list is polled each second. Conclusion: a pause of 1 s at least was ruled out: a target that had recovered was missed for seconds. Taking one refusal as leaving was ruled out: a network fault of a moment would empty the set for good.

--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -220,7 +220,10 @@
     if not _floor_allows(state, service):
         return
     target.ejected = True
-    target.health.ejected_us = state.now_us
+    health = target.health
+    health.ejected_us = state.now_us
+    if state.now_us - health.returned_us > FORGIVEN_AFTER_US:
+        health.ejections = 0
     service.ejected[target.spec.address] = target
     _pause(state, target)
     detail = f"{service.name}: {target.spec.address} is ejected: {why}"
@@ -229,8 +232,6 @@
 
 def _pause(state: state_lib.GateState, target: targets.Target) -> None:
     health = target.health
-    if state.now_us - health.returned_us > FORGIVEN_AFTER_US:
-        health.ejections = 0
     limit_us = max(LEAST_MAX_PAUSE_US, PAUSE_PER_COST * health.last_us)
     limit_us = min(MAX_PAUSE_US, limit_us)
     pause_us = min(limit_us, BASE_PAUSE_US << min(health.ejections, 9))
--- a/src/fireflyspindle/core/host_list.py
+++ b/src/fireflyspindle/core/host_list.py
@@ -3,6 +3,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import leaving
+from fireflyspindle.core import membership
 from fireflyspindle.core import state as state_lib
 
 PERIOD_US = 1_000_000
@@ -16,6 +17,7 @@
 def on_read(state: state_lib.GateState, event: events.HostListRead) -> None:
     """Takes the list in and asks for the next read."""
     leaving.on_host_list(state, event)
+    membership.on_host_list(state, event)
     state.emit(effects.ReadHostList(PERIOD_US))
 
 
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -1,13 +1,15 @@
 """The reducer: one function over all events, with effects as data."""
 
 from fireflyspindle.core import calls
-from fireflyspindle.core import configuration
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
+from fireflyspindle.core import membership
+from fireflyspindle.core import recovery
+from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import timers
 
@@ -15,7 +17,8 @@
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
     """Returns the effects with which a gate host begins."""
     state.now_us = now_us
-    state.emit(effects.ReadLog(configuration.STREAM, 0))
+    recovery.start(state)
+    membership.start(state)
     host_list.start(state)
     return _take_effects(state)
 
@@ -65,6 +68,8 @@
             host_list.on_read(state, event)
         case events.HostListReadFailed():
             host_list.on_read_failed(state)
+        case events.PeerMessageReceived():
+            membership.on_message(state, event)
         case events.AppendSettled():
             log.on_append_settled(state, event)
         case _:
@@ -79,11 +84,32 @@
                 calls.on_deadline(state, call_id)
             case timers.HedgeDue(call_id):
                 hedging.on_due(state, call_id)
+            case timers.PeersDue():
+                membership.on_due(state)
+            case timers.SnapshotDue(number):
+                snapshot_looks.on_due(state, number)
             case timers.DrainDeadline():
                 state.emit(effects.Exit())
 
 
+def _drop_stale_timers(state: state_lib.GateState) -> None:
+    """Drops the first timers of calls that have ended.
+
+    Most calls end long before their deadline; what is left in the queue is
+    of the order of the calls in flight.
+    """
+    while True:
+        match state.timers.first():
+            case timers.CallDeadline(call_id) | timers.HedgeDue(call_id):
+                if call_id in state.calls:
+                    return
+                state.timers.drop_first()
+            case _:
+                return
+
+
 def _take_effects(state: state_lib.GateState) -> list[effects.Effect]:
+    _drop_stale_timers(state)
     next_at_us = state.timers.next_at_us()
     armed_at_us = state.timers.armed_at_us
     if next_at_us is not None:
