--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -1,5 +1,8 @@
 """Reading the log's streams into the state."""
 
+from fireflyspindle.core import claim_batches
+from fireflyspindle.core import claim_reads
+from fireflyspindle.core import claims
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
 from fireflyspindle.core import recovery
@@ -14,6 +17,8 @@
 ) -> None:
     """Hands the end of an append to the matter that asked for it."""
     match state.appends.pop(event.append_id, None):
+        case claim_batches.STREAM:
+            claims.on_append_settled(state, event)
         case snapshots.STREAM:
             snapshot_looks.on_append_settled(state, event)
         case _:
@@ -30,6 +35,8 @@
             recovery.on_configuration_read(state, event)
         case snapshots.STREAM:
             recovery.on_snapshots_read(state, event)
+        case claim_batches.STREAM:
+            claims.on_read(state, event)
         case _:
             pass
 
@@ -42,5 +49,8 @@
     if event.stream == snapshots.STREAM:
         recovery.on_snapshots_read_failed(state)
         return
+    if event.stream == claim_batches.STREAM:
+        claim_reads.on_read_failed(state)
+        return
     delay_us = streams.retry_delay_us(state, event.stream)
     streams.read_on(state, event.stream, delay_us=delay_us)
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -1,6 +1,8 @@
 """The reducer: one function over all events, with effects as data."""
 
 from fireflyspindle.core import calls
+from fireflyspindle.core import claim_reads
+from fireflyspindle.core import claims
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -20,6 +22,7 @@
     recovery.start(state)
     membership.start(state)
     host_list.start(state)
+    claim_reads.start(state)
     return _take_effects(state)
 
 
@@ -88,6 +91,8 @@
                 membership.on_due(state)
             case timers.SnapshotDue(number):
                 snapshot_looks.on_due(state, number)
+            case timers.ClaimsDue():
+                claims.on_due(state)
             case timers.DrainDeadline():
                 state.emit(effects.Exit())
 
