Run the history bench from the command line, with skewed clocks

Cause: the bench had no command, gate hosts in it had no control address and so no peers, and all wall clocks agreed. Change: 'bench history'; each host has an incarnation, a control address and a clock up to 500 ms off; the log keeps records for 40 s. A gate host that is not answered by the leaving target does not hear of it: the host list's sign is not used yet.

--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -4,6 +4,9 @@
 import sys
 from typing import Literal
 
+import attrs
+
+from fireflyspindle.bench import history_run
 from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
 from fireflyspindle.bench import policy_model
@@ -70,4 +73,30 @@
     return 0
 
 
-COMMANDS = {"overhead": overhead_lib.overhead, "policy": policy}
+def history(*, seeds: int = 10, first_seed: int = 0, json: bool = False) -> int:
+    """Runs several gate hosts under random faults and checks every promise.
+
+    Args:
+        seeds: Number of seeds, from 1 on.
+        first_seed: The first seed; a single failing seed is replayed with it.
+        json: Print one line of JSON.
+
+    Returns:
+        The exit status: 1 when a promise was broken.
+    """
+    if seeds < 1:
+        print(f"--seeds is {seeds}; give at least 1", file=sys.stderr)
+        return 2
+    summary = history_run.run(seeds, first_seed)
+    if json:
+        print(json_lib.dumps(attrs.asdict(summary)))
+    else:
+        print(json_lib.dumps(attrs.asdict(summary), indent=2))
+    return 1 if summary.violations else 0
+
+
+COMMANDS = {
+    "history": history,
+    "overhead": overhead_lib.overhead,
+    "policy": policy,
+}
--- a/src/fireflyspindle/bench/history_run.py
+++ b/src/fireflyspindle/bench/history_run.py
@@ -20,7 +20,6 @@
 PUBLISH_US = 700_000
 FAULTS = 10
 MAX_TRIES = 3
-WALL_START_MS = 1_700_000_000_000
 DEADLINE_US = 3_000_000
 TARGET_DRAIN_US = 6_000_000
 TARGET_AWAY_US = 1_000_000
@@ -81,15 +80,12 @@
         if chance < 0.7:
             self._call(repeatable=False, key="")
             return
-        key = f"{self._wall_ms()}-{self._calls}"
+        key = f"{self.wall_ms()}-{self._calls}"
         doubled = self.random.random() < 0.2
         self._call(repeatable=False, key=key, other_copies=doubled)
         if doubled:
             self._call(repeatable=False, key=key, other_copies=True)
 
-    def _wall_ms(self) -> int:
-        return WALL_START_MS + self.timeline.now_us // 1000
-
     def _call(
         self, repeatable: bool, key: str, other_copies: bool = False
     ) -> None:
@@ -125,7 +121,7 @@
                 idempotency_key=key,
                 body_digest=key,
                 key_issued_ms=int(key.partition("-")[0] or 0),
-                wall_ms=self._wall_ms(),
+                wall_ms=self.wall_ms() + host.skew_ms,
                 other_copies=other_copies,
             ),
         )
--- a/src/fireflyspindle/bench/world.py
+++ b/src/fireflyspindle/bench/world.py
@@ -28,7 +28,9 @@
 HOST_LIST_LAG_US = 2_000_000
 HOST_LIST_PERIOD_US = 1_000_000
 BALANCER_LAG_US = 1_000_000
-KEEP_US = 60_000_000
+KEEP_US = 40_000_000
+WALL_START_MS = 1_700_000_000_000
+CLOCK_SKEW_MS = 500
 
 
 @attrs.define(eq=False)
@@ -64,6 +66,7 @@
         open_calls: Calls that it took and that were not told.
         listed: Whether the balancer sends it callers.
         disturbed_us: Time at which it was last held up, or began.
+        skew_ms: How far its wall clock runs ahead.
     """
 
     name: str
@@ -73,6 +76,7 @@
     open_calls: set[int] = attrs.field(factory=set)
     listed: bool = True
     disturbed_us: int = 0
+    skew_ms: int = 0
 
 
 class World:
@@ -160,15 +164,30 @@
         name = f"gate-{place}.{self._started}"
         gate = virtual.VirtualGate(
             self.timeline,
-            state_lib.CoreSettings(host_id=name),
+            state_lib.CoreSettings(
+                host_id=name,
+                incarnation=self._started,
+                control_address=name,
+                log_keep_s=KEEP_US // 1_000_000,
+            ),
             self.random.getrandbits(32),
             lambda _gate, effect: self._carry_out(host, effect),
         )
-        host = Host(name, place, gate, disturbed_us=self.timeline.now_us)
+        host = Host(
+            name,
+            place,
+            gate,
+            disturbed_us=self.timeline.now_us,
+            skew_ms=self.random.randrange(-CLOCK_SKEW_MS, CLOCK_SKEW_MS),
+        )
         self._by_name[name] = host
         gate.start()
         return host
 
+    def wall_ms(self) -> int:
+        """Returns the wall-clock time of an exact clock."""
+        return WALL_START_MS + self.timeline.now_us // 1000
+
     def feed(self, host: Host, make: virtual.EventMaker) -> None:
         """Feeds an event to a gate host and looks at its records."""
         self.history.events += 1
