--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -8,6 +8,7 @@
 import hashlib
 
 from fireflyspindle.core import load as load_lib
+from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
@@ -29,8 +30,14 @@
     best: targets.Target | None = None
     best_score = 0.0
     trust = service.load.trust()
+    cold: targets.Target | None = None
     for target in _candidates(state, service):
-        if target.leaving or target.spec.address in call.tried:
+        if target.leaving or target.ejected:
+            continue
+        if target.spec.address in call.tried:
+            continue
+        if target.warm_at_us and not slow_start.admits(state, target):
+            cold = target
             continue
         if target.in_flight >= target.connection_share:
             continue
@@ -38,7 +45,7 @@
         if best is None or score < best_score:
             best = target
             best_score = score
-    return best
+    return best or cold
 
 
 def _score(
