Break ties at random and keep within the connection share

A fixed preference sent every call of an idle gate host to one target, and a cold target was used beyond the connection share.

--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -19,6 +19,7 @@
 QUEUED_WEIGHT = 0.15
 AGE_WEIGHT = 0.4
 OTHER_DOMAIN_PENALTY = 0.05
+TIE_SPREAD = 0.01
 
 
 def choose(
@@ -36,11 +37,11 @@
             continue
         if target.spec.address in call.tried:
             continue
+        if target.in_flight >= target.connection_share:
+            continue
         if target.warm_at_us and not slow_start.admits(state, target):
             cold = target
             continue
-        if target.in_flight >= target.connection_share:
-            continue
         score = _score(state, service.load, target, trust)
         if best is None or score < best_score:
             best = target
@@ -57,7 +58,7 @@
     """Returns the load to expect at a target, in attempts per slot."""
     own = target.in_flight
     now_us = state.now_us
-    score = own + target.affinity
+    score = own + target.distance + state.random.random() * TIE_SPREAD
     if own:
         age_us = own * now_us - target.load.started_sum_us
         score += AGE_WEIGHT * age_us / service.typical_us
@@ -87,12 +88,11 @@
     for target in service.targets.values():
         limit = target.spec.connection_limit // policy.gate_hosts_max
         target.connection_share = max(1, limit)
-        target.affinity = _affinity(state, target)
-        if target.spec.failure_domain != domain:
-            target.affinity += OTHER_DOMAIN_PENALTY
+        same_domain = target.spec.failure_domain == domain
+        target.distance = 0.0 if same_domain else OTHER_DOMAIN_PENALTY
     ranked = list(service.targets.values())
     if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
-        ranked.sort(key=lambda target: _affinity(state, target))
+        ranked.sort(key=lambda target: _rank(state, target))
         service.others = ranked[MAX_CANDIDATES:]
         service.candidates = ranked[:MAX_CANDIDATES]
         return
@@ -100,12 +100,11 @@
     service.candidates = ranked
 
 
-def _affinity(state: state_lib.GateState, target: targets.Target) -> float:
-    """Returns this gate host's fixed preference, from 0 to 0.01.
+def _rank(state: state_lib.GateState, target: targets.Target) -> bytes:
+    """Returns this gate host's fixed rank of a target.
 
     Ranking by a hash of host and target is rendezvous hashing (Thaler and
     Ravishankar, 1998): a change of targets moves no other target's rank.
     """
     text = f"{state.settings.host_id} {target.spec.address}".encode()
-    digest = hashlib.blake2b(text, digest_size=6).digest()
-    return int.from_bytes(digest, "big") / (1 << 48) * 0.01
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -51,8 +51,7 @@
         health: Outcomes and times as this gate host sees them.
         cold_from_us: Time at which its slow start began.
         warm_at_us: Time at which its slow start ends.
-        affinity: This host's fixed preference, in attempts in flight; the
-            least is preferred.
+        distance: Disadvantage of its failure domain, in attempts in flight.
         connection_share: Most connections that this gate host opens to it.
         load: Estimate of its load.
     """
@@ -60,7 +59,7 @@
     spec: records.TargetSpec
     in_flight: int = 0
     leaving: bool = False
-    affinity: float = 0.0
+    distance: float = 0.0
     connection_share: int = 1_000
     load: load_lib.TargetLoad = attrs.field(factory=load_lib.TargetLoad)
     ejected: bool = False
