--- a/src/fireflyspindle/bench/overhead_servers.py
+++ b/src/fireflyspindle/bench/overhead_servers.py
@@ -12,6 +12,8 @@
 from fireflyspindle import settings as settings_lib
 from fireflyspindle import testing
 
+ENDPOINTS = 16
+SLOTS = 64
 ANSWER_BODY = b'{"dossier": "' + b"x" * 1000 + b'"}'
 ANSWER = (
     b"HTTP/1.1 200 OK\r\n"
@@ -29,10 +31,15 @@
 
     base: int
 
+    @property
+    def targets(self) -> range:
+        """Ports of the target's endpoints."""
+        return range(self.base + 20, self.base + 20 + ENDPOINTS)
+
     @property
     def target(self) -> int:
-        """Port of the target."""
-        return self.base
+        """Port of the endpoint that the other paths use."""
+        return self.targets[0]
 
     @property
     def pass_through(self) -> int:
@@ -77,19 +84,21 @@
 
 
 async def run_target(base_port: int) -> None:
-    """Serves the target, and a log that routes the path to it."""
+    """Serves the endpoints of a target, and a log that routes to them."""
     ports = Ports(base_port)
     log = testing.StandInLog()
-    address = f"127.0.0.1:{ports.target}"
-    testing.publish(
-        log, "service", "dossier", {"targets": [{"address": address}]}
-    )
+    targets = [
+        {"address": f"127.0.0.1:{port}", "slots": SLOTS}
+        for port in ports.targets
+    ]
+    testing.publish(log, "service", "dossier", {"targets": targets})
     route = {"path_prefix": "/dossier", "service": "dossier"}
     testing.publish(log, "route", "dossier", route)
     await testing.Server(log.application()).start(f"127.0.0.1:{ports.log}")
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(_Target, "127.0.0.1", ports.target)
-    await server.serve_forever()
+    for port in ports.targets:
+        await loop.create_server(_Target, "127.0.0.1", port)
+    await asyncio.Event().wait()
 
 
 async def run_pass_through(base_port: int) -> None:
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -158,16 +158,27 @@
     assert answer.values(headers.OUTCOME) == [b"unknown"]
 
 
-async def test_late_body_is_cut_at_the_deadline():
+@pytest.mark.parametrize(
+    ("method", "runs_on"), [("GET", False), ("POST", True)]
+)
+async def test_late_body_is_cut_at_the_deadline(method, runs_on):
     async def behave(_request, writer):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
-        await asyncio.Event().wait()
+        await wire.until(lambda: cut)
+        if runs_on:
+            writer.write(b" rest")
+        else:
+            await asyncio.Event().wait()
 
+    cut = []
     async with wire.running(behave) as running:
         answer = await running.ask(
-            wire.request("GET", "/dossier", f"{headers.DEADLINE_MS}: 50")
+            wire.request(method, "/dossier", f"{headers.DEADLINE_MS}: 50")
         )
+        assert running.outcomes() == ({} if runs_on else {"unknown": 1})
+        cut.append(True)
         await wire.until(lambda: running.outcomes() == {"unknown": 1})
+        assert running.targets[0].closed == 0 or not runs_on
     assert (answer.body, answer.whole) == (b"half", False)
 
 
