--- a/src/fireflyspindle/core/membership.py
+++ b/src/fireflyspindle/core/membership.py
@@ -5,6 +5,8 @@
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import incarnations
+from fireflyspindle.core import leaving
 from fireflyspindle.core import members
 from fireflyspindle.core import peers
 from fireflyspindle.core import state as state_lib
@@ -71,7 +73,10 @@
 
 
 def _signs(state: state_lib.GateState) -> tuple[peers.LeavingTarget, ...]:
-    return ()
+    return tuple(
+        peers.LeavingTarget(sign.address, sign.ids)
+        for sign in leaving.signs(state)
+    )
 
 
 def _heartbeat(state: state_lib.GateState, *, reply: bool) -> peers.Heartbeat:
@@ -155,6 +160,8 @@
 def _take_heartbeat(
     state: state_lib.GateState, sender: members.Row, content: peers.Heartbeat
 ) -> None:
+    for sign in content.leaving:
+        leaving.note_from_peer(state, incarnations.Sign(sign.address, sign.ids))
     for row in content.rows:
         if row.host_id != state.settings.host_id:
             members.take(state.membership, row, state.now_us)
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -18,6 +18,7 @@
 from fireflyspindle.adapters import control_api
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
 from fireflyspindle.adapters import target_client
@@ -27,6 +28,7 @@
 from fireflyspindle.core import state as state_lib
 
 MAX_DIGITS = 9
+MAX_INCARNATION_CHARACTERS = 100
 
 
 class Gate:
@@ -62,6 +64,9 @@
         """Opens the addresses and begins to read the log."""
         self.log = log_client.LogClient(self.settings.platform.log_address)
         self._peers = peers.PeerClient()
+        self._host_list = host_list_lib.HostListClient(
+            self.settings.platform.host_list_address
+        )
         self._client = target_client.TargetClient(self, self.spawn)
         limits = self.settings.limits
         self._server = gate_server.GateServer(
@@ -117,6 +122,7 @@
         await self._peers.close()
         await self._control.cleanup()
         await self.log.close()
+        await self._host_list.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
@@ -175,6 +181,8 @@
                 self.spawn(self._append_record(effect))
             case effects.TellPeer(address, body):
                 self.spawn(self._peers.tell(address, body))
+            case effects.ReadHostList(delay_us):
+                self.spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
@@ -328,6 +336,16 @@
             )
         )
 
+    async def _read_host_list(self, delay_us: int) -> None:
+        await asyncio.sleep(delay_us / 1e6)
+        found = await self._host_list.read()
+        if found is None:
+            self.submit(events.HostListReadFailed(self.now_us()))
+            return
+        self.submit(
+            events.HostListRead(self.now_us(), found.gates, found.targets)
+        )
+
 
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
@@ -340,4 +358,7 @@
     return events.LoadReport(
         in_flight=int(text) if valid else None,
         leaving=headers.LEAVING in given,
+        incarnation=given.get(headers.INCARNATION, "")[
+            :MAX_INCARNATION_CHARACTERS
+        ],
     )
