--- a/src/fireflyspindle/commands/gate.py
+++ b/src/fireflyspindle/commands/gate.py
@@ -7,6 +7,7 @@
 
 import result
 
+from fireflyspindle import garbage
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import logs
 from fireflyspindle import settings as settings_lib
@@ -38,6 +39,7 @@
     except OSError as error:
         print(f"gate host can't listen: {error}", file=sys.stderr)
         return status.FAILURE
+    garbage.exempt_started()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, running.request_stop)
