Show that the history check finds a fault for each promise

Ruled out that it had no effect: hosts ended at revision 37 of a key whose log accepts 24. The observer folded the log with the faulty fold itself, and asked only whether a revision was high enough. Change: the observer accepts by a rule of its own; a revision that the log never accepted is a violation; nine faults in a table, each with its promise.

--- a/src/fireflyspindle/bench/history_checks.py
+++ b/src/fireflyspindle/bench/history_checks.py
@@ -24,6 +24,7 @@
     LEAVING = "leaving"
     PLANNED_STOP = "planned_stop"
     NEVER_REVERTS = "never_reverts"
+    ONLY_ACCEPTED = "only_accepted_in_force"
     IN_FORCE_IN_TIME = "in_force_in_time"
     EVERY_CALL_IS_TOLD = "every_call_is_told"
 
@@ -51,6 +52,7 @@
         *_leaving(history),
         *_told(history),
         *_never_reverts(history),
+        *_only_accepted(history),
         *_in_force_in_time(history),
     ]
 
@@ -177,6 +179,19 @@
     return found
 
 
+def _only_accepted(history: history_lib.History) -> list[Violation]:
+    accepted = {(seen.key, seen.revision) for seen in history.accepted}
+    return [
+        Violation(
+            Promise.ONLY_ACCEPTED,
+            f"{seen.gate} has revision {seen.revision} of {seen.key} in force,"
+            " which the log never accepted",
+        )
+        for seen in history.revisions
+        if (seen.key, seen.revision) not in accepted
+    ]
+
+
 def _in_force_in_time(history: history_lib.History) -> list[Violation]:
     at_us: dict[tuple[str, str], list[history_lib.RevisionSeen]]
     at_us = collections.defaultdict(list)
--- a/src/fireflyspindle/bench/world.py
+++ b/src/fireflyspindle/bench/world.py
@@ -4,6 +4,7 @@
 what an observer would see.
 """
 
+import json
 import random
 
 import attrs
@@ -109,7 +110,7 @@
         self.disturbing = False
         self._by_name: dict[str, Host] = {}
         self._started = 0
-        self._fold = configuration.Configuration()
+        self._accepted: dict[str, int] = {}
         self._revisions: dict[tuple[str, str], int] = {}
 
     def start(self) -> None:
@@ -147,15 +148,17 @@
         return self.log.append(configuration.STREAM, records.encode(envelope))
 
     def _on_append(self, stream: str, offset: int, body: str) -> None:
-        if stream != configuration.STREAM:
+        """Notes an accepted record, by a rule of the observer's own."""
+        raw = json.loads(body)
+        if stream != configuration.STREAM or "expected_revision" not in raw:
             return
-        folded = configuration.fold(self._fold, offset, body)
-        if isinstance(folded, configuration.Applied):
-            self.history.accepted.append(
-                history_lib.AcceptedSeen(
-                    folded.key, folded.revision, self.timeline.now_us
-                )
-            )
+        key = f"{raw['kind']}/{raw['name']}"
+        if raw["expected_revision"] != self._accepted.get(key, 0):
+            return
+        self._accepted[key] = offset + 1
+        self.history.accepted.append(
+            history_lib.AcceptedSeen(key, offset + 1, self.timeline.now_us)
+        )
 
     # Gate hosts.
 
--- a/tests/test_history_checks.py
+++ b/tests/test_history_checks.py
@@ -45,6 +45,10 @@
     ]
 
 
+def accepted(*numbers):
+    return [history.AcceptedSeen("tenant/a", number, 0) for number in numbers]
+
+
 def leaving_send(sent_us, returned_us=None):
     return {
         "leaving": [history.LeavingSeen("t1", 0, returned_us)],
@@ -54,7 +58,6 @@
 
 NOT_RUN = effects.Outcome.NOT_RUN
 UNTOLD = {"told": None, "answer_of": None}
-ACCEPTED = [history.AcceptedSeen("tenant/a", 3, 0)]
 AWAKE = [history.Undisturbed("gate-1", 0, 60 * SECOND_US)]
 
 
@@ -90,11 +93,20 @@
         ("leaving", sound_history(call(), **leaving_send(6 * SECOND_US))),
         ("planned_stop", sound_history(call(cut_by_stop=True, **UNTOLD))),
         ("every_call_is_told", sound_history(call(**UNTOLD))),
-        ("never_reverts", sound_history(revisions=revisions(3, 2))),
+        (
+            "never_reverts",
+            sound_history(accepted=accepted(2, 3), revisions=revisions(3, 2)),
+        ),
+        (
+            "only_accepted_in_force",
+            sound_history(accepted=accepted(2), revisions=revisions(2, 3)),
+        ),
         (
             "in_force_in_time",
             sound_history(
-                accepted=ACCEPTED, undisturbed=AWAKE, revisions=revisions(2)
+                accepted=accepted(2, 3),
+                undisturbed=AWAKE,
+                revisions=revisions(2),
             ),
         ),
     ],
@@ -123,10 +135,12 @@
             runs=[run(2, "k", started_us=100)],
         ),
         sound_history(
-            accepted=ACCEPTED, undisturbed=AWAKE, revisions=revisions(2, 3)
+            accepted=accepted(2, 3),
+            undisturbed=AWAKE,
+            revisions=revisions(2, 3),
         ),
         sound_history(
-            accepted=ACCEPTED,
+            accepted=accepted(3),
             undisturbed=[history.Undisturbed("gate-1", 5, 60 * SECOND_US)],
         ),
     ],
--- a/tests/test_history_run.py
+++ b/tests/test_history_run.py
@@ -1,5 +1,7 @@
 """Runs under random faults keep the promises."""
 
+import pytest
+
 from fireflyspindle.bench import history_run
 
 
@@ -8,3 +10,8 @@
     assert history_run.run_seed(7).history == first
     assert len(first.calls) > 1_000
     assert first.faults
+
+
+@pytest.mark.parametrize("seed", [0, 1, 2])
+def test_promises_are_kept(seed):
+    assert history_run.run_seed(seed).violations == []
