--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Literal
 
+from fireflyspindle.bench import configuration as configuration_lib
 from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
 from fireflyspindle.bench import policy_model
@@ -70,4 +71,8 @@
     return 0
 
 
-COMMANDS = {"overhead": overhead_lib.overhead, "policy": policy}
+COMMANDS = {
+    "configuration": configuration_lib.configuration,
+    "overhead": overhead_lib.overhead,
+    "policy": policy,
+}
--- a/src/fireflyspindle/core/members.py
+++ b/src/fireflyspindle/core/members.py
@@ -81,8 +81,10 @@
         shared: What this host's routing shares, opaque here.
         started_us: Time at which this host started.
         ticks: Number of rounds so far.
-        told: What was last told to all peers at once.
+        told: What was last told as news.
+        news_rounds: Rounds for which it is still told as news.
         behind_before: Whether this host was behind a peer a round ago.
+        asked_us: Time at which records were last asked for at once.
         budget_bytes: Bytes that may be told at present.
         refused_messages: Messages that could not be read.
         unknown_messages: Messages of a kind unknown to this version.
@@ -95,7 +97,9 @@
     started_us: int = 0
     ticks: int = 0
     told: tuple = ()
+    news_rounds: int = 0
     behind_before: bool = False
+    asked_us: int = 0
     budget_bytes: float = 0.0
     refused_messages: int = 0
     unknown_messages: int = 0
--- a/src/fireflyspindle/core/membership.py
+++ b/src/fireflyspindle/core/membership.py
@@ -1,4 +1,9 @@
-"""The other gate hosts: rounds of messages, and what comes from peers."""
+"""The other gate hosts: rounds of messages, and what comes from peers.
+
+News is pushed to a few hosts chosen by chance, for two rounds; hosts whose
+log is silent pull too (after Demers et al., Epidemic Algorithms for Replicated
+Database Maintenance, 1987).
+"""
 
 import attrs
 import result
@@ -14,6 +19,8 @@
 
 ROUND_US = 500_000
 ROUNDS_PER_HEARTBEAT = 4
+ROUNDS_PER_QUESTION = 2
+ROUNDS_OF_NEWS = 2
 FAN_OUT_OF_NEWS = 3
 ROWS_PER_HEARTBEAT = 4
 SIGNS_PER_HEARTBEAT = 8
@@ -46,18 +53,23 @@
 
 def _tell_round(state: state_lib.GateState) -> None:
     membership = state.membership
-    joining = not state.configuration.complete
     news = _news(state)
-    is_news = news != membership.told
-    due = membership.ticks % ROUNDS_PER_HEARTBEAT == 0
-    if not (joining or is_news or due) or membership.budget_bytes <= 0:
+    if news != membership.told:
+        membership.told = news
+        membership.news_rounds = ROUNDS_OF_NEWS
+    is_news = membership.news_rounds > 0
+    asks = not state.configuration.complete
+    asks = asks or state_transfer.log_is_silent(state)
+    period = ROUNDS_PER_QUESTION if asks else ROUNDS_PER_HEARTBEAT
+    due = membership.ticks % period == 0
+    if not (is_news or due) or membership.budget_bytes <= 0:
         return
-    membership.told = news
+    membership.news_rounds = max(0, membership.news_rounds - 1)
     addresses = telling.addresses(state)
-    fan_out = FAN_OUT_OF_NEWS if joining or is_news else 1
+    fan_out = FAN_OUT_OF_NEWS if is_news else 1
     chosen = state.random.sample(addresses, min(fan_out, len(addresses)))
     for address in chosen:
-        size = telling.tell(state, address, _heartbeat(state, reply=joining))
+        size = telling.tell(state, address, _heartbeat(state, reply=asks))
         membership.budget_bytes -= size
 
 
@@ -131,6 +143,8 @@
             _take_heartbeat(state, sender, content)
             if member is not None:
                 member.shared = content.shared
+            if address:
+                state_transfer.on_news(state, address, sender.next_offset)
             if content.reply and address:
                 telling.tell(state, address, _heartbeat(state, reply=False))
         case _:
--- a/src/fireflyspindle/core/state_transfer.py
+++ b/src/fireflyspindle/core/state_transfer.py
@@ -15,6 +15,7 @@
 
 TRANSFER_TIMEOUT_US = 2_000_000
 LOG_SILENT_US = 2_000_000
+ASK_AGAIN_US = 100_000
 JOIN_WAIT_US = 5_000_000
 JOIN_HEARD_HOSTS = 3
 
@@ -39,6 +40,18 @@
     _join_from_peers(state)
 
 
+def on_news(state: state_lib.GateState, address: str, next_offset: int) -> None:
+    """Asks a peer at once for records that a silent log won't bring."""
+    config = state.configuration
+    if next_offset <= config.next_offset or not config.joined:
+        return
+    oldest_us = state.now_us - ASK_AGAIN_US
+    if state.membership.asked_us > oldest_us or not log_is_silent(state):
+        return
+    state.membership.asked_us = state.now_us
+    telling.tell(state, address, peers.RecordsAsked(config.next_offset))
+
+
 def _most_advanced(state: state_lib.GateState) -> members.Member | None:
     reachable = [
         member
@@ -52,7 +65,8 @@
     )
 
 
-def _log_is_silent(state: state_lib.GateState) -> bool:
+def log_is_silent(state: state_lib.GateState) -> bool:
+    """Whether the log fails this host at present."""
     here = streams.position(state, configuration.STREAM)
     if here.failures > 0:
         return True
@@ -63,7 +77,7 @@
 def _join_from_peers(state: state_lib.GateState) -> None:
     """Takes the configuration for whole in an outage of the log."""
     config = state.configuration
-    if config.joined or not _log_is_silent(state):
+    if config.joined or not log_is_silent(state):
         return
     whole = [
         member
