--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,9 +6,9 @@
 import attrs
 import pytest
 
-from fireflyspindle import demo
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import settings as settings_lib
+from fireflyspindle import testing
 from fireflyspindle.adapters import peers
 
 
@@ -37,7 +37,7 @@
 ):
     system.log.down = True
     unreachable = "127.0.0.1:1"
-    settings = demo.gate_settings("gate-2", unreachable, unreachable)
+    settings = testing.gate_settings("gate-2", unreachable, unreachable)
     known = settings_lib.PeerSettings((system.gate.control_address,))
     second = gate_lib.Gate(attrs.evolve(settings, peers=known))
     await second.start()
