--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -86,8 +86,10 @@
                 connection = await self._client.connect(self.target)
         except TimeoutError:
             self.on_failed(events.FailureReason.CONNECT_TIMEOUT)
-        except OSError:
+        except ConnectionRefusedError:
             self.on_failed(events.FailureReason.REFUSED)
+        except OSError:
+            self.on_failed(events.FailureReason.UNREACHABLE)
         else:
             self._send(connection)
 
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -7,10 +7,11 @@
 from fireflyspindle.core import claims
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
+from fireflyspindle.core import ejection
 from fireflyspindle.core import events
+from fireflyspindle.core import leaving
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
-from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
 # Time after its deadline for which a non-repeatable request may run on.
@@ -57,7 +58,7 @@
     if call is None or event.attempt not in call.attempts:
         return
     attempt = call.attempts[event.attempt]
-    targets.on_answered(attempt.target, event.report, state.now_us)
+    _learn_from_answer(state, call, attempt, event)
     if not event.not_run:
         call.status = event.status
     if call.phase is not state_lib.CallPhase.WAITING:
@@ -77,6 +78,20 @@
     attempts.cancel_others(state, call, attempt.number)
 
 
+def _learn_from_answer(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+) -> None:
+    address = attempt.target.spec.address
+    if event.report is not None:
+        leaving.on_report(state, address, event.report)
+    service = state.services.get(call.service)
+    if service is not None:
+        ejection.on_answered(state, attempt, service, event)
+
+
 def _declined(call: state_lib.Call, event: events.AttemptAnswered) -> bool:
     """Whether another target may still give a better answer."""
     if event.not_run:
@@ -126,7 +141,11 @@
     call = state.calls.get(event.call_id)
     if call is None or event.attempt not in call.attempts:
         return
-    attempts.release(state, call, call.attempts[event.attempt])
+    attempt = call.attempts[event.attempt]
+    attempts.release(state, call, attempt)
+    service = state.services.get(call.service)
+    if service is not None:
+        ejection.on_failed(state, attempt, service, event)
     call.maybe_ran = call.maybe_ran or event.sent
     match call.phase:
         case state_lib.CallPhase.WAITING:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -13,6 +13,7 @@
 
 IN_FLIGHT = "Fireflyspindle-In-Flight"
 LEAVING = "Fireflyspindle-Leaving"
+INCARNATION = "Fireflyspindle-Incarnation"
 NOT_RUN = "Fireflyspindle-Not-Run"
 
 # Every header of the gate's own, in lower case.
