--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from fireflyspindle.bench import configuration as configuration_lib
 from fireflyspindle.bench import history_run
 from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
@@ -96,6 +97,7 @@
 
 
 COMMANDS = {
+    "configuration": configuration_lib.configuration,
     "history": history,
     "overhead": overhead_lib.overhead,
     "policy": policy,
