Probe within a fleet-wide budget by slots owned through the log

Nothing probed, and a budget divided by a count of hosts that lags would be broken during replacement. The right to probe is now one of 32 slots, owned by a record that names the slot's record before it, used until 25 s after it was sent and taken over 30 s after the last one was read. A slot holds a fixed share of each service's budget and sends its probes 1.2 s apart; the shell checks the end of the right when the connection stands.

Only targets that are idle for 5 s, cold or ejected are probed. The property test runs joins, leaves, pauses, lost and late appends and expiry.

--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -154,10 +154,20 @@
 
 @attrs.define
 class ProbeTarget:
-    """Ask a target for its load; the shell reports `ProbeEnded`."""
+    """Ask a target for its load; the shell reports `ProbeEnded`.
+
+    Attributes:
+        probe_id: Number of the probe.
+        target: Address of the target.
+        path: Path of its load endpoint.
+        not_after_us: Monotonic time after which the probe must not be sent;
+            the shell then reports it as failed.
+    """
 
     probe_id: int
     target: str
+    path: str
+    not_after_us: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/load.py
+++ b/src/fireflyspindle/core/load.py
@@ -37,6 +37,7 @@
         others: Moving average of other gate hosts' attempts.
         last_others: Other gate hosts' attempts in the latest report.
         heard_us: Time of the latest report or probe, or 0.
+        probed_us: Time of the latest probe, or 0.
         started_sum_us: Sum of the start times of own attempts in flight.
         under_reports: Moving share of reports below own attempts.
     """
@@ -44,6 +45,7 @@
     others: float = 0.0
     last_others: int = 0
     heard_us: int = 0
+    probed_us: int = 0
     started_sum_us: int = 0
     under_reports: float = 0.0
 
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -5,6 +5,7 @@
 from fireflyspindle.core import claims
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
+from fireflyspindle.core import probe_slots
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import snapshots
@@ -37,6 +38,8 @@
             recovery.on_snapshots_read(state, event)
         case claim_batches.STREAM:
             claims.on_read(state, event)
+        case probe_slots.STREAM:
+            probe_slots.on_read(state, event)
         case _:
             pass
 
--- a/src/fireflyspindle/core/records.py
+++ b/src/fireflyspindle/core/records.py
@@ -219,6 +219,7 @@
             ejects at a time, 0 to 0.9.
         slow_start_ms: Time over which a cold target reaches its full share
             of the calls, 0 to 600000.
+        load_path: Path of the targets' load endpoint, for probes.
         gate_hosts_max: Most gate hosts that run at a time, those being
             replaced included; connection limits are divided by it, 1 to
             10000.
@@ -245,6 +246,7 @@
     slow_start_ms: int = attrs.field(
         default=5_000, validator=checks.between(0, 600_000)
     )
+    load_path: str = attrs.field(default="/load", validator=checks.path_prefix)
     gate_hosts_max: int = attrs.field(
         default=32, validator=checks.between(1, 10_000)
     )
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -10,6 +10,8 @@
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import membership
+from fireflyspindle.core import probe_slots
+from fireflyspindle.core import probing
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import state as state_lib
@@ -23,6 +25,7 @@
     membership.start(state)
     host_list.start(state)
     claim_reads.start(state)
+    probe_slots.start(state)
     return _take_effects(state)
 
 
@@ -73,6 +76,8 @@
             host_list.on_read_failed(state)
         case events.PeerMessageReceived():
             membership.on_message(state, event)
+        case events.ProbeEnded():
+            probing.on_ended(state, event)
         case events.AppendSettled():
             log.on_append_settled(state, event)
         case _:
@@ -91,6 +96,8 @@
                 membership.on_due(state)
             case timers.SnapshotDue(number):
                 snapshot_looks.on_due(state, number)
+            case timers.ProbesDue():
+                probing.on_due(state)
             case timers.ClaimsDue():
                 claims.on_due(state)
             case timers.DrainDeadline():
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -1,5 +1,6 @@
 """The state that the reducer owns and updates in place."""
 
+import collections
 import enum
 import random
 
@@ -108,6 +109,60 @@
     claim: claim_state.ClaimUse | None = None
 
 
+@attrs.define(frozen=True)
+class SlotSeen:
+    """The latest record of a probe slot, and when this host read it."""
+
+    offset: int
+    read_us: int
+
+
+@attrs.define(frozen=True)
+class SlotClaim:
+    """A record of a probe slot that was sent and has not been read back.
+
+    Attributes:
+        number: Number of the record.
+        before_offset: Offset of the slot's record before it, or None.
+        sent_us: Time of sending.
+    """
+
+    number: int
+    before_offset: int | None
+    sent_us: int
+
+
+@attrs.define
+class ProbeSlots:
+    """What this gate host knows of the fleet's probe slots.
+
+    Attributes:
+        listening_us: Time since which every record was read, or None.
+        whole: Whether the stream was read from its very first record.
+        seen: Latest record of each slot.
+        pending: Own record that is on its way.
+        owned: Slot that this gate host owns, or None.
+        valid_until_us: Time until which it may use the slot.
+        last_number: Number of its latest record.
+    """
+
+    listening_us: int | None = None
+    whole: bool = False
+    seen: dict[int, SlotSeen] = attrs.field(factory=dict)
+    pending: SlotClaim | None = None
+    owned: int | None = None
+    valid_until_us: int = 0
+    last_number: int = 0
+
+
+@attrs.define(frozen=True)
+class Probe:
+    """A probe that has not ended."""
+
+    service: str
+    target: str
+
+
 @attrs.define
 class ServiceState:
     """What this gate host knows of one service.
@@ -119,6 +174,7 @@
         others: Targets of a large service that are only sampled.
         load: Estimates of load over all targets.
         hedge_budget: Hedges that it may still make.
+        probes_sent_us: Times of its latest probes.
         ejected: Targets that are ejected, by address.
         retry_budget: Retries that it may still make.
         latency_us: Moving average of the time to a good answer; 0 for none.
@@ -135,6 +191,9 @@
     failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
     hedge_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    probes_sent_us: collections.deque[int] = attrs.field(
+        factory=collections.deque
+    )
 
 
 @attrs.define
@@ -173,6 +232,9 @@
         tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
         stopping: Whether a planned stop has begun.
+        probe_slots: Rights to probe.
+        probes: Probes that have not ended, by number.
+        last_probe_id: Number of the latest probe.
         outbox: Effects of the event at hand.
     """
 
@@ -198,6 +260,9 @@
     tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
     stopping: bool = False
+    probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
+    probes: dict[int, Probe] = attrs.field(factory=dict)
+    last_probe_id: int = 0
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
     def emit(self, effect: effects.Effect) -> None:
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -40,13 +40,24 @@
     number: int
 
 
+@attrs.define
+class ProbesDue:
+    """It is time to see to the probe slot and to probes."""
+
+
 @attrs.define
 class ClaimsDue:
     """A batch of claims may leave, or their stream be read."""
 
 
 Timer = (
-    CallDeadline | HedgeDue | DrainDeadline | PeersDue | SnapshotDue | ClaimsDue
+    CallDeadline
+    | HedgeDue
+    | DrainDeadline
+    | PeersDue
+    | SnapshotDue
+    | ClaimsDue
+    | ProbesDue
 )
 
 
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -21,6 +21,7 @@
 from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
+from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -68,6 +69,7 @@
             self.settings.platform.host_list_address
         )
         self._client = target_client.TargetClient(self, self.spawn)
+        self._probes = probe_client.ProbeClient(self.now_us, _report)
         limits = self.settings.limits
         self._server = gate_server.GateServer(
             self,
@@ -123,6 +125,7 @@
         await self._control.cleanup()
         await self.log.close()
         await self._host_list.close()
+        await self._probes.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
@@ -181,6 +184,8 @@
                 self.spawn(self._append_record(effect))
             case effects.TellPeer(address, body):
                 self.spawn(self._peers.tell(address, body))
+            case effects.ProbeTarget():
+                self.spawn(self._probe(effect))
             case effects.ReadHostList(delay_us):
                 self.spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
@@ -336,6 +341,11 @@
             )
         )
 
+    async def _probe(self, effect: effects.ProbeTarget) -> None:
+        self.metrics.counts["probe"] += 1
+        report = await self._probes.probe(effect)
+        self.submit(events.ProbeEnded(self.now_us(), effect.probe_id, report))
+
     async def _read_host_list(self, delay_us: int) -> None:
         await asyncio.sleep(delay_us / 1e6)
         found = await self._host_list.read()
--- a/src/fireflyspindle/testing/target.py
+++ b/src/fireflyspindle/testing/target.py
@@ -8,6 +8,8 @@
 
 from fireflyspindle import headers
 
+LOAD_PATH = "/load"
+
 
 class StandInTarget:
     """Runs requests in slots and writes down each one that it ran.
@@ -45,9 +47,26 @@
     def application(self) -> web.Application:
         """Returns the application that serves the target."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
-        app.add_routes([web.route("*", "/{path:.*}", self._handle)])
+        app.add_routes(
+            [
+                web.get(LOAD_PATH, self._load),
+                web.route("*", "/{path:.*}", self._handle),
+            ]
+        )
         return app
 
+    async def _load(self, request: web.Request) -> web.Response:
+        self.probes += 1
+        stated = {headers.IN_FLIGHT: str(self._in_flight)}
+        if self.incarnation:
+            stated[headers.INCARNATION] = self.incarnation
+        if self.leaving:
+            stated[headers.LEAVING] = "yes"
+        return web.json_response(
+            {"target": self.name, "in_flight": self._in_flight},
+            headers=stated,
+        )
+
     async def _handle(self, request: web.Request) -> web.Response:
         if self.failing:
             return web.json_response(
--- /dev/null
+++ b/tests/test_probing.py
@@ -0,0 +1,281 @@
+"""Probe slots and the budget of probes over all gate hosts."""
+
+from unittest import mock
+
+import attrs
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from fireflyspindle.bench import virtual
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import probe_slots
+from fireflyspindle.core import probing
+from fireflyspindle.core import records
+from fireflyspindle.core import state as state_lib
+
+SERVICE = "dossier"
+TARGETS = [f"10.0.0.{number}:80" for number in range(16)]
+SECOND_US = 1_000_000
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Gate hosts that share a log with delays and know one service."""
+
+    budget_per_s: float
+    delays_us: list[int] = attrs.field(factory=lambda: [2_000])
+    timeline: virtual.Timeline = attrs.field(factory=virtual.Timeline)
+    records: list[str] = attrs.field(factory=list)
+    earliest: int = 0
+    gates: list[virtual.VirtualGate] = attrs.field(factory=list)
+    waiting: list = attrs.field(factory=list)
+    sent_us: list[int] = attrs.field(factory=list)
+    probes: list[effects.ProbeTarget] = attrs.field(factory=list)
+    delays_used: int = 0
+    muted: set = attrs.field(factory=set)
+
+    def delay_us(self):
+        """Returns the next delay."""
+        self.delays_used += 1
+        return self.delays_us[self.delays_used % len(self.delays_us)]
+
+    def join(self):
+        """Starts a gate host."""
+        number = len(self.gates)
+        gate = virtual.VirtualGate(
+            self.timeline,
+            state_lib.CoreSettings(f"gate-{number}"),
+            number,
+            self.carry_out,
+        )
+        self.gates.append(gate)
+        gate.start()
+        gate.state.configuration.policies[SERVICE] = records.Policy(
+            probes_per_s=self.budget_per_s
+        )
+        service = state_lib.ServiceState(SERVICE)
+        for address in TARGETS:
+            target = probing.targets.Target(records.TargetSpec(address))
+            service.targets[address] = target
+        service.candidates = list(service.targets.values())
+        gate.state.services[SERVICE] = service
+        return gate
+
+    def carry_out(self, gate, effect):
+        """Plays the log and counts probes."""
+        match effect:
+            case effects.ReadLog(stream=probe_slots.STREAM):
+                self.timeline.after(
+                    effect.delay_us + self.delay_us(),
+                    lambda: self.read(gate, effect),
+                )
+            case effects.AppendRecord() if gate in self.muted:
+                pass
+            case effects.AppendRecord(stream=probe_slots.STREAM):
+                self.timeline.after(
+                    self.delay_us(), lambda: self.append(effect.body)
+                )
+            case effects.ProbeTarget():
+                self.probes.append(effect)
+                self.sent_us.append(self.timeline.now_us)
+                service = gate.state.services[SERVICE]
+                service.targets[effect.target].load.probed_us = 0
+
+    def append(self, body):
+        """Appends a record and answers the reads that wait."""
+        self.records.append(body)
+        waiting, self.waiting = self.waiting, []
+        for gate, effect in waiting:
+            self.read(gate, effect)
+
+    def read(self, gate, effect):
+        """Answers a read once there are records."""
+        from_offset = max(effect.from_offset, self.earliest)
+        bodies = self.records[from_offset:]
+        if effect.wait and not bodies:
+            self.waiting.append((gate, effect))
+            return
+        entries = [
+            events.LogEntry(from_offset + index, body)
+            for index, body in enumerate(bodies)
+        ]
+        earliest, end = self.earliest, len(self.records)
+        self.timeline.after(
+            self.delay_us(),
+            lambda: gate.feed(
+                lambda now_us: events.LogRead(
+                    now_us,
+                    effect.stream,
+                    entries,
+                    effect.from_offset,
+                    earliest,
+                    end,
+                )
+            ),
+        )
+
+    def run(self, length_us):
+        """Lets time pass."""
+        self.timeline.run(self.timeline.now_us + length_us)
+
+    def most_in_a_second(self):
+        """Returns the most probes in any one second."""
+        first = 0
+        most = 0
+        for index, at_us in enumerate(self.sent_us):
+            while self.sent_us[first] <= at_us - SECOND_US:
+                first += 1
+            most = max(most, index - first + 1)
+        return most
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["join", "leave", "pause", "wake", "mute", "hear", "expire"]
+        ),
+        st.integers(0, 30),
+        st.sampled_from([0, 200_000, 3_000_000, 26_000_000, 40_000_000]),
+    ),
+    max_size=25,
+)
+DELAYS_US = st.lists(
+    st.sampled_from([500, 2_000, 900_000, 12_000_000, 28_000_000]),
+    min_size=1,
+    max_size=7,
+)
+
+
+@pytest.mark.parametrize(
+    ("budget_per_s", "slots"), [(0.9, 2), (5.0, 2), (20.0, 4), (20.0, 32)]
+)
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(actions=ACTIONS, delays_us=DELAYS_US)
+def test_fleet_keeps_the_budget(budget_per_s, slots, actions, delays_us):
+    with mock.patch.object(probe_slots, "SLOTS", slots):
+        check_budget(budget_per_s, actions, delays_us)
+
+
+def act(fleet, action, number):
+    gate = fleet.gates[number % len(fleet.gates)]
+    match action:
+        case "join":
+            fleet.join()
+        case "leave":
+            gate.stopped = True
+        case "pause":
+            gate.paused = True
+        case "wake":
+            gate.wake()
+        case "mute":
+            fleet.muted.add(gate)
+        case "hear":
+            fleet.muted.discard(gate)
+        case "expire":
+            fleet.earliest = len(fleet.records) // 2
+
+
+def check_budget(budget_per_s, actions, delays_us):
+    fleet = Fleet(budget_per_s, delays_us)
+    for _ in range(6):
+        fleet.join()
+    fleet.run(3 * SECOND_US)
+    for action, number, then_us in actions:
+        act(fleet, action, number)
+        fleet.run(then_us)
+    for gate in fleet.gates:
+        gate.wake()
+    fleet.run(5 * SECOND_US)
+    assert fleet.most_in_a_second() <= int(budget_per_s)
+
+
+@pytest.mark.parametrize(
+    ("budget_per_s", "least"), [(0.9, 0), (5.0, 3), (20.0, 12)]
+)
+def test_budget_is_used(budget_per_s, least):
+    fleet = Fleet(budget_per_s)
+    for _ in range(17):
+        fleet.join()
+    fleet.run(20 * SECOND_US)
+    assert fleet.most_in_a_second() >= least
+
+
+def owner(fleet):
+    return [gate for gate in fleet.gates if probe_slots.owned(gate.state) == 0]
+
+
+def test_woken_owner_does_not_use_its_old_slot():
+    fleet = Fleet(1.0)
+    fleet.join()
+    while not owner(fleet):
+        fleet.join()
+        fleet.run(3 * SECOND_US)
+    first = owner(fleet)[0]
+    first.paused = True
+    while owner(fleet) in ([], [first]):
+        fleet.join()
+        fleet.run(10 * SECOND_US)
+    sent = len(fleet.probes)
+    first.wake()
+    assert len(fleet.probes) == sent
+    assert probe_slots.owned(first.state) != 0
+
+
+def test_slot_is_taken_over_only_after_its_owner_stopped_using_it():
+    with mock.patch.object(probe_slots, "SLOTS", 1):
+        fleet = Fleet(1.0)
+        for _ in range(3):
+            fleet.join()
+        fleet.run(5 * SECOND_US)
+        for _ in range(4):
+            fleet.muted.update(owner(fleet))
+            fleet.run(70 * SECOND_US)
+            fleet.join()
+        assert len({probe.probe_id for probe in fleet.probes}) > 10
+        assert fleet.most_in_a_second() == 1
+
+
+def test_probe_names_the_end_of_its_right():
+    fleet = Fleet(20.0)
+    gate = fleet.join()
+    while not fleet.probes:
+        fleet.run(SECOND_US)
+    valid_until_us = gate.state.probe_slots.valid_until_us
+    latest_us = fleet.sent_us[0] + probing.SEND_GRACE_US
+    assert fleet.probes[0].not_after_us == min(latest_us, valid_until_us)
+
+
+def test_renewal_keeps_the_slot_and_an_outage_ends_it():
+    fleet = Fleet(20.0)
+    gate = fleet.join()
+    fleet.run(60 * SECOND_US)
+    slot = probe_slots.owned(gate.state)
+    assert slot is not None
+    fleet.muted.add(gate)
+    fleet.run(30 * SECOND_US)
+    assert probe_slots.owned(gate.state) is None
+
+
+@pytest.mark.parametrize("body", ["{", '{"slot": 99}', "[]", '{"slot":"x"}'])
+def test_unreadable_record_frees_no_slot(body):
+    fleet = Fleet(20.0)
+    fleet.records = [body]
+    gate = fleet.join()
+    fleet.run(20 * SECOND_US)
+    assert probe_slots.owned(gate.state) is None
+
+
+def test_only_targets_that_are_idle_cold_or_suspected_are_probed():
+    fleet = Fleet(20.0)
+    gate = fleet.join()
+    service = gate.state.services[SERVICE]
+    for target in service.candidates:
+        target.load.heard_us = 1
+    fleet.run(4 * SECOND_US)
+    assert not fleet.probes
+    service.candidates[3].ejected = True
+    fleet.run(SECOND_US)
+    assert {probe.target for probe in fleet.probes} == {TARGETS[3]}
