--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -50,6 +50,7 @@
             drain_limit_ms=settings.limits.drain_limit_ms,
             incarnation=time.time_ns() // 1_000_000,
             peer_addresses=settings.peers.addresses,
+            log_keep_s=settings.platform.log_keep_s,
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -99,10 +99,12 @@
     Attributes:
         log_address: Address of the log service.
         host_list_address: Address of the host list.
+        log_keep_s: Time for which the log keeps a record, in seconds.
     """
 
     log_address: str = attrs.field(validator=_check_address)
     host_list_address: str = attrs.field(validator=_check_address)
+    log_keep_s: int = attrs.field(default=3_600, validator=_check_positive)
 
 
 @attrs.define(frozen=True)
