--- a/src/fireflyspindle/adapters/admin_api.py
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -14,6 +14,7 @@
 from fireflyspindle.adapters import log_client
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
+from fireflyspindle.core import members
 from fireflyspindle.core import membership
 from fireflyspindle.core import publishing
 from fireflyspindle.core import records
@@ -190,6 +191,9 @@
         team = request[_TEAM]
         if not administration.may_write(team, change.key):
             return _denied(team, change.key).response()
+        why = publishing.reader_problem(change, self._lowest_reader_version())
+        if why is not None:
+            return Refusal(409, "reader_too_old", why).response()
         found = self._config.entries.get(change.key)
         revision = found.revision if found else 0
         if change.expected_revision < revision and not _is_same(found, change):
@@ -205,6 +209,12 @@
         )
         return await self._answer(change, settled, wait_ms)
 
+    def _lowest_reader_version(self) -> int:
+        state = self._gate.state
+        return members.lowest_reader_version(
+            state.membership, state.settings.reader_version, state.now_us
+        )
+
     async def _append(self, change: records.Envelope) -> publishing.Settled:
         appended = await self._gate.log.append(
             configuration.STREAM, records.encode(change)
--- a/src/fireflyspindle/core/publishing.py
+++ b/src/fireflyspindle/core/publishing.py
@@ -71,6 +71,33 @@
 Settled = Accepted | Conflict | NotAppended | Pending | Unknown
 
 
+def reader_problem(
+    record: records.Envelope, lowest_reader_version: int
+) -> str | None:
+    """Returns why a record must not be published yet, or None.
+
+    Args:
+        record: The record.
+        lowest_reader_version: Oldest reader among the live hosts.
+    """
+    if record.payload is None:
+        return None
+    needed = records.needed_reader_version(record)
+    stated = record.oldest_reader_version
+    if stated < needed:
+        return (
+            f"oldest_reader_version = {stated}; schema version"
+            f" {record.schema_version} of {record.kind} needs {needed}"
+        )
+    if stated > lowest_reader_version:
+        return (
+            f"oldest_reader_version = {stated}; a live gate host reads up to"
+            f" {lowest_reader_version}: replace it first, or publish an older"
+            " schema version"
+        )
+    return None
+
+
 def settle(
     config: configuration_lib.Configuration, attempt: Attempt, now_us: int
 ) -> Settled:
--- a/src/fireflyspindle/core/records.py
+++ b/src/fireflyspindle/core/records.py
@@ -335,6 +335,14 @@
     )
 
 
+def needed_reader_version(envelope: Envelope) -> int:
+    """Returns the oldest reader that knows the schema of a record, or 1."""
+    for schema in SCHEMAS.get(envelope.kind, ()):
+        if schema.version == envelope.schema_version:
+            return schema.reader_version
+    return 1
+
+
 def _read_form(
     raw: object, form: type, converter: cattrs.Converter
 ) -> result.Result[Payload, str]:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -267,3 +267,20 @@
         newer = record(oldest_reader_version=revision + 5)
         entry = entries.replace(entry, revision, newer, OLD_READER)
     assert len(entry.fallbacks) <= entries.MAX_FALLBACKS
+
+
+@pytest.mark.parametrize(
+    ("record_at_hand", "lowest_reader", "named"),
+    [
+        (service_record(1, 0), OLD_READER, None),
+        (service_record(2, 0), 2, None),
+        (service_record(2, 0), OLD_READER, "reads up to 1"),
+        (record(kind="service", schema_version=2), 2, "needs 2"),
+        (record(payload=None, oldest_reader_version=9), OLD_READER, None),
+    ],
+)
+def test_record_that_a_live_host_cannot_read_is_not_published(
+    record_at_hand, lowest_reader, named
+):
+    why = publishing.reader_problem(record_at_hand, lowest_reader)
+    assert (named in why) if named else why is None
