Let a host whose clock ran backwards be heard again

Cause: a host that came back with a lower incarnation was ignored by its peers until they forgot it, a minute or more.

Change: peers tell it of the later start that they know, and it takes a higher incarnation (test_rejoining_host_is_taken_for_a_new_one).

--- a/src/fireflyspindle/core/membership.py
+++ b/src/fireflyspindle/core/membership.py
@@ -140,7 +140,10 @@
         return
     member = members.take(state.membership, sender, state.now_us)
     known = state.membership.members.get(sender.host_id)
-    if known is None or sender.incarnation < known.row.incarnation:
+    if known is None:
+        return
+    if sender.incarnation < known.row.incarnation:
+        _tell_of_later_start(state, sender, known.row)
         return
     address = telling.address_of(state, known)
     match content:
@@ -157,6 +160,14 @@
                 _take_transfer(state, address, content)
 
 
+def _tell_of_later_start(
+    state: state_lib.GateState, sender: members.Row, known: members.Row
+) -> None:
+    if sender.address:
+        told = peers.Heartbeat(rows=(known,))
+        telling.tell(state, sender.address, told)
+
+
 def _take_transfer(
     state: state_lib.GateState, address: str, content: peers.Content
 ) -> None:
@@ -177,11 +188,27 @@
     for sign in content.leaving:
         leaving.note_from_peer(state, incarnations.Sign(sign.address, sign.ids))
     for row in content.rows:
-        if row.host_id != state.settings.host_id:
-            members.take(state.membership, row, state.now_us)
+        if row.host_id == state.settings.host_id:
+            _outlive(state, row)
+            continue
+        members.take(state.membership, row, state.now_us)
     _compare(state, sender, content.digest)
 
 
+def _outlive(state: state_lib.GateState, row: members.Row) -> None:
+    """Takes a higher incarnation than one that peers know of this name."""
+    if row.incarnation <= state.settings.incarnation:
+        return
+    state.settings = attrs.evolve(
+        state.settings, incarnation=row.incarnation + 1
+    )
+    detail = (
+        f"peers know a later start of {row.host_id!r}: the clock ran"
+        " backwards, or two hosts have this name"
+    )
+    state.emit(effects.Report("warning", "host_name_taken", detail))
+
+
 def _compare(
     state: state_lib.GateState, sender: members.Row, digest: str
 ) -> None:
