Measure slopes of state, messages and processor time

Cause: nothing said how a gate host grows with endpoints, peers, records, changes, claims and calls.

--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -11,6 +11,7 @@
 from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
 from fireflyspindle.bench import policy_model
+from fireflyspindle.bench import slopes as slopes_lib
 
 
 def policy(
@@ -96,9 +97,28 @@
     return 1 if summary.violations else 0
 
 
+def slopes(*, json: bool = False) -> int:
+    """Measures how state, messages and processor time grow.
+
+    Args:
+        json: Print one line of JSON.
+
+    Returns:
+        The exit status.
+    """
+    lines = slopes_lib.run()
+    if json:
+        print(json_lib.dumps([attrs.asdict(line) for line in lines]))
+        return 0
+    for line in lines:
+        print(line.text)
+    return 0
+
+
 COMMANDS = {
     "configuration": configuration_lib.configuration,
     "history": history,
     "overhead": overhead_lib.overhead,
     "policy": policy,
+    "slopes": slopes,
 }
