--- a/src/fireflyspindle/bench/configuration.py
+++ b/src/fireflyspindle/bench/configuration.py
@@ -202,23 +202,30 @@
 def _control(sizes: Sizes) -> dict:
     """Counts what hosts tell each other while nothing changes."""
     fleet = _started(sizes, 1)
-    hosts = list(fleet.hosts.values())
-    for host in hosts:
-        host.sent_bytes = host.received_bytes = host.messages = 0
-    fleet.run(QUIET_S)
-    per_s = [
-        (host.sent_bytes + host.received_bytes) / QUIET_S for host in hosts
-    ]
-    messages = sum(host.messages for host in hosts)
+    well = _bytes_per_s(fleet)
+    messages = sum(host.messages for host in fleet.hosts.values())
+    fleet.log.down_for = set(fleet.hosts)
+    fleet.run(SETTLE_S)
+    outage = _bytes_per_s(fleet)
     return {
-        "peer_bytes_per_host_per_s_mean": round(sum(per_s) / len(per_s)),
-        "peer_bytes_per_host_per_s_max": round(max(per_s)),
+        "peer_bytes_per_host_per_s_mean": round(sum(well) / len(well)),
+        "peer_bytes_per_host_per_s_max": round(max(well)),
+        "peer_bytes_per_host_per_s_max_in_outage": round(max(outage)),
         "peer_messages_per_host_per_s": round(
-            messages / QUIET_S / len(hosts), 2
+            messages / QUIET_S / sizes.gates, 2
         ),
     }
 
 
+def _bytes_per_s(fleet: fleet_lib.Fleet) -> list[float]:
+    """Returns the bytes that each host sends and gets, by its peers alone."""
+    hosts = fleet.hosts.values()
+    for host in hosts:
+        host.sent_bytes = host.received_bytes = host.messages = 0
+    fleet.run(QUIET_S)
+    return [(host.sent_bytes + host.received_bytes) / QUIET_S for host in hosts]
+
+
 def _costs(sizes: Sizes) -> dict:
     """Times the reducer on messages, changes and the whole state."""
     fleet = _started(attrs.evolve(sizes, gates=min(16, sizes.gates)), 1)
--- a/src/fireflyspindle/core/membership.py
+++ b/src/fireflyspindle/core/membership.py
@@ -94,15 +94,13 @@
 def _heartbeat(state: state_lib.GateState, *, reply: bool) -> peers.Heartbeat:
     membership = state.membership
     live = members.live(membership, state.now_us)
+    row_count = 0 if reply else min(ROWS_PER_HEARTBEAT, len(live))
     signs = _signs(state)
     return peers.Heartbeat(
         digest=f"{state.configuration.digest:016x}",
         reply=reply,
         rows=tuple(
-            member.row
-            for member in state.random.sample(
-                live, min(ROWS_PER_HEARTBEAT, len(live))
-            )
+            member.row for member in state.random.sample(live, row_count)
         ),
         leaving=tuple(
             state.random.sample(signs, min(SIGNS_PER_HEARTBEAT, len(signs)))
