Cheapen a decision and the reading of probe slots

Every append to the probe slots' stream woke every host's read, which broke the bound on reads of hosts that start together; reads are now 3 s apart and begin later.

--- a/src/fireflyspindle/core/load.py
+++ b/src/fireflyspindle/core/load.py
@@ -15,9 +15,12 @@
 
 from fireflyspindle.core import histogram
 
+NEVER_US = -1_000_000_000
 OTHERS_DECAY_US = 100_000
 FORGET_US = 1_000_000
-QUEUE_DECAY_US = 100_000
+QUEUE_FADE_US = 150_000
+OTHERS_WEIGHT = 0.5
+QUEUED_WEIGHT = 0.15
 
 TRUST_SAMPLES = 600
 TRUST_FROM_SLOPE = 0.25
@@ -36,16 +39,16 @@
     Attributes:
         others: Moving average of other gate hosts' attempts.
         last_others: Other gate hosts' attempts in the latest report.
-        heard_us: Time of the latest report or probe, or 0.
-        probed_us: Time of the latest probe, or 0.
+        heard_us: Time of the latest report or probe, or `NEVER_US`.
+        probed_us: Time of the latest probe, or `NEVER_US`.
         started_sum_us: Sum of the start times of own attempts in flight.
         under_reports: Moving share of reports below own attempts.
     """
 
     others: float = 0.0
     last_others: int = 0
-    heard_us: int = 0
-    probed_us: int = 0
+    heard_us: int = NEVER_US
+    probed_us: int = NEVER_US
     started_sum_us: int = 0
     under_reports: float = 0.0
 
@@ -122,7 +125,7 @@
     target.under_reports += UNDER_REPORT_STEP * (under - target.under_reports)
     others = max(0, reported - own)
     age_us = now_us - target.heard_us
-    kept = math.exp(-age_us / OTHERS_DECAY_US) if target.heard_us else 0.0
+    kept = math.exp(-age_us / OTHERS_DECAY_US)
     target.others = others + (target.others - others) * kept
     target.last_others = others
     target.heard_us = now_us
@@ -131,18 +134,28 @@
         service.mean_others += MEAN_OTHERS_STEP * gap
 
 
-def others(service: ServiceLoad, target: TargetLoad, now_us: int) -> float:
-    """Returns the estimate of other gate hosts' attempts at a target."""
+def expected_others(
+    service: ServiceLoad, target: TargetLoad, own: int, slots: int, now_us: int
+) -> float:
+    """Returns the weighted load that other gate hosts put on a target.
+
+    It is the average of their attempts and, on top, the queue that the latest
+    report shows; both fade with the age of the report.
+
+    Args:
+        service: Estimates of the service.
+        target: Estimates of the target.
+        own: Own attempts in flight there.
+        slots: Requests that the target runs at once.
+        now_us: Monotonic time.
+    """
     mean = service.mean_others
-    if not target.heard_us or target.under_reports >= UNDER_REPORT_LIMIT:
-        return mean
-    kept = math.exp((target.heard_us - now_us) / FORGET_US)
-    return mean + (target.others - mean) * kept
-
-
-def queued(target: TargetLoad, own: int, slots: int, now_us: int) -> float:
-    """Returns the queue that the latest report shows, fading with its age."""
-    beyond = target.last_others + own - slots
-    if beyond <= 0 or target.under_reports >= UNDER_REPORT_LIMIT:
-        return 0.0
-    return beyond * math.exp((target.heard_us - now_us) / QUEUE_DECAY_US)
+    age_us = now_us - target.heard_us
+    if age_us >= FORGET_US or target.under_reports >= UNDER_REPORT_LIMIT:
+        return OTHERS_WEIGHT * mean
+    fresh = 1.0 - age_us / FORGET_US
+    load = OTHERS_WEIGHT * (mean + (target.others - mean) * fresh)
+    queued = target.last_others + own - slots
+    if queued > 0 and age_us < QUEUE_FADE_US:
+        load += QUEUED_WEIGHT * queued * (1.0 - age_us / QUEUE_FADE_US)
+    return load
--- a/src/fireflyspindle/core/probe_slots.py
+++ b/src/fireflyspindle/core/probe_slots.py
@@ -33,6 +33,10 @@
 LAPSE_US = 30_000_000
 TICK_US = 250_000
 
+# Time between two reads. Every host reads every record, and nothing is lost by
+# hearing of them together.
+READ_PACE_US = 3_000_000
+
 # Longest stream that a starting host reads whole, to claim without a wait.
 WHOLE_READ_RECORDS = 256
 # Free slots among which a claim is drawn, so that rivals seldom collide.
@@ -56,7 +60,8 @@
 
 def start(state: state_lib.GateState) -> None:
     """Begins to read the stream."""
-    streams.read_on(state, STREAM, wait=False)
+    delay_us = int(READ_PACE_US * (1.0 + state.random.random()))
+    streams.read_on(state, STREAM, wait=False, delay_us=delay_us)
     state.timers.add(state.now_us + TICK_US, timers.ProbesDue())
 
 
@@ -78,7 +83,7 @@
         if entry.offset >= here.next_offset:
             here.next_offset = entry.offset + 1
             _take(state, entry)
-    streams.read_on(state, STREAM)
+    streams.read_on(state, STREAM, delay_us=READ_PACE_US)
 
 
 def _begin_to_listen(state: state_lib.GateState, event: events.LogRead) -> None:
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -67,8 +67,6 @@
         last_us = max(target.load.heard_us, target.load.probed_us)
         rest_us = SUSPECT_US if target.ejected else IDLE_US
         overdue_us = state.now_us - last_us - rest_us
-        if last_us == 0:
-            overdue_us = state.now_us
         if overdue_us > wanted_us:
             wanted = target
             wanted_us = overdue_us
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -12,11 +12,9 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
-MAX_CANDIDATES = 24
+MAX_CANDIDATES = 16
 SAMPLED_CANDIDATES = 4
 
-OTHERS_WEIGHT = 0.5
-QUEUED_WEIGHT = 0.15
 AGE_WEIGHT = 0.4
 OTHER_DOMAIN_PENALTY = 0.05
 TIE_SPREAD = 0.01
@@ -58,16 +56,16 @@
     """Returns the load to expect at a target, in attempts per slot."""
     own = target.in_flight
     now_us = state.now_us
-    score = own + target.distance + state.random.random() * TIE_SPREAD
+    slots = target.spec.slots
+    score = target.distance + state.random.random() * TIE_SPREAD
     if own:
         age_us = own * now_us - target.load.started_sum_us
-        score += AGE_WEIGHT * age_us / service.typical_us
+        score += own + AGE_WEIGHT * age_us / service.typical_us
     if trust:
-        others = load_lib.others(service, target.load, now_us)
-        slots = target.spec.slots
-        queued = load_lib.queued(target.load, own, slots, now_us)
-        score += trust * (OTHERS_WEIGHT * others + QUEUED_WEIGHT * queued)
-    return score / target.spec.slots
+        score += trust * load_lib.expected_others(
+            service, target.load, own, slots, now_us
+        )
+    return score / slots
 
 
 def _candidates(
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -11,6 +11,7 @@
 from fireflyspindle.bench import virtual
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probing
 from fireflyspindle.core import records
@@ -82,7 +83,9 @@
                 self.probes.append(effect)
                 self.sent_us.append(self.timeline.now_us)
                 service = gate.state.services[SERVICE]
-                service.targets[effect.target].load.probed_us = 0
+                service.targets[
+                    effect.target
+                ].load.probed_us = load_lib.NEVER_US
 
     def append(self, body):
         """Appends a record and answers the reads that wait."""
@@ -273,7 +276,7 @@
     gate = fleet.join()
     service = gate.state.services[SERVICE]
     for target in service.candidates:
-        target.load.heard_us = 1
+        target.load.heard_us = 0
     fleet.run(4 * SECOND_US)
     assert not fleet.probes
     service.candidates[3].ejected = True
