--- /dev/null
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -0,0 +1,225 @@
+"""The data path: callers, targets and the calls between them."""
+
+import asyncio
+from collections.abc import Mapping
+import time
+from typing import Protocol
+
+from fireflyspindle import headers
+from fireflyspindle import logs
+from fireflyspindle import metrics as metrics_lib
+from fireflyspindle import settings as settings_lib
+from fireflyspindle.adapters import answers
+from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import target_client
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+
+MAX_DIGITS = 9
+MAX_INCARNATION_CHARACTERS = 100
+SETTLE_LIMIT_S = 5.0
+POLL_S = 0.01
+
+
+class Shell(Protocol):
+    """What the data path needs of the shell."""
+
+    metrics: metrics_lib.Metrics
+
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+
+    def submit(self, event: events.Event) -> None:
+        """Feeds an event to the reducer."""
+
+    def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
+        """Starts a task."""
+
+
+class DataPath:
+    """Carries out the effects of calls and reports back as events.
+
+    Attributes:
+        exchanges: Calls in flight, by number.
+        server: The callers' side.
+    """
+
+    def __init__(self, shell: Shell, settings: settings_lib.Settings) -> None:
+        self.exchanges: dict[int, exchange_lib.Exchange] = {}
+        self._shell = shell
+        self._client = target_client.TargetClient(self, shell.spawn)
+        limits = settings.limits
+        self.server = gate_server.GateServer(
+            self,
+            settings.gate.host_id,
+            gate_server.BodyLimits(
+                limits.body_buffer_bytes, limits.request_body_bytes
+            ),
+        )
+
+    async def start(self, address: str) -> None:
+        """Opens the callers' address.
+
+        Raises:
+            OSError: The address can't be opened.
+        """
+        await self.server.start(address)
+
+    async def settle(self) -> None:
+        """Waits until no request is half read and no call is in flight."""
+        end_s = time.monotonic() + SETTLE_LIMIT_S
+        while self.server.receiving or self.exchanges:
+            if time.monotonic() > end_s:
+                return
+            await asyncio.sleep(POLL_S)
+
+    async def close(self) -> None:
+        """Closes every connection, after what is written."""
+        await self.server.close()
+        self._client.close()
+
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+        return self._shell.now_us()
+
+    def submit(self, event: events.Event) -> None:
+        """Feeds an event to the reducer."""
+        self._shell.submit(event)
+
+    def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
+        """Starts a task."""
+        return self._shell.spawn(work)
+
+    def open(
+        self, exchange: exchange_lib.Exchange, event: events.CallArrived
+    ) -> None:
+        """Takes in a call."""
+        self.exchanges[exchange.call_id] = exchange
+        self._shell.submit(event)
+
+    def send(self, effect: effects.SendToTarget) -> None:
+        """Sends an attempt of a call to a target."""
+        if effect.attempt > 1:
+            self._shell.metrics.counts[
+                "hedge" if effect.hedge else "retry"
+            ] += 1
+        self._client.begin(self.exchanges[effect.call_id], effect)
+
+    def answer(self, effect: effects.AnswerCaller) -> None:
+        """Answers a caller from the gate itself."""
+        self._shell.metrics.errors[effect.error] += 1
+        answers.answer(self.exchanges[effect.call_id], effect)
+
+    def on_answer(self, attempt: target_client.Attempt) -> None:
+        """Takes the head of a target's answer."""
+        answer = attempt.answer
+        assert answer is not None
+        given = answer.message.headers
+        self._shell.submit(
+            events.AttemptAnswered(
+                now_us=self._shell.now_us(),
+                call_id=attempt.exchange.call_id,
+                attempt=attempt.number,
+                status=answer.message.code,
+                not_run=headers.NOT_RUN in given,
+                report=_report(given),
+            )
+        )
+
+    def on_failed(
+        self, attempt: target_client.Attempt, reason: events.FailureReason
+    ) -> None:
+        """Takes the end of an attempt without a whole answer."""
+        attempt.ended = True
+        self._shell.submit(
+            events.AttemptFailed(
+                now_us=self._shell.now_us(),
+                call_id=attempt.exchange.call_id,
+                attempt=attempt.number,
+                reason=reason,
+                sent=attempt.sent,
+            )
+        )
+
+    def forward(self, effect: effects.ForwardAnswer) -> None:
+        """Carries a target's answer to the caller."""
+        exchange = self.exchanges[effect.call_id]
+        attempt = exchange.attempts[effect.attempt]
+        relay = answers.Relay(exchange, attempt)
+        if relay.begin(effect.outcome):
+            self._end(attempt)
+            return
+        attempt.relayed = True
+        attempt.tasks.append(self._shell.spawn(self._relay(relay, attempt)))
+
+    async def _relay(
+        self, relay: answers.Relay, attempt: target_client.Attempt
+    ) -> None:
+        whole = await relay.run()
+        if attempt.ended:
+            return
+        if whole:
+            self._end(attempt)
+            return
+        attempt.abort()
+        self.on_failed(attempt, events.FailureReason.TRUNCATED)
+
+    def _end(self, attempt: target_client.Attempt) -> None:
+        attempt.release()
+        self._shell.submit(
+            events.AttemptEnded(
+                self._shell.now_us(), attempt.exchange.call_id, attempt.number
+            )
+        )
+
+    def cancel(self, effect: effects.CancelAttempt) -> None:
+        """Cancels an attempt, or lets a non-repeatable one run to its end."""
+        exchange = self.exchanges[effect.call_id]
+        attempt = exchange.attempts[effect.attempt]
+        if attempt.ended:
+            return
+        if attempt.relayed and exchange.caller is not None:
+            exchange.cut_caller()
+            if not exchange.repeatable:
+                return
+        if attempt.answer is None or attempt.relayed:
+            attempt.abort()
+        elif attempt.answer.payload.is_eof():
+            attempt.release()
+        elif exchange.repeatable:
+            attempt.abort()
+        else:
+            self._shell.spawn(answers.discard(attempt))
+        self.on_failed(attempt, events.FailureReason.CANCELLED)
+
+    def finish(self, effect: effects.CallFinished) -> None:
+        """Drops and records a call that has ended."""
+        exchange = self.exchanges.pop(effect.call_id)
+        exchange.attempts.clear()
+        self._shell.metrics.on_call_finished(effect)
+        if not logs.enabled("DEBUG"):
+            return
+        logs.logger.debug(
+            "call finished",
+            request_id=exchange.request_id,
+            tenant=effect.tenant,
+            traffic_class=effect.traffic_class,
+            target=effect.target,
+            outcome=effect.outcome.value,
+            total_us=effect.total_us,
+            target_us=effect.target_us,
+            attempts=effect.attempts,
+        )
+
+
+def _report(given: Mapping[str, str]) -> events.LoadReport:
+    text = given.get(headers.IN_FLIGHT, "")
+    valid = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+    return events.LoadReport(
+        in_flight=int(text) if valid else None,
+        leaving=headers.LEAVING in given,
+        incarnation=given.get(headers.INCARNATION, "")[
+            :MAX_INCARNATION_CHARACTERS
+        ],
+    )
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -105,6 +105,11 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def receiving(self) -> bool:
+        """Whether the body of a request is read that is no call yet."""
+        return any(found.reading_body for found in self.connections)
+
     def stop_listening(self) -> None:
         """Takes no new connection, and closes each after its next answer."""
         self.stopping = True
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -2,34 +2,26 @@
 
 import asyncio
 import collections
-from collections.abc import Mapping
 import random
 import time
 
 from aiohttp import web
 import attrs
 
-from fireflyspindle import headers
 from fireflyspindle import logs
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle import settings as settings_lib
-from fireflyspindle.adapters import answers
-from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import control_api
+from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import exchange as exchange_lib
-from fireflyspindle.adapters import gate_server
 from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
-from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 
-MAX_DIGITS = 9
-MAX_INCARNATION_CHARACTERS = 100
-
 
 class Gate:
     """One gate host in this process.
@@ -39,7 +31,7 @@
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
-        exchanges: Calls in flight, by number.
+        data_path: Callers, targets and the calls between them.
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
@@ -53,7 +45,6 @@
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
-        self.exchanges: dict[int, exchange_lib.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._events: collections.deque[events.Event] = collections.deque()
@@ -67,16 +58,8 @@
         self._host_list = host_list_lib.HostListClient(
             self.settings.platform.host_list_address
         )
-        self._client = target_client.TargetClient(self, self.spawn)
-        limits = self.settings.limits
-        self._server = gate_server.GateServer(
-            self,
-            self.settings.gate.host_id,
-            gate_server.BodyLimits(
-                limits.body_buffer_bytes, limits.request_body_bytes
-            ),
-        )
-        await self._server.start(self.settings.gate.callers_address)
+        self.data_path = data_path.DataPath(self, self.settings)
+        await self.data_path.start(self.settings.gate.callers_address)
         app = control_api.application(self)
         self._control = web.AppRunner(app, access_log=None)
         await self._listen(self._control, self.settings.gate.control_address)
@@ -93,18 +76,13 @@
     @property
     def callers_address(self) -> str:
         """The address on which callers are served, with its real port."""
-        return self._server.address
+        return self.data_path.server.address
 
     @property
     def control_address(self) -> str:
         """The control address, with its real port."""
         return _address(self._control)
 
-    @property
-    def callers(self) -> set[caller_connection.CallerConnection]:
-        """Open connections of callers."""
-        return self._server.connections
-
     def request_stop(self) -> None:
         """Begins a planned stop; `wait_closed` returns when it is done."""
         self.submit(events.StopRequested(self.now_us()))
@@ -112,13 +90,13 @@
     async def wait_closed(self) -> None:
         """Waits until nothing is in flight, then closes everything."""
         await self._exit.wait()
+        await self.data_path.settle()
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._server.close()
-        self._client.close()
+        await self.data_path.close()
         await self._peers.close()
         await self._control.cleanup()
         await self.log.close()
@@ -128,13 +106,6 @@
         """Returns the monotonic time."""
         return time.monotonic_ns() // 1000
 
-    def open(
-        self, exchange: exchange_lib.Exchange, event: events.CallArrived
-    ) -> None:
-        """Takes in a call."""
-        self.exchanges[exchange.call_id] = exchange
-        self.submit(event)
-
     def submit(self, event: events.Event) -> None:
         """Feeds an event to the reducer and carries out the effects.
 
@@ -159,15 +130,15 @@
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendToTarget():
-                self._client.begin(self.exchanges[effect.call_id], effect)
+                self.data_path.send(effect)
             case effects.ForwardAnswer():
-                self._forward(effect)
-            case effects.AnswerCaller(call_id):
-                answers.answer(self.exchanges[call_id], effect)
+                self.data_path.forward(effect)
+            case effects.AnswerCaller():
+                self.data_path.answer(effect)
             case effects.CancelAttempt():
-                self._cancel_attempt(effect)
+                self.data_path.cancel(effect)
             case effects.CallFinished():
-                self._finish(effect)
+                self.data_path.finish(effect)
             case _:
                 self._carry_out_shared(effect)
 
@@ -208,104 +179,6 @@
         self._timer = None
         self.submit(events.TimerFired(self.now_us()))
 
-    def on_answer(self, attempt: target_client.Attempt) -> None:
-        """Takes the head of a target's answer."""
-        answer = attempt.answer
-        assert answer is not None
-        given = answer.message.headers
-        self.submit(
-            events.AttemptAnswered(
-                now_us=self.now_us(),
-                call_id=attempt.exchange.call_id,
-                attempt=attempt.number,
-                status=answer.message.code,
-                not_run=headers.NOT_RUN in given,
-                report=_report(given),
-            )
-        )
-
-    def on_failed(
-        self, attempt: target_client.Attempt, reason: events.FailureReason
-    ) -> None:
-        """Takes the end of an attempt without a whole answer."""
-        attempt.ended = True
-        self.submit(
-            events.AttemptFailed(
-                now_us=self.now_us(),
-                call_id=attempt.exchange.call_id,
-                attempt=attempt.number,
-                reason=reason,
-                sent=attempt.sent,
-            )
-        )
-
-    def _forward(self, effect: effects.ForwardAnswer) -> None:
-        exchange = self.exchanges[effect.call_id]
-        attempt = exchange.attempts[effect.attempt]
-        relay = answers.Relay(exchange, attempt)
-        if relay.begin(effect.outcome):
-            self._end(attempt)
-            return
-        attempt.relayed = True
-        attempt.tasks.append(self.spawn(self._relay(relay, attempt)))
-
-    async def _relay(
-        self, relay: answers.Relay, attempt: target_client.Attempt
-    ) -> None:
-        whole = await relay.run()
-        if attempt.ended:
-            return
-        if whole:
-            self._end(attempt)
-            return
-        attempt.abort()
-        self.on_failed(attempt, events.FailureReason.TRUNCATED)
-
-    def _end(self, attempt: target_client.Attempt) -> None:
-        attempt.release()
-        self.submit(
-            events.AttemptEnded(
-                self.now_us(), attempt.exchange.call_id, attempt.number
-            )
-        )
-
-    def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
-        exchange = self.exchanges[effect.call_id]
-        attempt = exchange.attempts[effect.attempt]
-        if attempt.ended:
-            return
-        if attempt.relayed and exchange.caller is not None:
-            exchange.cut_caller()
-            if not exchange.repeatable:
-                return
-        if attempt.answer is None or attempt.relayed:
-            attempt.abort()
-        elif attempt.answer.payload.is_eof():
-            attempt.release()
-        elif exchange.repeatable:
-            attempt.abort()
-        else:
-            self.spawn(answers.discard(attempt))
-        self.on_failed(attempt, events.FailureReason.CANCELLED)
-
-    def _finish(self, effect: effects.CallFinished) -> None:
-        exchange = self.exchanges.pop(effect.call_id)
-        exchange.attempts.clear()
-        self.metrics.on_call_finished(effect)
-        if not logs.enabled("DEBUG"):
-            return
-        logs.logger.debug(
-            "call finished",
-            request_id=exchange.request_id,
-            tenant=effect.tenant,
-            traffic_class=effect.traffic_class,
-            target=effect.target,
-            outcome=effect.outcome.value,
-            total_us=effect.total_us,
-            target_us=effect.target_us,
-            attempts=effect.attempts,
-        )
-
     async def _read_log(self, effect: effects.ReadLog) -> None:
         await asyncio.sleep(effect.delay_us / 1e6)
         batch = await self.log.read(
@@ -350,15 +223,3 @@
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
     return f"{host}:{port}"
-
-
-def _report(given: Mapping[str, str]) -> events.LoadReport:
-    text = given.get(headers.IN_FLIGHT, "")
-    valid = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
-    return events.LoadReport(
-        in_flight=int(text) if valid else None,
-        leaving=headers.LEAVING in given,
-        incarnation=given.get(headers.INCARNATION, "")[
-            :MAX_INCARNATION_CHARACTERS
-        ],
-    )
--- a/src/fireflyspindle/metrics.py
+++ b/src/fireflyspindle/metrics.py
@@ -92,13 +92,15 @@
     Attributes:
         registry: Registry of every collector.
         calls: Counts of calls by tenant and class.
-        counts: Counters without labels, by name without prefix and suffix.
-        gauges: Values that go up and down, by name without prefix.
+        counts: Retries, hedges, probes, claims and the like, by kind.
+        errors: Answers of the gate's own, by error.
+        gauges: Values that go up and down, by name.
     """
 
     def __init__(self) -> None:
         self.registry = collectors.Registry()
         self.counts: collections.Counter[str] = collections.Counter()
+        self.errors: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
         self.calls: dict[tuple[str, str], CallSeries] = {}
         self._total = self._histogram(
@@ -116,7 +118,10 @@
         )
         self._events = self._counter(
             "events_total",
-            "Retries, hedges, sheds, probes, claims and others by kind.",
+            "Retries, hedges, probes, claims and others by kind.",
+        )
+        self._errors = self._counter(
+            "refusals_total", "Answers of the gate's own by error."
         )
         self._state = collectors.Gauge(
             "fireflyspindle_state", "Values of now.", registry=self.registry
@@ -162,5 +167,7 @@
                 self._outcomes.set({**labels, "outcome": outcome}, count)
         for kind, count in self.counts.items():
             self._events.set({"kind": kind}, count)
+        for error, count in self.errors.items():
+            self._errors.set({"error": error}, count)
         for name, value in self.gauges.items():
             self._state.set({"name": name}, value)
--- a/tests/test_caller_faults.py
+++ b/tests/test_caller_faults.py
@@ -147,7 +147,7 @@
         caller.writer.write(wire.request("POST", body=b"deposit"))
         await arrived.wait()
         caller.close()
-        await wire.until(lambda: not running.gate.callers)
+        await wire.until(lambda: not running.gate.data_path.server.connections)
         left.append(True)
         await wire.until(lambda: running.outcomes() == {"complete": 1})
     assert ended == [True]
@@ -177,9 +177,9 @@
         caller.writer.write(
             wire.request("PUT", "/dossier", "Content-Length: 50") + b"half"
         )
-        await wire.until(lambda: running.gate.callers)
+        await wire.until(lambda: running.gate.data_path.server.connections)
         caller.close()
-        await wire.until(lambda: not running.gate.callers)
+        await wire.until(lambda: not running.gate.data_path.server.connections)
     assert running.targets[0].connections == 0
 
 
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -56,7 +56,7 @@
 async def test_truncated_answer_is_cut_for_the_caller_too(framing, rest):
     async def behave(_request, writer):
         writer.write(b"HTTP/1.1 200 OK\r\n" + framing)
-        [exchange] = running.gate.exchanges.values()
+        [exchange] = running.gate.data_path.exchanges.values()
         await wire.until(lambda: exchange.attempts[1].relayed)
         writer.write(rest)
         writer.close()
@@ -194,7 +194,7 @@
         caller.writer.write(wire.request())
         await caller.reader.readuntil(b"\r\n\r\n")
         caller.writer.transport.pause_reading()
-        [exchange] = running.gate.exchanges.values()
+        [exchange] = running.gate.data_path.exchanges.values()
         connection = exchange.attempts[1].connection
         await wire.until(
             lambda: exchange.caller.writing_paused and connection.holds_back
