--- a/src/fireflyspindle/core/probe_slots.py
+++ b/src/fireflyspindle/core/probe_slots.py
@@ -59,10 +59,9 @@
 
 
 def start(state: state_lib.GateState) -> None:
-    """Begins to read the stream."""
+    """Sets the time of the first read; hosts that start together differ."""
     delay_us = int(READ_PACE_US * (1.0 + state.random.random()))
-    streams.read_on(state, STREAM, wait=False, delay_us=delay_us)
-    state.timers.add(state.now_us + TICK_US, timers.ProbesDue())
+    state.timers.add(state.now_us + delay_us, timers.ProbesDue())
 
 
 def owned(state: state_lib.GateState) -> int | None:
@@ -135,6 +134,9 @@
     """Claims or renews a slot when it is time to."""
     slots = state.probe_slots
     state.timers.add(state.now_us + TICK_US, timers.ProbesDue())
+    if not slots.reading:
+        slots.reading = True
+        streams.read_on(state, STREAM, wait=False)
     if slots.listening_us is None:
         return
     pending = slots.pending
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -137,6 +137,7 @@
     """What this gate host knows of the fleet's probe slots.
 
     Attributes:
+        reading: Whether the first read was asked for.
         listening_us: Time since which every record was read, or None.
         whole: Whether the stream was read from its very first record.
         seen: Latest record of each slot.
@@ -146,6 +147,7 @@
         last_number: Number of its latest record.
     """
 
+    reading: bool = False
     listening_us: int | None = None
     whole: bool = False
     seen: dict[int, SlotSeen] = attrs.field(factory=dict)
