Test routing and hedging; reserve a connection for probes

Each gate host's share of an endpoint's connection limit keeps one connection for a probe. The policy bench carries the probe slots' stream, so that probes are counted.

--- a/src/fireflyspindle/bench/policy_shipped.py
+++ b/src/fireflyspindle/bench/policy_shipped.py
@@ -1,12 +1,16 @@
 """The shipped policy in the policy bench: a real reducer per gate host."""
 
+import random
+
 import attrs
 
+from fireflyspindle.bench import fake_log
 from fireflyspindle.bench import policy_baselines
 from fireflyspindle.bench import policy_model
 from fireflyspindle.bench import virtual
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import probe_slots
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
 
@@ -34,6 +38,11 @@
     ) -> None:
         self.run = policy_baselines.Run()
         self._world = world
+        self._log = fake_log.FakeLog(
+            world.timeline,
+            random.Random(f"log-{seed}"),
+            lambda stream, offset, body: None,
+        )
         self._targets = {target.address: target for target in world.targets}
         self._arrivals: list[policy_model.Arrival] = []
         self._attempts: dict[tuple[int, int], Attempt] = {}
@@ -83,6 +92,11 @@
                 self.run.unknown += 1
             case effects.ProbeTarget():
                 self._probe(gate, effect)
+            case effects.ReadLog(stream=probe_slots.STREAM):
+                self._log.on_read(gate, gate.state.settings.host_id, effect)
+            case effects.AppendRecord(stream=probe_slots.STREAM, body=body):
+                self.run.control_bytes += len(body)
+                self._log.on_append(gate, gate.state.settings.host_id, effect)
             case effects.TellPeer(_, body):
                 self.run.control_bytes += len(body)
 
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -19,6 +19,9 @@
 OTHER_DOMAIN_PENALTY = 0.05
 TIE_SPREAD = 0.01
 
+# Part of the connection share that is kept for a probe.
+PROBE_CONNECTIONS = 1
+
 
 def choose(
     state: state_lib.GateState,
@@ -85,7 +88,7 @@
     domain = state.settings.failure_domain
     for target in service.targets.values():
         limit = target.spec.connection_limit // policy.gate_hosts_max
-        target.connection_share = max(1, limit)
+        target.connection_share = max(1, limit - PROBE_CONNECTIONS)
         same_domain = target.spec.failure_domain == domain
         target.distance = 0.0 if same_domain else OTHER_DOMAIN_PENALTY
     ranked = list(service.targets.values())
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,156 @@
+"""Estimates of load, the choice of a target, and hedges."""
+
+import pytest
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import load
+from fireflyspindle.core import routing
+
+
+def serve(host, call_id, in_flight=None, took_us=10_000, **fields):
+    """Carries one call through; returns its target."""
+    sent = host.arrive(call_id, **fields)
+    host.advance(took_us)
+    report = events.LoadReport(in_flight)
+    host.answer(call_id, sent.attempt, report=report)
+    host.finish(call_id)
+    return sent.target
+
+
+@pytest.mark.parametrize(
+    ("follows", "expected"), [(1.0, 1.0), (0.5, 0.625), (0.0, 0.0), (-1.0, 0.0)]
+)
+def test_reports_weigh_by_how_they_follow_own_attempts(follows, expected):
+    service = load.ServiceLoad()
+    for number in range(8_000):
+        own = number % 3
+        service.compare(own, 5 + follows * own + number // 3 % 2)
+    assert service.trust() == pytest.approx(expected, abs=0.05)
+
+
+def test_target_that_reports_less_than_own_attempts_is_not_believed():
+    service = load.ServiceLoad()
+    liar, honest = load.TargetLoad(), load.TargetLoad()
+    for number in range(20):
+        load.on_report(service, honest, 6, 2, number * 1_000)
+        load.on_report(service, liar, 0, 2, number * 1_000)
+    seen = [
+        load.expected_others(service, target, 0, 4, 20_000)
+        for target in (liar, honest)
+    ]
+    assert seen[0] == pytest.approx(load.OTHERS_WEIGHT * service.mean_others)
+    assert seen[1] > seen[0]
+
+
+@pytest.mark.parametrize("age_us", [0, 10_000, 200_000, 5_000_000])
+def test_estimate_fades_to_the_mean(age_us):
+    service = load.ServiceLoad(mean_others=2.0)
+    target = load.TargetLoad()
+    load.on_report(service, target, 40, 0, 0)
+    seen = load.expected_others(service, target, 0, 4, age_us)
+    if age_us < load.FORGET_US:
+        assert seen > load.OTHERS_WEIGHT * 2.0
+    else:
+        assert seen == load.OTHERS_WEIGHT * service.mean_others
+
+
+def test_busy_target_of_others_is_avoided(make_host):
+    host = make_host(targets=4)
+    chosen = []
+    for call_id in range(200):
+        sent = host.arrive(call_id)
+        host.advance(10_000)
+        busy = host.index_of(sent.target) == 0
+        report = events.LoadReport(12 if busy else 1)
+        host.answer(call_id, sent.attempt, report=report)
+        host.finish(call_id)
+        chosen.append(host.index_of(sent.target))
+    assert chosen.count(0) < 30
+
+
+def test_connection_share_is_kept(make_host):
+    host = make_host(targets=2)
+    for target in host.state.services["s"].targets.values():
+        target.connection_share = 3
+    sent = [host.arrive(call_id) for call_id in range(7)]
+    assert sent[6] is None
+    assert host.outcome(6) is effects.Outcome.NOT_RUN
+    by_target = [one.target for one in sent[:6]]
+    assert {by_target.count(address) for address in host.addresses} == {3}
+
+
+@pytest.mark.parametrize(
+    ("limit", "gate_hosts_max", "share"),
+    [(260, 32, 7), (220, 17, 11), (10, 32, 1)],
+)
+def test_connection_share_of_the_limit(make_host, limit, gate_hosts_max, share):
+    host = make_host(targets=1)
+    host.publish("policy", "s", {"gate_hosts_max": gate_hosts_max})
+    spec = {"address": host.addresses[0], "connection_limit": limit}
+    host.publish("service", "s", {"targets": [spec]})
+    target = host.state.services["s"].targets[host.addresses[0]]
+    assert target.connection_share == share
+
+
+def test_subset_of_a_large_service_is_stable(make_host):
+    host = make_host(targets=200)
+    service = host.state.services["s"]
+    before = {target.spec.address for target in service.candidates}
+    assert len(before) == routing.MAX_CANDIDATES
+    addresses = [a for a in host.addresses if a not in list(before)[:2]]
+    host.publish(
+        "service", "s", {"targets": [{"address": one} for one in addresses]}
+    )
+    after = {target.spec.address for target in service.candidates}
+    assert len(before & after) == routing.MAX_CANDIDATES - 2
+
+
+def warm(host):
+    """Gives the service a history of calls of 10 ms."""
+    for call_id in range(1_000, 1_200):
+        serve(host, call_id, 1)
+
+
+@pytest.mark.parametrize(
+    ("fields", "hedged"),
+    [
+        ({}, True),
+        ({"repeatable": False}, False),
+        ({"resendable": False}, False),
+        ({"deadline_ms": 5}, False),
+    ],
+)
+def test_slow_call_is_hedged_if_it_may_run_twice(make_host, fields, hedged):
+    host = make_host(targets=4)
+    warm(host)
+    first = host.arrive(1, **fields)
+    host.advance(100_000)
+    sent = [one for one in host.sent if one.call_id == 1]
+    assert len(sent) == (2 if hedged else 1)
+    if hedged:
+        assert sent[1].hedge
+        assert sent[1].target != first.target
+
+
+def test_first_answer_wins_and_the_loser_is_cancelled(make_host):
+    host = make_host(targets=4)
+    warm(host)
+    host.arrive(1)
+    host.advance(100_000)
+    taken = host.answer(1, 2)
+    assert effects.CancelAttempt(1, 1) in taken
+    assert host.outcome(1) is effects.Outcome.COMPLETE
+
+
+def test_hedges_keep_within_their_share(make_host):
+    host = make_host(targets=4)
+    warm(host)
+    host.state.services["s"].hedge_budget.tokens = 0.0
+    for call_id in range(2_000, 3_000):
+        sent = host.arrive(call_id)
+        host.advance(100_000)
+        host.answer(call_id, sent.attempt)
+        host.finish(call_id)
+    hedges = [one for one in host.sent if one.hedge]
+    assert 0 < len(hedges) <= 50
