--- a/src/fireflyspindle/bench/policy_shipped.py
+++ b/src/fireflyspindle/bench/policy_shipped.py
@@ -184,8 +184,9 @@
     def _probe(
         self, gate: virtual.VirtualGate, effect: effects.ProbeTarget
     ) -> None:
-        self.run.probes += 1
         timeline = self._world.timeline
+        if timeline.now_us < self._world.plan.duration_us:
+            self.run.probes += 1
         target = self._targets[effect.target]
         one_way_us = self._world.one_way_us(self._numbers[gate], target)
 
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -1,8 +1,10 @@
 """Hedges: a second attempt of a slow repeatable call, within a budget.
 
-A call still waiting after nearly all of its service's calls have their answer
-is sent to a second target; the first answer wins and the other attempt is
-cancelled (Dean and Barroso, "The tail at scale", 2013).
+A call still waiting after most of its service's calls have their answer is
+sent to a second target if that one is clearly less loaded; the first answer
+wins and the other attempt is cancelled (Dean and Barroso, "The tail at
+scale", 2013). A call that waits since its own work is long gains nothing from
+a copy, which costs as much again; the comparison leaves most of these out.
 """
 
 from fireflyspindle.core import attempts
@@ -11,7 +13,12 @@
 from fireflyspindle.core import timers
 
 LEAST_SAMPLES = 100
-HEDGED_SHARE_AIM = 1.25
+# Share of the calls that are looked at, in shares of the budget.
+HEDGED_SHARE_AIM = 2.0
+# Least advantage of the second target, in attempts per slot.
+LEAST_GAIN = 0.5
+# Time to the next look, as a share of the typical time to an answer.
+RECHECK_SHARE = 0.5
 
 
 def on_arrived(
@@ -49,5 +56,14 @@
     if service is None:
         return
     target = routing.choose(state, service, call)
-    if target is not None and service.hedge_budget.spend():
+    if target is None:
+        return
+    slow = next(iter(call.attempts.values())).target
+    gain = routing.expected(state, service, slow)
+    gain -= routing.expected(state, service, target)
+    if gain < LEAST_GAIN:
+        delay_us = int(service.load.typical_us * RECHECK_SHARE)
+        state.timers.add(state.now_us + delay_us, timers.HedgeDue(call_id))
+        return
+    if service.hedge_budget.spend():
         attempts.begin(state, call, target)
--- a/src/fireflyspindle/core/load.py
+++ b/src/fireflyspindle/core/load.py
@@ -18,15 +18,13 @@
 NEVER_US = -1_000_000_000
 OTHERS_DECAY_US = 100_000
 FORGET_US = 1_000_000
-QUEUE_FADE_US = 150_000
 OTHERS_WEIGHT = 0.5
-QUEUED_WEIGHT = 0.15
 
-TRUST_SAMPLES = 600
+TRUST_SAMPLES = 250
 TRUST_FROM_SLOPE = 0.25
 TRUST_FULL_SLOPE = 0.65
-UNDER_REPORT_STEP = 0.1
-UNDER_REPORT_LIMIT = 0.3
+UNDER_REPORT_STEP = 0.02
+UNDER_REPORT_LIMIT = 0.05
 
 TYPICAL_STEP = 0.01
 MEAN_OTHERS_STEP = 0.01
@@ -38,7 +36,6 @@
 
     Attributes:
         others: Moving average of other gate hosts' attempts.
-        last_others: Other gate hosts' attempts in the latest report.
         heard_us: Time of the latest report or probe, or `NEVER_US`.
         probed_us: Time of the latest probe, or `NEVER_US`.
         started_sum_us: Sum of the start times of own attempts in flight.
@@ -46,7 +43,6 @@
     """
 
     others: float = 0.0
-    last_others: int = 0
     heard_us: int = NEVER_US
     probed_us: int = NEVER_US
     started_sum_us: int = 0
@@ -69,7 +65,7 @@
     _own_mean: float = 0.0
     _report_mean: float = 0.0
     _own_variance: float = 0.3
-    _covariance: float = 0.3
+    _covariance: float = 0.0
 
     def trust(self) -> float:
         """Returns the weight of reports, from 0 (none) to 1 (whole)."""
@@ -127,7 +123,6 @@
     age_us = now_us - target.heard_us
     kept = math.exp(-age_us / OTHERS_DECAY_US)
     target.others = others + (target.others - others) * kept
-    target.last_others = others
     target.heard_us = now_us
     if target.under_reports < UNDER_REPORT_LIMIT:
         gap = others - service.mean_others
@@ -135,18 +130,15 @@
 
 
 def expected_others(
-    service: ServiceLoad, target: TargetLoad, own: int, slots: int, now_us: int
+    service: ServiceLoad, target: TargetLoad, now_us: int
 ) -> float:
     """Returns the weighted load that other gate hosts put on a target.
 
-    It is the average of their attempts and, on top, the queue that the latest
-    report shows; both fade with the age of the report.
+    The average of a target fades to that of the service with its age.
 
     Args:
         service: Estimates of the service.
         target: Estimates of the target.
-        own: Own attempts in flight there.
-        slots: Requests that the target runs at once.
         now_us: Monotonic time.
     """
     mean = service.mean_others
@@ -154,8 +146,4 @@
     if age_us >= FORGET_US or target.under_reports >= UNDER_REPORT_LIMIT:
         return OTHERS_WEIGHT * mean
     fresh = 1.0 - age_us / FORGET_US
-    load = OTHERS_WEIGHT * (mean + (target.others - mean) * fresh)
-    queued = target.last_others + own - slots
-    if queued > 0 and age_us < QUEUE_FADE_US:
-        load += QUEUED_WEIGHT * queued * (1.0 - age_us / QUEUE_FADE_US)
-    return load
+    return OTHERS_WEIGHT * (mean + (target.others - mean) * fresh)
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -50,6 +50,15 @@
     return best or cold
 
 
+def expected(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> float:
+    """Returns the load to expect at a target, in attempts per slot."""
+    return _score(state, service.load, target, service.load.trust())
+
+
 def _score(
     state: state_lib.GateState,
     service: load_lib.ServiceLoad,
@@ -59,16 +68,13 @@
     """Returns the load to expect at a target, in attempts per slot."""
     own = target.in_flight
     now_us = state.now_us
-    slots = target.spec.slots
     score = target.distance + state.random.random() * TIE_SPREAD
     if own:
         age_us = own * now_us - target.load.started_sum_us
         score += own + AGE_WEIGHT * age_us / service.typical_us
     if trust:
-        score += trust * load_lib.expected_others(
-            service, target.load, own, slots, now_us
-        )
-    return score / slots
+        score += trust * load_lib.expected_others(service, target.load, now_us)
+    return score / target.spec.slots
 
 
 def _candidates(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -36,7 +36,7 @@
         load.on_report(service, honest, 6, 2, number * 1_000)
         load.on_report(service, liar, 0, 2, number * 1_000)
     seen = [
-        load.expected_others(service, target, 0, 4, 20_000)
+        load.expected_others(service, target, 20_000)
         for target in (liar, honest)
     ]
     assert seen[0] == pytest.approx(load.OTHERS_WEIGHT * service.mean_others)
@@ -48,7 +48,7 @@
     service = load.ServiceLoad(mean_others=2.0)
     target = load.TargetLoad()
     load.on_report(service, target, 40, 0, 0)
-    seen = load.expected_others(service, target, 0, 4, age_us)
+    seen = load.expected_others(service, target, age_us)
     if age_us < load.FORGET_US:
         assert seen > load.OTHERS_WEIGHT * 2.0
     else:
@@ -57,6 +57,8 @@
 
 def test_busy_target_of_others_is_avoided(make_host):
     host = make_host(targets=4)
+    for number in range(2_000):
+        host.state.services["s"].load.compare(number % 3, 3 + number % 3)
     chosen = []
     for call_id in range(200):
         sent = host.arrive(call_id)
