Compare hedge targets in attempts in flight

The least advantage counted per slot asked for three attempts at six slots, so taller used 1% of its hedge budget.

--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -15,8 +15,8 @@
 LEAST_SAMPLES = 100
 # Share of the calls that are looked at, in shares of the budget.
 HEDGED_SHARE_AIM = 2.0
-# Least advantage of the second target, in attempts per slot.
-LEAST_GAIN = 0.5
+# Least advantage of the second target, in attempts in flight.
+LEAST_GAIN = 2.0
 # Time to the next look, as a share of the typical time to an answer.
 RECHECK_SHARE = 0.5
 
@@ -61,7 +61,7 @@
     slow = next(iter(call.attempts.values())).target
     gain = routing.expected(state, service, slow)
     gain -= routing.expected(state, service, target)
-    if gain < LEAST_GAIN:
+    if gain * slow.spec.slots < LEAST_GAIN:
         delay_us = int(service.load.typical_us * RECHECK_SHARE)
         state.timers.add(state.now_us + delay_us, timers.HedgeDue(call_id))
         return
