--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -16,7 +16,7 @@
 # Share of the calls that are looked at, in shares of the budget.
 HEDGED_SHARE_AIM = 2.0
 # Least advantage of the second target, in attempts in flight.
-LEAST_GAIN = 2.0
+LEAST_GAIN = 1.5
 # Time to the next look, as a share of the typical time to an answer.
 RECHECK_SHARE = 0.5
 
