--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -192,7 +192,9 @@
     latency_us: float = 0.0
     failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
-    hedge_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    hedge_budget: budgets.ShareBudget = attrs.field(
+        factory=lambda: budgets.ShareBudget(tokens=0.0)
+    )
     probes_sent_us: collections.deque[int] = attrs.field(
         factory=collections.deque
     )
