Ask lagging hosts what they have in force while a publisher waits

Cause: a record was in force on 16 hosts within 0.01 s, and the host that had published it knew so after 3 to 30 s, since rows went round by chance.

Change: while a publisher waits, each round asks up to 16 hosts that lag; their answers are brief.

--- a/src/fireflyspindle/adapters/admin_api.py
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -15,7 +15,7 @@
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
 from fireflyspindle.core import members
-from fireflyspindle.core import membership
+from fireflyspindle.core import offset_table
 from fireflyspindle.core import publishing
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
@@ -267,8 +267,9 @@
 
     async def _wait_in_force(self, offset: int, wait_ms: int) -> dict:
         until_us = self._gate.now_us() + wait_ms * 1000
+        offset_table.want(self._gate.state, offset + 1, wait_ms * 1000)
         while True:
-            behind = membership.hosts_without(self._gate.state, offset + 1)
+            behind = offset_table.hosts_without(self._gate.state, offset + 1)
             everywhere = not behind
             if everywhere or self._gate.now_us() >= until_us:
                 return {
--- a/src/fireflyspindle/bench/configuration.py
+++ b/src/fireflyspindle/bench/configuration.py
@@ -9,7 +9,9 @@
 
 from fireflyspindle.bench import configuration_costs as costs
 from fireflyspindle.bench import fleet as fleet_lib
+from fireflyspindle.core import offset_table
 from fireflyspindle.core import snapshots
+from fireflyspindle.core import state as state_lib
 
 SETTLE_S = 40
 QUIET_S = 120
@@ -101,6 +103,7 @@
         "in_force_log_well_s": _quantiles(well),
         "in_force_log_down_for_third_s": _quantiles(part_down),
         "in_force_one_host_reads_log_s": _quantiles(one_reader),
+        "known_in_force_everywhere_s": _quantiles(_known_s(sizes)),
         **_recovery(sizes),
         **_control(sizes),
         **_costs(sizes),
@@ -162,6 +165,31 @@
     return found
 
 
+def _known_s(sizes: Sizes) -> list[float]:
+    """Returns the time from accepted to known to be in force on all hosts."""
+    fleet = _started(sizes, 1)
+    host = next(iter(fleet.hosts.values()))
+    state = host.gate.state
+    found = []
+    revision = 0
+    for number in range(sizes.changes):
+        payload = {"path_prefix": f"/known{number}", "service": "s0"}
+        revision = fleet.publish("route", "known", payload, revision)
+        offset_table.want(state, revision, 60 * fleet_lib.SECOND_US)
+        taken_s = _time_until_known(fleet, state, revision)
+        found.append(math.inf if taken_s is None else taken_s)
+        fleet.run(fleet.random.uniform(0, 5))
+    return found
+
+
+def _time_until_known(
+    fleet: fleet_lib.Fleet, state: state_lib.GateState, revision: int
+) -> float | None:
+    return fleet.run_until(
+        lambda: not offset_table.hosts_without(state, revision)
+    )
+
+
 def _time_until_in_force(fleet: fleet_lib.Fleet, revision: int) -> float | None:
     return fleet.run_until(lambda: fleet.in_force(revision))
 
--- a/src/fireflyspindle/core/members.py
+++ b/src/fireflyspindle/core/members.py
@@ -85,6 +85,8 @@
         news_rounds: Rounds for which it is still told as news.
         behind_before: Whether this host was behind a peer a round ago.
         asked_us: Time at which records were last asked for at once.
+        wanted_offset: Next offset that a publisher waits for on all hosts.
+        wanted_until_us: Time at which it stops to wait.
         budget_bytes: Bytes that may be told at present.
         refused_messages: Messages that could not be read.
         unknown_messages: Messages of a kind unknown to this version.
@@ -100,6 +102,8 @@
     news_rounds: int = 0
     behind_before: bool = False
     asked_us: int = 0
+    wanted_offset: int = 0
+    wanted_until_us: int = 0
     budget_bytes: float = 0.0
     refused_messages: int = 0
     unknown_messages: int = 0
--- a/src/fireflyspindle/core/membership.py
+++ b/src/fireflyspindle/core/membership.py
@@ -13,6 +13,7 @@
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import leaving
 from fireflyspindle.core import members
+from fireflyspindle.core import offset_table
 from fireflyspindle.core import peers
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import state_transfer
@@ -50,6 +51,7 @@
     )
     members.forget_silent(membership, state.now_us)
     _tell_round(state)
+    offset_table.ask_lagging(state)
     state_transfer.catch_up(state)
 
 
@@ -152,12 +154,21 @@
             if address:
                 state_transfer.on_news(state, address, sender.next_offset)
             if content.reply and address:
-                telling.tell(state, address, _heartbeat(state, reply=False))
+                _answer(state, address, content)
         case _:
             if address:
                 _take_transfer(state, address, content)
 
 
+def _answer(
+    state: state_lib.GateState, address: str, asked: peers.Heartbeat
+) -> None:
+    answer = peers.Heartbeat()
+    if not asked.brief:
+        answer = _heartbeat(state, reply=False)
+    telling.tell(state, address, answer)
+
+
 def _tell_of_later_start(
     state: state_lib.GateState, sender: members.Row, known: members.Row
 ) -> None:
@@ -237,27 +248,6 @@
     }
 
 
-def hosts_without(
-    state: state_lib.GateState, next_offset: int
-) -> dict[str, int | None]:
-    """Returns the hosts that don't have an offset in force yet.
-
-    Args:
-        state: State of the gate host.
-        next_offset: Offset of the record plus one.
-
-    Returns:
-        The next offset in force of each such host, None if it is unknown.
-    """
-    found = members.offsets(state.membership, state.now_us)
-    found[state.settings.host_id] = state.configuration.next_offset
-    return {
-        host_id: offset
-        for host_id, offset in found.items()
-        if offset is None or offset < next_offset
-    }
-
-
 def summary(state: state_lib.GateState) -> dict:
     """Returns the other hosts as JSON data, for people on call."""
     membership = state.membership
--- /dev/null
+++ b/src/fireflyspindle/core/offset_table.py
@@ -0,0 +1,66 @@
+"""Which gate hosts have a configuration record in force."""
+
+from fireflyspindle.core import members
+from fireflyspindle.core import peers
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import telling
+
+ASKED_PER_ROUND = 16
+
+
+def hosts_without(
+    state: state_lib.GateState, next_offset: int
+) -> dict[str, int | None]:
+    """Returns the hosts that don't have an offset in force yet.
+
+    Args:
+        state: State of the gate host.
+        next_offset: Offset of the record plus one.
+
+    Returns:
+        The next offset in force of each such host, None if it is unknown.
+    """
+    found = members.offsets(state.membership, state.now_us)
+    found[state.settings.host_id] = state.configuration.next_offset
+    return {
+        host_id: offset
+        for host_id, offset in found.items()
+        if offset is None or offset < next_offset
+    }
+
+
+def want(state: state_lib.GateState, next_offset: int, wait_us: int) -> None:
+    """Has the hosts that lag asked in each round until none does.
+
+    Args:
+        state: State of the gate host.
+        next_offset: Offset of the record plus one.
+        wait_us: Longest time for which they are asked.
+    """
+    membership = state.membership
+    until_us = state.now_us + wait_us
+    membership.wanted_offset = max(membership.wanted_offset, next_offset)
+    membership.wanted_until_us = max(membership.wanted_until_us, until_us)
+
+
+def ask_lagging(state: state_lib.GateState) -> None:
+    """Asks some of the hosts that lag what they have in force."""
+    membership = state.membership
+    if state.now_us >= membership.wanted_until_us:
+        membership.wanted_offset = 0
+        return
+    lagging = sorted(hosts_without(state, membership.wanted_offset))
+    count = min(ASKED_PER_ROUND, len(lagging))
+    for host_id in state.random.sample(lagging, count):
+        address = _address(state, host_id)
+        if address:
+            asked = peers.Heartbeat(reply=True, brief=True)
+            telling.tell(state, address, asked)
+
+
+def _address(state: state_lib.GateState, host_id: str) -> str:
+    member = state.membership.members.get(host_id)
+    if member is not None:
+        return telling.address_of(state, member)
+    listed = state.membership.listed.get(host_id)
+    return listed.address if listed else ""
--- a/src/fireflyspindle/core/peers.py
+++ b/src/fireflyspindle/core/peers.py
@@ -51,6 +51,7 @@
         digest: Hash of the configuration in force; see
             `configuration.Configuration`.
         reply: Whether the receiver shall answer with its own heartbeat.
+        brief: Whether the answer need not tell of anything but its sender.
         rows: Rows about other hosts.
         leaving: Targets that are leaving.
         shared: What routing shares.
@@ -58,6 +59,7 @@
 
     digest: str = ""
     reply: bool = False
+    brief: bool = False
     rows: tuple[members.Row, ...] = attrs.field(
         default=(), validator=_at_most(MAX_ROWS)
     )
--- a/tests/test_configuration_bench.py
+++ b/tests/test_configuration_bench.py
@@ -16,6 +16,7 @@
         "in_force_log_well_s",
         "in_force_log_down_for_third_s",
         "in_force_one_host_reads_log_s",
+        "known_in_force_everywhere_s",
     ):
         assert figures[name]["max"] <= 8
     assert figures["new_host_whole_s"] is not None
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from fireflyspindle.bench import fleet as fleet_lib
 from fireflyspindle.core import events
 from fireflyspindle.core import members
-from fireflyspindle.core import membership
+from fireflyspindle.core import offset_table
 from fireflyspindle.core import peers
 
 
@@ -181,10 +181,13 @@
     revision = fleet.publish("route", "r", None, 1)
     fleet.run(10)
     state = first.gate.state
-    assert membership.hosts_without(state, revision) == {lagging_id: 1}
+    assert offset_table.hosts_without(state, revision) == {lagging_id: 1}
+    offset_table.want(state, revision, 60_000_000)
+    fleet.run(10)
+    assert offset_table.hosts_without(state, revision) == {lagging_id: 1}
     lagging.gate.wake()
     assert fleet.run_until(
-        lambda: not membership.hosts_without(state, revision), 20
+        lambda: not offset_table.hosts_without(state, revision), 1
     )
 
 
@@ -196,7 +199,7 @@
         events.ListedHost("gone", "10.9.9.8:1", leaving=True),
     ]
     host.gate.feed(lambda now_us: events.HostListRead(now_us, listed, []))
-    lacking = membership.hosts_without(host.gate.state, 1)
+    lacking = offset_table.hosts_without(host.gate.state, 1)
     assert lacking == {"far": None}
 
 
