--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -59,7 +59,9 @@
         return web.json_response(summary(self._gate.state))
 
     async def metrics(self, _request: web.Request) -> web.Response:
-        content, http_headers = self._gate.metrics.render()
+        metrics = self._gate.metrics
+        metrics.set_state(self._gate.state, self._gate.now_us())
+        content, http_headers = metrics.render()
         return web.Response(body=content, headers=http_headers)
 
 
--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -1,7 +1,7 @@
 """The data path: callers, targets and the calls between them."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import time
 from typing import Protocol
 
@@ -198,19 +198,30 @@
         exchange = self.exchanges.pop(effect.call_id)
         exchange.attempts.clear()
         self._shell.metrics.on_call_finished(effect)
-        if not logs.enabled("DEBUG"):
-            return
-        logs.logger.debug(
-            "call finished",
-            request_id=exchange.request_id,
-            tenant=effect.tenant,
-            traffic_class=effect.traffic_class,
-            target=effect.target,
-            outcome=effect.outcome.value,
-            total_us=effect.total_us,
-            target_us=effect.target_us,
-            attempts=effect.attempts,
+        grave = (
+            effect.outcome is effects.Outcome.UNKNOWN
+            and not exchange.repeatable
         )
+        if grave:
+            _log(logs.logger.warning, exchange.request_id, effect)
+        elif logs.enabled("DEBUG"):
+            _log(logs.logger.debug, exchange.request_id, effect)
+
+
+def _log(
+    write: Callable[..., None], request_id: str, effect: effects.CallFinished
+) -> None:
+    write(
+        "call finished",
+        request_id=request_id,
+        tenant=effect.tenant,
+        traffic_class=effect.traffic_class,
+        target=effect.target,
+        outcome=effect.outcome.value,
+        total_us=effect.total_us,
+        target_us=effect.target_us,
+        attempts=effect.attempts,
+    )
 
 
 def _report(given: Mapping[str, str]) -> events.LoadReport:
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -144,12 +144,15 @@
                 self._carry_out_shared(effect)
 
     def _carry_out_shared(self, effect: effects.Effect) -> None:
+        if isinstance(effect, effects.ProbeTarget):
+            self.metrics.counts["probe"] += 1
         match effect:
             case effects.SetTimer(at_us):
                 self._set_timer(at_us)
             case effects.ReadLog():
                 self.spawn(self._read_log(effect))
             case effects.AppendRecord():
+                self.metrics.counts["append"] += 1
                 self.spawn(self._append_record(effect))
             case effects.TellPeer(address, body):
                 self.spawn(self._peers.tell(address, body))
@@ -188,6 +191,8 @@
         if batch is None:
             self.submit(events.LogReadFailed(self.now_us(), effect.stream))
             return
+        brought = bool(batch.entries)
+        self.metrics.on_log_read(effect.stream, self.now_us(), brought)
         self.submit(
             events.LogRead(
                 now_us=self.now_us(),
--- a/src/fireflyspindle/metrics.py
+++ b/src/fireflyspindle/metrics.py
@@ -13,7 +13,9 @@
 from aioprometheus import renderer
 import attrs
 
+from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
+from fireflyspindle.core import state as state_lib
 
 LATENCY_BUCKETS_US = (
     100, 200, 300, 500, 700, 1_000, 1_500, 2_000, 3_000, 5_000, 10_000,
@@ -102,6 +104,8 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.errors: collections.Counter[str] = collections.Counter()
         self.gauges: dict[str, float] = {}
+        self._log_read_us: dict[str, int] = {}
+        self._log_record_us: dict[str, int] = {}
         self.calls: dict[tuple[str, str], CallSeries] = {}
         self._total = self._histogram(
             "call_seconds", "Time from a call's arrival to its end."
@@ -147,6 +151,41 @@
         series.outcomes[effect.outcome.value] += 1
         series.attempts += effect.attempts
 
+    def on_log_read(self, stream: str, now_us: int, brought: bool) -> None:
+        """Notes a read of a stream of the log that succeeded.
+
+        Args:
+            stream: Name of the stream.
+            now_us: Monotonic time.
+            brought: Whether it brought records.
+        """
+        self._log_read_us[stream] = now_us
+        if brought:
+            self._log_record_us[stream] = now_us
+
+    def set_state(self, state: state_lib.GateState, now_us: int) -> None:
+        """Takes over what is read from the state when metrics are read."""
+        config = state.configuration
+        self.gauges["configuration_offset"] = config.next_offset
+        self.gauges["configuration_known_offset"] = config.known_offset or 0
+        self.gauges["configuration_complete"] = float(config.complete)
+        stream = configuration.STREAM
+        for name, since in (
+            ("configuration_age_s", self._log_record_us),
+            ("configuration_read_age_s", self._log_read_us),
+        ):
+            if stream in since:
+                self.gauges[name] = (now_us - since[stream]) / 1e6
+        self.gauges["calls_in_flight"] = len(state.calls)
+        self.gauges["stopping"] = float(state.stopping)
+        counters = attrs.asdict(state.claims.counters)
+        self.counts.update(
+            {
+                f"claim_{name}": value - self.counts[f"claim_{name}"]
+                for name, value in counters.items()
+            }
+        )
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics in the text format, and the headers for it."""
         self._fill()
