--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -12,6 +12,7 @@
 from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -53,7 +54,7 @@
         self.server = gate_server.GateServer(
             self,
             settings.gate.host_id,
-            gate_server.BodyLimits(
+            requests.BodyLimits(
                 limits.body_buffer_bytes, limits.request_body_bytes
             ),
         )
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -7,21 +7,16 @@
 
 from aiohttp import http
 from aiohttp import streams
-import attrs
 import result
 
-from fireflyspindle import headers
 from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import keyed_requests
 from fireflyspindle.adapters import receiving
+from fireflyspindle.adapters import requests
 from fireflyspindle.core import events
 
-REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-MAX_NAME_CHARACTERS = 100
-MAX_DEADLINE_MS = 3_600_000
-MAX_DEADLINE_DIGITS = 7
 SWEEP_INTERVAL_S = 1.0
 CLOSE_LIMIT_S = 2.0
 CLOSE_POLL_S = 0.01
@@ -47,19 +42,6 @@
         """Starts a task."""
 
 
-@attrs.define(frozen=True)
-class BodyLimits:
-    """Limits on the bodies of requests.
-
-    Attributes:
-        held_bytes: Largest body that is held whole, for a retry.
-        carried_bytes: Largest body that is carried.
-    """
-
-    held_bytes: int
-    carried_bytes: int
-
-
 class GateServer:
     """Turns callers' requests into events.
 
@@ -69,7 +51,7 @@
     """
 
     def __init__(
-        self, shell: Shell, host_id: str, body_limits: BodyLimits
+        self, shell: Shell, host_id: str, body_limits: requests.BodyLimits
     ) -> None:
         self.connections: set[Connection] = set()
         self.stopping = False
@@ -151,8 +133,11 @@
         payload: streams.StreamReader,
     ) -> None:
         """Serves one request of a caller."""
-        arrived = self._arrival(message).and_then(
-            lambda event: _with_key(event, message)
+        arrived = requests.read(
+            message,
+            next(self._call_ids),
+            self._shell.now_us(),
+            self._body_limits.carried_bytes,
         )
         match arrived:
             case result.Err(refusal):
@@ -160,65 +145,6 @@
             case result.Ok(event):
                 self._read_body(connection, message, payload, event)
 
-    def _arrival(
-        self, message: http.RawRequestMessage
-    ) -> result.Result[events.CallArrived, answers.BadRequest]:
-        given = message.headers
-        if message.method == "CONNECT":
-            return result.Err(
-                answers.BadRequest(405, "bad_method", "CONNECT is not served")
-            )
-        problem = self._body_problem(message)
-        if problem is not None:
-            return result.Err(problem)
-        repeatable = given.get(headers.REPEATABLE, "").lower()
-        if repeatable not in ("", "yes", "no"):
-            return _bad(headers.REPEATABLE, repeatable, '"yes" or "no"')
-        tenant = given.get(headers.TENANT, "")
-        traffic_class = given.get(headers.CLASS, "")
-        if len(tenant) > MAX_NAME_CHARACTERS:
-            return _bad(headers.TENANT, tenant, "at most 100 characters")
-        if len(traffic_class) > MAX_NAME_CHARACTERS:
-            return _bad(headers.CLASS, traffic_class, "at most 100 characters")
-        now_us = self._shell.now_us()
-        deadline_us = None
-        text = given.get(headers.DEADLINE_MS)
-        if text is not None:
-            if not _is_deadline(text):
-                accepted = f"whole milliseconds from 1 to {MAX_DEADLINE_MS}"
-                return _bad(headers.DEADLINE_MS, text, accepted)
-            deadline_us = now_us + int(text) * 1000
-        return result.Ok(
-            events.CallArrived(
-                now_us=now_us,
-                call_id=next(self._call_ids),
-                path=_route_path(message),
-                tenant=tenant,
-                traffic_class=traffic_class,
-                repeatable=repeatable == "yes"
-                or (not repeatable and message.method in REPEATABLE_METHODS),
-                deadline_us=deadline_us,
-            )
-        )
-
-    def _body_problem(
-        self, message: http.RawRequestMessage
-    ) -> answers.BadRequest | None:
-        expected = message.headers.get("Expect", "100-continue")
-        if expected.lower() != "100-continue":
-            detail = f'header Expect is {expected[:40]!r}; give "100-continue"'
-            return answers.BadRequest(417, "bad_header", detail)
-        coding = message.headers.get("Transfer-Encoding", "chunked")
-        if coding.lower() != "chunked":
-            detail = f'Transfer-Encoding is {coding[:40]!r}; give "chunked"'
-            return answers.BadRequest(400, "bad_header", detail)
-        stated = message.headers.get("Content-Length")
-        limit_bytes = self._body_limits.carried_bytes
-        if stated is not None and int(stated) > limit_bytes:
-            detail = f"the body has {stated} bytes; give at most {limit_bytes}"
-            return answers.BadRequest(413, "body_too_large", detail)
-        return None
-
     def _read_body(
         self,
         connection: Connection,
@@ -304,20 +230,6 @@
         )
 
 
-def _with_key(
-    event: events.CallArrived, message: http.RawRequestMessage
-) -> result.Result[events.CallArrived, answers.BadRequest]:
-    """Puts the idempotency key of a non-repeatable request on its event."""
-    if event.repeatable:
-        return result.Ok(event)
-    match keyed_requests.read(message.headers):
-        case result.Err(why):
-            return result.Err(answers.BadRequest(400, "bad_key", why))
-        case result.Ok(key):
-            keyed_requests.put(event, key)
-    return result.Ok(event)
-
-
 async def _read(
     payload: streams.StreamReader, limit_bytes: int
 ) -> bytes | None:
@@ -328,23 +240,3 @@
         if len(body) > limit_bytes:
             return None
     return bytes(body)
-
-
-def _is_deadline(text: str) -> bool:
-    if not text.isascii() or not text.isdecimal():
-        return False
-    return len(text) <= MAX_DEADLINE_DIGITS and 0 < int(text) <= MAX_DEADLINE_MS
-
-
-def _route_path(message: http.RawRequestMessage) -> str:
-    path = message.path
-    if not path.startswith("/") and message.url.absolute:
-        path = message.url.raw_path
-    return path.partition("?")[0]
-
-
-def _bad(
-    name: str, value: str, accepted: str
-) -> result.Err[answers.BadRequest]:
-    detail = f"header {name} is {value[:40]!r}; give {accepted}"
-    return result.Err(answers.BadRequest(400, "bad_header", detail))
--- a/src/fireflyspindle/adapters/wire.py
+++ b/src/fireflyspindle/adapters/wire.py
@@ -1,6 +1,7 @@
 """Heads of HTTP/1.1 messages, built from the bytes that were received."""
 
 from collections.abc import Sequence
+import functools
 
 from aiohttp import http
 
@@ -15,6 +16,8 @@
 _CARRIED_TO_CALLERS: frozenset[bytes] = frozenset()
 _NEVER_CONNECTION_NAMED = frozenset({b"host", b"idempotency-key"})
 
+CACHED_NAMES = 1024
+
 # Statuses of answers that come before the real one.
 INTERIM = frozenset({100, 102, 103, 104})
 
@@ -79,25 +82,32 @@
 def _add_carried(
     lines: list[bytes], message: Message, own: frozenset[bytes]
 ) -> None:
-    dropped = headers.HOP_BY_HOP
-    named = message.headers.getall("Connection", None)
-    if named:
-        dropped = dropped.union(_connection_named(named))
+    values = message.headers.getall("Connection", None)
+    named = _connection_named(values) if values else frozenset()
     for name, value in message.raw_headers:
-        lowered = name.lower()
-        if lowered in dropped:
-            continue
-        if lowered.startswith(headers.OWN_PREFIX) and lowered not in own:
+        prefix = _prefix(name, own)
+        if prefix is None or (named and name.lower() in named):
             continue
-        lines.append(b"%b: %b\r\n" % (name, value))
+        lines += (prefix, value, b"\r\n")
+
+
+@functools.lru_cache(maxsize=CACHED_NAMES)
+def _prefix(name: bytes, own: frozenset[bytes]) -> bytes | None:
+    """Returns the start of a header's line; None if it is not carried."""
+    lowered = name.lower()
+    if lowered in headers.HOP_BY_HOP:
+        return None
+    if lowered.startswith(headers.OWN_PREFIX) and lowered not in own:
+        return None
+    return name + b": "
 
 
-def _connection_named(values: Sequence[str]) -> set[bytes]:
-    named = {
+def _connection_named(values: Sequence[str]) -> frozenset[bytes]:
+    named = frozenset(
         token.strip().lower().encode("utf-8", "surrogateescape")
         for value in values
         for token in value.split(",")
-    }
+    )
     return named - _NEVER_CONNECTION_NAMED
 
 
