--- a/src/fireflyspindle/bench/overhead.py
+++ b/src/fireflyspindle/bench/overhead.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from fireflyspindle.bench import decisions
 from fireflyspindle.bench import overhead_load
 from fireflyspindle.bench import overhead_servers
 
@@ -20,7 +21,8 @@
 ROUNDS = 5
 SEGMENT_S = 2.0
 CLOSED_LOOP_CALLERS = 32
-ROLES = ("target", "pass-through", "gate", "load")
+ROLES = ("target", "pass-through", "gate", "load", "decisions")
+ENDPOINTS = (16, 1_000)
 
 
 @attrs.define
@@ -76,7 +78,8 @@
     """Measures what the gate adds to a call; see `make bench-overhead`.
 
     Args:
-        role: "target", "pass-through", "gate" or "load".
+        role: "target", "pass-through", "gate" or "load"; or "decisions",
+            which needs no other and measures the reducer alone.
         base_port: First of the ports on loopback that the roles use.
         rates: Calls per second of the open loops, separated by commas.
         rounds: Times that each load is put on each path, interleaved.
@@ -97,6 +100,12 @@
             wanted = [float(rate) for rate in rates.split(",")]
             found = asyncio.run(_measure(base_port, wanted, rounds, segment_s))
             print(json_lib.dumps(found, indent=None if json else 2))
+        case "decisions":
+            measured = {
+                f"{endpoints}_endpoints_us": decisions.measure(endpoints)
+                for endpoints in ENDPOINTS
+            }
+            print(json_lib.dumps(measured, indent=None if json else 2))
         case _:
             return _unknown_role(role)
     return 0
