--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -99,6 +99,10 @@
         self.exchanges[exchange.call_id] = exchange
         self._shell.submit(event)
 
+    def on_refused(self, error: str) -> None:
+        """Counts a request that was refused before it was a call."""
+        self._shell.metrics.errors[error] += 1
+
     def send(self, effect: effects.SendToTarget) -> None:
         """Sends an attempt of a call to a target."""
         if effect.attempt > 1:
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -35,6 +35,9 @@
     ) -> None:
         """Takes in a call."""
 
+    def on_refused(self, error: str) -> None:
+        """Counts a request that was refused before it was a call."""
+
     def submit(self, event: events.Event) -> None:
         """Feeds an event to the reducer."""
 
@@ -124,6 +127,12 @@
         """Answers bytes that are no HTTP request."""
         detail = error.message.strip() or "the request is not HTTP/1.1"
         refusal = answers.BadRequest(400, "bad_http", detail)
+        self._refuse(connection, refusal)
+
+    def _refuse(
+        self, connection: Connection, refusal: answers.BadRequest
+    ) -> None:
+        self._shell.on_refused(refusal.error)
         answers.refuse(connection, refusal)
 
     def on_request(
@@ -141,7 +150,7 @@
         )
         match arrived:
             case result.Err(refusal):
-                answers.refuse(connection, refusal)
+                self._refuse(connection, refusal)
             case result.Ok(event):
                 self._read_body(connection, message, payload, event)
 
@@ -203,7 +212,7 @@
             if body is None:
                 detail = keyed_requests.too_large(self._body_limits.held_bytes)
                 refusal = answers.BadRequest(413, "body_too_large", detail)
-                answers.refuse(connection, refusal)
+                self._refuse(connection, refusal)
                 return
             keyed_requests.stamp(event, message.method, message.path, body)
         exchange = exchange_lib.Exchange(
--- a/tests/test_caller_faults.py
+++ b/tests/test_caller_faults.py
@@ -1,11 +1,14 @@
 """Callers that leave, cut their upload or send what can't be served."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
 
 from fireflyspindle import headers
+from fireflyspindle.adapters import caller_connection
+from fireflyspindle.adapters import gate_server
 import wire
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -78,9 +81,10 @@
     async with wire.running(wire.replies(OK)) as running:
         answer = await running.ask(request_bytes)
     assert running.targets[0].requests == []
+    stated = json.loads(answer.body)
+    assert running.gate.metrics.errors == {stated["error"]: 1}
     assert answer.first_line.split()[1] == status
     assert answer.values(headers.OUTCOME) == [b"not-run"]
-    stated = json.loads(answer.body)
     assert stated["outcome"] == "not-run"
     assert named in stated["detail"]
 
@@ -194,3 +198,25 @@
     assert answer.body == b"ok"
     assert answer.values("Connection") == [b"close"]
     assert rest == b""
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"",
+        b"GET /dossier HTTP/1.1\r\nHost: x\r\n",
+        wire.request(body=b"x" * 9)[:-1],
+    ],
+    ids=["nothing", "half a head", "half a body"],
+)
+async def test_caller_that_stalls_is_closed(part, monkeypatch):
+    monkeypatch.setattr(caller_connection, "IDLE_LIMIT_S", 0.02)
+    monkeypatch.setattr(caller_connection, "BODY_LIMIT_S", 0.02)
+    monkeypatch.setattr(gate_server, "SWEEP_INTERVAL_S", 0.01)
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        caller.writer.write(part)
+        with contextlib.suppress(ConnectionError):
+            assert await caller.reader.read() == b""
+        caller.close()
+    assert running.targets[0].connections == 0
