--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -1,5 +1,6 @@
 """The state that the reducer owns and updates in place."""
 
+import collections
 import enum
 import random
 
@@ -10,6 +11,7 @@
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import incarnations
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import members
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
@@ -107,6 +109,62 @@
     claim: claim_state.ClaimUse | None = None
 
 
+@attrs.define(frozen=True)
+class SlotSeen:
+    """The latest record of a probe slot, and when this host read it."""
+
+    offset: int
+    read_us: int
+
+
+@attrs.define(frozen=True)
+class SlotClaim:
+    """A record of a probe slot that was sent and has not been read back.
+
+    Attributes:
+        number: Number of the record.
+        before_offset: Offset of the slot's record before it, or None.
+        sent_us: Time of sending.
+    """
+
+    number: int
+    before_offset: int | None
+    sent_us: int
+
+
+@attrs.define
+class ProbeSlots:
+    """What this gate host knows of the fleet's probe slots.
+
+    Attributes:
+        reading: Whether the first read was asked for.
+        listening_us: Time since which every record was read, or None.
+        whole: Whether the stream was read from its very first record.
+        seen: Latest record of each slot.
+        pending: Own record that is on its way.
+        owned: Slot that this gate host owns, or None.
+        valid_until_us: Time until which it may use the slot.
+        last_number: Number of its latest record.
+    """
+
+    reading: bool = False
+    listening_us: int | None = None
+    whole: bool = False
+    seen: dict[int, SlotSeen] = attrs.field(factory=dict)
+    pending: SlotClaim | None = None
+    owned: int | None = None
+    valid_until_us: int = 0
+    last_number: int = 0
+
+
+@attrs.define(frozen=True)
+class Probe:
+    """A probe that has not ended."""
+
+    service: str
+    target: str
+
+
 @attrs.define
 class ServiceState:
     """What this gate host knows of one service.
@@ -114,6 +172,11 @@
     Attributes:
         name: Name of the service.
         targets: Targets by address.
+        candidates: Targets that this gate host looks at for each choice.
+        others: Targets of a large service that are only sampled.
+        load: Estimates of load over all targets.
+        hedge_budget: Hedges that it may still make.
+        probes_sent_us: Times of its latest probes.
         ejected: Targets that are ejected, by address.
         retry_budget: Retries that it may still make.
         latency_us: Moving average of the time to a good answer; 0 for none.
@@ -122,10 +185,17 @@
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    candidates: list[targets_lib.Target] = attrs.field(factory=list)
+    others: list[targets_lib.Target] = attrs.field(factory=list)
+    load: load_lib.ServiceLoad = attrs.field(factory=load_lib.ServiceLoad)
     ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
     latency_us: float = 0.0
     failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    hedge_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    probes_sent_us: collections.deque[int] = attrs.field(
+        factory=collections.deque
+    )
 
 
 @attrs.define
@@ -166,6 +236,9 @@
         host_list_reads: Reads of the host list that succeeded.
         host_list_failures: Reads of the host list that failed.
         stopping: Whether a planned stop has begun.
+        probe_slots: Rights to probe.
+        probes: Probes that have not ended, by number.
+        last_probe_id: Number of the latest probe.
         outbox: Effects of the event at hand.
     """
 
@@ -193,6 +266,9 @@
     host_list_reads: int = 0
     host_list_failures: int = 0
     stopping: bool = False
+    probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
+    probes: dict[int, Probe] = attrs.field(factory=dict)
+    last_probe_id: int = 0
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
     def emit(self, effect: effects.Effect) -> None:
