--- a/src/fireflyspindle/bench/history_run.py
+++ b/src/fireflyspindle/bench/history_run.py
@@ -4,14 +4,15 @@
 
 import attrs
 
-from fireflyspindle.adapters import control_api
 from fireflyspindle.bench import fake_target
 from fireflyspindle.bench import faults as faults_lib
 from fireflyspindle.bench import history as history_lib
 from fireflyspindle.bench import history_checks
 from fireflyspindle.bench import world as world_lib
+from fireflyspindle.bench import world_hosts
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import readiness
 
 LOAD_US = 20_000_000
 SETTLE_US = 25_000_000
@@ -80,19 +81,22 @@
         if chance < 0.7:
             self._call(repeatable=False, key="")
             return
-        key = f"{self._calls}"
-        self._call(repeatable=False, key=key)
-        if self.random.random() < 0.2:
-            self._call(repeatable=False, key=key)
-
-    def _call(self, repeatable: bool, key: str) -> None:
+        key = f"{self.wall_ms()}-{self._calls}"
+        doubled = self.random.random() < 0.2
+        self._call(repeatable=False, key=key, other_copies=doubled)
+        if doubled:
+            self._call(repeatable=False, key=key, other_copies=True)
+
+    def _call(
+        self, repeatable: bool, key: str, other_copies: bool = False
+    ) -> None:
         ready = [
             host
             for host in self.hosts
             if host.listed
             and (
                 host.gate.state.stopping
-                or control_api.not_ready_reason(host.gate.state) is None
+                or readiness.not_ready_reason(host.gate.state) is None
             )
         ]
         if not ready:
@@ -117,12 +121,15 @@
                 deadline_us=now_us + DEADLINE_US,
                 idempotency_key=key,
                 body_digest=key,
+                key_issued_ms=int(key.partition("-")[0] or 0),
+                wall_ms=self.wall_ms() + host.skew_ms,
+                other_copies=other_copies,
             ),
         )
         if self.random.random() < 0.02:
             self.timeline.after(5_000, lambda: self._leave(host, call))
 
-    def _leave(self, host: world_lib.Host, call: int) -> None:
+    def _leave(self, host: world_hosts.Host, call: int) -> None:
         seen = self.history.calls[call]
         if seen.told is not None or host.gate.stopped:
             return
@@ -137,7 +144,10 @@
         if self._tries[seen.key] >= MAX_TRIES:
             return
         self.timeline.after(
-            50_000, lambda: self._call(repeatable=False, key=seen.key)
+            50_000,
+            lambda: self._call(
+                repeatable=False, key=seen.key, other_copies=True
+            ),
         )
 
     # Operators.
@@ -234,7 +244,7 @@
 
         return end
 
-    def _pause(self, host: world_lib.Host) -> Callable[[], None]:
+    def _pause(self, host: world_hosts.Host) -> Callable[[], None]:
         host.gate.paused = True
         self.disturb(host)
 
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -67,11 +67,13 @@
 
     Attributes:
         call_id: Number of the call.
-        outcome: NOT_RUN or UNKNOWN.
+        outcome: What is known of the request; COMPLETE only of one that
+            came earlier with the same key.
         status: HTTP status.
         error: Short machine-readable code.
         detail: Sentence for a person.
         retry_after_ms: When the caller may ask again, or None.
+        recorded_status: HTTP status of the earlier request's answer, or 0.
     """
 
     call_id: int
@@ -80,6 +82,7 @@
     error: str
     detail: str
     retry_after_ms: int | None = None
+    recorded_status: int = 0
 
 
 @attrs.define
@@ -124,6 +127,19 @@
     wait: bool = True
 
 
+@attrs.define
+class ReadHostList:
+    """Read the platform's host list.
+
+    The shell reports `HostListRead` or `HostListReadFailed`.
+
+    Attributes:
+        delay_us: Time to wait before the read.
+    """
+
+    delay_us: int
+
+
 @attrs.define
 class AppendRecord:
     """Append one record to a stream of the log.
@@ -191,6 +207,7 @@
     | AnswerCaller
     | CallFinished
     | ReadLog
+    | ReadHostList
     | AppendRecord
     | ProbeTarget
     | TellPeer
--- a/src/fireflyspindle/core/membership.py
+++ b/src/fireflyspindle/core/membership.py
@@ -1,11 +1,19 @@
-"""The other gate hosts: rounds of messages, and what comes from peers."""
+"""The other gate hosts: rounds of messages, and what comes from peers.
+
+News is pushed to a few hosts chosen by chance, for two rounds; hosts whose
+log is silent pull too (after Demers et al., Epidemic Algorithms for Replicated
+Database Maintenance, 1987).
+"""
 
 import attrs
 import result
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import incarnations
+from fireflyspindle.core import leaving
 from fireflyspindle.core import members
+from fireflyspindle.core import offset_table
 from fireflyspindle.core import peers
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import state_transfer
@@ -14,6 +22,8 @@
 
 ROUND_US = 500_000
 ROUNDS_PER_HEARTBEAT = 4
+ROUNDS_PER_QUESTION = 2
+ROUNDS_OF_NEWS = 2
 FAN_OUT_OF_NEWS = 3
 ROWS_PER_HEARTBEAT = 4
 SIGNS_PER_HEARTBEAT = 8
@@ -41,23 +51,29 @@
     )
     members.forget_silent(membership, state.now_us)
     _tell_round(state)
+    offset_table.ask_lagging(state)
     state_transfer.catch_up(state)
 
 
 def _tell_round(state: state_lib.GateState) -> None:
     membership = state.membership
-    joining = not state.configuration.complete
     news = _news(state)
-    is_news = news != membership.told
-    due = membership.ticks % ROUNDS_PER_HEARTBEAT == 0
-    if not (joining or is_news or due) or membership.budget_bytes <= 0:
+    if news != membership.told:
+        membership.told = news
+        membership.news_rounds = ROUNDS_OF_NEWS
+    is_news = membership.news_rounds > 0
+    asks = not state.configuration.complete
+    asks = asks or state_transfer.log_is_silent(state)
+    period = ROUNDS_PER_QUESTION if asks else ROUNDS_PER_HEARTBEAT
+    due = membership.ticks % period == 0
+    if not (is_news or due) or membership.budget_bytes <= 0:
         return
-    membership.told = news
+    membership.news_rounds = max(0, membership.news_rounds - 1)
     addresses = telling.addresses(state)
-    fan_out = FAN_OUT_OF_NEWS if joining or is_news else 1
+    fan_out = FAN_OUT_OF_NEWS if is_news else 1
     chosen = state.random.sample(addresses, min(fan_out, len(addresses)))
     for address in chosen:
-        size = telling.tell(state, address, _heartbeat(state, reply=joining))
+        size = telling.tell(state, address, _heartbeat(state, reply=asks))
         membership.budget_bytes -= size
 
 
@@ -71,21 +87,22 @@
 
 
 def _signs(state: state_lib.GateState) -> tuple[peers.LeavingTarget, ...]:
-    return ()
+    return tuple(
+        peers.LeavingTarget(sign.address, sign.ids)
+        for sign in leaving.signs(state)
+    )
 
 
 def _heartbeat(state: state_lib.GateState, *, reply: bool) -> peers.Heartbeat:
     membership = state.membership
     live = members.live(membership, state.now_us)
+    row_count = 0 if reply else min(ROWS_PER_HEARTBEAT, len(live))
     signs = _signs(state)
     return peers.Heartbeat(
         digest=f"{state.configuration.digest:016x}",
         reply=reply,
         rows=tuple(
-            member.row
-            for member in state.random.sample(
-                live, min(ROWS_PER_HEARTBEAT, len(live))
-            )
+            member.row for member in state.random.sample(live, row_count)
         ),
         leaving=tuple(
             state.random.sample(signs, min(SIGNS_PER_HEARTBEAT, len(signs)))
@@ -123,7 +140,10 @@
         return
     member = members.take(state.membership, sender, state.now_us)
     known = state.membership.members.get(sender.host_id)
-    if known is None or sender.incarnation < known.row.incarnation:
+    if known is None:
+        return
+    if sender.incarnation < known.row.incarnation:
+        _tell_of_later_start(state, sender, known.row)
         return
     address = telling.address_of(state, known)
     match content:
@@ -131,13 +151,32 @@
             _take_heartbeat(state, sender, content)
             if member is not None:
                 member.shared = content.shared
+            if address:
+                state_transfer.on_news(state, address, sender.next_offset)
             if content.reply and address:
-                telling.tell(state, address, _heartbeat(state, reply=False))
+                _answer(state, address, content)
         case _:
             if address:
                 _take_transfer(state, address, content)
 
 
+def _answer(
+    state: state_lib.GateState, address: str, asked: peers.Heartbeat
+) -> None:
+    answer = peers.Heartbeat()
+    if not asked.brief:
+        answer = _heartbeat(state, reply=False)
+    telling.tell(state, address, answer)
+
+
+def _tell_of_later_start(
+    state: state_lib.GateState, sender: members.Row, known: members.Row
+) -> None:
+    if sender.address:
+        told = peers.Heartbeat(rows=(known,))
+        telling.tell(state, sender.address, told)
+
+
 def _take_transfer(
     state: state_lib.GateState, address: str, content: peers.Content
 ) -> None:
@@ -155,12 +194,30 @@
 def _take_heartbeat(
     state: state_lib.GateState, sender: members.Row, content: peers.Heartbeat
 ) -> None:
+    for sign in content.leaving:
+        leaving.note_from_peer(state, incarnations.Sign(sign.address, sign.ids))
     for row in content.rows:
-        if row.host_id != state.settings.host_id:
-            members.take(state.membership, row, state.now_us)
+        if row.host_id == state.settings.host_id:
+            _outlive(state, row)
+            continue
+        members.take(state.membership, row, state.now_us)
     _compare(state, sender, content.digest)
 
 
+def _outlive(state: state_lib.GateState, row: members.Row) -> None:
+    """Takes a higher incarnation than one that peers know of this name."""
+    if row.incarnation <= state.settings.incarnation:
+        return
+    state.settings = attrs.evolve(
+        state.settings, incarnation=row.incarnation + 1
+    )
+    detail = (
+        f"peers know a later start of {row.host_id!r}: the clock ran"
+        " backwards, or two hosts have this name"
+    )
+    state.emit(effects.Report("warning", "host_name_taken", detail))
+
+
 def _compare(
     state: state_lib.GateState, sender: members.Row, digest: str
 ) -> None:
@@ -191,27 +248,6 @@
     }
 
 
-def hosts_without(
-    state: state_lib.GateState, next_offset: int
-) -> dict[str, int | None]:
-    """Returns the hosts that don't have an offset in force yet.
-
-    Args:
-        state: State of the gate host.
-        next_offset: Offset of the record plus one.
-
-    Returns:
-        The next offset in force of each such host, None if it is unknown.
-    """
-    found = members.offsets(state.membership, state.now_us)
-    found[state.settings.host_id] = state.configuration.next_offset
-    return {
-        host_id: offset
-        for host_id, offset in found.items()
-        if offset is None or offset < next_offset
-    }
-
-
 def summary(state: state_lib.GateState) -> dict:
     """Returns the other hosts as JSON data, for people on call."""
     membership = state.membership
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -1,10 +1,13 @@
 """The reducer: one function over all events, with effects as data."""
 
 from fireflyspindle.core import calls
+from fireflyspindle.core import claim_reads
+from fireflyspindle.core import claims
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
+from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import membership
 from fireflyspindle.core import recovery
@@ -18,6 +21,8 @@
     state.now_us = now_us
     recovery.start(state)
     membership.start(state)
+    host_list.start(state)
+    claim_reads.start(state)
     return _take_effects(state)
 
 
@@ -63,7 +68,9 @@
         case events.LogReadFailed():
             log.on_read_failed(state, event)
         case events.HostListRead():
-            membership.on_host_list(state, event)
+            host_list.on_read(state, event)
+        case events.HostListReadFailed():
+            host_list.on_read_failed(state)
         case events.PeerMessageReceived():
             membership.on_message(state, event)
         case events.AppendSettled():
@@ -84,6 +91,8 @@
                 membership.on_due(state)
             case timers.SnapshotDue(number):
                 snapshot_looks.on_due(state, number)
+            case timers.ClaimsDue():
+                claims.on_due(state)
             case timers.DrainDeadline():
                 state.emit(effects.Exit())
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -6,8 +6,10 @@
 import attrs
 
 from fireflyspindle.core import budgets
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
+from fireflyspindle.core import incarnations
 from fireflyspindle.core import members
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
@@ -24,6 +26,7 @@
         host_id: Id of this gate host's incarnation, unique for each start.
         failure_domain: Failure domain that this gate host runs in.
         drain_limit_ms: Hard limit of a planned stop.
+        claims: Settings of claims.
         incarnation: Grows with each start of the host.
         control_address: Address at which peers reach this gate host.
         peer_addresses: Control addresses of peers to ask at first.
@@ -34,6 +37,7 @@
     host_id: str
     failure_domain: str = ""
     drain_limit_ms: int = 60_000
+    claims: claim_state.ClaimSettings = claim_state.ClaimSettings()
     incarnation: int = 0
     control_address: str = ""
     peer_addresses: tuple[str, ...] = ()
@@ -79,6 +83,8 @@
         last_target: Address of the target of the latest attempt.
         tried: Addresses of the targets of all attempts.
         maybe_ran: Whether an attempt ended without a word on having run.
+        status: HTTP status of a target's answer that ran it, or 0.
+        claim: Its part in the claims of its key, if it has one.
     """
 
     call_id: int
@@ -97,14 +103,28 @@
     last_target: str = ""
     tried: set[str] = attrs.field(factory=set)
     maybe_ran: bool = False
+    status: int = 0
+    claim: claim_state.ClaimUse | None = None
 
 
 @attrs.define
 class ServiceState:
-    """What this gate host knows of one service."""
+    """What this gate host knows of one service.
+
+    Attributes:
+        name: Name of the service.
+        targets: Targets by address.
+        ejected: Targets that are ejected, by address.
+        retry_budget: Retries that it may still make.
+        latency_us: Moving average of the time to a good answer; 0 for none.
+        failure_share: Moving average of failed attempts.
+    """
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    latency_us: float = 0.0
+    failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
 
 
@@ -130,6 +150,7 @@
     Attributes:
         settings: Settings of the core.
         random: Seeded generator; the only source of randomness.
+        claims: Claims of keyed calls.
         now_us: Time of the event at hand.
         configuration: Records in force.
         services: State of each service by name.
@@ -140,13 +161,17 @@
         log_positions: How far each stream of the log has been read.
         appends: Stream of each append that has not been settled, by number.
         last_append_id: Number of the latest append.
+        tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
+        host_list_reads: Reads of the host list that succeeded.
+        host_list_failures: Reads of the host list that failed.
         stopping: Whether a planned stop has begun.
         outbox: Effects of the event at hand.
     """
 
     settings: CoreSettings
     random: random.Random
+    claims: claim_state.ClaimState
     now_us: int = 0
     configuration: configuration_lib.Configuration = attrs.field(
         factory=configuration_lib.Configuration
@@ -163,7 +188,10 @@
     log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
     appends: dict[int, str] = attrs.field(factory=dict)
     last_append_id: int = 0
+    tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
+    host_list_reads: int = 0
+    host_list_failures: int = 0
     stopping: bool = False
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
@@ -173,7 +201,17 @@
 
 
 def new(settings: CoreSettings, seed: int) -> GateState:
-    """Returns the state of a gate host that has just started."""
-    state = GateState(settings=settings, random=random.Random(seed))
+    """Returns the state of a gate host that has just started.
+
+    The seed must differ for each start of a host: claims tell a host from the
+    one that it replaces by it.
+    """
+    incarnation = random.Random(seed).getrandbits(64)
+    writer = f"{settings.host_id}/{incarnation:016x}"
+    state = GateState(
+        settings=settings,
+        random=random.Random(seed),
+        claims=claim_state.ClaimState(settings.claims, writer),
+    )
     state.configuration.reader_version = settings.reader_version
     return state
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -40,7 +40,14 @@
     number: int
 
 
-Timer = CallDeadline | HedgeDue | DrainDeadline | PeersDue | SnapshotDue
+@attrs.define
+class ClaimsDue:
+    """A batch of claims may leave, or their stream be read."""
+
+
+Timer = (
+    CallDeadline | HedgeDue | DrainDeadline | PeersDue | SnapshotDue | ClaimsDue
+)
 
 
 @attrs.define
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -5,6 +5,7 @@
 DEADLINE_MS = "Fireflyspindle-Deadline-Ms"
 REPEATABLE = "Fireflyspindle-Repeatable"
 IDEMPOTENCY_KEY = "Idempotency-Key"
+OTHER_COPIES = "Fireflyspindle-Other-Copies"
 REQUEST_ID = "Fireflyspindle-Request-Id"
 
 OUTCOME = "Fireflyspindle-Outcome"
@@ -12,6 +13,7 @@
 
 IN_FLIGHT = "Fireflyspindle-In-Flight"
 LEAVING = "Fireflyspindle-Leaving"
+INCARNATION = "Fireflyspindle-Incarnation"
 NOT_RUN = "Fireflyspindle-Not-Run"
 
 # Every header of the gate's own, in lower case.
