Move what operators send into a module of its own

Change: the change, its checks and refusals stand in admin_changes. Conclusion: no behaviour changed.

--- a/src/fireflyspindle/adapters/admin_api.py
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from typing import Any, Protocol
-import uuid
 
 from aiohttp import web
 import attrs
@@ -11,6 +10,7 @@
 from fireflyspindle import administration
 from fireflyspindle import logs
 from fireflyspindle import settings as settings_lib
+from fireflyspindle.adapters import admin_changes
 from fireflyspindle.adapters import log_client
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
@@ -38,62 +38,6 @@
         """Returns the monotonic time."""
 
 
-@attrs.define(frozen=True)
-class Change:
-    """What an operator sends to publish a record.
-
-    Attributes:
-        kind: Kind of the record.
-        name: Name of the object within its kind.
-        expected_revision: Revision that the record replaces; 0 for none.
-        payload: The object, or None to delete it.
-        schema_version: Form of the payload.
-        oldest_reader_version: Oldest reader that can apply the payload.
-        record_id: Unique id; the same id again is harmless. One is made up
-            when it is empty.
-    """
-
-    kind: str
-    name: str
-    expected_revision: int
-    payload: dict[str, Any] | None
-    schema_version: int = 1
-    oldest_reader_version: int = 1
-    record_id: str = ""
-
-    def envelope(self, author: str) -> records.Envelope:
-        """Returns the record as it will stand in the log.
-
-        Raises:
-            ValueError: A field is out of bounds.
-        """
-        return records.Envelope(
-            record_id=self.record_id or uuid.uuid4().hex,
-            kind=self.kind,
-            name=self.name,
-            expected_revision=self.expected_revision,
-            schema_version=self.schema_version,
-            oldest_reader_version=self.oldest_reader_version,
-            author=author,
-            payload=self.payload,
-        )
-
-
-@attrs.define(frozen=True)
-class Refusal:
-    """An answer that says why nothing was done, or that it is unknown."""
-
-    status: int
-    error: str
-    detail: str
-
-    def response(self) -> web.Response:
-        """Returns the answer."""
-        return web.json_response(
-            {"error": self.error, "detail": self.detail}, status=self.status
-        )
-
-
 def application(gate: Gate) -> web.Application:
     """Returns the application that serves below /admin."""
     handlers = _Handlers(gate)
@@ -128,7 +72,7 @@
                 path=request.path,
                 remote=request.remote,
             )
-            refusal = Refusal(
+            refusal = admin_changes.Refusal(
                 401,
                 "bad_token",
                 "no team has the token given; send the header"
@@ -164,7 +108,7 @@
         entry = self._config.entries.get(key)
         if entry is None:
             detail = f"no record has the key {key!r}"
-            return Refusal(404, "no_record", detail).response()
+            return admin_changes.Refusal(404, "no_record", detail).response()
         return web.json_response(self._shown(entry))
 
     def _shown(self, entry: configuration.Entry) -> dict:
@@ -176,24 +120,24 @@
 
     async def validate(self, request: web.Request) -> web.Response:
         match await _read_change(request):
-            case Refusal() as refusal:
+            case admin_changes.Refusal() as refusal:
                 return refusal.response()
             case records.Envelope(key=key):
                 return web.json_response({"valid": True, "key": key})
 
     async def publish(self, request: web.Request) -> web.Response:
         wait_ms = _whole_number(request, "wait_ms", 0, MAX_WAIT_MS)
-        if isinstance(wait_ms, Refusal):
+        if isinstance(wait_ms, admin_changes.Refusal):
             return wait_ms.response()
         change = await _read_change(request)
-        if isinstance(change, Refusal):
+        if isinstance(change, admin_changes.Refusal):
             return change.response()
         team = request[_TEAM]
         if not administration.may_write(team, change.key):
             return _denied(team, change.key).response()
         why = publishing.reader_problem(change, self._lowest_reader_version())
         if why is not None:
-            return Refusal(409, "reader_too_old", why).response()
+            return admin_changes.Refusal(409, "reader_too_old", why).response()
         found = self._config.entries.get(change.key)
         revision = found.revision if found else 0
         if change.expected_revision < revision and not _is_same(found, change):
@@ -247,19 +191,21 @@
                 return _conflict(change, found_revision).response()
             case publishing.NotAppended():
                 detail = "the log did not take the record; publish it again"
-                return Refusal(503, "not_appended", detail).response()
+                return admin_changes.Refusal(
+                    503, "not_appended", detail
+                ).response()
             case _:
                 detail = (
                     "the log may or may not hold the record; publish it again"
                     f" with the record id {change.record_id}, which is harmless"
                 )
-                return Refusal(504, "unknown", detail).response()
+                return admin_changes.Refusal(504, "unknown", detail).response()
 
     async def in_force(self, request: web.Request) -> web.Response:
         offset = _whole_number(request, "offset", 0, records.MAX_REVISION)
         wait_ms = _whole_number(request, "wait_ms", 0, MAX_WAIT_MS)
         for each in (offset, wait_ms):
-            if isinstance(each, Refusal):
+            if isinstance(each, admin_changes.Refusal):
                 return each.response()
         assert isinstance(offset, int)
         assert isinstance(wait_ms, int)
@@ -290,7 +236,7 @@
             )
             if batch is None:
                 detail = "the log can't be read; ask again later"
-                return Refusal(503, "log_down", detail).response()
+                return admin_changes.Refusal(503, "log_down", detail).response()
             for entry in batch.entries:
                 shown += self._past(entry, key, conflicts_only)
                 offset = entry.offset + 1
@@ -327,49 +273,26 @@
                 return None
 
 
-async def _read_change(request: web.Request) -> records.Envelope | Refusal:
+async def _read_change(
+    request: web.Request,
+) -> records.Envelope | admin_changes.Refusal:
     raw = records.load_json(await request.text())
     checked = raw.and_then(
-        lambda found: check_change(found, request[_TEAM].name)
+        lambda found: admin_changes.check_change(found, request[_TEAM].name)
     )
     if isinstance(checked, result.Err):
-        return Refusal(400, "bad_record", checked.err_value)
+        return admin_changes.Refusal(400, "bad_record", checked.err_value)
     return checked.ok_value
 
 
-def check_change(
-    raw: object, author: str
-) -> result.Result[records.Envelope, str]:
-    """Checks what an operator sends, and builds the record for the log."""
-    change = records.structure(raw, Change)
-    envelope = change.and_then(
-        lambda made: records.build(lambda: made.envelope(author))
-    )
-    return envelope.and_then(_check_payload)
-
-
-def _check_payload(
-    envelope: records.Envelope,
-) -> result.Result[records.Envelope, str]:
-    size_bytes = len(records.encode(envelope).encode())
-    if size_bytes > records.MAX_RECORD_BYTES:
-        return result.Err(
-            f"record has {size_bytes} bytes; at most"
-            f" {records.MAX_RECORD_BYTES} are accepted"
-        )
-    if envelope.payload is None:
-        return result.Ok(envelope)
-    return records.read_payload(envelope).map(lambda _: envelope)
-
-
 def _is_same(
     entry: configuration.Entry | None, change: records.Envelope
 ) -> bool:
     return entry is not None and entry.record.record_id == change.record_id
 
 
-def _conflict(change: records.Envelope, revision: int) -> Refusal:
-    return Refusal(
+def _conflict(change: records.Envelope, revision: int) -> admin_changes.Refusal:
+    return admin_changes.Refusal(
         409,
         "conflict",
         f"{change.key} has revision {revision}, not"
@@ -378,12 +301,12 @@
     )
 
 
-def _denied(team: settings_lib.TeamSettings, key: str) -> Refusal:
+def _denied(team: settings_lib.TeamSettings, key: str) -> admin_changes.Refusal:
     logs.logger.warning(
         "administration denied", code="key_denied", team=team.name, key=key
     )
     accepted = ", ".join(team.may_write) or "none"
-    return Refusal(
+    return admin_changes.Refusal(
         403,
         "key_denied",
         f"team {team.name} may not write {key}; it may write {accepted}",
@@ -392,10 +315,10 @@
 
 def _whole_number(
     request: web.Request, name: str, low: int, high: int
-) -> int | Refusal:
+) -> int | admin_changes.Refusal:
     text = request.query.get(name, str(low))
     if text.isdecimal() and low <= int(text) <= high:
         return int(text)
-    return Refusal(
+    return admin_changes.Refusal(
         400, "bad_query", f"{name} is {text!r}; give {low} to {high}"
     )
--- /dev/null
+++ b/src/fireflyspindle/adapters/admin_changes.py
@@ -0,0 +1,91 @@
+"""What operators send to the administration API, and how it is refused."""
+
+from typing import Any
+import uuid
+
+from aiohttp import web
+import attrs
+import result
+
+from fireflyspindle.core import records
+
+
+@attrs.define(frozen=True)
+class Change:
+    """What an operator sends to publish a record.
+
+    Attributes:
+        kind: Kind of the record.
+        name: Name of the object within its kind.
+        expected_revision: Revision that the record replaces; 0 for none.
+        payload: The object, or None to delete it.
+        schema_version: Form of the payload.
+        oldest_reader_version: Oldest reader that can apply the payload.
+        record_id: Unique id; the same id again is harmless. One is made up
+            when it is empty.
+    """
+
+    kind: str
+    name: str
+    expected_revision: int
+    payload: dict[str, Any] | None
+    schema_version: int = 1
+    oldest_reader_version: int = 1
+    record_id: str = ""
+
+    def envelope(self, author: str) -> records.Envelope:
+        """Returns the record as it will stand in the log.
+
+        Raises:
+            ValueError: A field is out of bounds.
+        """
+        return records.Envelope(
+            record_id=self.record_id or uuid.uuid4().hex,
+            kind=self.kind,
+            name=self.name,
+            expected_revision=self.expected_revision,
+            schema_version=self.schema_version,
+            oldest_reader_version=self.oldest_reader_version,
+            author=author,
+            payload=self.payload,
+        )
+
+
+@attrs.define(frozen=True)
+class Refusal:
+    """An answer that says why nothing was done, or that it is unknown."""
+
+    status: int
+    error: str
+    detail: str
+
+    def response(self) -> web.Response:
+        """Returns the answer."""
+        return web.json_response(
+            {"error": self.error, "detail": self.detail}, status=self.status
+        )
+
+
+def check_change(
+    raw: object, author: str
+) -> result.Result[records.Envelope, str]:
+    """Checks what an operator sends, and builds the record for the log."""
+    change = records.structure(raw, Change)
+    envelope = change.and_then(
+        lambda made: records.build(lambda: made.envelope(author))
+    )
+    return envelope.and_then(_check_payload)
+
+
+def _check_payload(
+    envelope: records.Envelope,
+) -> result.Result[records.Envelope, str]:
+    size_bytes = len(records.encode(envelope).encode())
+    if size_bytes > records.MAX_RECORD_BYTES:
+        return result.Err(
+            f"record has {size_bytes} bytes; at most"
+            f" {records.MAX_RECORD_BYTES} are accepted"
+        )
+    if envelope.payload is None:
+        return result.Ok(envelope)
+    return records.read_payload(envelope).map(lambda _: envelope)
--- a/src/fireflyspindle/commands/records.py
+++ b/src/fireflyspindle/commands/records.py
@@ -13,7 +13,7 @@
 import attrs
 import result
 
-from fireflyspindle.adapters import admin_api
+from fireflyspindle.adapters import admin_changes
 from fireflyspindle.commands import status
 
 TOKEN_VARIABLE = "FIREFLYSPINDLE_TOKEN"
@@ -116,7 +116,7 @@
         return _fail(changes.err_value, status.BAD_USE)
     wrong = 0
     for index, change in enumerate(changes.ok_value):
-        checked = admin_api.check_change(
+        checked = admin_changes.check_change(
             {"expected_revision": 0, **change}, "nobody"
         )
         name = f"records[{index}]"
