--- a/src/fireflyspindle/core/peers.py
+++ b/src/fireflyspindle/core/peers.py
@@ -153,11 +153,19 @@
         "version": VERSION,
         "kind": _NAMES[type(message.content)],
         "sender": attrs.asdict(message.sender),
-        "content": attrs.asdict(message.content),
+        "content": _plain(message.content),
     }
     return json.dumps(raw, separators=(",", ":"))
 
 
+def _plain(content: Content) -> dict:
+    match content:
+        case StateTold(part):
+            return {"part": snapshots.plain(part)}
+        case _:
+            return attrs.asdict(content)
+
+
 def decode(body: str) -> result.Result[Message | UnknownKind, str]:
     """Reads a message; the error says what is wrong with it."""
     if len(body) > MAX_MESSAGE_BYTES:
--- a/src/fireflyspindle/core/snapshots.py
+++ b/src/fireflyspindle/core/snapshots.py
@@ -17,6 +17,7 @@
 
 STREAM = "snapshots"
 PART_CHARACTERS = 64 * 1024
+ENVELOPE_CHARACTERS = 300
 MAX_PARTS = 10_000
 MAX_COLLECTED = 4
 
@@ -66,7 +67,7 @@
     group: list[entries_lib.Entry] = []
     size = 0
     for _, entry in sorted(config.entries.items()):
-        length = len(json.dumps(attrs.asdict(entry)))
+        length = _length(entry)
         if group and size + length > PART_CHARACTERS:
             yield tuple(group)
             group = []
@@ -76,9 +77,34 @@
     yield tuple(group)
 
 
+def _length(entry: entries_lib.Entry) -> int:
+    """Returns roughly the characters of an entry as JSON text."""
+    return sum(
+        ENVELOPE_CHARACTERS + len(json.dumps(record.payload))
+        for record in (entry.record, *entry.fallbacks)
+    )
+
+
 def encode(part: Part) -> str:
     """Returns a part as JSON text."""
-    return json.dumps(attrs.asdict(part), separators=(",", ":"))
+    return json.dumps(plain(part), separators=(",", ":"))
+
+
+def plain(part: Part) -> dict:
+    """Returns a part as JSON data; payloads are shared, not copied."""
+    raw = attrs.asdict(part, recurse=False)
+    raw["entries"] = [
+        {
+            "revision": entry.revision,
+            "record": attrs.asdict(entry.record, recurse=False),
+            "fallbacks": [
+                attrs.asdict(record, recurse=False)
+                for record in entry.fallbacks
+            ],
+        }
+        for entry in part.entries
+    ]
+    return raw
 
 
 def decode(body: str) -> result.Result[Part, str]:
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import ipaddress
 import random
 import time
 
@@ -65,7 +66,8 @@
         self._control = web.AppRunner(app, access_log=None)
         await self._listen(self._control, self.settings.gate.control_address)
         self.state.settings = attrs.evolve(
-            self.state.settings, control_address=self.control_address
+            self.state.settings,
+            control_address=_reachable(self.control_address),
         )
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
@@ -221,6 +223,12 @@
         )
 
 
+def _reachable(address: str) -> str:
+    """Returns an address that peers can use, or "" to leave it to the list."""
+    host = address.rpartition(":")[0].strip("[]")
+    return "" if ipaddress.ip_address(host).is_unspecified else address
+
+
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
     return f"{host}:{port}"
