--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -123,7 +123,7 @@
                 attempt=attempt.number,
                 status=answer.message.code,
                 not_run=headers.NOT_RUN in given,
-                report=_report(given),
+                report=load_report(given),
             )
         )
 
@@ -213,7 +213,8 @@
         )
 
 
-def _report(given: Mapping[str, str]) -> events.LoadReport:
+def load_report(given: Mapping[str, str]) -> events.LoadReport:
+    """Reads the load report in the headers of an answer or a probe."""
     text = given.get(headers.IN_FLIGHT, "")
     valid = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
     return events.LoadReport(
