--- a/src/fireflyspindle/core/peers.py
+++ b/src/fireflyspindle/core/peers.py
@@ -51,6 +51,7 @@
         digest: Hash of the configuration in force; see
             `configuration.Configuration`.
         reply: Whether the receiver shall answer with its own heartbeat.
+        brief: Whether the answer need not tell of anything but its sender.
         rows: Rows about other hosts.
         leaving: Targets that are leaving.
         shared: What routing shares.
@@ -58,6 +59,7 @@
 
     digest: str = ""
     reply: bool = False
+    brief: bool = False
     rows: tuple[members.Row, ...] = attrs.field(
         default=(), validator=_at_most(MAX_ROWS)
     )
@@ -151,11 +153,19 @@
         "version": VERSION,
         "kind": _NAMES[type(message.content)],
         "sender": attrs.asdict(message.sender),
-        "content": attrs.asdict(message.content),
+        "content": _plain(message.content),
     }
     return json.dumps(raw, separators=(",", ":"))
 
 
+def _plain(content: Content) -> dict:
+    match content:
+        case StateTold(part):
+            return {"part": snapshots.plain(part)}
+        case _:
+            return attrs.asdict(content)
+
+
 def decode(body: str) -> result.Result[Message | UnknownKind, str]:
     """Reads a message; the error says what is wrong with it."""
     if len(body) > MAX_MESSAGE_BYTES:
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -235,6 +235,8 @@
         last_append_id: Number of the latest append.
         tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
+        host_list_reads: Reads of the host list that succeeded.
+        host_list_failures: Reads of the host list that failed.
         stopping: Whether a planned stop has begun.
         probe_slots: Rights to probe.
         probes: Probes that have not ended, by number.
@@ -263,6 +265,8 @@
     last_append_id: int = 0
     tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
+    host_list_reads: int = 0
+    host_list_failures: int = 0
     stopping: bool = False
     probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
     probes: dict[int, Probe] = attrs.field(factory=dict)
