--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -216,6 +216,35 @@
     assert second.told is COMPLETE
 
 
+def test_key_of_a_request_that_broke_off_stays_unknown(fleet):
+    gate, other = fleet.gates[:2]
+    key = fleet.key("a")
+    first = fleet.call(gate, key)
+    fleet.settle_all()
+    attempt = gate.running[first.call_id].attempt
+    reason = events.FailureReason.DISCONNECTED
+    gate.fail(first.call_id, attempt, reason, sent=True)
+    fleet.settle_all()
+    second = fleet.call(other, key, copies=True)
+    assert (first.told, second.told) == (UNKNOWN, UNKNOWN)
+
+
+def test_doubtful_claim_is_released_though_a_later_append_was_refused(fleet):
+    gate, other = fleet.gates[:2]
+    key = fleet.key("a")
+    fleet.call(gate, key, deadline_ms=500)
+    gate.settle(gate.appends[0], LOST)
+    for _ in range(4):
+        fleet.advance(50_000)
+        gate.read()
+    gate.settle(gate.appends[0], REFUSED)
+    fleet.advance(400_000)
+    fleet.land(fleet.late[0])
+    second = fleet.call(other, key)
+    fleet.settle_all()
+    assert is_sent(other, second)
+
+
 def test_key_that_the_target_declined_runs_when_it_comes_again(fleet):
     gate, other = fleet.gates[:2]
     key = fleet.key("a")
