--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -15,6 +15,7 @@
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import keyed_requests
+from fireflyspindle.adapters import receiving
 from fireflyspindle.core import events
 
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -88,8 +89,9 @@
         """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        buffer = bytearray(receiving.RECEIVE_BUFFER_BYTES)
         self._server = await loop.create_server(
-            lambda: Connection(self, loop),
+            lambda: Connection(self, loop, buffer),
             host.strip("[]"),
             int(port),
             backlog=1024,
@@ -201,6 +203,10 @@
         if expected.lower() != "100-continue":
             detail = f'header Expect is {expected[:40]!r}; give "100-continue"'
             return answers.BadRequest(417, "bad_header", detail)
+        coding = message.headers.get("Transfer-Encoding", "chunked")
+        if coding.lower() != "chunked":
+            detail = f'Transfer-Encoding is {coding[:40]!r}; give "chunked"'
+            return answers.BadRequest(400, "bad_header", detail)
         stated = message.headers.get("Content-Length")
         limit_bytes = self._body_limits.carried_bytes
         if stated is not None and int(stated) > limit_bytes:
--- a/src/fireflyspindle/adapters/target_connection.py
+++ b/src/fireflyspindle/adapters/target_connection.py
@@ -1,15 +1,16 @@
 """A connection to a target, with at most one request on it at a time."""
 
 import asyncio
+from http import HTTPStatus
 from typing import Protocol
 
 import aiohttp
-from aiohttp import base_protocol
 from aiohttp import http
 from aiohttp import streams
 import attrs
 
 from fireflyspindle import headers
+from fireflyspindle.adapters import receiving
 from fireflyspindle.adapters import wire
 from fireflyspindle.core import events
 
@@ -45,7 +46,7 @@
         """Takes the end of the connection before an answer."""
 
 
-class TargetConnection(base_protocol.BaseProtocol):
+class TargetConnection(receiving.ReceivingProtocol):
     """Writes one request, reads one answer, and is then free again.
 
     Anything that a target sends out of turn closes the connection, so that no
@@ -56,8 +57,10 @@
         idle_since_s: Time of the loop at which the last answer ended.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, target: str) -> None:
-        super().__init__(loop)
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, buffer: bytearray, target: str
+    ) -> None:
+        super().__init__(loop, buffer)
         self.target = target
         self.idle_since_s = 0.0
         self._waiter: Waiter | None = None
@@ -75,6 +78,11 @@
             and not transport.is_closing()
         )
 
+    @property
+    def holds_back(self) -> bool:
+        """Whether reading waits until what was read has been taken."""
+        return self._reading_paused
+
     def begin(self, waiter: Waiter, data: bytes, method: str) -> None:
         """Writes a request, or its head, and waits for the answer."""
         assert self.transport is not None
@@ -136,7 +144,7 @@
         except http.HttpProcessingError:
             self._fail(events.FailureReason.MISMATCHED)
             return
-        final = [pair for pair in messages if pair[0].code >= 200]
+        final = [pair for pair in messages if pair[0].code not in wire.INTERIM]
         if upgraded or len(final) > 1 or (final and self._payload is not None):
             self._reusable = False
         if upgraded:
@@ -169,6 +177,8 @@
         length: int | None,
         request_id: str,
     ) -> events.FailureReason | None:
+        if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+            return events.FailureReason.MISMATCHED
         echoed = message.headers.getall(headers.REQUEST_ID, ())
         if any(value != request_id for value in echoed):
             return events.FailureReason.MISMATCHED
--- a/src/fireflyspindle/bench/world.py
+++ b/src/fireflyspindle/bench/world.py
@@ -4,6 +4,7 @@
 what an observer would see.
 """
 
+import json
 import random
 
 import attrs
@@ -28,7 +29,9 @@
 HOST_LIST_LAG_US = 2_000_000
 HOST_LIST_PERIOD_US = 1_000_000
 BALANCER_LAG_US = 1_000_000
-KEEP_US = 60_000_000
+KEEP_US = 40_000_000
+WALL_START_MS = 1_700_000_000_000
+CLOCK_SKEW_MS = 500
 
 
 @attrs.define(eq=False)
@@ -64,6 +67,7 @@
         open_calls: Calls that it took and that were not told.
         listed: Whether the balancer sends it callers.
         disturbed_us: Time at which it was last held up, or began.
+        skew_ms: How far its wall clock runs ahead.
     """
 
     name: str
@@ -73,6 +77,7 @@
     open_calls: set[int] = attrs.field(factory=set)
     listed: bool = True
     disturbed_us: int = 0
+    skew_ms: int = 0
 
 
 class World:
@@ -105,7 +110,7 @@
         self.disturbing = False
         self._by_name: dict[str, Host] = {}
         self._started = 0
-        self._fold = configuration.Configuration()
+        self._accepted: dict[str, int] = {}
         self._revisions: dict[tuple[str, str], int] = {}
 
     def start(self) -> None:
@@ -143,15 +148,17 @@
         return self.log.append(configuration.STREAM, records.encode(envelope))
 
     def _on_append(self, stream: str, offset: int, body: str) -> None:
-        if stream != configuration.STREAM:
+        """Notes an accepted record, by a rule of the observer's own."""
+        raw = json.loads(body)
+        if stream != configuration.STREAM or "expected_revision" not in raw:
             return
-        folded = configuration.fold(self._fold, offset, body)
-        if isinstance(folded, configuration.Applied):
-            self.history.accepted.append(
-                history_lib.AcceptedSeen(
-                    folded.key, folded.revision, self.timeline.now_us
-                )
-            )
+        key = f"{raw['kind']}/{raw['name']}"
+        if raw["expected_revision"] != self._accepted.get(key, 0):
+            return
+        self._accepted[key] = offset + 1
+        self.history.accepted.append(
+            history_lib.AcceptedSeen(key, offset + 1, self.timeline.now_us)
+        )
 
     # Gate hosts.
 
@@ -160,15 +167,30 @@
         name = f"gate-{place}.{self._started}"
         gate = virtual.VirtualGate(
             self.timeline,
-            state_lib.CoreSettings(host_id=name),
+            state_lib.CoreSettings(
+                host_id=name,
+                incarnation=self._started,
+                control_address=name,
+                log_keep_s=KEEP_US // 1_000_000,
+            ),
             self.random.getrandbits(32),
             lambda _gate, effect: self._carry_out(host, effect),
         )
-        host = Host(name, place, gate, disturbed_us=self.timeline.now_us)
+        host = Host(
+            name,
+            place,
+            gate,
+            disturbed_us=self.timeline.now_us,
+            skew_ms=self.random.randrange(-CLOCK_SKEW_MS, CLOCK_SKEW_MS),
+        )
         self._by_name[name] = host
         gate.start()
         return host
 
+    def wall_ms(self) -> int:
+        """Returns the wall-clock time of an exact clock."""
+        return WALL_START_MS + self.timeline.now_us // 1000
+
     def feed(self, host: Host, make: virtual.EventMaker) -> None:
         """Feeds an event to a gate host and looks at its records."""
         self.history.events += 1
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
+from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import membership
 from fireflyspindle.core import recovery
@@ -20,6 +21,7 @@
     state.now_us = now_us
     recovery.start(state)
     membership.start(state)
+    host_list.start(state)
     claim_reads.start(state)
     return _take_effects(state)
 
@@ -66,7 +68,9 @@
         case events.LogReadFailed():
             log.on_read_failed(state, event)
         case events.HostListRead():
-            membership.on_host_list(state, event)
+            host_list.on_read(state, event)
+        case events.HostListReadFailed():
+            host_list.on_read_failed(state)
         case events.PeerMessageReceived():
             membership.on_message(state, event)
         case events.AppendSettled():
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -14,9 +14,11 @@
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle import settings as settings_lib
 from fireflyspindle.adapters import answers
+from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import control_api
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
 from fireflyspindle.adapters import target_client
@@ -26,6 +28,7 @@
 from fireflyspindle.core import state as state_lib
 
 MAX_DIGITS = 9
+MAX_INCARNATION_CHARACTERS = 100
 
 
 class Gate:
@@ -36,6 +39,7 @@
         state: State of the reducer; read only outside this class.
         metrics: Metrics of this gate host.
         log: Client of the log service.
+        exchanges: Calls in flight, by number.
     """
 
     def __init__(self, settings: settings_lib.Settings) -> None:
@@ -49,7 +53,7 @@
         )
         self.state = state_lib.new(core_settings, random.getrandbits(64))
         self.metrics = metrics_lib.Metrics()
-        self._exchanges: dict[int, exchange_lib.Exchange] = {}
+        self.exchanges: dict[int, exchange_lib.Exchange] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._events: collections.deque[events.Event] = collections.deque()
@@ -60,6 +64,9 @@
         """Opens the addresses and begins to read the log."""
         self.log = log_client.LogClient(self.settings.platform.log_address)
         self._peers = peers.PeerClient()
+        self._host_list = host_list_lib.HostListClient(
+            self.settings.platform.host_list_address
+        )
         self._client = target_client.TargetClient(self, self.spawn)
         limits = self.settings.limits
         self._server = gate_server.GateServer(
@@ -93,6 +100,11 @@
         """The control address, with its real port."""
         return _address(self._control)
 
+    @property
+    def callers(self) -> set[caller_connection.CallerConnection]:
+        """Open connections of callers."""
+        return self._server.connections
+
     def request_stop(self) -> None:
         """Begins a planned stop; `wait_closed` returns when it is done."""
         self.submit(events.StopRequested(self.now_us()))
@@ -110,6 +122,7 @@
         await self._peers.close()
         await self._control.cleanup()
         await self.log.close()
+        await self._host_list.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
@@ -119,7 +132,7 @@
         self, exchange: exchange_lib.Exchange, event: events.CallArrived
     ) -> None:
         """Takes in a call."""
-        self._exchanges[exchange.call_id] = exchange
+        self.exchanges[exchange.call_id] = exchange
         self.submit(event)
 
     def submit(self, event: events.Event) -> None:
@@ -146,11 +159,11 @@
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
             case effects.SendToTarget():
-                self._client.begin(self._exchanges[effect.call_id], effect)
+                self._client.begin(self.exchanges[effect.call_id], effect)
             case effects.ForwardAnswer():
                 self._forward(effect)
             case effects.AnswerCaller(call_id):
-                answers.answer(self._exchanges[call_id], effect)
+                answers.answer(self.exchanges[call_id], effect)
             case effects.CancelAttempt():
                 self._cancel_attempt(effect)
             case effects.CallFinished():
@@ -168,6 +181,8 @@
                 self.spawn(self._append_record(effect))
             case effects.TellPeer(address, body):
                 self.spawn(self._peers.tell(address, body))
+            case effects.ReadHostList(delay_us):
+                self.spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.Exit():
@@ -225,7 +240,7 @@
         )
 
     def _forward(self, effect: effects.ForwardAnswer) -> None:
-        exchange = self._exchanges[effect.call_id]
+        exchange = self.exchanges[effect.call_id]
         attempt = exchange.attempts[effect.attempt]
         relay = answers.Relay(exchange, attempt)
         if relay.begin(effect.outcome):
@@ -255,7 +270,7 @@
         )
 
     def _cancel_attempt(self, effect: effects.CancelAttempt) -> None:
-        exchange = self._exchanges[effect.call_id]
+        exchange = self.exchanges[effect.call_id]
         attempt = exchange.attempts[effect.attempt]
         if attempt.ended:
             return
@@ -274,7 +289,7 @@
         self.on_failed(attempt, events.FailureReason.CANCELLED)
 
     def _finish(self, effect: effects.CallFinished) -> None:
-        exchange = self._exchanges.pop(effect.call_id)
+        exchange = self.exchanges.pop(effect.call_id)
         exchange.attempts.clear()
         self.metrics.on_call_finished(effect)
         if not logs.enabled("DEBUG"):
@@ -321,6 +336,16 @@
             )
         )
 
+    async def _read_host_list(self, delay_us: int) -> None:
+        await asyncio.sleep(delay_us / 1e6)
+        found = await self._host_list.read()
+        if found is None:
+            self.submit(events.HostListReadFailed(self.now_us()))
+            return
+        self.submit(
+            events.HostListRead(self.now_us(), found.gates, found.targets)
+        )
+
 
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
@@ -333,4 +358,7 @@
     return events.LoadReport(
         in_flight=int(text) if valid else None,
         leaving=headers.LEAVING in given,
+        incarnation=given.get(headers.INCARNATION, "")[
+            :MAX_INCARNATION_CHARACTERS
+        ],
     )
