Set and show claims: section [claims], metrics, state page

Cause: the budget and the keys' validity were fixed in the code, and people on call saw nothing of claims. Change: settings, checked against the log's time of keeping; counters and gauges; a section of the state page.

--- /dev/null
+++ b/src/fireflyspindle/adapters/claim_metrics.py
@@ -0,0 +1,36 @@
+"""Claims as people on call see them: metrics and the state page."""
+
+import attrs
+
+from fireflyspindle import metrics as metrics_lib
+from fireflyspindle.core import state as state_lib
+
+
+def fill(metrics: metrics_lib.Metrics, state: state_lib.GateState) -> None:
+    """Puts what is counted of claims into the metrics."""
+    for name, count in attrs.asdict(state.claims.counters).items():
+        metrics.counts[f"claims_{name}"] = count
+    for name, value in _held(state).items():
+        metrics.gauges[f"claims_{name}"] = value
+
+
+def summary(state: state_lib.GateState) -> dict:
+    """Returns the state of claims as JSON data."""
+    claims = state.claims
+    return {
+        "writer": claims.writer,
+        "in_doubt": claims.sent is not None
+        and claims.sent.in_doubt_from_us is not None,
+        "certain_from_ms": claims.index.certain_from_ms,
+        **_held(state),
+        **attrs.asdict(claims.counters),
+    }
+
+
+def _held(state: state_lib.GateState) -> dict[str, int]:
+    claims = state.claims
+    return {
+        "keys_held": claims.index.held,
+        "not_read_back": len(claims.pending),
+        "waiting_calls": sum(map(len, claims.waiters.values())),
+    }
--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -6,6 +6,7 @@
 
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle.adapters import admin_api
+from fireflyspindle.adapters import claim_metrics
 from fireflyspindle.adapters import peers
 from fireflyspindle.core import events
 from fireflyspindle.core import membership
@@ -60,6 +61,7 @@
         return web.json_response(summary(self._gate.state))
 
     async def metrics(self, _request: web.Request) -> web.Response:
+        claim_metrics.fill(self._gate.metrics, self._gate.state)
         content, http_headers = self._gate.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
@@ -77,6 +79,7 @@
             "digest": f"{state.configuration.digest:016x}",
             "unreadable": state.configuration.unreadable,
         },
+        "claims": claim_metrics.summary(state),
         "membership": membership.summary(state),
         "services": {
             service.name: {
--- a/src/fireflyspindle/core/claim_state.py
+++ b/src/fireflyspindle/core/claim_state.py
@@ -106,7 +106,7 @@
     """Counts since the start, for metrics and benches.
 
     Attributes:
-        claims: Claims asked for by calls.
+        made: Claims made for calls.
         appends: Appends to the claims stream.
         in_doubt: Appends of unknown outcome.
         owned: Calls whose claim was read back as the owner.
@@ -116,7 +116,7 @@
         gaps: Times that records were missing from the stream.
     """
 
-    claims: int = 0
+    made: int = 0
     appends: int = 0
     in_doubt: int = 0
     owned: int = 0
--- a/src/fireflyspindle/core/claims.py
+++ b/src/fireflyspindle/core/claims.py
@@ -148,7 +148,7 @@
 ) -> None:
     claims = state.claims
     claims.last_claim += 1
-    claims.counters.claims += 1
+    claims.counters.made += 1
     claim = claim_records.Claim(claims.last_claim, use.key)
     pending = claim_state.Pending(claim, call.call_id)
     claims.pending[use.key.key_id] = pending
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -17,6 +17,7 @@
 from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import reducer
@@ -40,6 +41,7 @@
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
             drain_limit_ms=settings.limits.drain_limit_ms,
+            claims=claim_state.ClaimSettings(**attrs.asdict(settings.claims)),
             incarnation=time.time_ns() // 1_000_000,
             peer_addresses=settings.peers.addresses,
             log_keep_s=settings.platform.log_keep_s,
--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -9,6 +9,7 @@
 import result
 
 from fireflyspindle import validation
+from fireflyspindle.core import claim_state
 
 MAX_PORT = 65_535
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,100}")
@@ -140,6 +141,28 @@
     drain_limit_ms: int = attrs.field(default=60_000, validator=_check_positive)
 
 
+@attrs.define(frozen=True)
+class ClaimSettings:
+    """Section [claims], the same on every gate host.
+
+    Attributes:
+        fleet_appends_per_s: Appends to the claims stream by all gate hosts.
+        max_gate_hosts: Largest number of gate hosts at one time, those that
+            are being replaced included.
+        key_validity_ms: Age up to which an idempotency key is taken.
+        max_keys_held: Keys held in memory.
+    """
+
+    fleet_appends_per_s: int = attrs.field(
+        default=300, validator=_check_positive
+    )
+    max_gate_hosts: int = attrs.field(default=20, validator=_check_positive)
+    key_validity_ms: int = attrs.field(
+        default=300_000, validator=_check_positive
+    )
+    max_keys_held: int = attrs.field(default=100_000, validator=_check_positive)
+
+
 @attrs.define(frozen=True)
 class LogSettings:
     """Section [logging]."""
@@ -181,6 +204,7 @@
     platform: PlatformSettings
     peers: PeerSettings = attrs.field(factory=PeerSettings)
     limits: LimitSettings = attrs.field(factory=LimitSettings)
+    claims: ClaimSettings = attrs.field(factory=ClaimSettings)
     logging: LogSettings = attrs.field(factory=LogSettings)
     administration: AdministrationSettings = attrs.field(
         factory=AdministrationSettings
@@ -193,7 +217,24 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return result.Err([f"not TOML: {error}"])
-    return validation.build(Settings, raw, "")
+    return validation.build(Settings, raw, "").and_then(_check_kept)
+
+
+def _check_kept(settings: Settings) -> result.Result[Settings, list[str]]:
+    """Checks that the log keeps claims for as long as keys are taken."""
+    kept_ms = settings.platform.log_keep_s * 1000
+    claims = claim_state.ClaimSettings(**attrs.asdict(settings.claims))
+    too_long_ms = claims.log_keep_ms - kept_ms
+    if too_long_ms <= 0:
+        return result.Ok(settings)
+    longest_ms = claims.key_validity_ms - too_long_ms
+    return result.Err(
+        [
+            f"claims.key_validity_ms: found {claims.key_validity_ms}; give at"
+            f" most {longest_ms}, or a log that keeps records longer than"
+            f" platform.log_keep_s = {settings.platform.log_keep_s}"
+        ]
+    )
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, list[str]]:
--- a/tests/test_claims_gate.py
+++ b/tests/test_claims_gate.py
@@ -69,6 +69,10 @@
     assert (status, outcome) == (409, "complete")
     assert content["recorded_status"] == 200
     assert callers.runs == 1
+    url = f"http://{callers.gates[second_gate].control_address}/metrics"
+    async with callers._session.get(url) as answer:
+        shown = await answer.text()
+    assert 'fireflyspindle_events_total{kind="claims_known"} 1' in shown
 
 
 async def test_copies_at_once_run_once(callers):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -43,6 +43,11 @@
         ("tenant/*", "tenant/**", "administration.teams[0].may_write: found"),
         ("a" * 64, "secret", "administration.teams[0].token_sha256: found 6"),
         ("[gate]", "[gate", "not TOML"),
+        (
+            "[platform]",
+            "[platform]\nlog_keep_s = 300",
+            "claims.key_validity_ms: found",
+        ),
         (
             "[platform]",
             "[limits]\ndrain_limit_ms = true\n[platform]",
