--- a/src/fireflyspindle/core/claim_batches.py
+++ b/src/fireflyspindle/core/claim_batches.py
@@ -151,6 +151,13 @@
     _requeue(state, sent.batch, may_land=True)
 
 
+def window_records(claims: claim_state.ClaimState) -> int:
+    """Returns the most records that may hold claims of keys in their time."""
+    settings = claims.settings
+    steady = settings.fleet_appends_per_s * settings.log_keep_ms / 1000
+    return int(steady + APPEND_BURST * settings.max_gate_hosts)
+
+
 def drop_forgotten(state: state_lib.GateState) -> None:
     """Drops claims without a call whose key no host takes any more."""
     claims = state.claims
--- a/src/fireflyspindle/core/claim_reads.py
+++ b/src/fireflyspindle/core/claim_reads.py
@@ -32,13 +32,15 @@
     claims = state.claims
     here = streams.position(state, claim_batches.STREAM)
     claims.reading = False
+    _skip_to_window(state, event, here)
     read = [
         (entry.offset, claim_records.decode(entry.body))
         for entry in event.entries
         if entry.offset >= here.next_offset
     ]
     first_offset = read[0][0] if read else event.earliest_offset
-    if first_offset > here.next_offset:
+    if first_offset > here.next_offset or (claims.skipped and read):
+        claims.skipped = False
         _on_gap(state, [body for _, body in read])
         here.next_offset = first_offset
     touched: set[int] = set()
@@ -53,6 +55,24 @@
     return touched
 
 
+def _skip_to_window(
+    state: state_lib.GateState,
+    event: events.LogRead,
+    here: state_lib.LogPosition,
+) -> None:
+    """Skips, at the start, the records that are too old to matter.
+
+    The append budget bounds the number of records that matter.
+    """
+    claims = state.claims
+    if here.next_offset > 0:
+        return
+    first_offset = event.next_offset - claim_batches.window_records(claims)
+    if first_offset > event.earliest_offset:
+        here.next_offset = first_offset
+        claims.skipped = True
+
+
 def on_read_failed(state: state_lib.GateState) -> None:
     """Reads again a little later."""
     delay_us = streams.retry_delay_us(state, claim_batches.STREAM)
--- a/src/fireflyspindle/core/claim_state.py
+++ b/src/fireflyspindle/core/claim_state.py
@@ -151,6 +151,7 @@
         read_from_us: Time at which that read was asked for.
         read_due_us: Time of the next read when none is in flight.
         wall_ahead_ms: Wall-clock time less monotonic time; None if unknown.
+        skipped: Whether older records were skipped since the last one read.
         gap_open: Whether records are missing up to the present.
         counters: Counts since the start.
     """
@@ -175,6 +176,7 @@
     read_from_us: int = 0
     read_due_us: int = 0
     wall_ahead_ms: int | None = None
+    skipped: bool = False
     gap_open: bool = False
     counters: ClaimCounters = attrs.field(factory=ClaimCounters)
 
--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -42,14 +42,14 @@
 class Gate(driver.Host):
     """A gate host whose appends, reads and sends wait for the test."""
 
-    def __init__(self, fleet, number, skew_ms=0):
+    def __init__(self, fleet, number, skew_ms=0, **settings):
         self.fleet = fleet
         self.appends = []
         self.reads = []
         self.running = {}
         self.skew_ms = skew_ms
         self.calls = {}
-        super().__init__(targets=2, seed=number)
+        super().__init__(targets=2, seed=number, **settings)
 
     def _take(self, taken):
         super()._take(taken)
@@ -125,10 +125,10 @@
         self._gates = 0
         self.gates = [self.new_gate() for _ in range(gates)]
 
-    def new_gate(self, skew_ms=0):
+    def new_gate(self, skew_ms=0, **settings):
         """Starts another gate host."""
         self._gates += 1
-        gate = Gate(self, self._gates, skew_ms)
+        gate = Gate(self, self._gates, skew_ms, **settings)
         gate.now_us = self.now_us
         return gate
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,6 +3,7 @@
 import pytest
 
 import claim_fleet
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 
@@ -277,6 +278,37 @@
     assert (seen.status, seen.told) == (503, UNKNOWN)
 
 
+def test_new_gate_skips_what_is_too_old_to_matter(fleet):
+    old_key, new_key = fleet.key("old"), fleet.key("new")
+    fleet.call(fleet.gates[0], old_key)
+    fleet.settle_all()
+    fleet.advance(2 * MINUTE_US)
+    filler = fleet.bodies[0].replace('"number":1', '"number":9')
+    fleet.bodies[1:] = [filler] * 500
+    fleet.landed_us[1:] = [fleet.now_us] * 500
+    for number in range(20):
+        new_key = fleet.key(f"new{number}")
+        fleet.call(fleet.gates[1], new_key)
+        fleet.gates[1].settle(
+            fleet.gates[1].appends[0], events.AppendOutcome.DONE
+        )
+        fleet.advance(1_000_000)
+    claims = claim_state.ClaimSettings(
+        fleet_appends_per_s=0.1, key_validity_ms=130_000
+    )
+    fresh = fleet.new_gate(claims=claims)
+    fleet.gates.append(fresh)
+    fresh.read()
+    fleet.advance(60_000)
+    assert fresh.reads[0].from_offset == 521 - 100
+    fleet.settle_all()
+    seen = fleet.call(fresh, old_key, copies=True)
+    assert (seen.status, seen.told) == (410, UNKNOWN)
+    seen = fleet.call(fresh, new_key, copies=True)
+    fleet.settle_all()
+    assert not is_sent(fresh, seen)
+
+
 def test_late_claim_of_a_forgotten_key_is_not_sent(fleet):
     gate, other = fleet.gates[:2]
     key = fleet.key("a")
