--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import records
 
 
@@ -50,13 +51,17 @@
         health: Outcomes and times as this gate host sees them.
         cold_from_us: Time at which its slow start began.
         warm_at_us: Time at which its slow start ends.
-        affinity: This host's fixed random preference, to break ties.
+        distance: Disadvantage of its failure domain, in attempts in flight.
+        connection_share: Most connections that this gate host opens to it.
+        load: Estimate of its load.
     """
 
     spec: records.TargetSpec
     in_flight: int = 0
     leaving: bool = False
-    affinity: float = 0.0
+    distance: float = 0.0
+    connection_share: int = 1_000
+    load: load_lib.TargetLoad = attrs.field(factory=load_lib.TargetLoad)
     ejected: bool = False
     health: Health = attrs.field(factory=Health)
     cold_from_us: int = 0
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import ipaddress
 import random
 import time
 
@@ -17,6 +18,7 @@
 from fireflyspindle.adapters import host_list as host_list_lib
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
+from fireflyspindle.adapters import probe_client
 from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -61,13 +63,17 @@
         self._host_list = host_list_lib.HostListClient(
             self.settings.platform.host_list_address
         )
+        self._probes = probe_client.ProbeClient(
+            self.now_us, data_path.load_report
+        )
         self.data_path = data_path.DataPath(self, self.settings)
         await self.data_path.start(self.settings.gate.callers_address)
         app = control_api.application(self)
         self._control = web.AppRunner(app, access_log=None)
         await self._listen(self._control, self.settings.gate.control_address)
         self.state.settings = attrs.evolve(
-            self.state.settings, control_address=self.control_address
+            self.state.settings,
+            control_address=_reachable(self.control_address),
         )
         self._carry_out_all(reducer.start(self.state, self.now_us()))
 
@@ -104,6 +110,7 @@
         await self._control.cleanup()
         await self.log.close()
         await self._host_list.close()
+        await self._probes.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
@@ -155,6 +162,8 @@
                 self.spawn(self._append_record(effect))
             case effects.TellPeer(address, body):
                 self.spawn(self._peers.tell(address, body))
+            case effects.ProbeTarget():
+                self.spawn(self._probe(effect))
             case effects.ReadHostList(delay_us):
                 self.spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
@@ -212,6 +221,11 @@
             )
         )
 
+    async def _probe(self, effect: effects.ProbeTarget) -> None:
+        self.metrics.counts["probe"] += 1
+        report = await self._probes.probe(effect)
+        self.submit(events.ProbeEnded(self.now_us(), effect.probe_id, report))
+
     async def _read_host_list(self, delay_us: int) -> None:
         await asyncio.sleep(delay_us / 1e6)
         found = await self._host_list.read()
@@ -223,6 +237,12 @@
         )
 
 
+def _reachable(address: str) -> str:
+    """Returns an address that peers can use, or "" to leave it to the list."""
+    host = address.rpartition(":")[0].strip("[]")
+    return "" if ipaddress.ip_address(host).is_unspecified else address
+
+
 def _address(runner: web.BaseRunner) -> str:
     host, port = runner.addresses[0][:2]
     return f"{host}:{port}"
