--- a/src/fireflyspindle/adapters/claim_metrics.py
+++ b/src/fireflyspindle/adapters/claim_metrics.py
@@ -7,11 +7,9 @@
 
 
 def fill(metrics: metrics_lib.Metrics, state: state_lib.GateState) -> None:
-    """Puts what is counted of claims into the metrics."""
-    for name, count in attrs.asdict(state.claims.counters).items():
-        metrics.counts[f"claims_{name}"] = count
+    """Puts what is held for claims into the metrics."""
     for name, value in _held(state).items():
-        metrics.gauges[f"claims_{name}"] = value
+        metrics.gauges[f"claim_{name}"] = value
 
 
 def summary(state: state_lib.GateState) -> dict:
--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -61,8 +61,10 @@
         return web.json_response(summary(self._gate.state))
 
     async def metrics(self, _request: web.Request) -> web.Response:
-        claim_metrics.fill(self._gate.metrics, self._gate.state)
-        content, http_headers = self._gate.metrics.render()
+        metrics = self._gate.metrics
+        metrics.set_state(self._gate.state, self._gate.now_us())
+        claim_metrics.fill(metrics, self._gate.state)
+        content, http_headers = metrics.render()
         return web.Response(body=content, headers=http_headers)
 
 
--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -1,7 +1,7 @@
 """The data path: callers, targets and the calls between them."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import time
 from typing import Protocol
 
@@ -12,6 +12,7 @@
 from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -53,7 +54,7 @@
         self.server = gate_server.GateServer(
             self,
             settings.gate.host_id,
-            gate_server.BodyLimits(
+            requests.BodyLimits(
                 limits.body_buffer_bytes, limits.request_body_bytes
             ),
         )
@@ -98,6 +99,10 @@
         self.exchanges[exchange.call_id] = exchange
         self._shell.submit(event)
 
+    def on_refused(self, error: str) -> None:
+        """Counts a request that was refused before it was a call."""
+        self._shell.metrics.errors[error] += 1
+
     def send(self, effect: effects.SendToTarget) -> None:
         """Sends an attempt of a call to a target."""
         if effect.attempt > 1:
@@ -198,19 +203,30 @@
         exchange = self.exchanges.pop(effect.call_id)
         exchange.attempts.clear()
         self._shell.metrics.on_call_finished(effect)
-        if not logs.enabled("DEBUG"):
-            return
-        logs.logger.debug(
-            "call finished",
-            request_id=exchange.request_id,
-            tenant=effect.tenant,
-            traffic_class=effect.traffic_class,
-            target=effect.target,
-            outcome=effect.outcome.value,
-            total_us=effect.total_us,
-            target_us=effect.target_us,
-            attempts=effect.attempts,
+        grave = (
+            effect.outcome is effects.Outcome.UNKNOWN
+            and not exchange.repeatable
         )
+        if grave:
+            _log(logs.logger.warning, exchange.request_id, effect)
+        elif logs.enabled("DEBUG"):
+            _log(logs.logger.debug, exchange.request_id, effect)
+
+
+def _log(
+    write: Callable[..., None], request_id: str, effect: effects.CallFinished
+) -> None:
+    write(
+        "call finished",
+        request_id=request_id,
+        tenant=effect.tenant,
+        traffic_class=effect.traffic_class,
+        target=effect.target,
+        outcome=effect.outcome.value,
+        total_us=effect.total_us,
+        target_us=effect.target_us,
+        attempts=effect.attempts,
+    )
 
 
 def load_report(given: Mapping[str, str]) -> events.LoadReport:
