Check the probe budget in the history bench, through late shells

Cause: probes were not modelled as sent late, so that a right that lapsed between decision and sending could not be seen; no mutant ignored the budget. Change: a probe leaves up to 50 ms late, or after a pause, and is dropped after its limit; the agreed budget is 3 probes/s; a mutant probes without a slot.

--- a/src/fireflyspindle/bench/world.py
+++ b/src/fireflyspindle/bench/world.py
@@ -4,6 +4,7 @@
 what an observer would see.
 """
 
+import functools
 import json
 import random
 
@@ -28,6 +29,8 @@
 HOST_LIST_LAG_US = 2_000_000
 HOST_LIST_PERIOD_US = 100_000
 HOST_LIST_READ_US = 2_000
+MAX_PROBE_DELAY_US = 50_000
+PROBES_PER_S = 3.0
 BALANCER_LAG_US = 1_000_000
 KEEP_US = 40_000_000
 WALL_START_MS = 1_700_000_000_000
@@ -78,10 +81,9 @@
         self.publish(
             "route", SERVICE, {"path_prefix": PATH, "service": SERVICE}, 0
         )
-        self.publish("policy", SERVICE, attrs.asdict(records.Policy()), 0)
-        self.history.probe_budgets_per_s[SERVICE] = (
-            records.Policy().probes_per_s
-        )
+        policy = records.Policy(probes_per_s=PROBES_PER_S)
+        self.publish("policy", SERVICE, attrs.asdict(policy), 0)
+        self.history.probe_budgets_per_s[SERVICE] = PROBES_PER_S
         for place in range(GATES):
             self.hosts.append(self._new_host(place))
         self._list_hosts()
@@ -306,13 +308,25 @@
     def _probe(
         self, host: world_hosts.Host, effect: effects.ProbeTarget
     ) -> None:
+        """Sends a probe a little later, as a busy shell would."""
+        delay_us = self.random.randrange(MAX_PROBE_DELAY_US)
+        self.timeline.after(delay_us, lambda: self._send_probe(host, effect))
+
+    def _send_probe(
+        self, host: world_hosts.Host, effect: effects.ProbeTarget
+    ) -> None:
+        if host.gate.paused:
+            retry = functools.partial(self._send_probe, host, effect)
+            self.timeline.after(MAX_PROBE_DELAY_US, retry)
+            return
         target = self.targets[effect.target]
-        self.history.probes.append(
-            history_lib.ProbeSeen(SERVICE, host.name, self.timeline.now_us)
-        )
         report = None
-        if not target.shut:
-            report = events.LoadReport(target.in_flight, target.leaving)
+        if self.timeline.now_us <= effect.not_after_us:
+            self.history.probes.append(
+                history_lib.ProbeSeen(SERVICE, host.name, self.timeline.now_us)
+            )
+            if not target.shut:
+                report = events.LoadReport(target.in_flight, target.leaving)
         self.timeline.after(
             2 * world_attempts.ONE_WAY_US,
             lambda: self.feed(
--- a/tests/test_history_mutants.py
+++ b/tests/test_history_mutants.py
@@ -12,6 +12,8 @@
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import leaving
+from fireflyspindle.core import probe_slots
+from fireflyspindle.core import probing
 
 MAX_SEEDS = 6
 
@@ -133,6 +135,12 @@
     monkeypatch.setattr(leaving, "note", lambda *_sign, **_more: None)
 
 
+def budget_ignored(monkeypatch):
+    """Probes without a slot of the budget."""
+    monkeypatch.setattr(probe_slots, "owned", lambda _state: 0)
+    monkeypatch.setattr(probing, "share", lambda _budget, _slot: 100)
+
+
 def records_late(monkeypatch):
     """Stops to fold the log after its first records."""
 
@@ -154,6 +162,7 @@
         (not_run_after_send, "not_run_is_true"),
         (answer_withheld, "every_call_is_told"),
         (call_cut_by_stop, "planned_stop"),
+        (budget_ignored, "measuring_budget"),
         (leaving_target_used, "leaving"),
         (record_reverted, "never_reverts"),
         (record_missed, "only_accepted_in_force"),
