Run the tests in four processes

Cause: the tests took over two minutes on a busy machine, mostly waiting. Change: pytest-xdist, four processes by default. Conclusion: tests share nothing but the machine; each binds ports of its own.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 PYTHON ?= python3
 VENV ?= .venv
+TEST_PROCESSES ?= 4
 BIN := $(VENV)/bin
 # Set READY to nothing to use a VENV that is set up already.
 READY ?= $(VENV)/ready
@@ -11,7 +12,7 @@
 test: lint check
 
 check: $(READY)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES)
 
 lint: $(READY)
 	$(BIN)/ruff format --check .
