Keep telling the peers of the settings, and those that were known

Cause: a host that heard of another before its first round never asked the peers of its settings. A host whose peers had all gone silent told nobody for 40 s.

Change: the peers of the settings are always told, and silent ones when no other is left. Both tests fail without it.

--- a/src/fireflyspindle/core/telling.py
+++ b/src/fireflyspindle/core/telling.py
@@ -39,18 +39,24 @@
 
 
 def addresses(state: state_lib.GateState) -> list[str]:
-    """Returns where other gate hosts may be reached, without doubles."""
+    """Returns where other gate hosts may be reached, without doubles.
+
+    Those that the settings name are always among them, or hosts that heard of
+    one another first could stay apart from the rest. A host that hears nobody
+    goes on to tell those that it knew.
+    """
     membership = state.membership
-    found = [
-        address_of(state, member)
-        for member in members.live(membership, state.now_us)
-    ]
+    live = members.live(membership, state.now_us)
+    found = [address_of(state, member) for member in live]
     found += [
         host.address
         for host in membership.listed.values()
         if not host.leaving and host.host_id not in membership.members
     ]
-    if not membership.members:
-        found += state.settings.peer_addresses
+    found += state.settings.peer_addresses
+    if not live:
+        found += [
+            address_of(state, member) for member in membership.members.values()
+        ]
     own = (state.settings.control_address, "")
     return sorted({address for address in found if address not in own})
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,6 +161,43 @@
     assert len(live_ids(paused)) == len(others)
 
 
+def test_hosts_that_heard_of_one_another_first_join_the_rest():
+    fleet = started(4)
+    (first, second, *_) = fleet.hosts.values()
+    pair = [fleet.add(), fleet.add()]
+    for host, seed, other in zip(
+        pair, (first, second), pair[::-1], strict=True
+    ):
+        settings = host.gate.state.settings
+        host.gate.state.settings = attrs.evolve(
+            settings, peer_addresses=(seed.address,)
+        )
+        told = peers.Message(
+            row(
+                host_id=other.gate.state.settings.host_id,
+                incarnation=1,
+                beat=0,
+                address=other.address,
+            ),
+            peers.Heartbeat(),
+        )
+        fleet.tell(host, peers.encode(told))
+    fleet.run(30)
+    for host in fleet.hosts.values():
+        assert len(live_ids(host)) == 5
+
+
+def test_host_that_hears_nobody_goes_on_to_tell_those_it_knew():
+    fleet = started()
+    alone = next(iter(fleet.hosts.values()))
+    fleet.parted = frozenset([alone.address])
+    fleet.run(40)
+    assert not live_ids(alone)
+    before = alone.messages
+    fleet.run(10)
+    assert alone.messages > before
+
+
 def test_half_heard_hosts_and_a_partition_end_with_one_configuration():
     fleet = started(8)
     fleet.lost_share = 0.3
