--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -19,6 +19,9 @@
 OTHER_DOMAIN_PENALTY = 0.05
 TIE_SPREAD = 0.01
 
+# Part of the connection share that is kept for a probe.
+PROBE_CONNECTIONS = 1
+
 
 def choose(
     state: state_lib.GateState,
@@ -47,6 +50,15 @@
     return best or cold
 
 
+def expected(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> float:
+    """Returns the load to expect at a target, in attempts per slot."""
+    return _score(state, service.load, target, service.load.trust())
+
+
 def _score(
     state: state_lib.GateState,
     service: load_lib.ServiceLoad,
@@ -56,16 +68,13 @@
     """Returns the load to expect at a target, in attempts per slot."""
     own = target.in_flight
     now_us = state.now_us
-    slots = target.spec.slots
     score = target.distance + state.random.random() * TIE_SPREAD
     if own:
         age_us = own * now_us - target.load.started_sum_us
         score += own + AGE_WEIGHT * age_us / service.typical_us
     if trust:
-        score += trust * load_lib.expected_others(
-            service, target.load, own, slots, now_us
-        )
-    return score / slots
+        score += trust * load_lib.expected_others(service, target.load, now_us)
+    return score / target.spec.slots
 
 
 def _candidates(
@@ -85,7 +94,7 @@
     domain = state.settings.failure_domain
     for target in service.targets.values():
         limit = target.spec.connection_limit // policy.gate_hosts_max
-        target.connection_share = max(1, limit)
+        target.connection_share = max(1, limit - PROBE_CONNECTIONS)
         same_domain = target.spec.failure_domain == domain
         target.distance = 0.0 if same_domain else OTHER_DOMAIN_PENALTY
     ranked = list(service.targets.values())
