--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,68 @@
+"""Deadlines of calls, and what a non-repeatable request does after its own."""
+
+import pytest
+
+from fireflyspindle.core import calls
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+
+
+def cancelled(host) -> int:
+    return len(host.of(effects.CancelAttempt))
+
+
+@pytest.mark.parametrize("answered", [False, True], ids=["waiting", "late"])
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_deadline_covers_the_whole_answer(make_host, repeatable, answered):
+    host = make_host()
+    host.arrive(1, repeatable=repeatable, resendable=False, deadline_ms=100)
+    if answered:
+        host.answer(1, 1)
+    host.advance(99_000)
+    assert cancelled(host) == 0
+    host.advance(2_000)
+    # A late answer is cut; a request without one runs on if it must.
+    assert cancelled(host) == (1 if answered or repeatable else 0)
+    if not answered:
+        assert host.outcome(1) is effects.Outcome.UNKNOWN
+
+
+def test_non_repeatable_request_runs_on_for_a_limited_time(make_host):
+    host = make_host()
+    host.arrive(1, repeatable=False, deadline_ms=100)
+    host.advance(100_000 + calls.RUN_ON_LIMIT_US - 1_000)
+    assert cancelled(host) == 0
+    host.advance(2_000)
+    assert cancelled(host) == 1
+    host.fail(1, 1, events.FailureReason.CANCELLED, sent=True)
+    [finished] = host.of(effects.CallFinished)
+    assert finished.outcome is effects.Outcome.UNKNOWN
+    assert host.state.calls == {}
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "outcome"),
+    [(True, effects.Outcome.UNKNOWN), (False, effects.Outcome.COMPLETE)],
+)
+def test_outcome_without_its_caller_is_recorded(make_host, repeatable, outcome):
+    host = make_host()
+    host.arrive(1, repeatable=repeatable)
+    host.feed(events.CallerLeft, 1)
+    assert cancelled(host) == (1 if repeatable else 0)
+    if repeatable:
+        host.fail(1, 1, events.FailureReason.CANCELLED, sent=True)
+    else:
+        host.answer(1, 1)
+    [finished] = host.of(effects.CallFinished)
+    assert finished.outcome is outcome
+
+
+def test_ended_calls_set_no_timer_off(make_host):
+    host = make_host()
+    before = len(host.of(effects.SetTimer))
+    for number in range(1, 500):
+        host.advance(1_000)
+        host.arrive(number, deadline_ms=100)
+        host.answer(number, 1)
+        host.finish(number)
+    assert len(host.of(effects.SetTimer)) - before < 100
