--- a/src/fireflyspindle/core/admission.py
+++ b/src/fireflyspindle/core/admission.py
@@ -2,25 +2,142 @@
 
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
+from fireflyspindle.core import capacity
 from fireflyspindle.core import ejection
+from fireflyspindle.core import limits
 from fireflyspindle.core import routing
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
+from fireflyspindle.core import timers
 
 
 def offer(state: state_lib.GateState, call: state_lib.Call) -> None:
-    """Sends a call that has just arrived, or refuses it."""
-    send(state, call)
+    """Sends, queues or refuses a call that has just arrived."""
+    service = state.services.get(call.service)
+    if service is None:
+        _refuse_no_target(state, call)
+        return
+    over = limits.excess(state, call)
+    if over is not None:
+        answers.give_up(
+            state, call, 429, "over_limit", over.detail, over.retry_after_ms
+        )
+        return
+    limits.count(state, call)
+    capacity.on_offered(state, service, call.tenant)
+    line = service.queue.lines.get(call.tenant)
+    if line is None and capacity.admits(service, call.tenant):
+        _send(state, service, call)
+        return
+    _enqueue(state, service, call)
 
 
-def send(state: state_lib.GateState, call: state_lib.Call) -> None:
-    """Sends an attempt to the best target, or answers that there is none."""
-    service = state.services.get(call.service)
-    target = _choose(state, service, call) if service else None
-    if target is None:
-        answers.give_up(state, call, 503, "no_target", "no target is available")
+def send_queued(state: state_lib.GateState) -> None:
+    """Sends queued calls of the services where attempts have ended."""
+    while state.freed:
+        service = state.services.get(state.freed.pop())
+        if service is not None and len(service.queue):
+            _drain(state, service)
+
+
+def on_queue_due(state: state_lib.GateState, call_id: int) -> None:
+    """Refuses a queued call that can't be answered in time any more."""
+    call = state.calls.get(call_id)
+    service = state.services.get(call.service) if call is not None else None
+    if call is None or service is None:
+        return
+    if service.queue.remove(call_id):
+        _refuse_late(state, service, call)
+
+
+def _drain(state: state_lib.GateState, service: state_lib.ServiceState) -> None:
+    capacity.refresh(state, service)
+    while True:
+        call_id = service.queue.pop(
+            lambda tenant: capacity.tenant_weight(state, tenant),
+            lambda name: capacity.class_weight(state, name),
+            lambda tenant: capacity.admits(service, tenant),
+        )
+        if call_id is None:
+            return
+        _send(state, service, state.calls[call_id])
+        if call_id in service.queue:
+            return
+
+
+def _send(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    if _is_hopeless(state, service, call, 0):
+        _refuse_late(state, service, call)
+        return
+    target = _choose(state, service, call)
+    if target is not None:
+        attempts.begin(state, call, target)
+        return
+    if service.in_flight and _has_usable(service):
+        _enqueue(state, service, call)
+        return
+    _refuse_no_target(state, call)
+
+
+def _enqueue(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    wait_us = capacity.wait_us(state, service, call.tenant)
+    if _is_hopeless(state, service, call, wait_us):
+        _refuse_late(state, service, call)
         return
-    attempts.begin(state, call, target)
+    policy = state.configuration.policy(service.name)
+    if len(service.queue) >= policy.max_queued_calls:
+        if not _make_room(state, service, call.tenant):
+            _refuse_full(state, service, call)
+            return
+    service.queue.add(call.call_id, call.tenant, call.traffic_class)
+    due_us = call.deadline_us - int(service.quick_us)
+    state.timers.add(due_us, timers.QueueDue(call.call_id))
+
+
+def _make_room(
+    state: state_lib.GateState, service: state_lib.ServiceState, tenant: str
+) -> bool:
+    """Refuses the newest call of a line longer than this tenant's."""
+    queue = service.queue
+    if not len(queue):
+        return False
+
+    def weight_of(name: str) -> int:
+        return capacity.tenant_weight(state, name)
+
+    longest = queue.longest(weight_of)
+    own = queue.lines.get(tenant)
+    own_size = (own.size + 1 if own else 1) / weight_of(tenant)
+    if queue.lines[longest].size / weight_of(longest) <= own_size:
+        return False
+    call_id = queue.newest(longest)
+    queue.remove(call_id)
+    _refuse_full(state, service, state.calls[call_id])
+    return True
+
+
+def _is_hopeless(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+    wait_us: int,
+) -> bool:
+    """Whether not even a quick answer would come in time.
+
+    With nothing in flight the call is tried, so that an estimate that has
+    become too high is mended.
+    """
+    if not service.in_flight:
+        return False
+    return state.now_us + wait_us + service.quick_us > call.deadline_us
 
 
 def _choose(
@@ -37,5 +154,48 @@
     )
 
 
-def on_capacity(state: state_lib.GateState, service_name: str) -> None:
-    """Sends queued calls of a service after an attempt has ended there."""
+def _has_usable(service: state_lib.ServiceState) -> bool:
+    return any(
+        not target.leaving and not target.ejected
+        for target in service.targets.values()
+    )
+
+
+def _refuse_no_target(state: state_lib.GateState, call: state_lib.Call) -> None:
+    answers.give_up(state, call, 503, "no_target", "no target is available")
+
+
+def _refuse_full(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    wait_us = capacity.wait_us(state, service, call.tenant)
+    answers.give_up(
+        state,
+        call,
+        503,
+        "queue_full",
+        f"the queue of service {service.name!r} is full",
+        answers.spread_ms(state, wait_us // 1000),
+    )
+
+
+def _refuse_late(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    left_ms = max(0, call.deadline_us - state.now_us) // 1000
+    quick_ms = int(service.quick_us) // 1000
+    answers.give_up(
+        state,
+        call,
+        503,
+        "too_late",
+        f"{left_ms} ms are left, {len(service.queue)} calls wait and a quick"
+        f" answer takes {quick_ms} ms",
+        answers.spread_ms(
+            state, capacity.wait_us(state, service, call.tenant) // 1000
+        ),
+    )
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -1,5 +1,6 @@
 """Answers that the gate gives itself, and the end of a call."""
 
+from fireflyspindle.core import capacity
 from fireflyspindle.core import claim_outcomes
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -44,6 +45,7 @@
     status: int,
     error: str,
     detail: str,
+    retry_after_ms: int | None = None,
 ) -> None:
     """Answers the caller at once with what is known of its request."""
     outcome = effects.Outcome.NOT_RUN
@@ -58,11 +60,16 @@
             status=status,
             error=error,
             detail=detail,
-            retry_after_ms=RETRY_AFTER_MS,
+            retry_after_ms=max(RETRY_AFTER_MS, retry_after_ms or 0),
         ),
     )
 
 
+def spread_ms(state: state_lib.GateState, wait_ms: int) -> int:
+    """Returns a time to come back at, spread so that callers don't bunch."""
+    return int(max(RETRY_AFTER_MS, wait_ms) * (1 + state.random.random()))
+
+
 def tell(
     state: state_lib.GateState,
     call: state_lib.Call,
@@ -80,6 +87,7 @@
     if call.attempts or call.phase is not state_lib.CallPhase.ANSWERED:
         return
     del state.calls[call.call_id]
+    capacity.on_call_ended(state, call)
     if call.claim is not None:
         claim_outcomes.on_finished(state, call, call.claim)
     state.emit(
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -1,5 +1,6 @@
 """Attempts: the sending of a call's request to a target, and its end."""
 
+from fireflyspindle.core import capacity
 from fireflyspindle.core import effects
 from fireflyspindle.core import hedging
 from fireflyspindle.core import state as state_lib
@@ -11,7 +12,11 @@
 ) -> None:
     """Sends an attempt of a call to a target."""
     call.sent_attempts += 1
-    attempt = state_lib.Attempt(call.sent_attempts, target, state.now_us)
+    service = state.services[call.service]
+    attempt = state_lib.Attempt(
+        call.sent_attempts, target, state.now_us, service
+    )
+    capacity.on_attempt_begun(service, call)
     call.attempts[attempt.number] = attempt
     call.last_target = target.spec.address
     call.tried.add(target.spec.address)
@@ -36,6 +41,7 @@
     """Takes an attempt that has ended off its call and its target."""
     del call.attempts[attempt.number]
     targets.on_end(attempt.target, state.now_us)
+    capacity.on_attempt_ended(state, attempt.service, call)
 
 
 def drop(
--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -19,6 +19,8 @@
 
 TARGET_SMOOTHING = 1 / 8
 SERVICE_SMOOTHING = 1 / 128
+QUICK_FALL = 1 / 4
+QUICK_RISE = 1 / 32
 MIN_FAILURES_IN_ROW = 3
 MIN_FAILURE_SAMPLES = 16
 SLOW_FACTOR = 4.0
@@ -142,10 +144,14 @@
 def _sample_latency(
     service: state_lib.ServiceState, health: targets.Health, latency_us: int
 ) -> None:
-    if not service.latency_us:
-        service.latency_us = float(latency_us)
+    if not service.answers:
+        service.latency_us = service.quick_us = float(latency_us)
+    service.answers += 1
     sample_us = min(float(latency_us), MAX_SAMPLE_FACTOR * service.latency_us)
-    service.latency_us += SERVICE_SMOOTHING * (sample_us - service.latency_us)
+    smoothing = max(SERVICE_SMOOTHING, 1 / service.answers)
+    service.latency_us += smoothing * (sample_us - service.latency_us)
+    quick_step = QUICK_FALL if sample_us < service.quick_us else QUICK_RISE
+    service.quick_us += quick_step * (sample_us - service.quick_us)
     if not health.answers:
         health.latency_us = service.latency_us
     health.answers += 1
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -1,5 +1,6 @@
 """The reducer: one function over all events, with effects as data."""
 
+from fireflyspindle.core import admission
 from fireflyspindle.core import calls
 from fireflyspindle.core import claim_reads
 from fireflyspindle.core import claims
@@ -36,6 +37,8 @@
     """
     state.now_us = event.now_us
     _apply(state, event)
+    if state.freed:
+        admission.send_queued(state)
     if state.stopping:
         drain.exit_if_drained(state)
     return _take_effects(state)
@@ -87,6 +90,8 @@
                 calls.on_deadline(state, call_id)
             case timers.HedgeDue(call_id):
                 hedging.on_due(state, call_id)
+            case timers.QueueDue(call_id):
+                admission.on_queue_due(state, call_id)
             case timers.PeersDue():
                 membership.on_due(state)
             case timers.SnapshotDue(number):
@@ -105,7 +110,11 @@
     """
     while True:
         match state.timers.first():
-            case timers.CallDeadline(call_id) | timers.HedgeDue(call_id):
+            case (
+                timers.CallDeadline(call_id)
+                | timers.HedgeDue(call_id)
+                | timers.QueueDue(call_id)
+            ):
                 if call_id in state.calls:
                     return
                 state.timers.drop_first()
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import members
+from fireflyspindle.core import queueing
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
 from fireflyspindle.core import recovery_state
@@ -60,6 +61,7 @@
     number: int
     target: targets_lib.Target
     started_us: int
+    service: "ServiceState"
 
 
 @attrs.define
@@ -82,6 +84,7 @@
         target_us: Time spent at the answering target.
         last_target: Address of the target of the latest attempt.
         tried: Addresses of the targets of all attempts.
+        counted: Whether it counts towards limits.
         maybe_ran: Whether an attempt ended without a word on having run.
         status: HTTP status of a target's answer that ran it, or 0.
         claim: Its part in the claims of its key, if it has one.
@@ -102,11 +105,33 @@
     target_us: int = 0
     last_target: str = ""
     tried: set[str] = attrs.field(factory=set)
+    counted: bool = False
     maybe_ran: bool = False
     status: int = 0
     claim: claim_state.ClaimUse | None = None
 
 
+@attrs.define
+class Capacity:
+    """Limits of the attempts that a service has in flight.
+
+    Attributes:
+        narrow: Limit for tenants that have more than their part.
+        wide: Limit for everybody.
+        offered: Calls of the last seconds, older ones fading.
+        weights: Sum of the weights of the tenants that offer calls.
+        overdrawn: Tenants that offer well above their share.
+        check_us: Time at which they are worked out again.
+    """
+
+    narrow: float = 0.0
+    wide: float = 0.0
+    offered: float = 0.0
+    weights: int = 0
+    overdrawn: set[str] = attrs.field(factory=set)
+    check_us: int = 0
+
+
 @attrs.define
 class ServiceState:
     """What this gate host knows of one service.
@@ -116,14 +141,28 @@
         targets: Targets by address.
         ejected: Targets that are ejected, by address.
         retry_budget: Retries that it may still make.
+        queue: Calls that wait for a target.
+        in_flight: Attempts that have not ended.
+        tenants: Attempts that have not ended, by tenant.
+        offered: Calls of the last seconds by tenant, older ones fading.
+        capacity: Limits of the attempts in flight.
+        answers: Good answers whose time was taken.
         latency_us: Moving average of the time to a good answer; 0 for none.
+        quick_us: Time that a quick answer takes; 0 for none.
         failure_share: Moving average of failed attempts.
     """
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
     ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
+    in_flight: int = 0
+    tenants: dict[str, int] = attrs.field(factory=dict)
+    offered: dict[str, float] = attrs.field(factory=dict)
+    capacity: Capacity = attrs.field(factory=Capacity)
+    answers: int = 0
     latency_us: float = 0.0
+    quick_us: float = 0.0
     failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
 
@@ -143,6 +182,38 @@
     failures: int = 0
 
 
+@attrs.define
+class RateBucket:
+    """Calls that a tenant may still make at this gate host.
+
+    Attributes:
+        calls: Calls at hand.
+        filled_us: Time up to which calls were credited.
+    """
+
+    calls: float
+    filled_us: int
+
+
+@attrs.define
+class Use:
+    """What tenants and classes use of this gate host.
+
+    Attributes:
+        tenants: Calls admitted that have not ended, by tenant.
+        classes: Calls admitted that have not ended, by class.
+        rates: Buckets of the tenants with a limit per second.
+        fleet_size: Gate hosts that take calls, as last counted.
+        fleet_check_us: Time at which they are counted again.
+    """
+
+    tenants: dict[str, int] = attrs.field(factory=dict)
+    classes: dict[str, int] = attrs.field(factory=dict)
+    rates: dict[str, RateBucket] = attrs.field(factory=dict)
+    fleet_size: int = 1
+    fleet_check_us: int = 0
+
+
 @attrs.define
 class GateState:
     """Everything a gate host knows.
@@ -161,6 +232,8 @@
         log_positions: How far each stream of the log has been read.
         appends: Stream of each append that has not been settled, by number.
         last_append_id: Number of the latest append.
+        use: What tenants and classes use of this gate host.
+        freed: Services with queued calls where attempts have ended.
         tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
         stopping: Whether a planned stop has begun.
@@ -186,6 +259,8 @@
     log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
     appends: dict[int, str] = attrs.field(factory=dict)
     last_append_id: int = 0
+    use: Use = attrs.field(factory=Use)
+    freed: list[str] = attrs.field(factory=list)
     tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
     stopping: bool = False
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -19,6 +19,13 @@
     call_id: int
 
 
+@attrs.define
+class QueueDue:
+    """A queued call can't be answered in time any more."""
+
+    call_id: int
+
+
 @attrs.define
 class DrainDeadline:
     """The hard limit of a planned stop has come."""
@@ -46,7 +53,13 @@
 
 
 Timer = (
-    CallDeadline | HedgeDue | DrainDeadline | PeersDue | SnapshotDue | ClaimsDue
+    CallDeadline
+    | HedgeDue
+    | QueueDue
+    | DrainDeadline
+    | PeersDue
+    | SnapshotDue
+    | ClaimsDue
 )
 
 
