--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -159,9 +159,9 @@
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.CloseAfterAnswers():
-                self._server.stopping = True
+                self.data_path.server.stopping = True
             case effects.StopListening():
-                self._server.stop_listening()
+                self.data_path.server.stop_listening()
             case effects.Exit():
                 self._exit.set()
             case _:
