--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -238,6 +238,8 @@
         freed: Services with queued calls where attempts have ended.
         tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
+        host_list_reads: Reads of the host list that succeeded.
+        host_list_failures: Reads of the host list that failed.
         stopping: Whether a planned stop has begun.
         listening: Whether new connections of callers are taken.
         outbox: Effects of the event at hand.
@@ -266,6 +268,8 @@
     freed: list[str] = attrs.field(factory=list)
     tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
+    host_list_reads: int = 0
+    host_list_failures: int = 0
     stopping: bool = False
     listening: bool = True
     outbox: list[effects.Effect] = attrs.field(factory=list)
