--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -9,6 +9,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import ejection
 from fireflyspindle.core import events
+from fireflyspindle.core import hedging
 from fireflyspindle.core import leaving
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
@@ -42,6 +43,7 @@
     state.calls[call.call_id] = call
     state.timers.add(deadline_us, timers.CallDeadline(call.call_id))
     retries.on_arrived(state, service)
+    hedging.on_arrived(state, service)
     claims.offer(state, call, event)
 
 
@@ -59,6 +61,7 @@
         return
     attempt = call.attempts[event.attempt]
     _learn_from_answer(state, call, attempt, event)
+    attempts.learn(state, call, attempt, event)
     if not event.not_run:
         call.status = event.status
     if call.phase is not state_lib.CallPhase.WAITING:
--- a/src/fireflyspindle/core/in_force.py
+++ b/src/fireflyspindle/core/in_force.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import leaving
 from fireflyspindle.core import records
+from fireflyspindle.core import routing
 from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
@@ -122,6 +123,7 @@
             for address, target in service.targets.items()
             if target.ejected
         }
+        routing.refresh(state, service)
 
 
 def _new_target(
@@ -130,12 +132,8 @@
     spec: records.TargetSpec,
     cold: bool,
 ) -> targets.Target:
-    target = targets.Target(spec, affinity=_affinity(state))
+    target = targets.Target(spec)
     target.leaving = leaving.is_leaving(state, spec.address)
     if cold:
         slow_start.begin(state, service, target)
     return target
-
-
-def _affinity(state: state_lib.GateState) -> float:
-    return state.random.random() * 0.01
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -11,6 +11,8 @@
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import membership
+from fireflyspindle.core import probe_slots
+from fireflyspindle.core import probing
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import state as state_lib
@@ -24,6 +26,7 @@
     membership.start(state)
     host_list.start(state)
     claim_reads.start(state)
+    probe_slots.start(state)
     return _take_effects(state)
 
 
@@ -76,6 +79,8 @@
             host_list.on_read_failed(state)
         case events.PeerMessageReceived():
             membership.on_message(state, event)
+        case events.ProbeEnded():
+            probing.on_ended(state, event)
         case events.AppendSettled():
             log.on_append_settled(state, event)
         case _:
@@ -92,16 +97,26 @@
                 hedging.on_due(state, call_id)
             case timers.QueueDue(call_id):
                 admission.on_queue_due(state, call_id)
-            case timers.PeersDue():
-                membership.on_due(state)
-            case timers.SnapshotDue(number):
-                snapshot_looks.on_due(state, number)
-            case timers.ClaimsDue():
-                claims.on_due(state)
             case timers.DrainGraceOver():
                 drain.on_grace_over(state)
             case timers.DrainDeadline():
                 drain.on_deadline(state)
+            case _:
+                _fire_shared(state, timer)
+
+
+def _fire_shared(state: state_lib.GateState, timer: timers.Timer) -> None:
+    match timer:
+        case timers.PeersDue():
+            membership.on_due(state)
+        case timers.SnapshotDue(number):
+            snapshot_looks.on_due(state, number)
+        case timers.ProbesDue():
+            probing.on_due(state)
+        case timers.ClaimsDue():
+            claims.on_due(state)
+        case _:
+            pass
 
 
 def _drop_stale_timers(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -1,9 +1,24 @@
-"""The choice of a target for an attempt."""
+"""The choice of a target for an attempt.
 
+Each candidate gets a score in attempts in flight; the least one is chosen. A
+gate host uses a stable subset of a large service, and looks at a few other
+targets each time, so that the cost does not grow with the service.
+"""
+
+import hashlib
+
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
+MAX_CANDIDATES = 16
+SAMPLED_CANDIDATES = 4
+
+AGE_WEIGHT = 0.4
+OTHER_DOMAIN_PENALTY = 0.05
+TIE_SPREAD = 0.01
+
 
 def choose(
     state: state_lib.GateState,
@@ -13,17 +28,81 @@
     """Returns the best target that this call has not tried, if any."""
     best: targets.Target | None = None
     best_score = 0.0
+    trust = service.load.trust()
     cold: targets.Target | None = None
-    for target in service.targets.values():
+    for target in _candidates(state, service):
         if target.leaving or target.ejected:
             continue
         if target.spec.address in call.tried:
             continue
+        if target.in_flight >= target.connection_share:
+            continue
         if target.warm_at_us and not slow_start.admits(state, target):
             cold = target
             continue
-        score = target.in_flight / target.spec.slots + target.affinity
+        score = _score(state, service.load, target, trust)
         if best is None or score < best_score:
             best = target
             best_score = score
     return best or cold
+
+
+def _score(
+    state: state_lib.GateState,
+    service: load_lib.ServiceLoad,
+    target: targets.Target,
+    trust: float,
+) -> float:
+    """Returns the load to expect at a target, in attempts per slot."""
+    own = target.in_flight
+    now_us = state.now_us
+    slots = target.spec.slots
+    score = target.distance + state.random.random() * TIE_SPREAD
+    if own:
+        age_us = own * now_us - target.load.started_sum_us
+        score += own + AGE_WEIGHT * age_us / service.typical_us
+    if trust:
+        score += trust * load_lib.expected_others(
+            service, target.load, own, slots, now_us
+        )
+    return score / slots
+
+
+def _candidates(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> list[targets.Target]:
+    if len(service.candidates) == len(service.targets):
+        return service.candidates
+    sampled = state.random.sample(service.others, SAMPLED_CANDIDATES)
+    return service.candidates + sampled
+
+
+def refresh(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> None:
+    """Picks the candidates of a service after its targets have changed."""
+    policy = state.configuration.policy(service.name)
+    domain = state.settings.failure_domain
+    for target in service.targets.values():
+        limit = target.spec.connection_limit // policy.gate_hosts_max
+        target.connection_share = max(1, limit)
+        same_domain = target.spec.failure_domain == domain
+        target.distance = 0.0 if same_domain else OTHER_DOMAIN_PENALTY
+    ranked = list(service.targets.values())
+    if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
+        ranked.sort(key=lambda target: _rank(state, target))
+        service.others = ranked[MAX_CANDIDATES:]
+        service.candidates = ranked[:MAX_CANDIDATES]
+        return
+    service.others = []
+    service.candidates = ranked
+
+
+def _rank(state: state_lib.GateState, target: targets.Target) -> bytes:
+    """Returns this gate host's fixed rank of a target.
+
+    Ranking by a hash of host and target is rendezvous hashing (Thaler and
+    Ravishankar, 1998): a change of targets moves no other target's rank.
+    """
+    text = f"{state.settings.host_id} {target.spec.address}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -1,5 +1,6 @@
 """The state that the reducer owns and updates in place."""
 
+import collections
 import enum
 import random
 
@@ -10,6 +11,7 @@
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import incarnations
+from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import members
 from fireflyspindle.core import queueing
 from fireflyspindle.core import recent_records as recent_records_lib
@@ -113,6 +115,62 @@
     claim: claim_state.ClaimUse | None = None
 
 
+@attrs.define(frozen=True)
+class SlotSeen:
+    """The latest record of a probe slot, and when this host read it."""
+
+    offset: int
+    read_us: int
+
+
+@attrs.define(frozen=True)
+class SlotClaim:
+    """A record of a probe slot that was sent and has not been read back.
+
+    Attributes:
+        number: Number of the record.
+        before_offset: Offset of the slot's record before it, or None.
+        sent_us: Time of sending.
+    """
+
+    number: int
+    before_offset: int | None
+    sent_us: int
+
+
+@attrs.define
+class ProbeSlots:
+    """What this gate host knows of the fleet's probe slots.
+
+    Attributes:
+        reading: Whether the first read was asked for.
+        listening_us: Time since which every record was read, or None.
+        whole: Whether the stream was read from its very first record.
+        seen: Latest record of each slot.
+        pending: Own record that is on its way.
+        owned: Slot that this gate host owns, or None.
+        valid_until_us: Time until which it may use the slot.
+        last_number: Number of its latest record.
+    """
+
+    reading: bool = False
+    listening_us: int | None = None
+    whole: bool = False
+    seen: dict[int, SlotSeen] = attrs.field(factory=dict)
+    pending: SlotClaim | None = None
+    owned: int | None = None
+    valid_until_us: int = 0
+    last_number: int = 0
+
+
+@attrs.define(frozen=True)
+class Probe:
+    """A probe that has not ended."""
+
+    service: str
+    target: str
+
+
 @attrs.define
 class Capacity:
     """Limits of the attempts that a service has in flight.
@@ -141,6 +199,11 @@
     Attributes:
         name: Name of the service.
         targets: Targets by address.
+        candidates: Targets that this gate host looks at for each choice.
+        others: Targets of a large service that are only sampled.
+        load: Estimates of load over all targets.
+        hedge_budget: Hedges that it may still make.
+        probes_sent_us: Times of its latest probes.
         ejected: Targets that are ejected, by address.
         retry_budget: Retries that it may still make.
         queue: Calls that wait for a target.
@@ -156,6 +219,9 @@
 
     name: str
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    candidates: list[targets_lib.Target] = attrs.field(factory=list)
+    others: list[targets_lib.Target] = attrs.field(factory=list)
+    load: load_lib.ServiceLoad = attrs.field(factory=load_lib.ServiceLoad)
     ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
     in_flight: int = 0
@@ -167,6 +233,10 @@
     quick_us: float = 0.0
     failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    hedge_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
+    probes_sent_us: collections.deque[int] = attrs.field(
+        factory=collections.deque
+    )
 
 
 @attrs.define
@@ -242,6 +312,9 @@
         host_list_failures: Reads of the host list that failed.
         stopping: Whether a planned stop has begun.
         listening: Whether new connections of callers are taken.
+        probe_slots: Rights to probe.
+        probes: Probes that have not ended, by number.
+        last_probe_id: Number of the latest probe.
         outbox: Effects of the event at hand.
     """
 
@@ -272,6 +345,9 @@
     host_list_failures: int = 0
     stopping: bool = False
     listening: bool = True
+    probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
+    probes: dict[int, Probe] = attrs.field(factory=dict)
+    last_probe_id: int = 0
     outbox: list[effects.Effect] = attrs.field(factory=list)
 
     def emit(self, effect: effects.Effect) -> None:
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -52,6 +52,11 @@
     number: int
 
 
+@attrs.define
+class ProbesDue:
+    """It is time to see to the probe slot and to probes."""
+
+
 @attrs.define
 class ClaimsDue:
     """A batch of claims may leave, or their stream be read."""
@@ -66,6 +71,7 @@
     | PeersDue
     | SnapshotDue
     | ClaimsDue
+    | ProbesDue
 )
 
 
