--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -8,6 +8,7 @@
 
 from fireflyspindle.bench import claims as claims_lib
 from fireflyspindle.bench import configuration as configuration_lib
+from fireflyspindle.bench import fairness as fairness_lib
 from fireflyspindle.bench import history_run
 from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
@@ -104,36 +105,40 @@
     return 1 if summary.violations else 0
 
 
-def claims(
-    *, gates: int = 17, seconds: float = 20.0, json: bool = False
+def fairness(
+    *,
+    deployment: Literal["zeevaart", "taller"] = "zeevaart",
+    gates: int = 16,
+    seeds: int = 2,
+    seconds: float = 3.0,
 ) -> int:
-    """Measures what claims add to keyed calls, in virtual time.
+    """Shows what a tenant at ten times its share does to the others.
 
     Args:
+        deployment: Whose sizes are used.
         gates: Number of gate hosts.
-        seconds: Length of each load in virtual time.
-        json: Print one line of JSON.
+        seeds: Number of seeds, from 1 on.
+        seconds: Length of a run in virtual time.
 
     Returns:
         The exit status: 2 when an argument is out of bounds.
     """
-    if not 1 <= gates <= 100 or not 0 < seconds <= 600:
+    if seeds < 1 or gates < 1 or seconds <= 0:
         print(
-            f"bench claims: --gates is {gates} and --seconds {seconds};"
-            " give 1 to 100 and up to 600",
+            "bench fairness: --seeds and --gates must be at least 1 and"
+            " --seconds above 0",
             file=sys.stderr,
         )
         return 2
-    loads = [
-        attrs.asdict(claims_lib.run_load(gates, calls_per_s, seconds))
-        for calls_per_s in CLAIM_LOADS_PER_S
-    ]
-    index = attrs.asdict(claims_lib.measure_index())
-    if json:
-        print(json_lib.dumps({"loads": loads, "index": index}))
-        return 0
-    for figures in [*loads, index]:
-        print("  ".join(f"{name}={value}" for name, value in figures.items()))
+    plan = policy_model.Plan(
+        deployment=policy_model.DEPLOYMENTS[deployment],
+        load=0.0,
+        scenario="steady",
+        service="exponential",
+        gates=gates,
+        duration_us=int(seconds * 1e6),
+    )
+    print(json_lib.dumps(fairness_lib.compare(plan, seeds)))
     return 0
 
 
@@ -155,11 +160,45 @@
     return 0
 
 
+def claims(
+    *, gates: int = 17, seconds: float = 20.0, json: bool = False
+) -> int:
+    """Measures what claims add to keyed calls, in virtual time.
+
+    Args:
+        gates: Number of gate hosts.
+        seconds: Length of each load in virtual time.
+        json: Print one line of JSON.
+
+    Returns:
+        The exit status: 2 when an argument is out of bounds.
+    """
+    if not 1 <= gates <= 100 or not 0 < seconds <= 600:
+        print(
+            f"bench claims: --gates is {gates} and --seconds {seconds};"
+            " give 1 to 100 and up to 600",
+            file=sys.stderr,
+        )
+        return 2
+    loads = [
+        attrs.asdict(claims_lib.run_load(gates, calls_per_s, seconds))
+        for calls_per_s in CLAIM_LOADS_PER_S
+    ]
+    index = attrs.asdict(claims_lib.measure_index())
+    if json:
+        print(json_lib.dumps({"loads": loads, "index": index}))
+        return 0
+    for figures in [*loads, index]:
+        print("  ".join(f"{name}={value}" for name, value in figures.items()))
+    return 0
+
+
 COMMANDS = {
+    "claims": claims,
     "configuration": configuration_lib.configuration,
+    "fairness": fairness,
     "history": history,
     "overhead": overhead_lib.overhead,
     "policy": policy,
-    "claims": claims,
     "slopes": slopes,
 }
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -13,6 +13,7 @@
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import members
+from fireflyspindle.core import queueing
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
 from fireflyspindle.core import recovery_state
@@ -27,6 +28,7 @@
     Attributes:
         host_id: Id of this gate host's incarnation, unique for each start.
         failure_domain: Failure domain that this gate host runs in.
+        drain_grace_ms: Time for which a host that stops still takes calls.
         drain_limit_ms: Hard limit of a planned stop.
         claims: Settings of claims.
         incarnation: Grows with each start of the host.
@@ -38,6 +40,7 @@
 
     host_id: str
     failure_domain: str = ""
+    drain_grace_ms: int = 0
     drain_limit_ms: int = 60_000
     claims: claim_state.ClaimSettings = claim_state.ClaimSettings()
     incarnation: int = 0
@@ -62,6 +65,7 @@
     number: int
     target: targets_lib.Target
     started_us: int
+    service: "ServiceState"
 
 
 @attrs.define
@@ -84,6 +88,7 @@
         target_us: Time spent at the answering target.
         last_target: Address of the target of the latest attempt.
         tried: Addresses of the targets of all attempts.
+        counted: Whether it counts towards limits.
         maybe_ran: Whether an attempt ended without a word on having run.
         status: HTTP status of a target's answer that ran it, or 0.
         claim: Its part in the claims of its key, if it has one.
@@ -104,6 +109,7 @@
     target_us: int = 0
     last_target: str = ""
     tried: set[str] = attrs.field(factory=set)
+    counted: bool = False
     maybe_ran: bool = False
     status: int = 0
     claim: claim_state.ClaimUse | None = None
@@ -165,6 +171,27 @@
     target: str
 
 
+@attrs.define
+class Capacity:
+    """Limits of the attempts that a service has in flight.
+
+    Attributes:
+        narrow: Limit for tenants that have more than their part.
+        wide: Limit for everybody.
+        offered: Calls of the last seconds, older ones fading.
+        weights: Sum of the weights of the tenants that offer calls.
+        overdrawn: Tenants that offer well above their share.
+        check_us: Time at which they are worked out again.
+    """
+
+    narrow: float = 0.0
+    wide: float = 0.0
+    offered: float = 0.0
+    weights: int = 0
+    overdrawn: set[str] = attrs.field(factory=set)
+    check_us: int = 0
+
+
 @attrs.define
 class ServiceState:
     """What this gate host knows of one service.
@@ -179,7 +206,14 @@
         probes_sent_us: Times of its latest probes.
         ejected: Targets that are ejected, by address.
         retry_budget: Retries that it may still make.
+        queue: Calls that wait for a target.
+        in_flight: Attempts that have not ended.
+        tenants: Attempts that have not ended, by tenant.
+        offered: Calls of the last seconds by tenant, older ones fading.
+        capacity: Limits of the attempts in flight.
+        answers: Good answers whose time was taken.
         latency_us: Moving average of the time to a good answer; 0 for none.
+        quick_us: Time that a quick answer takes; 0 for none.
         failure_share: Moving average of failed attempts.
     """
 
@@ -189,7 +223,14 @@
     others: list[targets_lib.Target] = attrs.field(factory=list)
     load: load_lib.ServiceLoad = attrs.field(factory=load_lib.ServiceLoad)
     ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
+    queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
+    in_flight: int = 0
+    tenants: dict[str, int] = attrs.field(factory=dict)
+    offered: dict[str, float] = attrs.field(factory=dict)
+    capacity: Capacity = attrs.field(factory=Capacity)
+    answers: int = 0
     latency_us: float = 0.0
+    quick_us: float = 0.0
     failure_share: float = 0.0
     retry_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
     hedge_budget: budgets.ShareBudget = attrs.field(factory=budgets.ShareBudget)
@@ -213,6 +254,38 @@
     failures: int = 0
 
 
+@attrs.define
+class RateBucket:
+    """Calls that a tenant may still make at this gate host.
+
+    Attributes:
+        calls: Calls at hand.
+        filled_us: Time up to which calls were credited.
+    """
+
+    calls: float
+    filled_us: int
+
+
+@attrs.define
+class Use:
+    """What tenants and classes use of this gate host.
+
+    Attributes:
+        tenants: Calls admitted that have not ended, by tenant.
+        classes: Calls admitted that have not ended, by class.
+        rates: Buckets of the tenants with a limit per second.
+        fleet_size: Gate hosts that take calls, as last counted.
+        fleet_check_us: Time at which they are counted again.
+    """
+
+    tenants: dict[str, int] = attrs.field(factory=dict)
+    classes: dict[str, int] = attrs.field(factory=dict)
+    rates: dict[str, RateBucket] = attrs.field(factory=dict)
+    fleet_size: int = 1
+    fleet_check_us: int = 0
+
+
 @attrs.define
 class GateState:
     """Everything a gate host knows.
@@ -231,11 +304,14 @@
         log_positions: How far each stream of the log has been read.
         appends: Stream of each append that has not been settled, by number.
         last_append_id: Number of the latest append.
+        use: What tenants and classes use of this gate host.
+        freed: Services with queued calls where attempts have ended.
         tenures: Incarnations seen at each address of a target.
         timers: Timers of all matters.
         host_list_reads: Reads of the host list that succeeded.
         host_list_failures: Reads of the host list that failed.
         stopping: Whether a planned stop has begun.
+        listening: Whether new connections of callers are taken.
         probe_slots: Rights to probe.
         probes: Probes that have not ended, by number.
         last_probe_id: Number of the latest probe.
@@ -261,11 +337,14 @@
     log_positions: dict[str, LogPosition] = attrs.field(factory=dict)
     appends: dict[int, str] = attrs.field(factory=dict)
     last_append_id: int = 0
+    use: Use = attrs.field(factory=Use)
+    freed: list[str] = attrs.field(factory=list)
     tenures: dict[str, incarnations.Tenure] = attrs.field(factory=dict)
     timers: timers_lib.TimerQueue = attrs.field(factory=timers_lib.TimerQueue)
     host_list_reads: int = 0
     host_list_failures: int = 0
     stopping: bool = False
+    listening: bool = True
     probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
     probes: dict[int, Probe] = attrs.field(factory=dict)
     last_probe_id: int = 0
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -42,6 +42,7 @@
         core_settings = state_lib.CoreSettings(
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
+            drain_grace_ms=settings.limits.drain_grace_ms,
             drain_limit_ms=settings.limits.drain_limit_ms,
             claims=claim_state.ClaimSettings(**attrs.asdict(settings.claims)),
             incarnation=time.time_ns() // 1_000_000,
@@ -170,6 +171,15 @@
                 self.spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
+            case _:
+                self._carry_out_stop(effect)
+
+    def _carry_out_stop(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.CloseAfterAnswers():
+                self.data_path.server.stopping = True
+            case effects.StopListening():
+                self.data_path.server.stop_listening()
             case effects.Exit():
                 self._exit.set()
             case _:
