--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -19,6 +19,18 @@
     call_id: int
 
 
+@attrs.define
+class QueueDue:
+    """A queued call can't be answered in time any more."""
+
+    call_id: int
+
+
+@attrs.define
+class DrainGraceOver:
+    """The platform's balancer has had time to leave this gate host."""
+
+
 @attrs.define
 class DrainDeadline:
     """The hard limit of a planned stop has come."""
@@ -53,6 +65,8 @@
 Timer = (
     CallDeadline
     | HedgeDue
+    | QueueDue
+    | DrainGraceOver
     | DrainDeadline
     | PeersDue
     | SnapshotDue
