--- a/tests/test_history_mutants.py
+++ b/tests/test_history_mutants.py
@@ -15,7 +15,7 @@
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probing
 
-MAX_SEEDS = 6
+MAX_SEEDS = 12
 
 
 def wrap(monkeypatch, module, name, make):
