--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -6,6 +6,7 @@
 
 from fireflyspindle import metrics as metrics_lib
 from fireflyspindle.adapters import admin_api
+from fireflyspindle.adapters import claim_metrics
 from fireflyspindle.adapters import peers
 from fireflyspindle.core import events
 from fireflyspindle.core import membership
@@ -62,6 +63,7 @@
     async def metrics(self, _request: web.Request) -> web.Response:
         metrics = self._gate.metrics
         metrics.set_state(self._gate.state, self._gate.now_us())
+        claim_metrics.fill(metrics, self._gate.state)
         content, http_headers = metrics.render()
         return web.Response(body=content, headers=http_headers)
 
@@ -79,6 +81,7 @@
             "digest": f"{state.configuration.digest:016x}",
             "unreadable": state.configuration.unreadable,
         },
+        "claims": claim_metrics.summary(state),
         "membership": membership.summary(state),
         "services": {
             service.name: {
--- a/src/fireflyspindle/demo.py
+++ b/src/fireflyspindle/demo.py
@@ -7,6 +7,7 @@
 import attrs
 
 from fireflyspindle import demo_load
+from fireflyspindle import settings as settings_lib
 from fireflyspindle import testing
 
 SERVICE = "tracking"
@@ -17,6 +18,7 @@
 CALLERS = 24
 SLOWDOWN = 8.0
 BALANCER_LAG_S = 0.3
+GRACE_MS = 1_000
 
 
 @attrs.define(frozen=True)
@@ -68,7 +70,7 @@
     async with testing.StandInSystem() as system:
         await _publish(system)
         for host_id in GATES:
-            await system.add_gate(host_id)
+            await system.add_gate(host_id, _settings(system, host_id))
         gates = {
             host_id: gate.callers_address
             for host_id, gate in system.gates.items()
@@ -117,6 +119,13 @@
     running.show(f"{GATES[1]} has ended")
 
 
+def _settings(
+    system: testing.StandInSystem, host_id: str
+) -> settings_lib.Settings:
+    limits = settings_lib.LimitSettings(drain_grace_ms=GRACE_MS)
+    return attrs.evolve(system.gate_settings(host_id), limits=limits)
+
+
 async def _stop_gate(running: Demo, host_id: str) -> None:
     running.load.stopping.add(host_id)
     stop = asyncio.create_task(running.system.stop_gate(host_id))
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -19,6 +19,7 @@
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import peers
 from fireflyspindle.adapters import probe_client
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import reducer
@@ -41,7 +42,9 @@
         core_settings = state_lib.CoreSettings(
             host_id=settings.gate.host_id,
             failure_domain=settings.gate.failure_domain,
+            drain_grace_ms=settings.limits.drain_grace_ms,
             drain_limit_ms=settings.limits.drain_limit_ms,
+            claims=claim_state.ClaimSettings(**attrs.asdict(settings.claims)),
             incarnation=time.time_ns() // 1_000_000,
             peer_addresses=settings.peers.addresses,
             log_keep_s=settings.platform.log_keep_s,
@@ -168,6 +171,15 @@
                 self.spawn(self._read_host_list(delay_us))
             case effects.Report(level, code, detail):
                 logs.logger.log(level.upper(), detail, code=code)
+            case _:
+                self._carry_out_stop(effect)
+
+    def _carry_out_stop(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.CloseAfterAnswers():
+                self.data_path.server.stopping = True
+            case effects.StopListening():
+                self.data_path.server.stop_listening()
             case effects.Exit():
                 self._exit.set()
             case _:
@@ -235,7 +247,12 @@
             self.submit(events.HostListReadFailed(self.now_us()))
             return
         self.submit(
-            events.HostListRead(self.now_us(), found.gates, found.targets)
+            events.HostListRead(
+                self.now_us(),
+                found.listed.gates,
+                found.listed.targets,
+                found.size_bytes,
+            )
         )
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,6 +3,7 @@
 import pytest
 
 import claim_fleet
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 
@@ -216,6 +217,35 @@
     assert second.told is COMPLETE
 
 
+def test_key_of_a_request_that_broke_off_stays_unknown(fleet):
+    gate, other = fleet.gates[:2]
+    key = fleet.key("a")
+    first = fleet.call(gate, key)
+    fleet.settle_all()
+    attempt = gate.running[first.call_id].attempt
+    reason = events.FailureReason.DISCONNECTED
+    gate.fail(first.call_id, attempt, reason, sent=True)
+    fleet.settle_all()
+    second = fleet.call(other, key, copies=True)
+    assert (first.told, second.told) == (UNKNOWN, UNKNOWN)
+
+
+def test_doubtful_claim_is_released_though_a_later_append_was_refused(fleet):
+    gate, other = fleet.gates[:2]
+    key = fleet.key("a")
+    fleet.call(gate, key, deadline_ms=350)
+    gate.settle(gate.appends[0], LOST)
+    for _ in range(4):
+        fleet.advance(50_000)
+        gate.read()
+    gate.settle(gate.appends[0], REFUSED)
+    fleet.advance(400_000)
+    fleet.land(fleet.late[0])
+    second = fleet.call(other, key)
+    fleet.settle_all()
+    assert is_sent(other, second)
+
+
 def test_key_that_the_target_declined_runs_when_it_comes_again(fleet):
     gate, other = fleet.gates[:2]
     key = fleet.key("a")
@@ -248,6 +278,37 @@
     assert (seen.status, seen.told) == (503, UNKNOWN)
 
 
+def test_new_gate_skips_what_is_too_old_to_matter(fleet):
+    old_key, new_key = fleet.key("old"), fleet.key("new")
+    fleet.call(fleet.gates[0], old_key)
+    fleet.settle_all()
+    fleet.advance(2 * MINUTE_US)
+    filler = fleet.bodies[0].replace('"number":1', '"number":9')
+    fleet.bodies[1:] = [filler] * 500
+    fleet.landed_us[1:] = [fleet.now_us] * 500
+    for number in range(20):
+        new_key = fleet.key(f"new{number}")
+        fleet.call(fleet.gates[1], new_key)
+        fleet.gates[1].settle(
+            fleet.gates[1].appends[0], events.AppendOutcome.DONE
+        )
+        fleet.advance(1_000_000)
+    claims = claim_state.ClaimSettings(
+        fleet_appends_per_s=0.1, key_validity_ms=130_000
+    )
+    fresh = fleet.new_gate(claims=claims)
+    fleet.gates.append(fresh)
+    fresh.read()
+    fleet.advance(60_000)
+    assert fresh.reads[0].from_offset == 521 - 100
+    fleet.settle_all()
+    seen = fleet.call(fresh, old_key, copies=True)
+    assert (seen.status, seen.told) == (410, UNKNOWN)
+    seen = fleet.call(fresh, new_key, copies=True)
+    fleet.settle_all()
+    assert not is_sent(fresh, seen)
+
+
 def test_late_claim_of_a_forgotten_key_is_not_sent(fleet):
     gate, other = fleet.gates[:2]
     key = fleet.key("a")
@@ -278,6 +339,12 @@
 
 def test_batches_keep_within_the_hosts_share(fleet):
     gate = fleet.gates[0]
+    wide = [
+        {"address": address, "slots": 500, "connection_limit": 100_000}
+        for address in gate.addresses
+    ]
+    gate.publish("service", "s", {"targets": wide})
+    gate.advance(1_000_000)
     gate.effects.clear()
     for number in range(1000):
         fleet.call(gate, fleet.key(f"k{number}"), deadline_ms=60_000)
