Tell unknown, not "not run", of a keyed copy while the log can't be read

Cause: without the header Other-Copies a gate host took a copy for the only one. A caller that sent its key again after a time-out, while the log was down for the second host, was told "not run" although the first copy had run; the promise would have hung on a header that an ordinary caller does not send. Change: without the header there may be other copies, and what can't be known is told as unknown; 'Other-Copies: no' allows "not run". Conclusion: "not run" holds for the key without the caller's help. Callers that say nothing hear "unknown" in an outage of the log, and ask again with the same key.

--- a/src/fireflyspindle/core/claims.py
+++ b/src/fireflyspindle/core/claims.py
@@ -39,7 +39,7 @@
         event.key_issued_ms,
         event.body_digest,
     )
-    call.claim = claim_state.ClaimUse(key, event.other_copies is True)
+    call.claim = claim_state.ClaimUse(key, event.other_copies is not False)
     entry = state.claims.index.get(key)
     if entry is None and not _is_takeable(state, call, event.other_copies):
         return
