--- a/src/fireflyspindle/bench/slopes.py
+++ b/src/fireflyspindle/bench/slopes.py
@@ -4,12 +4,12 @@
 import enum
 import gc
 import itertools
+import statistics
 import sys
 import time
 import types
 
 import attrs
-import numpy as np
 
 from fireflyspindle.bench import configuration as configuration_bench
 from fireflyspindle.bench import fleet as fleet_lib
@@ -101,17 +101,20 @@
 def fit(series: Series) -> Line:
     """Measures one series and fits a line by least squares."""
     values = [series.measure(size) for size in series.sizes]
-    slope, intercept = np.polyfit(series.sizes, values, 1)
-    off = np.abs(np.polyval((slope, intercept), series.sizes) - values)
+    slope, intercept = statistics.linear_regression(series.sizes, values)
+    spread = max(
+        abs(intercept + slope * size - value)
+        for size, value in zip(series.sizes, values, strict=True)
+    )
     return Line(
         name=series.name,
         unit=series.unit,
         per=series.per,
         sizes=series.sizes,
         values=tuple(round(float(value), 4) for value in values),
-        slope=float(slope),
-        intercept=float(intercept),
-        spread=float(off.max()),
+        slope=slope,
+        intercept=intercept,
+        spread=spread,
     )
 
 
