Give the process tests host numbers of their own

Cause: one of about ten whole runs failed at the start of a gate host with "address already in use": a port found free on 127.0.0.1 was given by the system to a connection of another test before the host took it. Change: each test process uses a loopback host number of its own. Conclusion: the ports of 127.0.0.1 that the system gives out can't collide with them.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import hashlib
+import itertools
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 
@@ -46,11 +46,18 @@
 """
 
 
+_numbers = itertools.count(1)
+
+
 def free_address():
-    """Returns a loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address that only this test process uses.
+
+    The system gives out ports of 127.0.0.1 to others at any time; a host
+    number of one's own rules that out.
+    """
+    number = next(_numbers)
+    high, low = divmod(os.getpid() % 65_536, 256)
+    return f"127.{1 + number // 1_000}.{high}.{low}:{20_000 + number % 1_000}"
 
 
 @attrs.define
