Tell bad addresses on the command line, and read addresses in one place

Change: one check for settings, records and commands; wrong values end with status 2; usage names the command and not its module.

--- a/src/fireflyspindle/cli.py
+++ b/src/fireflyspindle/cli.py
@@ -23,4 +23,10 @@
 
 def main() -> None:
     """Runs the command that the arguments name."""
-    sys.exit(defopt.run(COMMANDS, cli_options="all"))
+    sys.exit(
+        defopt.run(
+            COMMANDS,
+            cli_options="all",
+            argparse_kwargs={"prog": "fireflyspindle"},
+        )
+    )
--- a/src/fireflyspindle/commands/records.py
+++ b/src/fireflyspindle/commands/records.py
@@ -15,6 +15,7 @@
 
 from fireflyspindle.adapters import admin_changes
 from fireflyspindle.commands import status
+from fireflyspindle.core import addresses
 
 TOKEN_VARIABLE = "FIREFLYSPINDLE_TOKEN"
 CONTROL_ADDRESS = "127.0.0.1:8081"
@@ -188,6 +189,10 @@
 
 
 def _ask(address: str, work: Callable[[Client], Awaitable[int]]) -> int:
+    why = addresses.problem(address)
+    if why is not None:
+        return _fail(f"--gate is {why}", status.BAD_USE)
+
     async def run() -> int:
         token = os.environ.get(TOKEN_VARIABLE, "")
         async with aiohttp.ClientSession(
@@ -199,7 +204,7 @@
     try:
         return asyncio.run(run())
     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-        why = f"gate host {address} can't be asked: {error!r}"
+        why = f"gate host {address} can't be asked: {error}"
         return _fail(why, status.FAILURE)
 
 
--- a/src/fireflyspindle/commands/stand_in.py
+++ b/src/fireflyspindle/commands/stand_in.py
@@ -9,6 +9,7 @@
 
 from fireflyspindle import testing
 from fireflyspindle.commands import status
+from fireflyspindle.core import addresses
 
 LOG_ADDRESS = "127.0.0.1:7001"
 HOSTS_ADDRESS = "127.0.0.1:7002"
@@ -79,10 +80,14 @@
 
 
 async def _serve(address: str, make: Callable[[], web.Application]) -> int:
+    why = addresses.problem(address)
+    if why is not None:
+        print(f"--address is {why}", file=sys.stderr)
+        return status.BAD_USE
     server = testing.Server(make())
     try:
         real = await server.start(address)
-    except (OSError, ValueError) as error:
+    except OSError as error:
         print(f"can't listen on {address!r}: {error}", file=sys.stderr)
         return status.FAILURE
     print(f"listening on {real}", flush=True)
--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -1,6 +1,5 @@
 """Settings of a gate host, read from a TOML file and checked as a whole."""
 
-import ipaddress
 import pathlib
 import re
 import tomllib
@@ -9,9 +8,9 @@
 import result
 
 from fireflyspindle import validation
+from fireflyspindle.core import addresses
 from fireflyspindle.core import claim_state
 
-MAX_PORT = 65_535
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,100}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _KEY_PATTERN = re.compile(r"[a-z]+/([A-Za-z0-9._-]+|\*)")
@@ -19,17 +18,9 @@
 
 
 def _check_address(_: object, _field: attrs.Attribute, value: str) -> None:
-    host, _colon, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = port.isdecimal() and int(port) <= MAX_PORT
-    except ValueError:
-        valid = False
-    if not valid:
-        raise ValueError(
-            f"found {value!r}; give an IP number and a port up to {MAX_PORT},"
-            ' such as "10.0.0.7:8080"'
-        )
+    why = addresses.problem(value)
+    if why is not None:
+        raise ValueError(f"found {why}")
 
 
 def _check_addresses(
