--- a/src/fireflyspindle/bench/slopes.py
+++ b/src/fireflyspindle/bench/slopes.py
@@ -153,6 +153,10 @@
     return held_bytes(_state(fleet))
 
 
+def _services_bytes(services: int) -> float:
+    return held_bytes(_state(_fleet(services=services, endpoints=90)))
+
+
 def _gates_bytes(gates: int) -> float:
     return held_bytes(_state(_fleet(gates=gates)))
 
@@ -167,10 +171,15 @@
 
 def _call_us(endpoints: int) -> float:
     """Returns the processor time of a call's events in the reducer."""
+    return _calls_us(CALLS, endpoints) / CALLS
+
+
+def _calls_us(calls: int, endpoints: int = 64) -> float:
+    """Returns the processor time of the events of so many calls."""
     state = _state(_fleet(endpoints=endpoints))
     now_us = state.now_us
     begun_s = time.process_time()
-    for number in range(1, CALLS + 1):
+    for number in range(1, calls + 1):
         now_us += 100
         asked = reducer.reduce(
             state,
@@ -180,7 +189,7 @@
             if isinstance(effect, effects.SendToTarget):
                 now_us += 50
                 _answer(state, now_us, effect)
-    return (time.process_time() - begun_s) * 1e6 / CALLS
+    return (time.process_time() - begun_s) * 1e6
 
 
 def _answer(
@@ -309,14 +318,20 @@
 SERIES = (
     Series("decision", "us", "endpoint", ENDPOINTS, _decision_us),
     Series("call", "us", "endpoint", ENDPOINTS, _call_us),
+    Series("calls", "us", "call", (1_000, 2_000, 4_000, 8_000), _calls_us),
     Series("change", "us", "endpoint", ENDPOINTS, _change_us),
     Series("state", "bytes", "endpoint", ENDPOINTS, _endpoints_bytes),
     Series("snapshot", "bytes", "endpoint", ENDPOINTS, _snapshot_bytes),
+    Series("state", "bytes", "service", (1, 5, 15, 45), _services_bytes),
     Series("state", "bytes", "gate host", GATES, _gates_bytes),
     Series("peer traffic", "bytes/s", "gate host", GATES, _peer_bytes_per_s),
     Series("control", "us/s", "gate host", GATES, _control_us_per_s),
     Series(
-        "state", "bytes", "record", (100, 400, 1_600, 4_100), _records_bytes
+        "state",
+        "bytes",
+        "tenant record",
+        (100, 400, 1_600, 4_100),
+        _records_bytes,
     ),
     Series(
         "peer traffic of changes",
