--- a/src/fireflyspindle/adapters/admin_api.py
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -23,7 +23,6 @@
 
 POLL_S = 0.02
 MAX_WAIT_MS = 60_000
-HISTORY_PAGE_RECORDS = 500
 _TEAM = web.RequestKey("team", settings_lib.TeamSettings)
 
 
--- a/src/fireflyspindle/bench/claims.py
+++ b/src/fireflyspindle/bench/claims.py
@@ -19,8 +19,8 @@
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
-from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.testing import records as record_bodies
 
 PATH = "/offer"
 WALL_START_MS = 1_700_000_000_000
@@ -91,17 +91,8 @@
             gate.start()
 
     def _publish(self, kind: str, payload: dict) -> None:
-        envelope = records.Envelope(
-            record_id=kind,
-            kind=kind,
-            name="offer",
-            expected_revision=0,
-            schema_version=1,
-            oldest_reader_version=1,
-            author="bench",
-            payload=payload,
-        )
-        self.log.append(configuration.STREAM, records.encode(envelope))
+        body = record_bodies.body(kind, "offer", payload, record_id=kind)
+        self.log.append(configuration.STREAM, body)
 
     def _gate(self, number: int, seed: int) -> virtual.VirtualGate:
         return virtual.VirtualGate(
--- a/src/fireflyspindle/bench/decisions.py
+++ b/src/fireflyspindle/bench/decisions.py
@@ -4,9 +4,9 @@
 
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
-from fireflyspindle.core import records
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.testing import records as record_bodies
 
 CALLS = 2_000
 IN_FLIGHT = 16
@@ -71,15 +71,4 @@
 
 
 def _record(kind: str, payload: dict) -> str:
-    return records.encode(
-        records.Envelope(
-            record_id=kind,
-            kind=kind,
-            name="dossier",
-            expected_revision=0,
-            schema_version=1,
-            oldest_reader_version=1,
-            author="bench",
-            payload=payload,
-        )
-    )
+    return record_bodies.body(kind, "dossier", payload, record_id=kind)
--- a/src/fireflyspindle/bench/fairness.py
+++ b/src/fireflyspindle/bench/fairness.py
@@ -17,6 +17,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import records
+from fireflyspindle.testing import records as record_bodies
 
 SHARE_OF_SLOTS = 0.1
 QUIET_TENANTS = 4
@@ -80,18 +81,7 @@
 def _tenants(first: int, now_us: int) -> events.LogRead:
     names = ["noisy", *_quiet_names()]
     bodies = [
-        records.encode(
-            records.Envelope(
-                record_id=f"tenant-{name}",
-                kind="tenant",
-                name=name,
-                expected_revision=0,
-                schema_version=1,
-                oldest_reader_version=1,
-                author="bench",
-                payload={},
-            )
-        )
+        record_bodies.body("tenant", name, {}, record_id=f"tenant-{name}")
         for name in names
     ]
     entries = [
--- a/src/fireflyspindle/bench/fleet.py
+++ b/src/fireflyspindle/bench/fleet.py
@@ -1,7 +1,6 @@
 """A fleet of real reducers that share a configuration, in virtual time."""
 
 from collections.abc import Callable
-import json
 import random
 
 import attrs
@@ -13,6 +12,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.testing import records as record_bodies
 
 SECOND_US = 1_000_000
 LEAST_ONE_WAY_US = 300
@@ -87,17 +87,13 @@
         expected_revision: int = 0,
     ) -> int:
         """Appends a record to the log at once; returns its revision."""
-        envelope = records.Envelope(
+        body = record_bodies.body(
+            kind,
+            name,
+            payload,
             record_id=f"{self.random.getrandbits(64):016x}",
-            kind=kind,
-            name=name,
             expected_revision=expected_revision,
-            schema_version=1,
-            oldest_reader_version=1,
-            author="bench",
-            payload=payload,
         )
-        body = records.encode(envelope)
         return self.log.append(configuration.STREAM, body) + 1
 
     def add(
@@ -208,8 +204,3 @@
             for index in range(targets)
         ]
     }
-
-
-def payload_bytes(payload: dict) -> int:
-    """Returns the size of a payload as JSON text."""
-    return len(json.dumps(payload, separators=(",", ":")))
--- a/src/fireflyspindle/bench/policy_shipped.py
+++ b/src/fireflyspindle/bench/policy_shipped.py
@@ -13,6 +13,7 @@
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.testing import records as record_bodies
 
 ROUTE_PREFIX = "/call"
 
@@ -232,15 +233,5 @@
 
 
 def _record(kind: str, name: str, payload: records.Payload) -> str:
-    return records.encode(
-        records.Envelope(
-            record_id=f"{kind}-{name}",
-            kind=kind,
-            name=name,
-            expected_revision=0,
-            schema_version=1,
-            oldest_reader_version=1,
-            author="bench",
-            payload=attrs.asdict(payload),
-        )
-    )
+    plain = attrs.asdict(payload)
+    return record_bodies.body(kind, name, plain, record_id=f"{kind}-{name}")
--- a/src/fireflyspindle/bench/world.py
+++ b/src/fireflyspindle/bench/world.py
@@ -21,6 +21,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.testing import records as record_bodies
 
 SERVICE = "offer"
 PATH = "/offer"
@@ -96,17 +97,15 @@
         self, kind: str, name: str, payload: dict, expected_revision: int
     ) -> int:
         """Appends a record to the log; returns its offset."""
-        envelope = records.Envelope(
+        body = record_bodies.body(
+            kind,
+            name,
+            payload,
             record_id=f"r{self.random.getrandbits(64):016x}",
-            kind=kind,
-            name=name,
-            expected_revision=expected_revision,
-            schema_version=1,
-            oldest_reader_version=1,
             author="operator",
-            payload=payload,
+            expected_revision=expected_revision,
         )
-        return self.log.append(configuration.STREAM, records.encode(envelope))
+        return self.log.append(configuration.STREAM, body)
 
     def _on_append(self, stream: str, offset: int, body: str) -> None:
         """Notes an accepted record, by a rule of the observer's own."""
--- a/src/fireflyspindle/testing/system.py
+++ b/src/fireflyspindle/testing/system.py
@@ -9,9 +9,9 @@
 from fireflyspindle import settings as settings_lib
 from fireflyspindle.core import configuration
 from fireflyspindle.core import readiness
-from fireflyspindle.core import records
 from fireflyspindle.testing import hosts as hosts_lib
 from fireflyspindle.testing import log as log_lib
+from fireflyspindle.testing import records as record_bodies
 from fireflyspindle.testing import server as server_lib
 from fireflyspindle.testing import target as target_lib
 
@@ -28,17 +28,16 @@
     schema_version: int = 1,
 ) -> int:
     """Appends a record to the stand-in log; returns its revision."""
-    envelope = records.Envelope(
+    body = record_bodies.body(
+        kind,
+        name,
+        payload,
         record_id=uuid.uuid4().hex,
-        kind=kind,
-        name=name,
+        author="stand-in",
         expected_revision=expected_revision,
         schema_version=schema_version,
-        oldest_reader_version=1,
-        author="stand-in",
-        payload=payload,
     )
-    return log.append(configuration.STREAM, records.encode(envelope)) + 1
+    return log.append(configuration.STREAM, body) + 1
 
 
 def gate_settings(
