Add published rules, registered targets and a look before each send

Cause: routes by host, splits, terms of a route and targets that register themselves had no place in the core, and a target's load was known only from earlier answers, which noise of half a second makes worthless. Change: rules, discovery, reads of the platform's store and forecasts are modules of the reducer; a call of a published rule asks two targets for their load before it is sent. Calls by records go their former way. Ruled out: a second reducer, which would have doubled retries, ejection and the planned stop.

--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -215,7 +215,7 @@
             return
         waited_us = self._shell.now_us() - event.now_us
         event.now_us += waited_us
-        if payload.is_eof() or len(body) <= self.body_limits.held_bytes:
+        if len(body) <= self.body_limits.held_bytes:
             self._open(turn, message, payload, event, body)
             return
         event.resendable = False
--- a/src/fireflyspindle/core/admission.py
+++ b/src/fireflyspindle/core/admission.py
@@ -1,13 +1,10 @@
 """Admission: whether a call is sent now, queued or refused."""
 
 from fireflyspindle.core import answers
-from fireflyspindle.core import attempts
 from fireflyspindle.core import capacity
-from fireflyspindle.core import ejection
 from fireflyspindle.core import limits
-from fireflyspindle.core import routing
+from fireflyspindle.core import placing
 from fireflyspindle.core import state as state_lib
-from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
 
@@ -73,9 +70,7 @@
     if _is_hopeless(state, service, call, 0):
         _refuse_late(state, service, call)
         return
-    target = _choose(state, service, call)
-    if target is not None:
-        attempts.begin(state, call, target)
+    if placing.place(state, service, call):
         return
     if service.in_flight and _has_usable(service):
         _enqueue(state, service, call)
@@ -140,20 +135,6 @@
     return state.now_us + wait_us + service.quick_us > call.deadline_us
 
 
-def _choose(
-    state: state_lib.GateState,
-    service: state_lib.ServiceState,
-    call: state_lib.Call,
-) -> targets.Target | None:
-    if not service.ejected:
-        return routing.choose(state, service, call)
-    return (
-        ejection.trial(state, service, call)
-        or routing.choose(state, service, call)
-        or ejection.last_resort(service, call)
-    )
-
-
 def _has_usable(service: state_lib.ServiceState) -> bool:
     return any(
         not target.leaving and not target.ejected
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -2,17 +2,24 @@
 
 from fireflyspindle.core import capacity
 from fireflyspindle.core import claim_outcomes
+from fireflyspindle.core import destinations
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
 
+# Least time after which a caller is asked to come back.
 RETRY_AFTER_MS = 1000
+# The same where callers wait for fractions of a second: they come back by
+# another gate host, which a balancer in front chooses.
+BRIEF_RETRY_AFTER_MS = 60
 
 
 def refuse_unrouted(
-    state: state_lib.GateState, event: events.CallArrived
+    state: state_lib.GateState,
+    event: events.CallArrived,
+    nowhere: destinations.Nowhere,
 ) -> None:
-    """Refuses a call whose path no route covers."""
+    """Refuses a call that leads nowhere."""
     outcome = effects.Outcome.NOT_RUN
     if event.other_copies:
         outcome = effects.Outcome.UNKNOWN
@@ -20,9 +27,12 @@
         effects.AnswerCaller(
             call_id=event.call_id,
             outcome=outcome,
-            status=404,
-            error="no_route",
-            detail=f"no route covers the path {event.path!r}",
+            status=nowhere.status,
+            error=nowhere.error,
+            detail=nowhere.detail,
+            retry_after_ms=(
+                spread_ms(state, 0) if nowhere.status == 503 else None
+            ),
         )
     )
     state.emit(
@@ -60,14 +70,20 @@
             status=status,
             error=error,
             detail=detail,
-            retry_after_ms=max(RETRY_AFTER_MS, retry_after_ms or 0),
+            retry_after_ms=max(_least_ms(state), retry_after_ms or 0),
         ),
     )
 
 
 def spread_ms(state: state_lib.GateState, wait_ms: int) -> int:
     """Returns a time to come back at, spread so that callers don't bunch."""
-    return int(max(RETRY_AFTER_MS, wait_ms) * (1 + state.random.random()))
+    return int(max(_least_ms(state), wait_ms) * (1 + state.random.random()))
+
+
+def _least_ms(state: state_lib.GateState) -> int:
+    if state.settings.store is None:
+        return RETRY_AFTER_MS
+    return BRIEF_RETRY_AFTER_MS
 
 
 def tell(
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -1,8 +1,10 @@
 """Attempts: the sending of a call's request to a target, and its end."""
 
 from fireflyspindle.core import capacity
+from fireflyspindle.core import discovery
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import forecast
 from fireflyspindle.core import hedging
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import state as state_lib
@@ -18,12 +20,16 @@
     call.sent_attempts += 1
     service = state.services[call.service]
     attempt = state_lib.Attempt(
-        call.sent_attempts, target, state.now_us, service
+        call.sent_attempts,
+        target,
+        state.now_us,
+        service,
+        forecast.pace(state, service, target),
     )
     capacity.on_attempt_begun(service, call)
     call.attempts[attempt.number] = attempt
     call.last_target = target.spec.address
-    call.tried.add(target.spec.address)
+    call.tried.add(target.spec.key)
     targets.on_begin(target, state.now_us)
     load_lib.on_begin(target.load, state.now_us)
     state.emit(
@@ -33,6 +39,7 @@
             target=target.spec.address,
             timeout_us=call.deadline_us - state.now_us,
             hedge=len(call.attempts) > 1,
+            incarnation=discovery.incarnation(target),
         )
     )
     hedging.schedule(state, call)
@@ -52,6 +59,9 @@
     if answered and call.phase is state_lib.CallPhase.WAITING:
         first_us = min(other.started_us for other in call.attempts.values())
         load_lib.on_latency(service.load, state.now_us - first_us)
+    if service.looks_ahead:
+        _learn_pace(state, service, attempt, event, answered)
+        return
     if event.report is not None and event.report.in_flight is not None:
         load_lib.on_report(
             service.load,
@@ -62,6 +72,25 @@
         )
 
 
+def _learn_pace(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+    answered: bool,
+) -> None:
+    target = attempt.target
+    if answered:
+        latency_us = state.now_us - attempt.started_us
+        forecast.on_latency(service, latency_us, attempt.pace)
+    report = event.report
+    if report is not None and report.in_flight is not None:
+        own = target.in_flight - 1
+        forecast.on_report(state, service, target, report, own)
+    elif answered:
+        forecast.on_unstated(service)
+
+
 def release(
     state: state_lib.GateState,
     call: state_lib.Call,
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -5,7 +5,8 @@
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
 from fireflyspindle.core import claims
-from fireflyspindle.core import configuration
+from fireflyspindle.core import destinations
+from fireflyspindle.core import discovery
 from fireflyspindle.core import effects
 from fireflyspindle.core import ejection
 from fireflyspindle.core import events
@@ -13,6 +14,7 @@
 from fireflyspindle.core import leaving
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
 # Time after its deadline for which a non-repeatable request may run on.
@@ -21,27 +23,36 @@
 
 def on_arrived(state: state_lib.GateState, event: events.CallArrived) -> None:
     """Admits a call and sends its first attempt, or refuses it."""
-    name = configuration.route(state.configuration, event.path)
-    service = state.services.get(name) if name is not None else None
-    if service is None:
-        answers.refuse_unrouted(state, event)
-        return
-    policy = state.configuration.policy(service.name)
-    deadline_us = event.deadline_us
-    if deadline_us is None:
-        deadline_us = event.now_us + policy.default_deadline_ms * 1000
+    match destinations.find(state, event):
+        case destinations.Nowhere() as nowhere:
+            answers.refuse_unrouted(state, event, nowhere)
+        case destinations.Destination() as destination:
+            _take_in(state, event, destination)
+
+
+def _take_in(
+    state: state_lib.GateState,
+    event: events.CallArrived,
+    destination: destinations.Destination,
+) -> None:
+    service = destination.service
     call = state_lib.Call(
         call_id=event.call_id,
         service=service.name,
         tenant=_known(event.tenant, state.configuration.tenants),
         traffic_class=_known(event.traffic_class, state.configuration.classes),
-        repeatable=event.repeatable,
+        repeatable=destination.repeatable,
         resendable=event.resendable,
         arrived_us=event.now_us,
-        deadline_us=deadline_us,
+        deadline_us=destination.deadline_us,
+        request_id=event.request_id,
+        route=destination.route,
+        aim_us=destination.aim_us,
+        max_attempts=destination.max_attempts,
+        priority=destination.priority,
     )
     state.calls[call.call_id] = call
-    state.timers.add(deadline_us, timers.CallDeadline(call.call_id))
+    state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
     retries.on_arrived(state, service)
     hedging.on_arrived(state, service)
     claims.offer(state, call, event)
@@ -72,6 +83,9 @@
     if _declined(call, event) and _replaced(state, call, attempt):
         call.maybe_ran = call.maybe_ran or not event.not_run
         return
+    if event.not_run and call.route:
+        _decline(state, call, attempt, event)
+        return
     call.phase = state_lib.CallPhase.FORWARDING
     call.outcome = _outcome(call, event)
     call.target_us = state.now_us - attempt.started_us
@@ -87,19 +101,53 @@
     attempt: state_lib.Attempt,
     event: events.AttemptAnswered,
 ) -> None:
-    address = attempt.target.spec.address
-    if event.report is not None:
-        leaving.on_report(state, address, event.report)
+    _learn_incarnation(state, attempt.target, event)
     service = state.services.get(call.service)
     if service is not None:
         ejection.on_answered(state, attempt, service, event)
 
 
+def _learn_incarnation(
+    state: state_lib.GateState,
+    target: targets.Target,
+    event: events.AttemptAnswered,
+) -> None:
+    if state.settings.store is None:
+        if event.report is not None:
+            leaving.on_report(state, target.spec.address, event.report)
+        return
+    if event.status == discovery.MISDIRECTED_STATUS:
+        discovery.on_misdirected(state, target)
+    elif event.report is not None:
+        discovery.on_report(state, target, event.report)
+
+
 def _declined(call: state_lib.Call, event: events.AttemptAnswered) -> bool:
     """Whether another target may still give a better answer."""
     if event.not_run:
         return True
-    return call.repeatable and event.status in retries.RETRIED_STATUSES
+    if not call.repeatable:
+        return False
+    if call.route and event.status >= attempts.SERVER_ERROR_STATUS:
+        return True
+    return event.status in retries.RETRIED_STATUSES
+
+
+def _decline(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+) -> None:
+    """Tells a caller when to come back, which its target does not."""
+    attempts.drop(state, call, attempt)
+    answers.give_up(
+        state,
+        call,
+        502 if call.maybe_ran else 503,
+        "target_declined",
+        f"the target declined the request with status {event.status}",
+    )
 
 
 def _replaced(
@@ -111,11 +159,9 @@
     if len(call.attempts) > 1:
         attempts.drop(state, call, attempt)
         return True
-    target = retries.plan(state, call, reached_target=True)
-    if target is None:
+    if not retries.begin(state, call, reached_target=True):
         return False
     attempts.drop(state, call, attempt)
-    attempts.begin(state, call, target)
     return True
 
 
@@ -150,6 +196,8 @@
     if service is not None:
         ejection.on_failed(state, attempt, service, event)
     call.maybe_ran = call.maybe_ran or event.sent
+    if not event.sent:
+        call.unreached_attempts += 1
     match call.phase:
         case state_lib.CallPhase.WAITING:
             _after_failure(state, call, event)
@@ -166,14 +214,11 @@
     call: state_lib.Call,
     event: events.AttemptFailed,
 ) -> None:
-    if call.attempts:
+    if call.attempts or call.look is not None:
         return
     safe = call.repeatable or not event.sent
-    if safe:
-        target = retries.plan(state, call, reached_target=event.sent)
-        if target is not None:
-            attempts.begin(state, call, target)
-            return
+    if safe and retries.begin(state, call, reached_target=event.sent):
+        return
     answers.give_up(
         state,
         call,
@@ -222,6 +267,11 @@
     if call.phase is not state_lib.CallPhase.WAITING:
         return
     call.maybe_ran = call.maybe_ran or bool(call.attempts)
+    known_not_run = call.route and not call.maybe_ran
     answers.give_up(
-        state, call, 504, "deadline", "the deadline of the call has come"
+        state,
+        call,
+        503 if known_not_run else 504,
+        "deadline",
+        "the deadline of the call has come",
     )
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from fireflyspindle.core import published
+
 
 class Outcome(enum.Enum):
     """What a caller is told of its request."""
@@ -130,6 +132,31 @@
     wait: bool = True
 
 
+@attrs.define
+class ReadStore:
+    """Read a source of the platform's store; the shell long-polls.
+
+    The shell reports `ConfigurationRead`, `TargetsRead`,
+    `StoreHistoryDropped` or `StoreReadFailed`.
+
+    Attributes:
+        source: What to read, a value of `store_reads.Source`.
+        from_offset: First offset wanted, or None for the whole.
+        delay_us: Time to wait before the read.
+    """
+
+    source: str
+    from_offset: int | None
+    delay_us: int = 0
+
+
+@attrs.define
+class LimitCallers:
+    """Apply limits to what callers send from now on."""
+
+    limits: published.CallerLimits
+
+
 @attrs.define
 class ReadHostList:
     """Read the platform's host list.
@@ -225,6 +252,8 @@
     | AnswerCaller
     | CallFinished
     | ReadLog
+    | ReadStore
+    | LimitCallers
     | ReadHostList
     | AppendRecord
     | ProbeTarget
--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -230,7 +230,7 @@
     health.ejected_us = state.now_us
     if state.now_us - health.returned_us > FORGIVEN_AFTER_US:
         health.ejections = 0
-    service.ejected[target.spec.address] = target
+    service.ejected[target.spec.key] = target
     _pause(state, target)
     detail = f"{service.name}: {target.spec.address} is ejected: {why}"
     state.emit(effects.Report("warning", "target_ejected", detail))
@@ -262,7 +262,7 @@
     if health.trials_passed < TRIALS:
         return
     target.ejected = False
-    del service.ejected[target.spec.address]
+    del service.ejected[target.spec.key]
     target.health = targets.Health(
         ejections=health.ejections, returned_us=state.now_us
     )
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from fireflyspindle.core import published
+
 
 class FailureReason(enum.Enum):
     """Why an attempt ended without a whole answer."""
@@ -285,6 +287,90 @@
     now_us: int
 
 
+@attrs.define(frozen=True)
+class TargetEntry:
+    """What a target registered of itself in the platform's store.
+
+    Attributes:
+        target_id: Id of this start of the target.
+        service: Name of its service.
+        address: "ip:port".
+        failure_domain: Failure domain that it runs in.
+        slots: Requests that it runs at once.
+        draining: Whether it is leaving.
+        cold_left_ms: Time for which it stays slow after its start.
+        born_ms: Wall-clock time of its start.
+        sequence: Grows with each entry of one start.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool
+    cold_left_ms: int
+    born_ms: int
+    sequence: int
+
+
+@attrs.define
+class ConfigurationRead:
+    """The published configuration was read from the platform's store.
+
+    Attributes:
+        now_us: Monotonic time.
+        document: The newest one that was read, or None when there was none.
+        next_offset: First offset that has not been read.
+    """
+
+    now_us: int
+    document: published.Document | None
+    next_offset: int
+
+
+@attrs.define
+class TargetsRead:
+    """The entries of targets were read from the platform's store.
+
+    Attributes:
+        now_us: Monotonic time.
+        entries: Entries that were written, by ascending offset.
+        removed: Ids of targets whose entries were removed.
+        whole: Whether every entry that there is was read.
+        next_offset: First offset that has not been read.
+    """
+
+    now_us: int
+    entries: list[TargetEntry]
+    removed: list[str]
+    whole: bool
+    next_offset: int
+
+
+@attrs.define
+class StoreHistoryDropped:
+    """The platform's store no longer holds the records asked for."""
+
+    now_us: int
+    source: str
+
+
+@attrs.define
+class StoreReadFailed:
+    """A read of the platform's store failed or timed out.
+
+    Attributes:
+        now_us: Monotonic time.
+        source: What was read.
+        why: Sentence for a person.
+    """
+
+    now_us: int
+    source: str
+    why: str
+
+
 Event = (
     CallArrived
     | AttemptAnswered
@@ -300,4 +386,8 @@
     | PeerMessageReceived
     | ProbeEnded
     | StopRequested
+    | ConfigurationRead
+    | TargetsRead
+    | StoreHistoryDropped
+    | StoreReadFailed
 )
--- /dev/null
+++ b/src/fireflyspindle/core/forecast.py
@@ -0,0 +1,160 @@
+"""Forecasts of when a target would answer, from what it states of itself.
+
+Load pattern: neighbours slow a part of the targets down several times over
+for fractions of a second, and nothing but a fresh statement of the target
+shows which. A statement loses its worth with its age; an old one counts as
+the average of the service.
+"""
+
+from fireflyspindle.core import events
+from fireflyspindle.core import forecast_state
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
+
+# Time over which a statement loses its worth: the spells of slowness that
+# the users measured last half a second.
+STALE_US = 500_000
+# Weight of one statement in the averages of a service.
+AVERAGE_STEP = 1 / 64
+# Weight of one answer in the time that work takes.
+WORK_STEP = 1 / 32
+# Work that a first answer is expected to need, as a share of the time within
+# which the operators want it; the users' routes state 0.34 to 0.4.
+EXPECTED_WORK_SHARE = 0.4
+# Least time that work is expected to take where nothing is known.
+DEFAULT_WORK_US = 100_000
+# Extra time at a target in another failure domain, as a share of the work:
+# bytes between failure domains are paid for.
+OTHER_DOMAIN_SHARE = 0.15
+# Extra time at a target that has just started, as a share of the work; the
+# users' targets work about twice as long then.
+COLD_SHARE = 1.0
+# Extra time at a target of which every answer fails, as a share of the work.
+FAILURE_SHARE = 8.0
+# Time that a silent target is expected to take.
+SILENT_US = 60_000_000
+# First pause after which a silent target is asked again, and its limit.
+SILENCE_US = 200_000
+MAX_SILENCE_DOUBLINGS = 4
+# Random part of a forecast, so that gate hosts with the same knowledge do not
+# all choose the same target.
+SPREAD = 0.08
+# Good answers in a row without a load after which a service is taken for one
+# whose targets do not state it.
+UNSTATED_LIMIT = 8
+
+
+def on_report(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+    report: events.LoadReport,
+    own: int,
+) -> None:
+    """Takes what a target states.
+
+    Args:
+        state: State of the gate host.
+        service: Service of the target.
+        target: The target.
+        report: What it states.
+        own: Attempts of this gate host that it held then.
+    """
+    seen, average = target.seen, service.pace
+    seen.silences = 0
+    seen.silent_until_us = 0
+    if report.in_flight is None:
+        return
+    average.unstated = 0
+    seen.heard_us = state.now_us
+    seen.others = max(0, report.in_flight - own)
+    seen.pace = report.pace if report.pace is not None else 1.0
+    average.pace += AVERAGE_STEP * (seen.pace - average.pace)
+    average.others += AVERAGE_STEP * (seen.others - average.others)
+
+
+def on_unstated(service: state_lib.ServiceState) -> None:
+    """Counts a good answer that stated no load."""
+    service.pace.unstated += 1
+    if service.pace.unstated >= UNSTATED_LIMIT:
+        service.looks_ahead = False
+
+
+def on_silence(state: state_lib.GateState, target: targets.Target) -> None:
+    """Takes the failure of a target to state its load in time."""
+    seen = target.seen
+    pause_us = SILENCE_US << min(seen.silences, MAX_SILENCE_DOUBLINGS)
+    seen.silences += 1
+    seen.silent_until_us = state.now_us + pause_us
+
+
+def on_latency(
+    service: state_lib.ServiceState, latency_us: int, pace: float
+) -> None:
+    """Takes the time to a good answer of a target that had a pace."""
+    average = service.pace
+    work_us = latency_us / max(1.0, pace)
+    if not average.work_us:
+        average.work_us = work_us
+    average.work_us += WORK_STEP * (work_us - average.work_us)
+
+
+def work_us(service: state_lib.ServiceState, call: state_lib.Call) -> float:
+    """Returns the time that a call's work takes at the usual pace."""
+    if service.pace.work_us:
+        return service.pace.work_us
+    if call.aim_us is None:
+        return DEFAULT_WORK_US
+    return EXPECTED_WORK_SHARE * (call.aim_us - call.arrived_us)
+
+
+def pace(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> float:
+    """Returns the pace to expect of a target."""
+    trust = _trust(state, target.seen)
+    mean = service.pace.pace
+    return mean + (target.seen.pace - mean) * trust
+
+
+def answer_us(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+    call: state_lib.Call,
+) -> float:
+    """Returns the time after which a target is expected to answer."""
+    seen = target.seen
+    if state.now_us < seen.silent_until_us:
+        return SILENT_US + state.random.random()
+    usual_us = work_us(service, call)
+    trust = _trust(state, seen)
+    mean = service.pace.others
+    others = mean + (seen.others - mean) * trust
+    held = target.in_flight + others
+    slots = target.spec.slots
+    expected_us = usual_us * pace(state, service, target)
+    waiting = held + 1 - slots
+    if waiting > 0:
+        expected_us *= 1 + waiting / slots
+    extra = held / slots * SPREAD
+    if target.distance:
+        extra += OTHER_DOMAIN_SHARE
+    if state.now_us < target.warm_at_us:
+        extra += COLD_SHARE
+    extra += FAILURE_SHARE * target.health.failure_share
+    extra += SPREAD * state.random.random()
+    return expected_us + usual_us * extra
+
+
+def is_fresh(
+    state: state_lib.GateState, target: targets.Target, age_us: int
+) -> bool:
+    """Whether a target stated its load within a time."""
+    return state.now_us - target.seen.heard_us <= age_us
+
+
+def _trust(state: state_lib.GateState, seen: forecast_state.Seen) -> float:
+    return max(0.0, 1.0 - (state.now_us - seen.heard_us) / STALE_US)
--- a/src/fireflyspindle/core/in_force.py
+++ b/src/fireflyspindle/core/in_force.py
@@ -125,11 +125,11 @@
     before = service.targets
     service.targets = {}
     for spec in payload.targets:
-        target = before.get(spec.address)
+        target = before.get(spec.key)
         if target is None:
             target = _new_target(state, service, spec, cold=bool(before))
         target.spec = spec
-        service.targets[spec.address] = target
+        service.targets[spec.key] = target
     service.ejected = {
         address: target
         for address, target in service.targets.items()
--- /dev/null
+++ b/src/fireflyspindle/core/probes.py
@@ -0,0 +1,38 @@
+"""The sending of probes."""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
+
+
+def ask(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+    within_us: int,
+    call_id: int = 0,
+) -> int:
+    """Asks a target for its load; returns the number of the probe.
+
+    Args:
+        state: State of the gate host.
+        service: Service of the target.
+        target: The target.
+        within_us: Time within which the probe must be sent.
+        call_id: Number of the call that waits for the load, or 0.
+    """
+    target.load.probed_us = state.now_us
+    state.last_probe_id += 1
+    state.probes[state.last_probe_id] = state_lib.Probe(
+        service.name, target.spec.key, call_id
+    )
+    policy = state.configuration.policy(service.name)
+    state.emit(
+        effects.ProbeTarget(
+            state.last_probe_id,
+            target.spec.address,
+            policy.load_path,
+            state.now_us + within_us,
+        )
+    )
+    return state.last_probe_id
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -5,11 +5,14 @@
 `WINDOW_US` apart, so any one second holds at most the budget.
 """
 
-from fireflyspindle.core import effects
+from fireflyspindle.core import discovery
 from fireflyspindle.core import events
+from fireflyspindle.core import forecast
 from fireflyspindle.core import leaving
 from fireflyspindle.core import load as load_lib
+from fireflyspindle.core import placing
 from fireflyspindle.core import probe_slots
+from fireflyspindle.core import probes
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
@@ -78,36 +81,46 @@
     service: state_lib.ServiceState,
     target: targets.Target,
 ) -> None:
-    target.load.probed_us = state.now_us
     service.probes_sent_us.append(state.now_us)
-    state.last_probe_id += 1
-    address = target.spec.address
-    state.probes[state.last_probe_id] = state_lib.Probe(service.name, address)
-    not_after_us = min(
-        state.now_us + SEND_GRACE_US, state.probe_slots.valid_until_us
-    )
-    policy = state.configuration.policy(service.name)
-    state.emit(
-        effects.ProbeTarget(
-            state.last_probe_id, address, policy.load_path, not_after_us
-        )
-    )
+    valid_us = state.probe_slots.valid_until_us - state.now_us
+    probes.ask(state, service, target, min(SEND_GRACE_US, valid_us))
 
 
 def on_ended(state: state_lib.GateState, event: events.ProbeEnded) -> None:
     """Takes the load report of a probe."""
     probe = state.probes.pop(event.probe_id, None)
-    if probe is None or event.report is None:
+    if probe is None:
         return
-    leaving.on_report(state, probe.target, event.report)
+    _learn(state, probe, event.report)
+    if probe.call_id:
+        placing.on_probe_ended(state, probe, event)
+
+
+def _learn(
+    state: state_lib.GateState,
+    probe: state_lib.Probe,
+    report: events.LoadReport | None,
+) -> None:
     service = state.services.get(probe.service)
     target = service.targets.get(probe.target) if service else None
-    if service is None or target is None or event.report.in_flight is None:
+    if service is None or target is None:
+        return
+    if service.looks_ahead:
+        if report is None:
+            forecast.on_silence(state, target)
+            return
+        discovery.on_report(state, target, report)
+        forecast.on_report(state, service, target, report, target.in_flight)
+        return
+    if report is None:
+        return
+    leaving.on_report(state, target.spec.address, report)
+    if report.in_flight is None:
         return
     load_lib.on_report(
         service.load,
         target.load,
-        event.report.in_flight,
+        report.in_flight,
         target.in_flight,
         state.now_us,
     )
--- a/src/fireflyspindle/core/readiness.py
+++ b/src/fireflyspindle/core/readiness.py
@@ -1,6 +1,7 @@
 """Whether a gate host may take calls, and why not."""
 
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
 
 MAX_HOST_LIST_FAILURES = 3
 
@@ -9,9 +10,20 @@
     """Returns why a gate host takes no calls, or None when it does."""
     if state.stopping:
         return "stopping"
+    if state.settings.store is not None:
+        return _store_gap(state)
     return configuration_gap(state) or _host_list_gap(state)
 
 
+def _store_gap(state: state_lib.GateState) -> str | None:
+    """Returns what this host lacks of the platform's store, or None."""
+    if state.rules.version is None:
+        return "no configuration has been read from the store yet"
+    if not state.store_reads[store_state.Source.TARGETS].succeeded:
+        return "the targets have not been read from the store yet"
+    return None
+
+
 def _host_list_gap(state: state_lib.GateState) -> str | None:
     """Asks for the list once, since a new host knows of no leaving target.
 
--- a/src/fireflyspindle/core/records.py
+++ b/src/fireflyspindle/core/records.py
@@ -111,6 +111,11 @@
         default=200, validator=checks.between(1, 1_000_000)
     )
 
+    @property
+    def key(self) -> str:
+        """What tells the endpoint from the others of its service."""
+        return self.address
+
 
 @attrs.define(frozen=True)
 class Service:
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -4,6 +4,7 @@
 from fireflyspindle.core import calls
 from fireflyspindle.core import claim_reads
 from fireflyspindle.core import claims
+from fireflyspindle.core import discovery
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -11,17 +12,23 @@
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import membership
+from fireflyspindle.core import placing
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probing
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_reads
+from fireflyspindle.core import store_state
 from fireflyspindle.core import timers
 
 
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
     """Returns the effects with which a gate host begins."""
     state.now_us = now_us
+    if state.settings.store is not None:
+        store_reads.start(state)
+        return _take_effects(state)
     recovery.start(state)
     membership.start(state)
     host_list.start(state)
@@ -83,6 +90,20 @@
             probing.on_ended(state, event)
         case events.AppendSettled():
             log.on_append_settled(state, event)
+        case _:
+            _apply_store(state, event)
+
+
+def _apply_store(state: state_lib.GateState, event: events.Event) -> None:
+    match event:
+        case events.ConfigurationRead():
+            discovery.on_configuration_read(state, event)
+        case events.TargetsRead():
+            discovery.on_targets_read(state, event)
+        case events.StoreHistoryDropped(_, source):
+            store_reads.on_forgotten(state, store_state.Source(source))
+        case events.StoreReadFailed(_, source, why):
+            store_reads.on_failed(state, store_state.Source(source), why)
         case _:
             pass
 
@@ -115,6 +136,10 @@
             probing.on_due(state)
         case timers.ClaimsDue():
             claims.on_due(state)
+        case timers.LookDue(call_id, look):
+            placing.on_look_due(state, call_id, look)
+        case timers.RejoinOver():
+            discovery.on_rejoin_over(state)
         case _:
             pass
 
@@ -131,6 +156,7 @@
                 timers.CallDeadline(call_id)
                 | timers.HedgeDue(call_id)
                 | timers.QueueDue(call_id)
+                | timers.LookDue(call_id)
             ):
                 if call_id in state.calls:
                     return
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -7,6 +7,7 @@
 
 import hashlib
 
+from fireflyspindle.core import forecast
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
@@ -29,6 +30,9 @@
     call: state_lib.Call,
 ) -> targets.Target | None:
     """Returns the best target that this call has not tried, if any."""
+    if service.looks_ahead:
+        found = ranked(state, service, call)
+        return found[0][1] if found else None
     best: targets.Target | None = None
     best_score = 0.0
     trust = service.load.trust()
@@ -36,7 +40,7 @@
     for target in _candidates(state, service):
         if target.leaving or target.ejected:
             continue
-        if target.spec.address in call.tried:
+        if target.spec.key in call.tried:
             continue
         if target.in_flight >= target.connection_share:
             continue
@@ -50,6 +54,28 @@
     return best or cold
 
 
+def ranked(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> list[tuple[float, targets.Target]]:
+    """Returns the targets that a call may go to, the likeliest first.
+
+    Each comes with the time after which it is expected to answer, in
+    microseconds.
+    """
+    found = [
+        (forecast.answer_us(state, service, target, call), target)
+        for target in _candidates(state, service)
+        if not target.leaving
+        and not target.ejected
+        and target.spec.key not in call.tried
+        and target.in_flight < target.connection_share
+    ]
+    found.sort(key=lambda pair: pair[0])
+    return found
+
+
 def expected(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
@@ -113,5 +139,5 @@
     Ranking by a hash of host and target is rendezvous hashing (Thaler and
     Ravishankar, 1998): a change of targets moves no other target's rank.
     """
-    text = f"{state.settings.host_id} {target.spec.address}".encode()
+    text = f"{state.settings.host_id} {target.spec.key}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -10,13 +10,16 @@
 from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
+from fireflyspindle.core import forecast_state
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import members
+from fireflyspindle.core import published
 from fireflyspindle.core import queueing
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
 from fireflyspindle.core import recovery_state
+from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
 
@@ -36,6 +39,8 @@
         peer_addresses: Control addresses of peers to ask at first.
         reader_version: Newest configuration payloads that are read.
         log_keep_s: Time for which the log keeps a record.
+        store: Settings of a host that the platform's store drives; None for
+            one that the log of records drives.
     """
 
     host_id: str
@@ -48,6 +53,7 @@
     peer_addresses: tuple[str, ...] = ()
     reader_version: int = records.READER_VERSION
     log_keep_s: int = 3_600
+    store: store_state.StoreSettings | None = None
 
 
 class CallPhase(enum.Enum):
@@ -60,12 +66,21 @@
 
 @attrs.define
 class Attempt:
-    """One sending of a call's request to a target."""
+    """One sending of a call's request to a target.
+
+    Attributes:
+        number: Number of the attempt within the call, from 1.
+        target: The target.
+        started_us: Time of sending.
+        service: Service of the target.
+        pace: Pace that was expected of the target.
+    """
 
     number: int
     target: targets_lib.Target
     started_us: int
     service: "ServiceState"
+    pace: float = 1.0
 
 
 @attrs.define
@@ -92,6 +107,13 @@
         maybe_ran: Whether an attempt ended without a word on having run.
         status: HTTP status of a target's answer that ran it, or 0.
         claim: Its part in the claims of its key, if it has one.
+        request_id: Id of the request.
+        route: Name of the published rule that it came by, if any.
+        aim_us: Time by which an answer is worth most, if it is stated.
+        max_attempts: Most targets that it may be sent to.
+        priority: Rank of its route; 0 is the most urgent.
+        unreached_attempts: Attempts that never reached their target.
+        look: Loads that are asked for before its next attempt, if any.
     """
 
     call_id: int
@@ -113,6 +135,28 @@
     maybe_ran: bool = False
     status: int = 0
     claim: claim_state.ClaimUse | None = None
+    request_id: str = ""
+    route: str = ""
+    aim_us: int | None = None
+    max_attempts: int = 3
+    priority: int = 0
+    unreached_attempts: int = 0
+    look: "Look | None" = None
+
+
+@attrs.define
+class Look:
+    """Loads that a call asks for before an attempt.
+
+    Attributes:
+        number: Number of the look.
+        round: Number of the round of targets, from 1.
+        waiting: Numbers of the probes that have not ended.
+    """
+
+    number: int
+    round: int
+    waiting: set[int]
 
 
 @attrs.define(frozen=True)
@@ -165,10 +209,17 @@
 
 @attrs.define(frozen=True)
 class Probe:
-    """A probe that has not ended."""
+    """A probe that has not ended.
+
+    Attributes:
+        service: Name of the service.
+        target: Key of the target.
+        call_id: Number of the call that looks at the target, or 0.
+    """
 
     service: str
     target: str
+    call_id: int = 0
 
 
 @attrs.define
@@ -206,6 +257,11 @@
         load: Estimates of load over all targets.
         hedge_budget: Hedges that it may still make.
         probes_sent_us: Times of its latest probes.
+        looks_ahead: Whether targets are asked for their load before a call
+            is sent.
+        pace: Estimates of how long work takes at this moment.
+        repeats: Sends beyond the first of each request; None where the
+            budgets of retries and hedges hold.
         ejected: Targets that are ejected, by address.
         retry_budget: Retries that it may still make.
         queue: Calls that wait for a target.
@@ -243,6 +299,11 @@
     probes_sent_us: collections.deque[int] = attrs.field(
         factory=collections.deque
     )
+    looks_ahead: bool = False
+    pace: forecast_state.ServicePace = attrs.field(
+        factory=forecast_state.ServicePace
+    )
+    repeats: budgets.WindowBudget | None = None
 
 
 @attrs.define
@@ -322,6 +383,13 @@
         probes: Probes that have not ended, by number.
         last_probe_id: Number of the latest probe.
         outbox: Effects of the event at hand.
+        store_reads: Reads of the platform's store by source.
+        rules: Published rules in force.
+        service_terms: Published terms of services by name.
+        registered: Targets that registered themselves, by id.
+        last_look: Number of the latest look.
+        probe_tokens: Probes that this gate host may send.
+        probe_tokens_us: Time up to which these were credited.
     """
 
     settings: CoreSettings
@@ -355,6 +423,15 @@
     probes: dict[int, Probe] = attrs.field(factory=dict)
     last_probe_id: int = 0
     outbox: list[effects.Effect] = attrs.field(factory=list)
+    store_reads: dict[store_state.Source, store_state.Reads] = attrs.field(
+        factory=dict
+    )
+    rules: published.RuleTable = attrs.field(factory=published.RuleTable)
+    service_terms: dict[str, published.ServiceTerms] = attrs.field(factory=dict)
+    registered: dict[str, store_state.Known] = attrs.field(factory=dict)
+    last_look: int = 0
+    probe_tokens: float = 0.0
+    probe_tokens_us: int = 0
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect to those of the event at hand."""
--- /dev/null
+++ b/src/fireflyspindle/core/store_reads.py
@@ -0,0 +1,95 @@
+"""Reading the platform's store: when, from where, and what a failure means.
+
+Reads wait at the store until something changes, so that a calm fleet costs
+few calls. After a change the next read is put off, so that a burst of changes
+comes in one read; the delay leaves a margin to the bound by which a change
+has to be in force.
+"""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
+
+# Pauses between reads that fail; the first is short, since most failures are
+# those of a single connection.
+FIRST_RETRY_US = 100_000
+MAX_RETRY_US = 1_000_000
+# Part of each pause that is drawn at random, so that a fleet which lost the
+# store at one moment does not come back to it at one moment.
+RETRY_SPREAD = 0.5
+
+
+def start(state: state_lib.GateState) -> None:
+    """Asks for the first read of every source."""
+    for source in store_state.Source:
+        state.store_reads[source] = store_state.Reads()
+        _ask(state, source, 0)
+
+
+def on_read(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    next_offset: int,
+    changed: bool,
+) -> None:
+    """Takes a read that succeeded, and asks for the next one.
+
+    Args:
+        state: State of the gate host.
+        source: What was read.
+        next_offset: First offset that has not been read.
+        changed: Whether the read brought anything.
+    """
+    reads = state.store_reads[source]
+    reads.next_offset = next_offset
+    reads.succeeded = True
+    if reads.failures:
+        reads.regained_us = state.now_us
+        detail = (
+            f"{source.value}: the store is back after {reads.failures} failed"
+            f" reads in {(state.now_us - reads.lost_us) // 1000} ms"
+        )
+        state.emit(effects.Report("info", "store_regained", detail))
+    reads.failures = 0
+    settings = state.settings.store
+    assert settings is not None
+    delay_us = 0
+    if changed:
+        delay_us = settings.read_spacing_ms * 1000
+        delay_us -= max(0, state.now_us - reads.asked_us)
+    _ask(state, source, max(0, delay_us))
+
+
+def on_forgotten(
+    state: state_lib.GateState, source: store_state.Source
+) -> None:
+    """Reads the whole, since the store has dropped the records before."""
+    reads = state.store_reads[source]
+    reads.next_offset = None
+    detail = f"{source.value}: the store dropped records; reading the whole"
+    state.emit(effects.Report("info", "store_history_dropped", detail))
+    _ask(state, source, 0)
+
+
+def on_failed(
+    state: state_lib.GateState, source: store_state.Source, why: str
+) -> None:
+    """Takes a read that failed, and asks for another after a pause."""
+    reads = state.store_reads[source]
+    reads.failures += 1
+    if reads.failures == 1:
+        reads.lost_us = state.now_us
+        detail = f"{source.value}: a read of the store failed: {why}"
+        state.emit(effects.Report("warning", "store_lost", detail))
+    pause_us = FIRST_RETRY_US << min(reads.failures - 1, 10)
+    pause_us = min(MAX_RETRY_US, pause_us)
+    spread = 1 + RETRY_SPREAD * (state.random.random() - 0.5)
+    _ask(state, source, int(pause_us * spread))
+
+
+def _ask(
+    state: state_lib.GateState, source: store_state.Source, delay_us: int
+) -> None:
+    reads = state.store_reads[source]
+    reads.asked_us = state.now_us + delay_us
+    state.emit(effects.ReadStore(source.value, reads.next_offset, delay_us))
--- /dev/null
+++ b/src/fireflyspindle/core/store_state.py
@@ -0,0 +1,77 @@
+"""What a gate host keeps of the platform's store."""
+
+import enum
+
+import attrs
+
+from fireflyspindle.core import events
+
+
+@attrs.define(frozen=True)
+class StoreSettings:
+    """Settings of a gate host that is driven by the platform's store.
+
+    Attributes:
+        read_spacing_ms: Least time between two reads of one source while
+            there are changes.
+        rejoin_ms: Time after an outage of the store for which a target whose
+            entry lapsed may register again.
+        probes_per_s: Probes of one target per second, over all gate hosts.
+        repeat_share: Sends beyond the first of each request, as a share of
+            the requests, over all gate hosts.
+        repeat_slack: Sends beyond that share that all gate hosts may make.
+        repeat_window_ms: Length of any time in which that holds.
+    """
+
+    read_spacing_ms: int = 1_000
+    rejoin_ms: int = 2_000
+    probes_per_s: float = 10.0
+    repeat_share: float = 0.1
+    repeat_slack: float = 10.0
+    repeat_window_ms: int = 10_000
+
+
+class Source(enum.Enum):
+    """What is read from the store."""
+
+    CONFIGURATION = "configuration"
+    TARGETS = "targets"
+
+
+@attrs.define
+class Reads:
+    """The reads of one source.
+
+    Attributes:
+        next_offset: First offset that has not been read; None when the whole
+            has to be read.
+        asked_us: Time at which the latest read was to start.
+        failures: Reads that have failed since one succeeded.
+        lost_us: Time of the first of these failures.
+        regained_us: Time at which the store was last regained.
+        succeeded: Whether a read ever succeeded.
+    """
+
+    next_offset: int | None = None
+    asked_us: int = 0
+    failures: int = 0
+    lost_us: int = 0
+    regained_us: int | None = None
+    succeeded: bool = False
+
+
+@attrs.define
+class Known:
+    """What is known of one registered target.
+
+    Attributes:
+        entry: Its newest entry.
+        leaving: Whether this start was seen leaving.
+        cold_until_us: Time until which it is slow after its start.
+        missing: Whether its entry went while the store was away.
+    """
+
+    entry: events.TargetEntry
+    leaving: bool = False
+    cold_until_us: int = 0
+    missing: bool = False
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from fireflyspindle.core import forecast_state
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import records
 
@@ -54,6 +55,7 @@
         distance: Disadvantage of its failure domain, in attempts in flight.
         connection_share: Most connections that this gate host opens to it.
         load: Estimate of its load.
+        seen: What it last stated of its load and pace.
     """
 
     spec: records.TargetSpec
@@ -62,6 +64,7 @@
     distance: float = 0.0
     connection_share: int = 1_000
     load: load_lib.TargetLoad = attrs.field(factory=load_lib.TargetLoad)
+    seen: forecast_state.Seen = attrs.field(factory=forecast_state.Seen)
     ejected: bool = False
     health: Health = attrs.field(factory=Health)
     cold_from_us: int = 0
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -26,6 +26,24 @@
     call_id: int
 
 
+@attrs.define
+class LookDue:
+    """A call no longer waits for the load of the targets that it looks at.
+
+    Attributes:
+        call_id: Number of the call.
+        look: Number of the look; only the latest one counts.
+    """
+
+    call_id: int
+    look: int
+
+
+@attrs.define
+class RejoinOver:
+    """Targets that an outage of the store cost have had time to come back."""
+
+
 @attrs.define
 class DrainGraceOver:
     """The platform's balancer has had time to leave this gate host."""
@@ -66,6 +84,8 @@
     CallDeadline
     | HedgeDue
     | QueueDue
+    | LookDue
+    | RejoinOver
     | DrainGraceOver
     | DrainDeadline
     | PeersDue
