Count sends that reached nobody against the limit of calls by records

Cause: the limit of attempts of a published route counts targets reached; the new count was applied to calls by records too, which two tests showed.

--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -23,8 +23,10 @@
 
 def may_send_again(state: state_lib.GateState, call: state_lib.Call) -> bool:
     """Whether a call's attempts and its time leave room for another one."""
-    reached = call.sent_attempts - call.unreached_attempts
-    if not call.resendable or reached >= call.max_attempts:
+    counted = call.sent_attempts
+    if call.route:
+        counted -= call.unreached_attempts
+    if not call.resendable or counted >= call.max_attempts:
         return False
     if call.sent_attempts >= MAX_SENDS:
         return False
