Run gate hosts on the users' platform through the folder platform/

Cause: nothing spoke the platform's settings, store, entries and headers. Change: platform/ decodes them into types of the core and carries out reads; the shell is split from the gate that the log of records drives.

--- a/src/fireflyspindle/__init__.py
+++ b/src/fireflyspindle/__init__.py
@@ -1,5 +1,8 @@
 """fireflyspindle: a load balancer for servers whose load shifts quickly."""
 
+import importlib
+from typing import TYPE_CHECKING, Any
+
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import records
@@ -8,8 +11,10 @@
 from fireflyspindle.core.state import CoreSettings
 from fireflyspindle.core.state import GateState
 from fireflyspindle.core.state import new as new_state
-from fireflyspindle.gate import Gate
-from fireflyspindle.settings import Settings
+
+if TYPE_CHECKING:
+    from fireflyspindle.gate import Gate
+    from fireflyspindle.settings import Settings
 
 __version__ = "0.1.0"
 
@@ -26,3 +31,15 @@
     "reduce",
     "start",
 ]
+
+
+# Modules of the names that are imported at their first use.
+_LAZY = {"Gate": "gate", "Settings": "settings"}
+
+
+def __getattr__(name: str) -> Any:
+    """Imports what a daemon of another kind need not hold in memory."""
+    if name in _LAZY:
+        module = importlib.import_module(f"fireflyspindle.{_LAZY[name]}")
+        return getattr(module, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/src/fireflyspindle/logs.py
+++ b/src/fireflyspindle/logs.py
@@ -34,7 +34,12 @@
     return bool(logbook.lookup_level(level) >= logger.level)
 
 
-def set_up(level: str) -> None:
-    """Sends every log line at `level` or above to standard error."""
+def set_up(level: str, stream: TextIO | None = None) -> None:
+    """Sends every log line at `level` or above to a stream.
+
+    Args:
+        level: Name of the least level that is written.
+        stream: Where the lines go; standard error if there is none.
+    """
     logger.level = logbook.lookup_level(level)
-    JsonLinesHandler(level=level).push_application()
+    JsonLinesHandler(stream, level=level).push_application()
--- /dev/null
+++ b/src/fireflyspindle/platform/documents.py
@@ -0,0 +1,75 @@
+"""The configuration that the platform's operator publishes."""
+
+import json
+from typing import Any
+
+import result
+
+from fireflyspindle.core import published
+
+_REPEATABLE = {"idempotent": True, "non_idempotent": False}
+
+
+def decode(value: bytes) -> result.Result[published.Document, str]:
+    """Reads a configuration; the error says what is wrong with it."""
+    try:
+        return result.Ok(_document(json.loads(value)))
+    except (ValueError, RecursionError) as error:
+        return result.Err(str(error))
+    except (KeyError, TypeError, AttributeError) as error:
+        return result.Err(f"{type(error).__name__}: {error}")
+
+
+def _document(raw: Any) -> published.Document:
+    limits = raw["limits"]
+    return published.Document(
+        # Eight hexadecimal digits.
+        version=int(raw["version"], 16),
+        rules=tuple(
+            _rule(listener["host"], rule)
+            # A listener is a virtual host, not an address that is listened on.
+            for listener in raw["listeners"]
+            for rule in listener["rules"]
+        ),
+        # A cluster is a service; its servers register themselves.
+        services=tuple(_service(cluster) for cluster in raw["clusters"]),
+        limits=published.CallerLimits(
+            head_bytes=int(limits["max-header-bytes"]),
+            body_bytes=int(limits["max-body-bytes"]),
+            head_timeout_ms=int(limits["header-timeout-ms"]),
+            idle_timeout_ms=int(limits["idle-timeout-ms"]),
+        ),
+    )
+
+
+def _rule(host: str, raw: Any) -> published.Rule:
+    action = raw["action"]
+    split = action.get("traffic-split")
+    if split:
+        parts = tuple(
+            published.Part(part["service"], int(part["weight"]))
+            for part in split
+        )
+    else:
+        parts = (published.Part(action["service"], 1),)
+    return published.Rule(
+        name=raw["name"],
+        host=host.lower(),
+        path_prefix=raw["match"]["path-prefix"],
+        parts=parts,
+        repeatable=_REPEATABLE[raw["route-kind"]],
+        timeout_ms=int(action["timeout-ms"]),
+        aim_ms=int(raw["target-latency-ms"]),
+        # Servers that one client attempt may be sent to, the first included.
+        max_attempts=int(action["max-attempts"]),
+        priority=int(raw["priority"]),
+    )
+
+
+def _service(raw: Any) -> published.ServiceTerms:
+    return published.ServiceTerms(
+        name=raw["name"],
+        # The health path answers with the load too.
+        load_path=raw["health-path"],
+        connection_limit=int(raw["max-conns"]),
+    )
--- /dev/null
+++ b/src/fireflyspindle/platform/host.py
@@ -0,0 +1,222 @@
+"""A gate host on the users' platform."""
+
+import asyncio
+import time
+
+from aiohttp import web
+import result
+
+from fireflyspindle import logs
+from fireflyspindle import shell
+from fireflyspindle.adapters import data_path
+from fireflyspindle.adapters import probe_client
+from fireflyspindle.adapters import requests
+from fireflyspindle.adapters import target_client
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import published
+from fireflyspindle.core import readiness
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
+from fireflyspindle.platform import dialect
+from fireflyspindle.platform import documents
+from fireflyspindle.platform import entries
+from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.platform import store as store_lib
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+TARGETS_TOPIC = "keyed.servers"
+
+# Margin between a read of the store and the bound by which what it brings has
+# to be in force: the answer of a slow store, and the sends under way.
+READ_MARGIN_MS = 600
+# Time for which a host that stops still takes connections: the balancer asks
+# once a second and leaves a host after two misses.
+DRAIN_GRACE_MS = 2_800
+# Time before SIGKILL at which a host that stops gives up what is left.
+KILL_MARGIN_MS = 400
+
+# Bodies up to this size are held for another attempt; the users' requests
+# have a few kilobytes.
+HELD_BODY_BYTES = 256 * 1024
+# Largest body until the configuration states a limit.
+FIRST_BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
+# Times of connections to targets. A connection takes about a millisecond to
+# be made; a lost opening packet is sent again after a second.
+CONNECTION_LIMITS = target_client.ConnectionLimits(
+    connect_s=0.25, idle_s=8.0, non_repeatable_idle_s=1.0
+)
+# A probe takes about 6 ms.
+PROBE_TIMEOUT_S = 0.1
+
+
+class PlatformHost(shell.Shell):
+    """One gate host, driven by the platform's store.
+
+    Attributes:
+        settings: What this host was told at its start.
+    """
+
+    def __init__(self, settings: settings_lib.HostSettings) -> None:
+        super().__init__(_core_settings(settings))
+        self.settings = settings
+        self._store = store_lib.StoreClient(settings.store_address)
+        self._unreadable: dict[str, bytes] = {}
+
+    async def start(self) -> None:
+        """Opens the addresses and begins to read the store.
+
+        Raises:
+            OSError: An address can't be opened.
+        """
+        self.data_path = data_path.DataPath(
+            self,
+            self.settings.host_id,
+            requests.BodyLimits(HELD_BODY_BYTES, FIRST_BODY_LIMIT_BYTES),
+            CONNECTION_LIMITS,
+            dialect.DIALECT,
+        )
+        self.probes = probe_client.ProbeClient(
+            self.now_us,
+            dialect.DIALECT,
+            self.data_path.client,
+            PROBE_TIMEOUT_S,
+        )
+        await self.data_path.start(self.settings.callers_address)
+        await self._serve_readiness()
+        self.begin()
+
+    async def wait_closed(self) -> None:
+        """Waits until nothing is in flight, then closes everything."""
+        await self.wait_exit()
+        await self._ready.cleanup()
+        await self._store.close()
+
+    def now_us(self) -> int:
+        """Returns the monotonic time, the suspension of a host included."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+    async def _serve_readiness(self) -> None:
+        app = web.Application()
+        app.add_routes([web.get("/readiness", self._on_readiness)])
+        self._ready = web.AppRunner(app, access_log=None)
+        await self._ready.setup()
+        address, _, port = self.settings.ready_address.rpartition(":")
+        await web.TCPSite(self._ready, address, int(port)).start()
+
+    async def _on_readiness(self, _request: web.Request) -> web.Response:
+        reason = readiness.not_ready_reason(self.state)
+        return web.Response(status=200 if reason is None else 503, text=reason)
+
+    def carry_out_own(self, effect: effects.Effect) -> None:
+        """Carries out an effect on the store."""
+        match effect:
+            case effects.ReadStore():
+                self.spawn(self._read(effect))
+            case effects.LimitCallers(limits):
+                self._limit_callers(limits)
+            case _:
+                super().carry_out_own(effect)
+
+    def _limit_callers(self, limits: published.CallerLimits) -> None:
+        server = self.data_path.server
+        server.idle_limit_s = limits.idle_timeout_ms / 1000
+        server.body_limits = requests.BodyLimits(
+            min(HELD_BODY_BYTES, limits.body_bytes), limits.body_bytes
+        )
+
+    async def _read(self, effect: effects.ReadStore) -> None:
+        await asyncio.sleep(effect.delay_us / 1e6)
+        source = store_state.Source(effect.source)
+        topic = CONFIGURATION_TOPIC
+        if source is store_state.Source.TARGETS:
+            topic = TARGETS_TOPIC
+        self.metrics.counts["store_read"] += 1
+        found = await self._store.read(topic, effect.from_offset)
+        match found:
+            case store_lib.Failed(why):
+                event: events.Event = events.StoreReadFailed(
+                    self.now_us(), effect.source, why
+                )
+            case store_lib.Dropped():
+                event = events.StoreHistoryDropped(self.now_us(), effect.source)
+            case store_lib.Batch() if source is store_state.Source.TARGETS:
+                event = self._targets(found)
+            case store_lib.Batch():
+                event = self._configuration(found)
+        self.submit(event)
+
+    def _configuration(
+        self, batch: store_lib.Batch
+    ) -> events.ConfigurationRead:
+        newest: published.Document | None = None
+        for record in batch.records:
+            if record.key != CONFIGURATION_KEY or record.value is None:
+                continue
+            decoded = documents.decode(record.value)
+            if isinstance(decoded, result.Err):
+                self._report_unreadable(record, decoded.err_value)
+                continue
+            document = decoded.ok_value
+            if newest is None or document.version > newest.version:
+                newest = document
+        return events.ConfigurationRead(
+            self.now_us(), newest, batch.next_offset
+        )
+
+    def _targets(self, batch: store_lib.Batch) -> events.TargetsRead:
+        found: dict[str, list[events.TargetEntry]] = {}
+        removed: set[str] = set()
+        for record in batch.records:
+            if record.value is None:
+                removed.add(record.key)
+                found.pop(record.key, None)
+                continue
+            decoded = entries.decode(record.key, record.value)
+            if isinstance(decoded, result.Err):
+                self._report_unreadable(record, decoded.err_value)
+                # What was known of the target before still holds.
+                found.setdefault(record.key, [])
+                continue
+            removed.discard(record.key)
+            found.setdefault(record.key, []).append(decoded.ok_value)
+        return events.TargetsRead(
+            now_us=self.now_us(),
+            entries=[entry for each in found.values() for entry in each],
+            removed=sorted(removed),
+            whole=batch.whole,
+            next_offset=batch.next_offset,
+        )
+
+    def _report_unreadable(self, record: store_lib.Record, why: str) -> None:
+        """Writes a log line of a record, once for each value."""
+        assert record.value is not None
+        if self._unreadable.get(record.key) == record.value:
+            return
+        self._unreadable[record.key] = record.value
+        logs.logger.warning(
+            f"the entry {record.key!r} can't be read: {why}",
+            code="entry_unreadable",
+        )
+
+
+def _core_settings(
+    settings: settings_lib.HostSettings,
+) -> state_lib.CoreSettings:
+    bounds = settings.bounds
+    bound_ms = min(bounds.drain_ms, bounds.config_apply_ms)
+    return state_lib.CoreSettings(
+        host_id=settings.host_id,
+        failure_domain=settings.failure_domain,
+        drain_grace_ms=DRAIN_GRACE_MS,
+        drain_limit_ms=int(bounds.grace_s * 1000) - KILL_MARGIN_MS,
+        store=store_state.StoreSettings(
+            read_spacing_ms=max(0, int(bound_ms) - READ_MARGIN_MS),
+            probes_per_s=bounds.probes_per_s,
+            repeat_share=bounds.retry_budget_ratio,
+            repeat_slack=bounds.retry_slack,
+            repeat_window_ms=int(bounds.budget_window_s * 1000),
+        ),
+    )
--- /dev/null
+++ b/src/fireflyspindle/platform/store.py
@@ -0,0 +1,219 @@
+"""The client of the platform's store."""
+
+import asyncio
+import base64
+import binascii
+import json
+import socket
+from typing import Any
+
+import aiohttp
+import attrs
+
+# Longest wait of a read at the store. A read whose answer is lost hangs until
+# its timeout, and the users' bounds hold again 3 s after the store is sound
+# (`contact-ms`); the wait and the margin together stay below that.
+READ_WAIT_MS = 2_200
+READ_MARGIN_S = 0.5
+# Largest page of records in one read, as the store counts it.
+MAX_READ_KB = 1_024
+# Pages of one listing; the store gives 500 items a page.
+MAX_PAGES = 100
+
+# A connection that went silent, or whose path is cut, is noticed by the
+# kernel after about two seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+
+
+@attrs.define(frozen=True)
+class Record:
+    """The newest record of a key; `value` is None for a key that was dropped.
+
+    Attributes:
+        key: The key.
+        value: What was written.
+    """
+
+    key: str
+    value: bytes | None
+
+
+@attrs.define(frozen=True)
+class Batch:
+    """What a read brought.
+
+    Attributes:
+        records: Records by ascending offset.
+        next_offset: First offset that has not been read.
+        whole: Whether the records are all that there are.
+    """
+
+    records: list[Record]
+    next_offset: int
+    whole: bool
+
+
+@attrs.define(frozen=True)
+class Dropped:
+    """The store no longer holds the records from the offset asked for."""
+
+
+@attrs.define(frozen=True)
+class Failed:
+    """A call failed or was not answered in time.
+
+    Attributes:
+        why: Sentence for a person.
+    """
+
+    why: str
+
+
+class StoreClient:
+    """Reads keyed topics of the platform's store.
+
+    Args:
+        address: Address of the store, "ip:port".
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(socket_factory=_socket),
+            auto_decompress=False,
+        )
+
+    async def read(
+        self, topic: str, from_offset: int | None
+    ) -> Batch | Dropped | Failed:
+        """Reads the records from an offset, or the newest of every key.
+
+        Args:
+            topic: Name of a keyed topic.
+            from_offset: First offset wanted; the store answers once there is
+                a record. None for the newest record of every key, at once.
+        """
+        try:
+            if from_offset is None:
+                return await self._read_newest(topic)
+            return await self._read_from(topic, from_offset)
+        except TimeoutError:
+            return Failed("it did not answer in time")
+        except (aiohttp.ClientError, OSError) as error:
+            return Failed(f"{type(error).__name__}: {error}")
+        except (KeyError, TypeError, ValueError) as error:
+            return Failed(f"its answer can't be read: {error!r}")
+
+    async def _read_from(
+        self, topic: str, offset: int
+    ) -> Batch | Dropped | Failed:
+        query = {
+            "topic": topic,
+            "part": "0",
+            "start-key": str(offset),
+            "max-kb": str(MAX_READ_KB),
+            "wait-ms": str(READ_WAIT_MS),
+        }
+        timeout_s = READ_WAIT_MS / 1000 + READ_MARGIN_S
+        status, body = await self._get("/log-read", query, timeout_s)
+        if status == 410:
+            return Dropped()
+        if status != 200:
+            return Failed(f"it answered with status {status}")
+        end = int.from_bytes(body[:_OFFSET_BYTES])
+        if end < offset:
+            return Dropped()
+        records = _records(body[2 * _OFFSET_BYTES :])
+        return Batch(records, offset + len(records), whole=False)
+
+    async def _read_newest(self, topic: str) -> Batch | Failed:
+        records: list[Record] = []
+        next_offset: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"topic": topic, "part": "0"}
+            if after:
+                query["after"] = after
+            status, body = await self._get("/log-newest", query, READ_MARGIN_S)
+            if status != 200:
+                return Failed(f"it answered with status {status}")
+            page = _json(body)
+            if next_offset is None:
+                # Pages are no snapshot: what is written meanwhile is read
+                # again from the end of the first page.
+                next_offset = int(page["end-offset"])
+            records += [_item(item) for item in page["items"]]
+            if not page["has-more"] or not page["items"]:
+                return Batch(records, next_offset, whole=True)
+            after = page["items"][-1]["key"]
+        return Failed(f"topic {topic} has over {MAX_PAGES} pages")
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> tuple[int, bytes]:
+        async with (
+            asyncio.timeout(timeout_s),
+            self._session.get(self._base + path, params=query) as answer,
+        ):
+            return answer.status, await answer.read()
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self._session.close()
+
+
+def _json(body: bytes) -> dict[str, Any]:
+    found = json.loads(body)
+    if not isinstance(found, dict):
+        raise ValueError(f"expected an object, found {found!r:.100}")
+    return found
+
+
+def _item(item: dict[str, Any]) -> Record:
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+    except binascii.Error:
+        # Bytes that can't be read are handed on, for the log line that tells
+        # whose they are.
+        value = b""
+    return Record(str(item["key"]), value)
+
+
+def _records(data: bytes) -> list[Record]:
+    """Splits the records of a keyed topic.
+
+    Raises:
+        ValueError: The data ends within a record.
+    """
+    records = []
+    at = 0
+    while at < len(data):
+        length = int.from_bytes(data[at : at + _LENGTH_BYTES])
+        at += _LENGTH_BYTES
+        content = data[at : at + length]
+        if len(content) < length or not content:
+            raise ValueError(f"a record of {length} bytes is cut short")
+        at += length
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode("utf-8", "replace")
+        records.append(Record(key, content[key_end:] or None))
+    return records
+
+
+def _socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        made.setsockopt(socket.IPPROTO_TCP, option, value)
+    return made
--- /dev/null
+++ b/src/fireflyspindle/shell.py
@@ -0,0 +1,146 @@
+"""The shell around the reducer: carries out effects, reports back as events."""
+
+import asyncio
+import collections
+import random
+import time
+
+from fireflyspindle import logs
+from fireflyspindle import metrics as metrics_lib
+from fireflyspindle.adapters import data_path as data_path_lib
+from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import probe_client
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import reducer
+from fireflyspindle.core import state as state_lib
+
+
+class Shell:
+    """What every kind of gate host shares: calls, probes, timers, stops.
+
+    A kind of gate host opens `data_path` and `probes` in its start, and
+    carries out the effects that are its own in `carry_out_own`.
+
+    Attributes:
+        state: State of the reducer; read only outside this class.
+        metrics: Metrics of this gate host.
+        data_path: Callers, targets and the calls between them.
+        probes: Asks targets for their load.
+    """
+
+    data_path: data_path_lib.DataPath
+    probes: probe_client.ProbeClient
+
+    def __init__(self, core_settings: state_lib.CoreSettings) -> None:
+        self.state = state_lib.new(core_settings, random.getrandbits(64))
+        self.metrics = metrics_lib.Metrics()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._reducing = False
+        self._exit = asyncio.Event()
+
+    def begin(self) -> None:
+        """Starts the reducer, once every address is open."""
+        self.carry_out_all(reducer.start(self.state, self.now_us()))
+
+    def request_stop(self) -> None:
+        """Begins a planned stop; `wait_exit` returns when it is done."""
+        self.submit(events.StopRequested(self.now_us()))
+
+    async def wait_exit(self) -> None:
+        """Waits until nothing is in flight, then ends every task."""
+        await self._exit.wait()
+        await self.data_path.settle()
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.data_path.close()
+
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+        return time.monotonic_ns() // 1000
+
+    def submit(self, event: events.Event) -> None:
+        """Feeds an event to the reducer and carries out the effects.
+
+        An event that comes up while effects are carried out waits until all
+        of them are, so that effects take place in the order of the events.
+        """
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._events:
+                first = self._events.popleft()
+                self.carry_out_all(reducer.reduce(self.state, first))
+        finally:
+            self._reducing = False
+
+    def carry_out_all(self, asked: list[effects.Effect]) -> None:
+        """Carries out effects in their order."""
+        for effect in asked:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.SendToTarget():
+                self.data_path.send(effect)
+            case effects.ForwardAnswer():
+                self.data_path.forward(effect)
+            case effects.AnswerCaller():
+                self.data_path.answer(effect)
+            case effects.CancelAttempt():
+                self.data_path.cancel(effect)
+            case effects.CallFinished():
+                self.data_path.finish(effect)
+            case _:
+                self._carry_out_shared(effect)
+
+    def _carry_out_shared(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.SetTimer(at_us):
+                self._set_timer(at_us)
+            case effects.ProbeTarget():
+                self.metrics.counts["probe"] += 1
+                self.spawn(self._probe(effect))
+            case effects.Report(level, code, detail):
+                logs.logger.log(level.upper(), detail, code=code)
+            case effects.CloseAfterAnswers():
+                self.data_path.server.stopping = True
+            case effects.StopListening():
+                self.data_path.server.stop_listening()
+            case effects.Exit():
+                self._exit.set()
+            case _:
+                self.carry_out_own(effect)
+
+    def carry_out_own(self, effect: effects.Effect) -> None:
+        """Carries out an effect that only this kind of gate host knows."""
+        raise NotImplementedError(f"{type(effect).__name__} is not carried out")
+
+    def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
+        """Starts a task that ends with the gate at the latest."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _set_timer(self, at_us: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        delay_s = max(0, at_us - self.now_us()) / 1e6
+        self._timer = loop.call_later(delay_s, self._fire_timer)
+
+    def _fire_timer(self) -> None:
+        self._timer = None
+        self.submit(events.TimerFired(self.now_us()))
+
+    async def _probe(self, effect: effects.ProbeTarget) -> None:
+        report = await self.probes.probe(effect)
+        self.submit(events.ProbeEnded(self.now_us(), effect.probe_id, report))
