Ask targets hopefully, choose them warily, and test the platform's formats

Cause: the core's tests showed that a target that was asked and found well lost to targets that nobody had asked, since these counted as the average, and the average began at the usual pace; and that a target which starts again under its id kept its former state. Change: what is unknown counts as usual when targets to ask are chosen, and as slower than average when one is sent to; a new start gets a new state.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -41,10 +41,12 @@
     """An endpoint as it registered itself.
 
     Attributes:
-        incarnation: Id of this start of the target.
+        incarnation: Id of the target.
+        born_ms: Wall-clock time of its start; one id may start again.
     """
 
     incarnation: str = ""
+    born_ms: int = 0
 
     @property
     def key(self) -> str:
@@ -109,6 +111,7 @@
     if known is not None and _age(entry) < _age(known.entry):
         return
     if known is None or known.entry.born_ms != entry.born_ms:
+        _forget_former_start(state, entry)
         known = store_state.Known(entry)
         state.registered[entry.target_id] = known
     known.entry = entry
@@ -119,6 +122,14 @@
         _report_left(state, known, "it is draining")
 
 
+def _forget_former_start(
+    state: state_lib.GateState, entry: events.TargetEntry
+) -> None:
+    for service in state.services.values():
+        service.targets.pop(entry.target_id, None)
+        service.ejected.pop(entry.target_id, None)
+
+
 def _age(entry: events.TargetEntry) -> tuple[int, int]:
     return entry.born_ms, entry.sequence
 
@@ -247,6 +258,7 @@
         slots=entry.slots,
         connection_limit=terms.connection_limit,
         incarnation=entry.target_id,
+        born_ms=entry.born_ms,
     )
 
 
--- a/src/fireflyspindle/core/forecast.py
+++ b/src/fireflyspindle/core/forecast.py
@@ -26,11 +26,17 @@
 # Extra time at a target in another failure domain, as a share of the work:
 # bytes between failure domains are paid for.
 OTHER_DOMAIN_SHARE = 0.15
+# Extra time at a target whose slots are all taken, as a share of the work:
+# some targets slow down as they fill.
+HELD_SHARE = 0.3
 # Extra time at a target that has just started, as a share of the work; the
 # users' targets work about twice as long then.
 COLD_SHARE = 1.0
 # Extra time at a target of which every answer fails, as a share of the work.
 FAILURE_SHARE = 8.0
+# Extra time at a target that stated nothing lately, as a share of the work, so
+# that one which was asked and is as usual goes first.
+UNKNOWN_SHARE = 0.2
 # Time that a silent target is expected to take.
 SILENT_US = 60_000_000
 # First pause after which a silent target is asked again, and its limit.
@@ -124,8 +130,19 @@
     service: state_lib.ServiceState,
     target: targets.Target,
     call: state_lib.Call,
+    *,
+    hopeful: bool = False,
 ) -> float:
-    """Returns the time after which a target is expected to answer."""
+    """Returns the time after which a target is expected to answer.
+
+    Args:
+        state: State of the gate host.
+        service: Service of the target.
+        target: The target.
+        call: The call to be sent.
+        hopeful: Whether a target that stated nothing lately counts as one at
+            its usual pace; for the choice of targets to ask.
+    """
     seen = target.seen
     if state.now_us < seen.silent_until_us:
         return SILENT_US + state.random.random()
@@ -135,17 +152,20 @@
     others = mean + (seen.others - mean) * trust
     held = target.in_flight + others
     slots = target.spec.slots
-    expected_us = usual_us * pace(state, service, target)
+    extra = HELD_SHARE * held / slots + SPREAD * state.random.random()
+    if hopeful:
+        expected_us = usual_us * (1 + (seen.pace - 1) * trust)
+    else:
+        expected_us = usual_us * pace(state, service, target)
+        extra += UNKNOWN_SHARE * (1 - trust)
     waiting = held + 1 - slots
     if waiting > 0:
         expected_us *= 1 + waiting / slots
-    extra = held / slots * SPREAD
     if target.distance:
         extra += OTHER_DOMAIN_SHARE
     if state.now_us < target.warm_at_us:
         extra += COLD_SHARE
     extra += FAILURE_SHARE * target.health.failure_share
-    extra += SPREAD * state.random.random()
     return expected_us + usual_us * extra
 
 
--- a/src/fireflyspindle/core/forecast_state.py
+++ b/src/fireflyspindle/core/forecast_state.py
@@ -3,6 +3,9 @@
 import attrs
 
 NEVER_US = -1_000_000_000
+# Pace of targets of which nothing is known: the mean of the users' targets, a
+# quarter of which work seven times as long, is 2.5.
+FIRST_PACE = 2.0
 
 
 @attrs.define
@@ -37,6 +40,6 @@
     """
 
     work_us: float = 0.0
-    pace: float = 1.0
+    pace: float = FIRST_PACE
     others: float = 0.0
     unstated: int = 0
--- a/src/fireflyspindle/core/placing.py
+++ b/src/fireflyspindle/core/placing.py
@@ -71,11 +71,12 @@
         return False
     best_us, best = ranked[0]
     poor_us = POOR_FACTOR * forecast.work_us(service, call)
-    if best_us < poor_us and forecast.is_fresh(state, best, FRESH_US):
+    idle = not best.in_flight
+    if idle and best_us < poor_us and forecast.is_fresh(state, best, FRESH_US):
         return False
     asked = [
         target
-        for _, target in ranked
+        for _, target in routing.ranked(state, service, call, hopeful=True)
         if not forecast.is_fresh(state, target, FRESH_US)
         and state.now_us >= target.seen.silent_until_us
     ][:LOOKS_PER_ROUND]
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -58,14 +58,19 @@
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     call: state_lib.Call,
+    *,
+    hopeful: bool = False,
 ) -> list[tuple[float, targets.Target]]:
     """Returns the targets that a call may go to, the likeliest first.
 
     Each comes with the time after which it is expected to answer, in
-    microseconds.
+    microseconds; see `forecast.answer_us`.
     """
     found = [
-        (forecast.answer_us(state, service, target, call), target)
+        (
+            forecast.answer_us(state, service, target, call, hopeful=hopeful),
+            target,
+        )
         for target in _candidates(state, service)
         if not target.leaving
         and not target.ejected
--- a/src/fireflyspindle/testing/__init__.py
+++ b/src/fireflyspindle/testing/__init__.py
@@ -7,6 +7,7 @@
 from fireflyspindle.testing.raw import ScriptedTarget
 from fireflyspindle.testing.raw import connect
 from fireflyspindle.testing.server import Server
+from fireflyspindle.testing.store import StandInStore
 from fireflyspindle.testing.system import StandInSystem
 from fireflyspindle.testing.system import gate_settings
 from fireflyspindle.testing.system import publish
@@ -19,6 +20,7 @@
     "Server",
     "StandInHosts",
     "StandInLog",
+    "StandInStore",
     "StandInSystem",
     "StandInTarget",
     "connect",
--- /dev/null
+++ b/src/fireflyspindle/testing/store.py
@@ -0,0 +1,152 @@
+"""A stand-in for the users' platform's store, with faults.
+
+It keeps the keyed topics that gate hosts read, and speaks the published
+protocol of reads. Writes are made by the test itself.
+"""
+
+import asyncio
+import base64
+import json
+from typing import Any
+
+from aiohttp import web
+import attrs
+
+MAX_WAIT_MS = 30_000
+PAGE_ITEMS = 500
+
+CONFIGURATION_TOPIC = "keyed.op"
+TARGETS_TOPIC = "keyed.servers"
+
+
+@attrs.define
+class Topic:
+    """One keyed topic with a single partition.
+
+    Attributes:
+        records: Key and value of each record; None drops the key.
+        first_offset: Offset of the oldest record that is held.
+    """
+
+    records: list[tuple[str, bytes | None]] = attrs.field(factory=list)
+    first_offset: int = 0
+
+    @property
+    def end_offset(self) -> int:
+        """Offset that the next record will get."""
+        return len(self.records)
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        """Returns offset and value of the newest record of each key."""
+        found: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(self.records):
+            found.pop(key, None)
+            if value is not None:
+                found[key] = (offset, value)
+        return found
+
+
+class StandInStore:
+    """Keeps keyed topics in memory and serves their reads.
+
+    Attributes:
+        topics: Topics by name.
+        refuse_status: Status with which every call is refused, or None.
+        silent: Whether calls get no answer.
+        delay_s: Time that passes before a call is answered.
+        reads: Path and query of every call that came.
+    """
+
+    def __init__(self) -> None:
+        self.topics = {CONFIGURATION_TOPIC: Topic(), TARGETS_TOPIC: Topic()}
+        self.refuse_status: int | None = None
+        self.silent = False
+        self.delay_s = 0.0
+        self.reads: list[tuple[str, dict[str, str]]] = []
+        self._changed = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """Returns the application that serves the store."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/log-read", self._on_read),
+                web.get("/log-newest", self._on_newest),
+            ]
+        )
+        return app
+
+    def write(self, topic: str, key: str, value: object) -> None:
+        """Writes a record; None drops the key, bytes are written as given."""
+        if value is not None and not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        self.topics[topic].records.append((key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def forget(self, topic: str) -> None:
+        """Drops the records up to now; the newest of each key is kept."""
+        found = self.topics[topic]
+        found.first_offset = found.end_offset
+
+    async def _on_read(self, request: web.Request) -> web.StreamResponse:
+        refusal = await self._misbehave(request)
+        if refusal is not None:
+            return refusal
+        topic = self.topics[request.query["topic"]]
+        offset = int(request.query["start-key"])
+        wait_ms = min(MAX_WAIT_MS, int(request.query.get("wait-ms", "0")))
+        if offset < topic.first_offset:
+            return web.json_response(
+                {"first-offset": topic.first_offset}, status=410
+            )
+        if offset >= topic.end_offset:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        head = topic.end_offset.to_bytes(8) + topic.first_offset.to_bytes(8)
+        records = map(_encode, topic.records[offset:])
+        return web.Response(body=head + b"".join(records))
+
+    async def _on_newest(self, request: web.Request) -> web.StreamResponse:
+        refusal = await self._misbehave(request)
+        if refusal is not None:
+            return refusal
+        topic = self.topics[request.query["topic"]]
+        after = request.query.get("after", "")
+        items = sorted(
+            (key, offset, value)
+            for key, (offset, value) in topic.newest().items()
+            if key > after
+        )
+        page: dict[str, Any] = {
+            "items": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "offset": offset,
+                }
+                for key, offset, value in items[:PAGE_ITEMS]
+            ],
+            "has-more": len(items) > PAGE_ITEMS,
+            "end-offset": topic.end_offset,
+        }
+        return web.json_response(page)
+
+    async def _misbehave(self, request: web.Request) -> web.Response | None:
+        self.reads.append((request.path, dict(request.query)))
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.refuse_status is None:
+            return None
+        return web.Response(status=self.refuse_status)
+
+
+def _encode(record: tuple[str, bytes | None]) -> bytes:
+    key, value = record
+    content = bytes([len(key)]) + key.encode() + (value or b"")
+    return len(content).to_bytes(4) + content
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 import driver
 from fireflyspindle import gate as gate_lib
 from fireflyspindle import testing
+import published_driver
 
 
 @attrs.define
@@ -44,3 +45,9 @@
 def make_host():
     """Builds gate hosts whose reducers a test drives by events."""
     return driver.Host
+
+
+@pytest.fixture
+def make_published_host():
+    """Builds gate hosts that the platform's store drives."""
+    return published_driver.PublishedHost
--- /dev/null
+++ b/tests/published_driver.py
@@ -0,0 +1,144 @@
+"""Drives the reducer of a gate host that the platform's store drives."""
+
+import attrs
+
+import driver
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import published
+from fireflyspindle.core import reducer
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
+
+DOMAIN = "west-a"
+OTHER_DOMAIN = "west-b"
+LIMITS = published.CallerLimits(16_384, 1_000_000, 3_000, 15_000)
+
+
+def rule(name="r", service="s", prefix="/s/", **fields):
+    """A rule of the host h.example."""
+    return published.Rule(
+        **{
+            "name": name,
+            "host": "h.example",
+            "path_prefix": prefix,
+            "parts": (published.Part(service, 1),),
+            "repeatable": True,
+            "timeout_ms": 800,
+            "aim_ms": 300,
+            "max_attempts": 2,
+            "priority": 0,
+            **fields,
+        }
+    )
+
+
+def document(version=1, rules=(), services=("s",)):
+    """A configuration; the rule /s/ leads to service s by default."""
+    return published.Document(
+        version=version,
+        rules=tuple(rules) or (rule(),),
+        services=tuple(
+            published.ServiceTerms(name, "/health", 260) for name in services
+        ),
+        limits=LIMITS,
+    )
+
+
+def entry(number, **fields):
+    """The entry of target number `number` of service s."""
+    return events.TargetEntry(
+        **{
+            "target_id": f"i-{number}",
+            "service": "s",
+            "address": f"10.0.0.{number}:80",
+            "failure_domain": DOMAIN,
+            "slots": 4,
+            "draining": False,
+            "cold_left_ms": 0,
+            "born_ms": 1_000,
+            "sequence": 1,
+            **fields,
+        }
+    )
+
+
+class PublishedHost(driver.Host):
+    """A gate host with a configuration and registered targets."""
+
+    def __init__(self, targets=4, seed=0, rules=(), **store):
+        self.settings = store_state.StoreSettings(
+            **{"probes_per_s": 600.0, "repeat_share": 0.2, **store}
+        )
+        core_settings = state_lib.CoreSettings(
+            host_id="gate-1", failure_domain=DOMAIN, store=self.settings
+        )
+        self.state = state_lib.new(core_settings, seed)
+        self.now_us = 1_000_000
+        self.effects = []
+        self.next_offset = 0
+        self._take(reducer.start(self.state, self.now_us))
+        self.configure(document(rules=rules))
+        self.register(*(entry(number) for number in range(targets)))
+
+    def configure(self, found):
+        """Feeds a configuration."""
+        self.next_offset += 1
+        return self.feed(events.ConfigurationRead, found, self.next_offset)
+
+    def register(self, *entries, removed=(), whole=False):
+        """Feeds entries that were written and ids that were removed."""
+        self.next_offset += 1
+        return self.feed(
+            events.TargetsRead,
+            list(entries),
+            list(removed),
+            whole,
+            self.next_offset,
+        )
+
+    def arrive(self, call_id, path="/s/x", **fields):
+        """Feeds a call; returns its effects."""
+        if "deadline_ms" in fields:
+            deadline_us = self.now_us + fields.pop("deadline_ms") * 1000
+            fields["deadline_us"] = deadline_us
+        fields = {"host": "h.example", "request_id": f"q{call_id}", **fields}
+        return self.feed(events.CallArrived, call_id, path, **fields)
+
+    def tell_loads(self, loads=None, pace=1.0):
+        """Answers every probe that is under way.
+
+        Args:
+            loads: Report by address; None is no answer in time.
+            pace: Pace of the targets that `loads` does not name.
+        """
+        for probe_id, probe in list(self.state.probes.items()):
+            target = self.state.services[probe.service].targets[probe.target]
+            report = events.LoadReport(in_flight=0, slots=4, pace=pace)
+            if loads and target.spec.address in loads:
+                report = loads[target.spec.address]
+            self.feed(events.ProbeEnded, probe_id, report)
+
+    def place(self, call_id, **fields):
+        """Feeds a call and answers its probes; returns its sending."""
+        self.arrive(call_id, **fields)
+        while self.state.probes:
+            self.tell_loads()
+        found = [e for e in self.sent if e.call_id == call_id]
+        return found[-1] if found else None
+
+    def service(self, name="s"):
+        """The state of a service."""
+        return self.state.services[name]
+
+    def told(self, call_id):
+        """The answer of the gate host itself to a call, or None."""
+        for effect in self.of(effects.AnswerCaller):
+            if effect.call_id == call_id:
+                return effect
+        return None
+
+
+def changed(found, **fields):
+    """Returns an entry with other fields."""
+    return attrs.evolve(found, **fields)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,163 @@
+"""Targets that register themselves, and the configuration they serve."""
+
+import pytest
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import published
+from fireflyspindle.core import readiness
+import published_driver as published_host
+
+
+def usable(host):
+    return sorted(
+        key
+        for key, target in host.service().targets.items()
+        if not target.leaving
+    )
+
+
+def test_draining_is_never_taken_back_by_an_older_entry(make_published_host):
+    host = make_published_host(targets=2)
+    ready = published_host.entry(0, sequence=3)
+    host.register(published_host.changed(ready, draining=True, sequence=4))
+    assert usable(host) == ["i-1"]
+    host.register(ready)
+    assert usable(host) == ["i-1"]
+    host.register(published_host.changed(ready, sequence=9))
+    assert usable(host) == ["i-1"]
+
+
+def test_new_start_under_the_same_id_is_used(make_published_host):
+    host = make_published_host(targets=2)
+    host.register(published_host.entry(0, draining=True, sequence=7))
+    host.register(published_host.entry(0, born_ms=2_000, sequence=1))
+    assert usable(host) == ["i-0", "i-1"]
+    host.register(published_host.entry(0, born_ms=1_000, sequence=8))
+    assert usable(host) == ["i-0", "i-1"]
+
+
+def test_removed_entry_ends_new_calls_at_once(make_published_host):
+    host = make_published_host(targets=2)
+    host.register(removed=["i-0"])
+    assert usable(host) == ["i-1"]
+
+
+def test_entry_that_lapsed_in_an_outage_may_come_back(make_published_host):
+    host = make_published_host(targets=2)
+    host.feed(events.StoreReadFailed, "targets", "refused")
+    host.advance(4_000_000)
+    host.register(removed=["i-0", "i-1"])
+    assert usable(host) == ["i-0", "i-1"]
+    host.advance(1_500_000)
+    host.register(published_host.entry(0, sequence=2))
+    host.advance(600_000)
+    assert usable(host) == ["i-0"]
+
+
+def test_whole_listing_after_an_outage_drops_what_it_lacks(
+    make_published_host,
+):
+    host = make_published_host(targets=3)
+    host.feed(events.StoreHistoryDropped, "targets")
+    host.register(published_host.entry(1), whole=True)
+    assert usable(host) == ["i-1"]
+
+
+def test_of_two_targets_at_one_address_the_later_start_is_used(
+    make_published_host,
+):
+    host = make_published_host(targets=1)
+    host.register(published_host.entry(5, address="10.0.0.0:80", born_ms=5_000))
+    assert usable(host) == ["i-5"]
+
+
+@pytest.mark.parametrize(
+    ("status", "report"),
+    [
+        (421, events.LoadReport()),
+        (421, None),
+        (503, events.LoadReport(incarnation="i-9")),
+    ],
+)
+def test_answer_of_another_target_ends_calls_to_the_one_listed(
+    make_published_host, status, report
+):
+    host = make_published_host(targets=2)
+    sending = host.place(1, repeatable=False)
+    host.answer(1, 1, status, not_run=True, report=report)
+    assert sending.incarnation not in usable(host)
+    while host.state.probes:
+        host.tell_loads()
+    assert len(host.sent) == 2
+
+
+def test_older_configuration_changes_nothing(make_published_host):
+    host = make_published_host()
+    host.configure(published_host.document(version=5))
+    host.configure(
+        published_host.document(
+            version=4, rules=[published_host.rule(prefix="/old/")]
+        )
+    )
+    assert host.state.rules.version == 5
+    host.arrive(1, path="/old/x")
+    assert host.told(1).status == 404
+
+
+def test_host_without_a_configuration_refuses_for_a_while(
+    make_published_host,
+):
+    host = make_published_host()
+    host.state.rules = published.RuleTable()
+    host.arrive(1)
+    assert host.told(1).status == 503
+    assert host.told(1).outcome is effects.Outcome.NOT_RUN
+    assert host.told(1).retry_after_ms > 0
+    assert "no configuration" in readiness.not_ready_reason(host.state)
+
+
+def test_service_that_leaves_the_configuration_is_dropped(
+    make_published_host,
+):
+    host = make_published_host()
+    host.configure(
+        published_host.document(
+            version=2,
+            rules=[published_host.rule(service="t")],
+            services=("t",),
+        )
+    )
+    assert list(host.state.services) == ["t"]
+    host.arrive(1)
+    assert host.told(1).status == 503
+
+
+def test_burst_of_changes_is_read_at_once_and_then_spaced(
+    make_published_host,
+):
+    host = make_published_host(read_spacing_ms=1_400)
+    host.advance(10_000_000)
+    taken = host.register(published_host.entry(7))
+    reads = [e for e in taken if isinstance(e, effects.ReadStore)]
+    assert [read.delay_us for read in reads] == [0]
+    host.advance(200_000)
+    taken = host.register(published_host.entry(8))
+    reads = [e for e in taken if isinstance(e, effects.ReadStore)]
+    assert [read.delay_us for read in reads] == [1_200_000]
+
+
+def test_reads_that_fail_are_repeated_ever_more_slowly(make_published_host):
+    host = make_published_host()
+    delays_us = []
+    for _ in range(8):
+        taken = host.feed(events.StoreReadFailed, "targets", "refused")
+        delays_us += [
+            e.delay_us for e in taken if isinstance(e, effects.ReadStore)
+        ]
+    assert delays_us[0] <= 125_000
+    assert 750_000 <= delays_us[-1] <= 1_250_000
+    reports = [e.code for e in host.of(effects.Report)]
+    assert reports.count("store_lost") == 1
+    host.register()
+    assert [e.code for e in host.of(effects.Report)][-1] == "store_regained"
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,268 @@
+"""Where calls go under load, and what becomes of those that can't go."""
+
+import collections
+
+import pytest
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import published
+import published_driver as published_host
+
+SLOW = 7.0
+
+
+def load(in_flight=0, pace=1.0, slots=4):
+    return events.LoadReport(in_flight=in_flight, slots=slots, pace=pace)
+
+
+def test_call_waits_for_the_load_of_two_targets(make_published_host):
+    host = make_published_host(targets=6)
+    taken = host.arrive(1)
+    probed = [e for e in taken if isinstance(e, effects.ProbeTarget)]
+    assert len(probed) == 2
+    assert host.sent == []
+    host.tell_loads({probed[0].target: load(pace=SLOW)})
+    assert [e.target for e in host.sent] == [probed[1].target]
+
+
+def test_second_round_asks_others_when_both_are_slow(make_published_host):
+    host = make_published_host(targets=6)
+    taken = host.arrive(1)
+    first = {e.target for e in taken if isinstance(e, effects.ProbeTarget)}
+    host.tell_loads(dict.fromkeys(first, load(pace=SLOW)))
+    assert host.sent == []
+    host.tell_loads()
+    assert host.sent[0].target not in first
+
+
+def test_silent_target_holds_a_call_up_for_one_round_only(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    taken = host.arrive(1)
+    silent, other = [
+        e.target for e in taken if isinstance(e, effects.ProbeTarget)
+    ]
+    for probe_id, probe in list(host.state.probes.items()):
+        if probe.target == "i-" + other.split(".")[3].split(":")[0]:
+            host.feed(events.ProbeEnded, probe_id, load())
+    host.advance(26_000)
+    assert [e.target for e in host.sent] == [other]
+    for call_id in range(2, 6):
+        host.now_us += 30_000
+        taken = host.arrive(call_id)
+        assert silent not in [
+            e.target for e in taken if isinstance(e, effects.ProbeTarget)
+        ]
+        while host.state.probes:
+            host.tell_loads({silent: None})
+
+
+def test_slow_spells_of_a_quarter_of_the_targets_are_avoided(
+    make_published_host,
+):
+    host = make_published_host(targets=16, seed=3)
+    addresses = [f"10.0.0.{number}:80" for number in range(16)]
+    on_slow = 0
+    for call_id in range(1, 401):
+        if call_id % 40 == 1:
+            slow = set(host.state.random.sample(addresses, 4))
+            loads = {address: load(pace=SLOW) for address in slow}
+        host.arrive(call_id)
+        while host.state.probes:
+            host.tell_loads(loads)
+        on_slow += host.sent[-1].target in slow
+        host.answer(call_id, 1, report=loads.get(host.sent[-1].target, load()))
+        host.finish(call_id)
+        host.now_us += 12_500
+    assert on_slow <= 400 * 0.02
+
+
+def test_own_failure_domain_is_preferred_until_it_is_slow(
+    make_published_host,
+):
+    host = make_published_host(targets=0)
+    near = [published_host.entry(n) for n in range(2)]
+    far = [
+        published_host.entry(n, failure_domain=published_host.OTHER_DOMAIN)
+        for n in range(2, 6)
+    ]
+    host.register(*near, *far)
+    near_addresses = {entry.address for entry in near}
+    for call_id in range(1, 11):
+        assert host.place(call_id).target in near_addresses
+        host.answer(call_id, 1, report=load())
+        host.finish(call_id)
+        host.now_us += 100_000
+    host.arrive(99)
+    while host.state.probes:
+        host.tell_loads(dict.fromkeys(near_addresses, load(pace=SLOW)))
+    assert host.sent[-1].target not in near_addresses
+
+
+def test_full_targets_are_passed_over(make_published_host):
+    host = make_published_host(targets=6)
+    taken = host.arrive(1)
+    first, second = [
+        e.target for e in taken if isinstance(e, effects.ProbeTarget)
+    ]
+    host.tell_loads({first: load(in_flight=9), second: load(in_flight=1)})
+    assert [e.target for e in host.sent] == [second]
+
+
+def test_cold_target_gets_calls_once_it_is_warm(make_published_host):
+    host = make_published_host(targets=3)
+    host.register(published_host.entry(7, cold_left_ms=3_000))
+    early, later = collections.Counter(), collections.Counter()
+    for call_id in range(1, 121):
+        seen = early if host.now_us < 4_000_000 else later
+        seen[host.place(call_id).incarnation] += 1
+        host.now_us += 40_000
+        host.answer(call_id, 1, report=load())
+        host.finish(call_id)
+        host.now_us += 30_000
+    assert early["i-7"] < early["i-0"] / 2
+    assert later["i-7"] > 0
+
+
+def test_late_repeatable_call_is_hedged_within_the_budget(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    host.place(1)
+    host.advance(250_000)
+    while host.state.probes:
+        host.tell_loads()
+    sent = [e for e in host.sent if e.call_id == 1]
+    assert [e.hedge for e in sent] == [False, True]
+    assert sent[0].target != sent[1].target
+
+
+def test_non_repeatable_call_is_sent_once_only(make_published_host):
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule])
+    host.place(1)
+    host.advance(300_000)
+    host.fail(1, 1, events.FailureReason.DISCONNECTED, sent=True)
+    assert len(host.sent) == 1
+    assert host.told(1).status == 502
+    assert host.told(1).outcome is effects.Outcome.UNKNOWN
+
+
+def test_non_repeatable_call_that_never_left_is_sent_elsewhere(
+    make_published_host,
+):
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule])
+    host.place(1)
+    host.fail(1, 1, events.FailureReason.REFUSED, sent=False)
+    while host.state.probes:
+        host.tell_loads()
+    assert len(host.sent) == 2
+    assert host.sent[0].target != host.sent[1].target
+
+
+def test_declined_call_without_another_target_is_told_when_to_return(
+    make_published_host,
+):
+    host = make_published_host(targets=1)
+    host.place(1)
+    host.answer(1, 1, status=503, not_run=True)
+    assert host.told(1).status == 503
+    assert host.told(1).outcome is effects.Outcome.NOT_RUN
+    assert 0 < host.told(1).retry_after_ms < 1_000
+
+
+def test_attempts_of_a_call_stay_within_its_routes_limit(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    host.place(1)
+    host.answer(1, 1, status=503, not_run=True)
+    while host.state.probes:
+        host.tell_loads()
+    host.answer(1, 2, status=503, not_run=True)
+    assert len(host.sent) == 2
+    assert host.told(1).status == 503
+
+
+def test_repeats_stay_within_their_share_while_everything_fails(
+    make_published_host,
+):
+    host = make_published_host(targets=16, repeat_share=0.2, repeat_slack=62)
+    calls = 300
+    for call_id in range(1, calls + 1):
+        host.place(call_id)
+        for attempt in (1, 2):
+            host.answer(call_id, attempt, status=503, not_run=True)
+            while host.state.probes:
+                host.tell_loads()
+        host.now_us += 20_000
+    assert len(host.sent) - calls <= 0.2 * calls + 1
+
+
+def test_timeout_of_the_route_ends_the_wait(make_published_host):
+    host = make_published_host(
+        targets=2, rules=[published_host.rule(repeatable=False, timeout_ms=500)]
+    )
+    host.place(1, deadline_ms=2_000)
+    assert host.sent[0].timeout_us <= 500_000
+    host.advance(500_001)
+    assert host.told(1).status == 504
+
+
+def test_call_without_targets_is_refused_at_once(make_published_host):
+    host = make_published_host(targets=0)
+    host.arrive(1)
+    assert host.told(1).status == 503
+    assert host.told(1).error == "no_target"
+
+
+def test_part_of_a_split_without_targets_is_refused_not_moved(
+    make_published_host,
+):
+    rule = published_host.rule(
+        parts=(published.Part("s", 1), published.Part("t", 1))
+    )
+    host = make_published_host(targets=0)
+    host.configure(
+        published_host.document(version=2, rules=[rule], services=("s", "t"))
+    )
+    host.register(published_host.entry(0, service="s"))
+    for call_id in range(1, 21):
+        host.place(call_id)
+        host.answer(call_id, 1, report=load())
+        host.finish(call_id)
+    refused = [host.told(n) for n in range(1, 21) if host.told(n)]
+    assert 9 <= len(refused) <= 11
+
+
+def test_targets_that_state_no_load_are_not_asked_for_ever(
+    make_published_host,
+):
+    host = make_published_host(targets=4)
+    for call_id in range(1, 11):
+        host.arrive(call_id)
+        while host.state.probes:
+            host.tell_loads(
+                {f"10.0.0.{n}:80": events.LoadReport() for n in range(4)}
+            )
+        host.answer(call_id, 1)
+        host.finish(call_id)
+        host.now_us += 100_000
+    assert not host.service().looks_ahead
+    host.arrive(99)
+    assert host.sent[-1].call_id == 99
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_caller_that_leaves_during_a_look_is_not_sent(
+    make_published_host, leaves
+):
+    host = make_published_host(targets=4)
+    host.arrive(1)
+    if leaves:
+        host.feed(events.CallerLeft, 1)
+    host.tell_loads()
+    assert bool(host.sent) is not leaves
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,249 @@
+"""What the platform's files, entries, configurations and headers say."""
+
+import json
+
+import pytest
+
+from fireflyspindle.core import published
+from fireflyspindle.platform import dialect
+from fireflyspindle.platform import documents
+from fireflyspindle.platform import entries
+from fireflyspindle.platform import settings as settings_lib
+
+SETTINGS = {
+    "self": {"node-name": "edge-1", "zone": "west-a", "unknown": 1},
+    "network": {
+        "listen-addrs": {
+            "front": "10.1.0.15:8641",
+            "ready-addr": "10.1.0.15:8640",
+        }
+    },
+    "platform": {"platform": {"address": "10.200.1.7:8642"}},
+    "terms": {
+        "contract-params": {
+            "drain-ms": 2500,
+            "grace-s": 6,
+            "retry-slack": 62,
+            "probes-per-s": 42,
+        }
+    },
+}
+
+ENTRY = {
+    "address": "10.128.0.9:8080",
+    "info": {
+        "service": "tiba26a",
+        "version": "v1",
+        "zone": "west-a",
+        "capacity": 4,
+    },
+    "status": {"state": "ready", "sequence": 4, "cold-left-ms": 1200},
+    "born": 1_790_000_000_000,
+}
+
+DOCUMENT = {
+    "version": "0000001c",
+    "limits": {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 67108864,
+        "header-timeout-ms": 3000,
+        "idle-timeout-ms": 15000,
+    },
+    "base-version": "0000001a",
+    "listeners": [
+        {
+            "host": "Jepu9.Example",
+            "rules": [
+                {
+                    "name": "r-1",
+                    "route-kind": "non_idempotent",
+                    "target-latency-ms": 400,
+                    "priority": 1,
+                    "match": {"path-prefix": "/puka111/"},
+                    "action": {
+                        "service": "wuno96b",
+                        "timeout-ms": 1000,
+                        "max-attempts": 2,
+                    },
+                },
+                {
+                    "name": "r-2",
+                    "route-kind": "idempotent",
+                    "target-latency-ms": 300,
+                    "priority": 2,
+                    "match": {"path-prefix": "/leny950/"},
+                    "action": {
+                        "traffic-split": [
+                            {"service": "huvo11a", "weight": 90},
+                            {"service": "lovo22d", "weight": 10},
+                        ],
+                        "timeout-ms": 800,
+                        "max-attempts": 3,
+                    },
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {
+            "name": "huvo11a",
+            "health-path": "/health",
+            "max-conns": 260,
+            "protocol": "h1",
+            "tls": False,
+        }
+    ],
+}
+
+
+def without(found, *path):
+    """Returns a deep copy without one member."""
+    copy = json.loads(json.dumps(found))
+    inner = copy
+    for name in path[:-1]:
+        inner = inner[name]
+    del inner[path[-1]]
+    return copy
+
+
+def with_member(found, value, *path):
+    """Returns a deep copy with another value at a path."""
+    copy = json.loads(json.dumps(found))
+    inner = copy
+    for name in path[:-1]:
+        inner = inner[name]
+    inner[path[-1]] = value
+    return copy
+
+
+def test_settings_are_read_and_unknown_keys_passed_over():
+    found = settings_lib.parse(SETTINGS).unwrap()
+    assert found.host_id == "edge-1"
+    assert found.failure_domain == "west-a"
+    assert found.callers_address == "10.1.0.15:8641"
+    assert found.ready_address == "10.1.0.15:8640"
+    assert found.store_address == "10.200.1.7:8642"
+    assert found.bounds.drain_ms == 2500
+    assert found.bounds.probes_per_s == 42
+
+
+@pytest.mark.parametrize(
+    ("broken", "named"),
+    [
+        (without(SETTINGS, "self", "zone"), "self.zone"),
+        (without(SETTINGS, "network"), "network.listen-addrs.front"),
+        (with_member(SETTINGS, 7, "self", "node-name"), "found 7"),
+        (
+            with_member(
+                SETTINGS, "soon", "terms", "contract-params", "grace-s"
+            ),
+            "grace-s: found 'soon'",
+        ),
+        (
+            with_member(SETTINGS, -1, "terms", "contract-params", "drain-ms"),
+            "give 0 or more",
+        ),
+    ],
+)
+def test_bad_settings_name_the_key(broken, named):
+    assert named in "; ".join(settings_lib.parse(broken).unwrap_err())
+
+
+def test_settings_that_are_no_toml_are_refused(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text("[self")
+    assert "not TOML" in settings_lib.load(path).unwrap_err()[0]
+    assert "can't be read" in settings_lib.load(tmp_path).unwrap_err()[0]
+
+
+def test_entry_is_read():
+    found = entries.decode("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert found.target_id == "i-1"
+    assert found.service == "tiba26a"
+    assert found.address == "10.128.0.9:8080"
+    assert found.failure_domain == "west-a"
+    assert (found.slots, found.draining) == (4, False)
+    assert (found.cold_left_ms, found.sequence) == (1200, 4)
+    assert found.born_ms == 1_790_000_000_000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\x00",
+        b"[]",
+        b"null",
+        b"{" * 5000,
+        json.dumps(without(ENTRY, "address")).encode(),
+        json.dumps(without(ENTRY, "status", "state")).encode(),
+        json.dumps(without(ENTRY, "info", "capacity")).encode(),
+        json.dumps(with_member(ENTRY, "lost", "status", "state")).encode(),
+        json.dumps(with_member(ENTRY, "7", "status", "sequence")).encode(),
+        json.dumps(with_member(ENTRY, True, "info", "capacity")).encode(),
+        json.dumps(with_member(ENTRY, 0, "info", "capacity")).encode(),
+        json.dumps(with_member(ENTRY, 1.5, "born")).encode(),
+        json.dumps(with_member(ENTRY, "nowhere", "address")).encode(),
+        json.dumps(with_member(ENTRY, 7, "info", "service")).encode(),
+    ],
+)
+def test_malformed_entry_is_an_error(value):
+    assert entries.decode("i-1", value).is_err()
+
+
+def test_configuration_is_read():
+    found = documents.decode(json.dumps(DOCUMENT).encode()).unwrap()
+    assert found.version == 0x1C
+    first, second = found.rules
+    assert (first.host, first.path_prefix) == ("jepu9.example", "/puka111/")
+    assert (first.repeatable, second.repeatable) == (False, True)
+    assert (first.timeout_ms, first.aim_ms) == (1000, 400)
+    assert second.max_attempts == 3
+    assert second.parts == (
+        published.Part("huvo11a", 90),
+        published.Part("lovo22d", 10),
+    )
+    assert found.services == (
+        published.ServiceTerms("huvo11a", "/health", 260),
+    )
+    assert found.limits == published.CallerLimits(16384, 67108864, 3000, 15000)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        without(DOCUMENT, "version"),
+        without(DOCUMENT, "limits", "max-body-bytes"),
+        with_member(DOCUMENT, "soon", "version"),
+        with_member(
+            DOCUMENT, "maybe", "listeners", 0, "rules", 0, "route-kind"
+        ),
+        without(DOCUMENT, "listeners", 0, "rules", 0, "action", "service"),
+        with_member(DOCUMENT, 3, "clusters"),
+        [],
+    ],
+)
+def test_malformed_configuration_is_an_error(broken):
+    assert documents.decode(json.dumps(broken).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    ("text", "in_flight", "slots", "pace"),
+    [
+        ("3,2,8", 5, 8, None),
+        ("3,2,8,700", 5, 8, 7.0),
+        ("0, 0, 4, 100", 0, 4, 1.0),
+        ("3,2", None, None, None),
+        ("a,b,c", None, None, None),
+        ("-1,0,4", None, None, None),
+        ("", None, None, None),
+        ("99999999999,0,4", None, None, None),
+    ],
+)
+def test_load_of_a_server_is_read(text, in_flight, slots, pace):
+    found = dialect.read_load({dialect.SERVER_LOAD: text})
+    assert (found.in_flight, found.slots, found.pace) == (
+        in_flight,
+        slots,
+        pace,
+    )
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,110 @@
+"""The client of the platform's store against its stand-in."""
+
+import asyncio
+
+from aiohttp import web
+import pytest
+import pytest_asyncio
+
+from fireflyspindle import testing
+from fireflyspindle.platform import store as store_lib
+
+TOPIC = "keyed.servers"
+
+
+@pytest_asyncio.fixture
+async def store():
+    """A running stand-in and a client of it."""
+    stand_in = testing.StandInStore()
+    server = testing.Server(stand_in.application())
+    address = await server.start()
+    client = store_lib.StoreClient(address)
+    yield stand_in, client
+    await client.close()
+    await server.close()
+
+
+async def test_newest_of_every_key_is_read_over_all_pages(store):
+    stand_in, client = store
+    for number in range(1_203):
+        stand_in.write(TOPIC, f"i-{number:04}", {"n": number})
+    stand_in.write(TOPIC, "i-0007", None)
+    found = await client.read(TOPIC, None)
+    assert found.whole
+    assert found.next_offset == 1_204
+    assert len(found.records) == 1_202
+    assert len({record.key for record in found.records}) == 1_202
+
+
+async def test_read_waits_for_the_next_record(store):
+    stand_in, client = store
+    stand_in.write(TOPIC, "i-1", b"one")
+    reading = asyncio.create_task(client.read(TOPIC, 1))
+    await asyncio.sleep(0.05)
+    assert not reading.done()
+    stand_in.write(TOPIC, "i-1", None)
+    found = await reading
+    assert found.records == [store_lib.Record("i-1", None)]
+    assert (found.next_offset, found.whole) == (2, False)
+
+
+async def test_read_without_news_ends_empty(store, monkeypatch):
+    _, client = store
+    monkeypatch.setattr(store_lib, "READ_WAIT_MS", 50)
+    found = await client.read(TOPIC, 0)
+    assert found == store_lib.Batch([], 0, whole=False)
+
+
+async def test_dropped_history_is_told(store):
+    stand_in, client = store
+    stand_in.write(TOPIC, "i-1", b"one")
+    stand_in.forget(TOPIC)
+    assert await client.read(TOPIC, 0) == store_lib.Dropped()
+
+
+@pytest.mark.parametrize("status", [429, 503, 500])
+@pytest.mark.parametrize("from_offset", [None, 0])
+async def test_refusal_is_a_failure(store, status, from_offset):
+    stand_in, client = store
+    stand_in.refuse_status = status
+    found = await client.read(TOPIC, from_offset)
+    assert str(status) in found.why
+
+
+@pytest.mark.parametrize("from_offset", [None, 0])
+async def test_silence_ends_in_a_failure(store, monkeypatch, from_offset):
+    stand_in, client = store
+    monkeypatch.setattr(store_lib, "READ_WAIT_MS", 50)
+    monkeypatch.setattr(store_lib, "READ_MARGIN_S", 0.05)
+    stand_in.silent = True
+    found = await client.read(TOPIC, from_offset)
+    assert "in time" in found.why
+    stand_in.silent = False
+    assert isinstance(await client.read(TOPIC, None), store_lib.Batch)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"\x00" * 16 + b"\x00\x00\x00\x09abc", b"\x00" * 16 + b"\x00" * 4],
+)
+async def test_answer_that_is_cut_short_is_a_failure(body):
+    async def answer(_request):
+        return web.Response(body=body)
+
+    app = web.Application()
+    app.add_routes([web.get("/log-read", answer)])
+    server = testing.Server(app)
+    client = store_lib.StoreClient(await server.start())
+    found = await client.read(TOPIC, 0)
+    await client.close()
+    await server.close()
+    if not body:
+        assert found == store_lib.Batch([], 0, whole=False)
+    else:
+        assert isinstance(found, store_lib.Failed)
+
+
+async def test_unreachable_store_is_a_failure():
+    client = store_lib.StoreClient("127.0.0.1:9")
+    assert isinstance(await client.read(TOPIC, None), store_lib.Failed)
+    await client.close()
