Read on from the first page of a listing, wait longer, and tell cut calls truly

Reads go on from the newest record of the first page; after dropped history from the oldest one held. Cause 3: each read that finds nothing is paid for; reads wait 15 s.

--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -68,6 +68,9 @@
 def _by_rule(
     state: state_lib.GateState, event: events.CallArrived
 ) -> Destination | Nowhere:
+    if not state.listening:
+        # What is taken now might not end before the process is killed.
+        return Nowhere(503, "stopping", "this gate host stops")
     if state.rules.version is None:
         return Nowhere(
             503, "no_configuration", "this gate host has no configuration yet"
--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -67,5 +67,9 @@
         return
     call.maybe_ran = call.maybe_ran or bool(call.attempts)
     answers.give_up(
-        state, call, 503, "stopping", "the gate host stops; ask again elsewhere"
+        state,
+        call,
+        502 if call.maybe_ran else 503,
+        "stopping",
+        "the gate host stops; ask again elsewhere",
     )
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -142,12 +142,15 @@
     Attributes:
         source: What to read, a value of `store_reads.Source`.
         from_offset: First offset wanted, or None for the whole.
+        first_offset: Offset of the oldest record that the store holds, as
+            far as it has told.
         delay_us: Time to wait before the read.
     """
 
     source: str
     from_offset: int | None
-    delay_us: int = 0
+    first_offset: int
+    delay_us: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -350,10 +350,17 @@
 
 @attrs.define
 class StoreHistoryDropped:
-    """The platform's store no longer holds the records asked for."""
+    """The platform's store no longer holds the records asked for.
+
+    Attributes:
+        now_us: Monotonic time.
+        source: What was read.
+        first_offset: Offset of the oldest record that it holds.
+    """
 
     now_us: int
     source: str
+    first_offset: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -100,8 +100,10 @@
             discovery.on_configuration_read(state, event)
         case events.TargetsRead():
             discovery.on_targets_read(state, event)
-        case events.StoreHistoryDropped(_, source):
-            store_reads.on_forgotten(state, store_state.Source(source))
+        case events.StoreHistoryDropped(_, source, first_offset):
+            store_reads.on_forgotten(
+                state, store_state.Source(source), first_offset
+            )
         case events.StoreReadFailed(_, source, why):
             store_reads.on_failed(state, store_state.Source(source), why)
         case _:
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -13,7 +13,7 @@
 # Pauses between reads that fail; the first is short, since most failures are
 # those of a single connection.
 FIRST_RETRY_US = 100_000
-MAX_RETRY_US = 1_000_000
+MAX_RETRY_US = 700_000
 # Part of each pause that is drawn at random, so that a fleet which lost the
 # store at one moment does not come back to it at one moment.
 RETRY_SPREAD = 0.5
@@ -61,11 +61,12 @@
 
 
 def on_forgotten(
-    state: state_lib.GateState, source: store_state.Source
+    state: state_lib.GateState, source: store_state.Source, first_offset: int
 ) -> None:
     """Reads the whole, since the store has dropped the records before."""
     reads = state.store_reads[source]
     reads.next_offset = None
+    reads.first_offset = first_offset
     detail = f"{source.value}: the store dropped records; reading the whole"
     state.emit(effects.Report("info", "store_history_dropped", detail))
     _ask(state, source, 0)
@@ -92,4 +93,8 @@
 ) -> None:
     reads = state.store_reads[source]
     reads.asked_us = state.now_us + delay_us
-    state.emit(effects.ReadStore(source.value, reads.next_offset, delay_us))
+    state.emit(
+        effects.ReadStore(
+            source.value, reads.next_offset, reads.first_offset, delay_us
+        )
+    )
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -45,6 +45,8 @@
     Attributes:
         next_offset: First offset that has not been read; None when the whole
             has to be read.
+        first_offset: Offset of the oldest record that the store holds, as
+            far as it has told.
         asked_us: Time at which the latest read was to start.
         failures: Reads that have failed since one succeeded.
         lost_us: Time of the first of these failures.
@@ -53,6 +55,7 @@
     """
 
     next_offset: int | None = None
+    first_offset: int = 0
     asked_us: int = 0
     failures: int = 0
     lost_us: int = 0
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -134,14 +134,18 @@
         if source is store_state.Source.TARGETS:
             topic = TARGETS_TOPIC
         self.metrics.counts["store_read"] += 1
-        found = await self._store.read(topic, effect.from_offset)
+        found = await self._store.read(
+            topic, effect.from_offset, effect.first_offset
+        )
         match found:
             case store_lib.Failed(why):
                 event: events.Event = events.StoreReadFailed(
                     self.now_us(), effect.source, why
                 )
-            case store_lib.Dropped():
-                event = events.StoreHistoryDropped(self.now_us(), effect.source)
+            case store_lib.Dropped(first_offset):
+                event = events.StoreHistoryDropped(
+                    self.now_us(), effect.source, first_offset
+                )
             case store_lib.Batch() if source is store_state.Source.TARGETS:
                 event = self._targets(found)
             case store_lib.Batch():
--- a/src/fireflyspindle/platform/store.py
+++ b/src/fireflyspindle/platform/store.py
@@ -10,11 +10,13 @@
 import aiohttp
 import attrs
 
-# Longest wait of a read at the store. A read whose answer is lost hangs until
-# its timeout, and the users' bounds hold again 3 s after the store is sound
-# (`contact-ms`); the wait and the margin together stay below that.
-READ_WAIT_MS = 2_200
-READ_MARGIN_S = 0.5
+# Longest wait of a read at the store, half of what it allows. Each read is
+# paid for, and a connection that goes silent meanwhile is noticed by the
+# kernel; see below.
+READ_WAIT_MS = 15_000
+# Time for an answer beyond that; a slow store takes 0.4 s, and the users'
+# bounds hold again 3 s after the store is sound (`contact-ms`).
+READ_MARGIN_S = 1.5
 # Largest page of records in one read, as the store counts it.
 MAX_READ_KB = 1_024
 # Pages of one listing; the store gives 500 items a page.
@@ -60,7 +62,13 @@
 
 @attrs.define(frozen=True)
 class Dropped:
-    """The store no longer holds the records from the offset asked for."""
+    """The store no longer holds the records from the offset asked for.
+
+    Attributes:
+        first_offset: Offset of the oldest record that it holds.
+    """
+
+    first_offset: int
 
 
 @attrs.define(frozen=True)
@@ -89,7 +97,7 @@
         )
 
     async def read(
-        self, topic: str, from_offset: int | None
+        self, topic: str, from_offset: int | None, first_offset: int = 0
     ) -> Batch | Dropped | Failed:
         """Reads the records from an offset, or the newest of every key.
 
@@ -97,10 +105,12 @@
             topic: Name of a keyed topic.
             from_offset: First offset wanted; the store answers once there is
                 a record. None for the newest record of every key, at once.
+            first_offset: Offset of the oldest record that the store holds,
+                as far as it has told.
         """
         try:
             if from_offset is None:
-                return await self._read_newest(topic)
+                return await self._read_newest(topic, first_offset)
             return await self._read_from(topic, from_offset)
         except TimeoutError:
             return Failed("it did not answer in time")
@@ -122,20 +132,28 @@
         timeout_s = READ_WAIT_MS / 1000 + READ_MARGIN_S
         status, body = await self._get("/log-read", query, timeout_s)
         if status == 410:
-            return Dropped()
+            return Dropped(int(_json(body)["first-offset"]))
         if status != 200:
             return Failed(f"it answered with status {status}")
         end = int.from_bytes(body[:_OFFSET_BYTES])
         if end < offset:
-            return Dropped()
+            return Dropped(end)
         records = _records(body[2 * _OFFSET_BYTES :])
         return Batch(records, offset + len(records), whole=False)
 
-    async def _read_newest(self, topic: str) -> Batch | Failed:
+    async def _read_newest(
+        self, topic: str, first_offset: int
+    ) -> Batch | Failed:
+        """Lists the newest record of every key.
+
+        Pages are no snapshot, and neither are a page and the end that it
+        states. What is written meanwhile comes after the records of the
+        first page, so that reading goes on from there.
+        """
         records: list[Record] = []
-        next_offset: int | None = None
+        next_offset = first_offset
         after = ""
-        for _ in range(MAX_PAGES):
+        for number in range(MAX_PAGES):
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
@@ -143,14 +161,14 @@
             if status != 200:
                 return Failed(f"it answered with status {status}")
             page = _json(body)
-            if next_offset is None:
-                # Pages are no snapshot: what is written meanwhile is read
-                # again from the end of the first page.
-                next_offset = int(page["end-offset"])
-            records += [_item(item) for item in page["items"]]
-            if not page["has-more"] or not page["items"]:
+            items = page["items"]
+            if number == 0:
+                last = max((int(item["offset"]) for item in items), default=-1)
+                next_offset = max(next_offset, last + 1)
+            records += [_item(item) for item in items]
+            if not page["has-more"] or not items:
                 return Batch(records, next_offset, whole=True)
-            after = page["items"][-1]["key"]
+            after = items[-1]["key"]
         return Failed(f"topic {topic} has over {MAX_PAGES} pages")
 
     async def _get(
