Let calls wait at the gate host for room, the newest that is in time first

A replay of such a burst on the reducer showed more: calls went to full targets whenever all reports were fresh, and the queue by tenants sent the oldest first. Change: a call is sent where a target is known to have room and its usual pace; else it waits, with looks 15 ms apart and at each answer. The newest that can be in time goes first, late ones to slow targets; refused unsent when its deadline can't be met.

--- a/src/fireflyspindle/core/admission.py
+++ b/src/fireflyspindle/core/admission.py
@@ -6,6 +6,7 @@
 from fireflyspindle.core import placing
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import timers
+from fireflyspindle.core import waiting
 
 
 def offer(state: state_lib.GateState, call: state_lib.Call) -> None:
@@ -33,8 +34,12 @@
     """Sends queued calls of the services where attempts have ended."""
     while state.freed:
         service = state.services.get(state.freed.pop())
-        if service is not None and len(service.queue):
+        if service is None:
+            continue
+        if len(service.queue):
             _drain(state, service)
+        if service.room:
+            waiting.serve(state, service)
 
 
 def on_queue_due(state: state_lib.GateState, call_id: int) -> None:
--- a/src/fireflyspindle/core/capacity.py
+++ b/src/fireflyspindle/core/capacity.py
@@ -90,6 +90,7 @@
     service = state.services.get(call.service)
     if service is not None:
         service.queue.remove(call.call_id)
+        service.room.pop(call.call_id, None)
 
 
 def on_attempt_begun(
@@ -110,7 +111,7 @@
     service.tenants[call.tenant] -= 1
     if not service.tenants[call.tenant]:
         del service.tenants[call.tenant]
-    if len(service.queue):
+    if len(service.queue) or service.room:
         state.freed.append(service.name)
 
 
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -27,10 +27,9 @@
 # Part of the agreed share of repeats that is used. Calls move between gate
 # hosts with their callers, so the sum over all hosts needs a margin.
 REPEAT_SHARE_USED = 0.8
-# Gate hosts that fleet-wide budgets of probes and repeats are divided by. The
-# store names no number of them. The users run 14 to 130; their budget of
-# probes is far above what calls need, and their slack of repeats is 1.5 and
-# more for each gate host.
+# Gate hosts that the slack of repeats is divided by. The store names no number
+# of them; the users' slack grows with their gate hosts, at 1.5 and more for
+# each.
 GATE_HOSTS_ASSUMED = 64
 
 MISDIRECTED_STATUS = 421
--- a/src/fireflyspindle/core/forecast.py
+++ b/src/fireflyspindle/core/forecast.py
@@ -45,7 +45,7 @@
 # Random part of a forecast, so that gate hosts with the same knowledge do not
 # all choose the same target.
 SPREAD = 0.08
-# Good answers in a row without a load after which a service is taken for one
+# Answers in a row without a load after which a service is taken for one
 # whose targets do not state it.
 UNSTATED_LIMIT = 8
 
@@ -69,18 +69,20 @@
     seen, average = target.seen, service.pace
     seen.silences = 0
     seen.silent_until_us = 0
+    seen.heard_us = state.now_us
+    seen.pace = report.pace if report.pace is not None else 1.0
     if report.in_flight is None:
+        seen.others = 0
+        on_unstated(service)
         return
     average.unstated = 0
-    seen.heard_us = state.now_us
     seen.others = max(0, report.in_flight - own)
-    seen.pace = report.pace if report.pace is not None else 1.0
     average.pace += AVERAGE_STEP * (seen.pace - average.pace)
     average.others += AVERAGE_STEP * (seen.others - average.others)
 
 
 def on_unstated(service: state_lib.ServiceState) -> None:
-    """Counts a good answer that stated no load."""
+    """Counts an answer that stated no load."""
     service.pace.unstated += 1
     if service.pace.unstated >= UNSTATED_LIMIT:
         service.looks_ahead = False
@@ -169,6 +171,18 @@
     return expected_us + usual_us * extra
 
 
+def has_room(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> bool:
+    """Whether a call would not have to wait at a target."""
+    trust = _trust(state, target.seen)
+    mean = service.pace.others
+    others = mean + (target.seen.others - mean) * trust
+    return target.in_flight + others + 1 <= target.spec.slots
+
+
 def is_fresh(
     state: state_lib.GateState, target: targets.Target, age_us: int
 ) -> bool:
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -108,5 +108,5 @@
         return
     if state.now_us + forecast.work_us(service, call) > call.deadline_us:
         return
-    if retries.charge(state, service):
+    if not service.room and retries.charge(state, service):
         placing.place(state, service, call)
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -21,6 +21,7 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import timers
+from fireflyspindle.core import waiting
 
 
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
@@ -140,6 +141,10 @@
             claims.on_due(state)
         case timers.LookDue(call_id, look):
             placing.on_look_due(state, call_id, look)
+        case timers.RoomDue(service):
+            waiting.on_room_due(state, service)
+        case timers.WaitOver(call_id):
+            waiting.on_wait_over(state, call_id)
         case timers.RejoinOver():
             discovery.on_rejoin_over(state)
         case _:
@@ -159,6 +164,7 @@
                 | timers.HedgeDue(call_id)
                 | timers.QueueDue(call_id)
                 | timers.LookDue(call_id)
+                | timers.WaitOver(call_id)
             ):
                 if call_id in state.calls:
                     return
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -60,8 +60,18 @@
     service = state.services.get(call.service)
     if service is None or not may_send_again(state, call):
         return False
-    if routing.choose(state, service, call) is None:
+    if not _has_target(state, service, call):
         return False
     if reached_target and not charge(state, service):
         return False
     return placing.place(state, service, call)
+
+
+def _has_target(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> bool:
+    if service.looks_ahead:
+        return routing.has_untried(service, call)
+    return routing.choose(state, service, call) is not None
--- a/src/fireflyspindle/core/routing.py
+++ b/src/fireflyspindle/core/routing.py
@@ -54,6 +54,16 @@
     return best or cold
 
 
+def has_untried(service: state_lib.ServiceState, call: state_lib.Call) -> bool:
+    """Whether there is a target that a call has not been sent to."""
+    return any(
+        not target.leaving
+        and not target.ejected
+        and target.spec.key not in call.tried
+        for target in service.targets.values()
+    )
+
+
 def ranked(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -260,6 +260,8 @@
         looks_ahead: Whether targets are asked for their load before a call
             is sent.
         pace: Estimates of how long work takes at this moment.
+        room: Calls that wait for room at a target, by number.
+        room_armed: Whether a look for room is due.
         repeats: Sends beyond the first of each request; None where the
             budgets of retries and hedges hold.
         ejected: Targets that are ejected, by address.
@@ -303,6 +305,8 @@
     pace: forecast_state.ServicePace = attrs.field(
         factory=forecast_state.ServicePace
     )
+    room: dict[int, None] = attrs.field(factory=dict)
+    room_armed: bool = False
     repeats: budgets.WindowBudget | None = None
 
 
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -39,6 +39,20 @@
     look: int
 
 
+@attrs.define
+class RoomDue:
+    """It is time to look for room for the waiting calls of a service."""
+
+    service: str
+
+
+@attrs.define
+class WaitOver:
+    """A call that waits for room can't be answered in time any more."""
+
+    call_id: int
+
+
 @attrs.define
 class RejoinOver:
     """Targets that an outage of the store cost have had time to come back."""
@@ -85,6 +99,8 @@
     | HedgeDue
     | QueueDue
     | LookDue
+    | RoomDue
+    | WaitOver
     | RejoinOver
     | DrainGraceOver
     | DrainDeadline
--- /dev/null
+++ b/src/fireflyspindle/core/waiting.py
@@ -0,0 +1,185 @@
+"""Calls that wait at this gate host until a target has room for them.
+
+Load pattern: more calls come than the targets can answer in time, for
+seconds. Calls that queue at targets in the order of their arrival would then
+all be late. They wait here instead, and the newest goes first, since it can
+still be answered in time; a call whose time has passed goes when no other
+waits, also to slow targets, whose slots nobody else wants. Within that order
+the more urgent route goes first.
+"""
+
+from fireflyspindle.core import answers
+from fireflyspindle.core import attempts
+from fireflyspindle.core import forecast
+from fireflyspindle.core import placing
+from fireflyspindle.core import routing
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import targets
+from fireflyspindle.core import timers
+
+# Time between two looks for room.
+LOOK_SPACING_US = 15_000
+# Time that an answer needs at the least, as a multiple of the usual work; a
+# call with less time left can't be answered in time.
+LEAST_WORK_FACTOR = 1.1
+# Calls of a service that wait at one gate host.
+MAX_WAITING = 200
+
+
+def enter(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    """Lets a call wait, or refuses it if it would wait for nothing."""
+    if _time_left_us(state, service, call) < 0 or _is_full(service):
+        _refuse(state, service, call)
+        return
+    if call.call_id not in service.room:
+        service.room[call.call_id] = None
+        state.timers.add(
+            call.deadline_us - _least_us(service, call),
+            timers.WaitOver(call.call_id),
+        )
+    _arm(state, service)
+
+
+def serve(state: state_lib.GateState, service: state_lib.ServiceState) -> None:
+    """Sends waiting calls to the targets that are known to have room."""
+    while service.room:
+        call = _next(state, service)
+        target = room_for(state, service, call)
+        if target is None:
+            return
+        del service.room[call.call_id]
+        attempts.begin(state, call, target)
+
+
+def room_for(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> targets.Target | None:
+    """Returns a target that is known to have room for a call, if any."""
+    if service.room and is_late(state, service, call):
+        if not is_late(state, service, _next(state, service)):
+            return None
+        return _room_at_slow(state, service, call)
+    limit_us = placing.POOR_FACTOR * forecast.work_us(service, call)
+    for expected_us, target in routing.ranked(state, service, call):
+        if expected_us > limit_us:
+            return None
+        if forecast.has_room(state, service, target):
+            return target
+    return None
+
+
+def _room_at_slow(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> targets.Target | None:
+    """Returns the slowest target with room that answers before the deadline."""
+    left_us = call.deadline_us - state.now_us
+    for expected_us, target in reversed(routing.ranked(state, service, call)):
+        if expected_us * LEAST_WORK_FACTOR > left_us:
+            continue
+        if forecast.has_room(state, service, target):
+            return target
+    return None
+
+
+def is_late(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> bool:
+    """Whether a call can't be answered within its aim any more."""
+    if call.aim_us is None:
+        return False
+    return state.now_us + _least_us(service, call) > call.aim_us
+
+
+def _least_us(service: state_lib.ServiceState, call: state_lib.Call) -> int:
+    return int(LEAST_WORK_FACTOR * forecast.work_us(service, call))
+
+
+def _time_left_us(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> int:
+    return call.deadline_us - _least_us(service, call) - state.now_us
+
+
+def _is_full(service: state_lib.ServiceState) -> bool:
+    return len(service.room) >= MAX_WAITING
+
+
+def _next(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> state_lib.Call:
+    """Returns the call whose turn it is."""
+    waiting = [state.calls[call_id] for call_id in service.room]
+    return max(
+        waiting,
+        key=lambda call: (
+            not is_late(state, service, call),
+            -call.priority,
+            call.arrived_us,
+        ),
+    )
+
+
+def on_room_due(state: state_lib.GateState, name: str) -> None:
+    """Looks for room for the next call, or sends it if there is some."""
+    service = state.services.get(name)
+    if service is None:
+        return
+    service.room_armed = False
+    serve(state, service)
+    if not service.room:
+        return
+    call = _next(state, service)
+    if not placing.look(state, service, call):
+        _arm(state, service)
+
+
+def on_wait_over(state: state_lib.GateState, call_id: int) -> None:
+    """Refuses a call that can't be answered before its deadline any more."""
+    call = state.calls.get(call_id)
+    service = state.services.get(call.service) if call is not None else None
+    if call is None or service is None or call_id not in service.room:
+        return
+    _refuse(state, service, call)
+
+
+def _arm(state: state_lib.GateState, service: state_lib.ServiceState) -> None:
+    if service.room_armed:
+        return
+    service.room_armed = True
+    state.timers.add(
+        state.now_us + LOOK_SPACING_US, timers.RoomDue(service.name)
+    )
+
+
+def _refuse(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    service.room.pop(call.call_id, None)
+    left_ms = max(0, call.deadline_us - state.now_us) // 1000
+    detail = (
+        f"no target of {service.name} has room; {len(service.room)} calls"
+        f" wait and {left_ms} ms are left"
+    )
+    wait_ms = int(forecast.work_us(service, call)) // 1000
+    answers.give_up(
+        state,
+        call,
+        502 if call.maybe_ran else 503,
+        "no_room",
+        detail,
+        answers.spread_ms(state, wait_ms),
+    )
