Let no read wait at the store until one has succeeded after a failure

Change: after a failure a read asks for no wait and is given up after 1.2 s; connecting is given up after 1.2 s too.

--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -144,13 +144,15 @@
         from_offset: First offset wanted, or None for the whole.
         first_offset: Offset of the oldest record that the store holds, as
             far as it has told.
-        delay_us: Time to wait before the read.
+        delay_us: Time to pass before the read.
+        wait_ms: Time for which the read may wait at the store for a record.
     """
 
     source: str
     from_offset: int | None
     first_offset: int
     delay_us: int
+    wait_ms: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -14,6 +14,11 @@
 # those of a single connection.
 FIRST_RETRY_US = 100_000
 MAX_RETRY_US = 700_000
+# Longest wait of a read at the store, half of what it allows. Each read is
+# paid for. A read that the store never answers would hang for this long: the
+# first one after a failure does not wait, and a store that goes silent while
+# reads wait there resets them or is noticed by the kernel.
+WAIT_MS = 15_000
 # Part of each pause that is drawn at random, so that a fleet which lost the
 # store at one moment does not come back to it at one moment.
 RETRY_SPREAD = 0.5
@@ -95,6 +100,10 @@
     reads.asked_us = state.now_us + delay_us
     state.emit(
         effects.ReadStore(
-            source.value, reads.next_offset, reads.first_offset, delay_us
+            source=source.value,
+            from_offset=reads.next_offset,
+            first_offset=reads.first_offset,
+            delay_us=delay_us,
+            wait_ms=0 if reads.failures else WAIT_MS,
         )
     )
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -135,7 +135,7 @@
             topic = TARGETS_TOPIC
         self.metrics.counts["store_read"] += 1
         found = await self._store.read(
-            topic, effect.from_offset, effect.first_offset
+            topic, effect.from_offset, effect.first_offset, effect.wait_ms
         )
         match found:
             case store_lib.Failed(why):
--- a/src/fireflyspindle/platform/store.py
+++ b/src/fireflyspindle/platform/store.py
@@ -1,6 +1,5 @@
 """The client of the platform's store."""
 
-import asyncio
 import base64
 import binascii
 import json
@@ -10,13 +9,10 @@
 import aiohttp
 import attrs
 
-# Longest wait of a read at the store, half of what it allows. Each read is
-# paid for, and a connection that goes silent meanwhile is noticed by the
-# kernel; see below.
-READ_WAIT_MS = 15_000
-# Time for an answer beyond that; a slow store takes 0.4 s, and the users'
-# bounds hold again 3 s after the store is sound (`contact-ms`).
-READ_MARGIN_S = 1.5
+# Time for an answer beyond what a read waits at the store. A slow store takes
+# 0.4 s; the users' bounds hold again 3 s after the store is sound
+# (`contact-ms`), and a pause of 0.9 s comes after a read that hung.
+ANSWER_TIMEOUT_S = 1.2
 # Largest page of records in one read, as the store counts it.
 MAX_READ_KB = 1_024
 # Pages of one listing; the store gives 500 items a page.
@@ -97,7 +93,11 @@
         )
 
     async def read(
-        self, topic: str, from_offset: int | None, first_offset: int = 0
+        self,
+        topic: str,
+        from_offset: int | None,
+        first_offset: int = 0,
+        wait_ms: int = 0,
     ) -> Batch | Dropped | Failed:
         """Reads the records from an offset, or the newest of every key.
 
@@ -107,11 +107,12 @@
                 a record. None for the newest record of every key, at once.
             first_offset: Offset of the oldest record that the store holds,
                 as far as it has told.
+            wait_ms: Time for which the store may wait for a record.
         """
         try:
             if from_offset is None:
                 return await self._read_newest(topic, first_offset)
-            return await self._read_from(topic, from_offset)
+            return await self._read_from(topic, from_offset, wait_ms)
         except TimeoutError:
             return Failed("it did not answer in time")
         except (aiohttp.ClientError, OSError) as error:
@@ -120,17 +121,16 @@
             return Failed(f"its answer can't be read: {error!r}")
 
     async def _read_from(
-        self, topic: str, offset: int
+        self, topic: str, offset: int, wait_ms: int
     ) -> Batch | Dropped | Failed:
         query = {
             "topic": topic,
             "part": "0",
             "start-key": str(offset),
             "max-kb": str(MAX_READ_KB),
-            "wait-ms": str(READ_WAIT_MS),
+            "wait-ms": str(wait_ms),
         }
-        timeout_s = READ_WAIT_MS / 1000 + READ_MARGIN_S
-        status, body = await self._get("/log-read", query, timeout_s)
+        status, body = await self._get("/log-read", query, wait_ms)
         if status == 410:
             return Dropped(int(_json(body)["first-offset"]))
         if status != 200:
@@ -157,7 +157,7 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            status, body = await self._get("/log-newest", query, READ_MARGIN_S)
+            status, body = await self._get("/log-newest", query, 0)
             if status != 200:
                 return Failed(f"it answered with status {status}")
             page = _json(body)
@@ -172,12 +172,15 @@
         return Failed(f"topic {topic} has over {MAX_PAGES} pages")
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout_s: float
+        self, path: str, query: dict[str, str], wait_ms: int
     ) -> tuple[int, bytes]:
-        async with (
-            asyncio.timeout(timeout_s),
-            self._session.get(self._base + path, params=query) as answer,
-        ):
+        timeout = aiohttp.ClientTimeout(
+            total=wait_ms / 1000 + ANSWER_TIMEOUT_S,
+            sock_connect=ANSWER_TIMEOUT_S,
+        )
+        async with self._session.get(
+            self._base + path, params=query, timeout=timeout
+        ) as answer:
             return answer.status, await answer.read()
 
     async def close(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -155,12 +155,15 @@
         delays_us += [
             e.delay_us for e in taken if isinstance(e, effects.ReadStore)
         ]
+    # A read that hangs while the store comes back would hang for its wait.
+    assert host.of(effects.ReadStore)[-1].wait_ms == 0
     assert delays_us[0] <= 125_000
     assert 525_000 <= delays_us[-1] <= 875_000
     reports = [e.code for e in host.of(effects.Report)]
     assert reports.count("store_lost") == 1
     host.register()
     assert [e.code for e in host.of(effects.Report)][-1] == "store_regained"
+    assert host.of(effects.ReadStore)[-1].wait_ms > 0
 
 
 def test_call_after_the_grace_time_of_a_stop_is_refused(make_published_host):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -39,7 +39,7 @@
 async def test_read_waits_for_the_next_record(store):
     stand_in, client = store
     stand_in.write(TOPIC, "i-1", b"one")
-    reading = asyncio.create_task(client.read(TOPIC, 1))
+    reading = asyncio.create_task(client.read(TOPIC, 1, wait_ms=10_000))
     await asyncio.sleep(0.05)
     assert not reading.done()
     stand_in.write(TOPIC, "i-1", None)
@@ -48,10 +48,9 @@
     assert (found.next_offset, found.whole) == (2, False)
 
 
-async def test_read_without_news_ends_empty(store, monkeypatch):
+async def test_read_without_news_ends_empty(store):
     _, client = store
-    monkeypatch.setattr(store_lib, "READ_WAIT_MS", 50)
-    found = await client.read(TOPIC, 0)
+    found = await client.read(TOPIC, 0, wait_ms=50)
     assert found == store_lib.Batch([], 0, whole=False)
 
 
@@ -98,10 +97,9 @@
 @pytest.mark.parametrize("from_offset", [None, 0])
 async def test_silence_ends_in_a_failure(store, monkeypatch, from_offset):
     stand_in, client = store
-    monkeypatch.setattr(store_lib, "READ_WAIT_MS", 50)
-    monkeypatch.setattr(store_lib, "READ_MARGIN_S", 0.05)
+    monkeypatch.setattr(store_lib, "ANSWER_TIMEOUT_S", 0.05)
     stand_in.silent = True
-    found = await client.read(TOPIC, from_offset)
+    found = await client.read(TOPIC, from_offset, wait_ms=50)
     assert "in time" in found.why
     stand_in.silent = False
     assert isinstance(await client.read(TOPIC, None), store_lib.Batch)
