Never send a waiting call twice, and judge room by what targets said lately

A send ends the look, and sending a request that may not be repeated while it may have run is a broken invariant. Failures count only beyond those of the service, and only for the order. Cause 3: full targets of this site take 1.7 times as long; the slowdown is learned, and a slot is left free where it is large. Also: a call waits for 0.6 of its time at the most, and probes are shared by 18 gate hosts in place of 24, with looks for room 30 ms apart.

--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -16,8 +16,18 @@
 def begin(
     state: state_lib.GateState, call: state_lib.Call, target: targets.Target
 ) -> None:
-    """Sends an attempt of a call to a target."""
+    """Sends an attempt of a call to a target.
+
+    Raises:
+        AssertionError: A request that may not be repeated would be sent
+            while it may have run or may still run.
+    """
+    may_run = call.maybe_ran or any(
+        not attempt.declined for attempt in call.attempts.values()
+    )
+    assert call.repeatable or not may_run
     call.sent_attempts += 1
+    call.look = None
     service = state.services[call.service]
     attempt = state_lib.Attempt(
         call.sent_attempts,
@@ -25,6 +35,7 @@
         state.now_us,
         service,
         forecast.pace(state, service, target),
+        forecast.is_crowded(state, service, target),
     )
     capacity.on_attempt_begun(service, call)
     call.attempts[attempt.number] = attempt
@@ -82,7 +93,7 @@
     target = attempt.target
     if answered:
         latency_us = state.now_us - attempt.started_us
-        forecast.on_latency(service, latency_us, attempt.pace)
+        forecast.on_latency(service, latency_us, attempt.pace, attempt.crowded)
     report = event.report
     if report is not None and report.in_flight is not None:
         own = target.in_flight - 1
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -73,6 +73,7 @@
     attempt = call.attempts[event.attempt]
     _learn_from_answer(state, call, attempt, event)
     attempts.learn(state, call, attempt, event)
+    attempt.declined = event.not_run
     if not event.not_run:
         call.status = event.status
     if call.phase is not state_lib.CallPhase.WAITING:
--- a/src/fireflyspindle/core/forecast.py
+++ b/src/fireflyspindle/core/forecast.py
@@ -23,6 +23,8 @@
 EXPECTED_WORK_SHARE = 0.4
 # Least time that work is expected to take where nothing is known.
 DEFAULT_WORK_US = 100_000
+# Pace from which a target counts as slow.
+SLOW_PACE = 2.0
 # Extra time at a target in another failure domain, as a share of the work:
 # bytes between failure domains are paid for.
 OTHER_DOMAIN_SHARE = 0.15
@@ -42,6 +44,15 @@
 # First pause after which a silent target is asked again, and its limit.
 SILENCE_US = 200_000
 MAX_SILENCE_DOUBLINGS = 4
+# Share of the slots above which a target may slow down; the users' targets
+# that do so begin at 0.8.
+CROWDED_SHARE = 0.8
+# Slowdown of crowded targets from which these slots are left free, since more
+# calls at once then mean fewer answers a second.
+CROWDING_LIMIT = 1.2
+# Weight of one answer in the estimate of that slowdown, and its limit.
+CROWDING_STEP = 1 / 16
+MAX_CROWDING = 3.0
 # Random part of a forecast, so that gate hosts with the same knowledge do not
 # all choose the same target.
 SPREAD = 0.08
@@ -97,11 +108,18 @@
 
 
 def on_latency(
-    service: state_lib.ServiceState, latency_us: int, pace: float
+    service: state_lib.ServiceState,
+    latency_us: int,
+    pace: float,
+    crowded: bool,
 ) -> None:
     """Takes the time to a good answer of a target that had a pace."""
     average = service.pace
     work_us = latency_us / max(1.0, pace)
+    if crowded and average.work_us:
+        ratio = min(MAX_CROWDING, work_us / average.work_us)
+        average.crowding += CROWDING_STEP * (ratio - average.crowding)
+        return
     if not average.work_us:
         average.work_us = work_us
     average.work_us += WORK_STEP * (work_us - average.work_us)
@@ -150,9 +168,7 @@
         return SILENT_US + state.random.random()
     usual_us = work_us(service, call)
     trust = _trust(state, seen)
-    mean = service.pace.others
-    others = mean + (seen.others - mean) * trust
-    held = target.in_flight + others
+    held = _held(state, service, target)
     slots = target.spec.slots
     extra = HELD_SHARE * held / slots + SPREAD * state.random.random()
     if hopeful:
@@ -167,7 +183,8 @@
         extra += OTHER_DOMAIN_SHARE
     if state.now_us < target.warm_at_us:
         extra += COLD_SHARE
-    extra += FAILURE_SHARE * target.health.failure_share
+    worse = target.health.failure_share - service.failure_share
+    extra += FAILURE_SHARE * max(0.0, worse)
     return expected_us + usual_us * extra
 
 
@@ -177,10 +194,31 @@
     target: targets.Target,
 ) -> bool:
     """Whether a call would not have to wait at a target."""
+    slots = float(target.spec.slots)
+    if service.pace.crowding > CROWDING_LIMIT:
+        slots = max(1.0, slots * CROWDED_SHARE)
+    return _held(state, service, target) + 1 <= slots
+
+
+def is_crowded(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> bool:
+    """Whether one more call leaves a target with hardly a free slot."""
+    held = _held(state, service, target) + 1
+    return held > CROWDED_SHARE * target.spec.slots
+
+
+def _held(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> float:
+    """Returns the requests that a target is expected to hold."""
     trust = _trust(state, target.seen)
     mean = service.pace.others
-    others = mean + (target.seen.others - mean) * trust
-    return target.in_flight + others + 1 <= target.spec.slots
+    return target.in_flight + mean + (target.seen.others - mean) * trust
 
 
 def is_fresh(
--- a/src/fireflyspindle/core/forecast_state.py
+++ b/src/fireflyspindle/core/forecast_state.py
@@ -36,10 +36,13 @@
         work_us: Time that work takes at the usual pace; 0 for none known.
         pace: Average pace.
         others: Average number of other gate hosts' requests at a target.
-        unstated: Good answers in a row that stated no load.
+        crowding: Time that work takes at a target whose slots are nearly all
+            taken, relative to the usual time.
+        unstated: Answers in a row that stated no load.
     """
 
     work_us: float = 0.0
     pace: float = FIRST_PACE
     others: float = 0.0
+    crowding: float = 1.0
     unstated: int = 0
--- a/src/fireflyspindle/core/placing.py
+++ b/src/fireflyspindle/core/placing.py
@@ -23,13 +23,11 @@
 # Longest wait for the loads of one round; the users' targets take 6 ms.
 ROUND_US = 25_000
 # Age up to which a statement needs no look.
-FRESH_US = 20_000
-# Forecast, as a multiple of the usual work, above which others are asked.
-POOR_FACTOR = 2.0
+FRESH_US = 30_000
 PROBE_BURST_S = 1.0
 # Gate hosts that the budget of probes is divided by. The store names no
 # number of them; the users run 14 to 17 where calls come close to the budget.
-GATE_HOSTS_ASSUMED = 24
+GATE_HOSTS_ASSUMED = 18
 
 
 def place(
@@ -97,11 +95,11 @@
     ranked = routing.ranked(state, service, call)
     if not ranked:
         return False
-    best_us, best = ranked[0]
-    poor_us = POOR_FACTOR * forecast.work_us(service, call)
-    idle = not best.in_flight
-    if idle and best_us < poor_us and forecast.is_fresh(state, best, FRESH_US):
-        return False
+    best = ranked[0][1]
+    sound = forecast.pace(state, service, best) <= forecast.SLOW_PACE
+    if sound and not best.in_flight:
+        if forecast.is_fresh(state, best, FRESH_US):
+            return False
     asked = [
         target
         for _, target in routing.ranked(state, service, call, hopeful=True)
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -74,6 +74,8 @@
         started_us: Time of sending.
         service: Service of the target.
         pace: Pace that was expected of the target.
+        crowded: Whether the target's slots were nearly all taken.
+        declined: Whether the target stated that it ran nothing.
     """
 
     number: int
@@ -81,6 +83,8 @@
     started_us: int
     service: "ServiceState"
     pace: float = 1.0
+    crowded: bool = False
+    declined: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/core/waiting.py
+++ b/src/fireflyspindle/core/waiting.py
@@ -17,11 +17,20 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
-# Time between two looks for room.
-LOOK_SPACING_US = 15_000
+# Time between two looks for room. Answers to other calls show room too, and
+# each look takes probes from the calls that come.
+LOOK_SPACING_US = 30_000
 # Time that an answer needs at the least, as a multiple of the usual work; a
 # call with less time left can't be answered in time.
 LEAST_WORK_FACTOR = 1.1
+# Age up to which a statement shows that a target has room: half the time for
+# which the users' targets keep their pace.
+KNOWN_US = 250_000
+# Margin, as a factor, to the deadline of a call that goes to a slow target.
+SLOW_MARGIN = 1.4
+# Part of its time that a call waits for room at the most. Later there is
+# little chance left, and a caller that is told early may still come back.
+MAX_WAIT_SHARE = 0.6
 # Calls of a service that wait at one gate host.
 MAX_WAITING = 200
 
@@ -32,14 +41,14 @@
     call: state_lib.Call,
 ) -> None:
     """Lets a call wait, or refuses it if it would wait for nothing."""
-    if _time_left_us(state, service, call) < 0 or _is_full(service):
+    hopeless = state.now_us >= _wait_end_us(service, call)
+    if hopeless or len(service.room) >= MAX_WAITING:
         _refuse(state, service, call)
         return
     if call.call_id not in service.room:
         service.room[call.call_id] = None
         state.timers.add(
-            call.deadline_us - _least_us(service, call),
-            timers.WaitOver(call.call_id),
+            _wait_end_us(service, call), timers.WaitOver(call.call_id)
         )
     _arm(state, service)
 
@@ -65,10 +74,13 @@
         if not is_late(state, service, _next(state, service)):
             return None
         return _room_at_slow(state, service, call)
-    limit_us = placing.POOR_FACTOR * forecast.work_us(service, call)
     for expected_us, target in routing.ranked(state, service, call):
-        if expected_us > limit_us:
+        if expected_us >= forecast.SILENT_US:
             return None
+        if not forecast.is_fresh(state, target, KNOWN_US):
+            continue
+        if forecast.pace(state, service, target) > forecast.SLOW_PACE:
+            continue
         if forecast.has_room(state, service, target):
             return target
     return None
@@ -82,7 +94,9 @@
     """Returns the slowest target with room that answers before the deadline."""
     left_us = call.deadline_us - state.now_us
     for expected_us, target in reversed(routing.ranked(state, service, call)):
-        if expected_us * LEAST_WORK_FACTOR > left_us:
+        if expected_us * SLOW_MARGIN > left_us:
+            continue
+        if not forecast.is_fresh(state, target, KNOWN_US):
             continue
         if forecast.has_room(state, service, target):
             return target
@@ -104,16 +118,13 @@
     return int(LEAST_WORK_FACTOR * forecast.work_us(service, call))
 
 
-def _time_left_us(
-    state: state_lib.GateState,
-    service: state_lib.ServiceState,
-    call: state_lib.Call,
-) -> int:
-    return call.deadline_us - _least_us(service, call) - state.now_us
-
-
-def _is_full(service: state_lib.ServiceState) -> bool:
-    return len(service.room) >= MAX_WAITING
+def _wait_end_us(service: state_lib.ServiceState, call: state_lib.Call) -> int:
+    """Returns until when a call waits for room."""
+    whole_us = call.deadline_us - call.arrived_us
+    return min(
+        call.deadline_us - _least_us(service, call),
+        call.arrived_us + int(MAX_WAIT_SHARE * whole_us),
+    )
 
 
 def _next(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -121,7 +121,7 @@
         host.now_us += 40_000
         host.answer(call_id, 1, report=load())
         host.finish(call_id)
-        host.now_us += 30_000
+        host.now_us += 40_000
     assert early["i-7"] < early["i-0"] / 2
     assert later["i-7"] > 0
 
@@ -389,3 +389,64 @@
             host.finish(effect.call_id)
     capacity = 6 * 4 * 2.0 / 0.120
     assert in_time >= 0.75 * capacity
+
+
+def test_waiting_call_that_was_sent_is_not_sent_again_by_its_look(
+    make_published_host,
+):
+    """The look for room of a call ends after an answer showed some."""
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule])
+    full = all_slow(in_flight=4, pace=1.0)
+    host.place(1)
+    host.advance(300_000)
+    host.arrive(2)
+    answer_probes(host, full, 24_000)
+    for _ in range(60):
+        host.advance(1_000)
+        if host.state.calls[2].look is not None:
+            break
+    assert host.state.calls[2].look is not None
+    assert 2 in host.service().room
+    host.answer(1, 1, report=load())
+    host.finish(1)
+    assert [e.call_id for e in host.sent] == [1, 2]
+    host.tell_loads()
+    assert [e.call_id for e in host.sent] == [1, 2]
+
+
+def test_targets_that_slow_down_when_crowded_keep_a_slot_free(
+    make_published_host,
+):
+    host = make_published_host(targets=4)
+    for call_id in range(1, 41):
+        crowded = call_id > 10
+        loads = all_slow(in_flight=3 if crowded else 0, pace=1.0)
+        host.arrive(call_id)
+        while host.state.probes:
+            host.tell_loads(loads)
+        host.now_us += 200_000 if crowded else 100_000
+        host.answer(call_id, 1, report=load(in_flight=3 if crowded else 0))
+        host.finish(call_id)
+        host.now_us += 50_000
+    sent = len(host.sent)
+    host.arrive(99)
+    answer_probes(host, all_slow(in_flight=3, pace=1.0), 30_000)
+    assert len(host.sent) == sent
+
+
+def test_calls_go_on_while_every_target_sheds_half_of_them(
+    make_published_host,
+):
+    host = make_published_host(targets=6, repeat_share=0.0)
+    for call_id in range(1, 201):
+        host.place(call_id)
+        if call_id % 2:
+            host.answer(call_id, 1, status=503, not_run=True, report=load())
+        else:
+            host.answer(call_id, 1, report=load())
+            host.finish(call_id)
+        while host.state.probes:
+            host.tell_loads()
+        host.now_us += 50_000
+    assert len({e.call_id for e in host.sent}) == 200
