Keep each call's decisions and tell its story from the logs

Cause: an engineer on call had no line that told why a call was refused, sent again or late. Change: a call of a published rule keeps its steps with what decided them; a call that was not answered in time by its first target leaves one line with them all. 'fireflyspindle explain ID' tells a request's story, with what its host believed of the targets. /metrics is served at the ready address, with histograms by route.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -15,6 +15,7 @@
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import steps as steps_lib
 
 SETTLE_LIMIT_S = 5.0
 POLL_S = 0.01
@@ -210,8 +211,15 @@
             effect.outcome is effects.Outcome.UNKNOWN
             and not exchange.repeatable
         )
+        notable = effect.steps.kept and (
+            effect.late
+            or effect.attempts != 1
+            or effect.outcome is not effects.Outcome.COMPLETE
+        )
         if grave:
             _log(logs.logger.warning, exchange.request_id, effect)
+        elif notable:
+            _log(logs.logger.info, exchange.request_id, effect)
         elif logs.enabled("DEBUG"):
             _log(logs.logger.debug, exchange.request_id, effect)
 
@@ -219,8 +227,17 @@
 def _log(
     write: Callable[..., None], request_id: str, effect: effects.CallFinished
 ) -> None:
+    story = {}
+    if effect.steps.kept:
+        story = {
+            "route": effect.route,
+            "late": effect.late,
+            "steps": steps_lib.as_data(effect.steps),
+            "steps_left_out": effect.steps.left_out,
+        }
     write(
         "call finished",
+        code="call",
         request_id=request_id,
         tenant=effect.tenant,
         traffic_class=effect.traffic_class,
@@ -229,4 +246,5 @@
         total_us=effect.total_us,
         target_us=effect.target_us,
         attempts=effect.attempts,
+        **story,
     )
--- a/src/fireflyspindle/cli.py
+++ b/src/fireflyspindle/cli.py
@@ -6,14 +6,18 @@
 
 from fireflyspindle.bench import commands as bench_commands
 from fireflyspindle.commands import demo
+from fireflyspindle.commands import explain
 from fireflyspindle.commands import gate
 from fireflyspindle.commands import records
 from fireflyspindle.commands import stand_in
 from fireflyspindle.commands import token
+from fireflyspindle.platform import daemon
 
 COMMANDS = {
     "gate": gate.gate,
+    "platform": daemon.main,
     "demo": demo.demo,
+    "explain": explain.explain,
     **records.COMMANDS,
     "hash-token": token.hash_token,
     "bench": bench_commands.COMMANDS,
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -94,6 +94,13 @@
     """Answers the caller; the call ends once its attempts have."""
     call.phase = state_lib.CallPhase.ANSWERED
     call.outcome = answer.outcome
+    call.note(
+        state.now_us,
+        "gave_up",
+        status=answer.status,
+        error=answer.error,
+        why=answer.detail,
+    )
     state.emit(answer)
     finish_if_done(state, call)
 
@@ -116,5 +123,8 @@
             total_us=state.now_us - call.arrived_us,
             target_us=call.target_us,
             attempts=call.sent_attempts,
+            route=call.route,
+            late=call.aim_us is not None and state.now_us > call.aim_us,
+            steps=call.steps,
         )
     )
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -39,6 +39,7 @@
     )
     capacity.on_attempt_begun(service, call)
     call.attempts[attempt.number] = attempt
+    _note(state, call, attempt)
     call.last_target = target.spec.address
     call.tried.add(target.spec.key)
     targets.on_begin(target, state.now_us)
@@ -56,6 +57,26 @@
     hedging.schedule(state, call)
 
 
+def _note(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+) -> None:
+    seen = attempt.target.seen
+    call.note(
+        state.now_us,
+        "sent",
+        attempt.target.spec.key,
+        address=attempt.target.spec.address,
+        attempt=attempt.number,
+        own_in_flight=attempt.target.in_flight,
+        others=seen.others,
+        pace=round(attempt.pace, 2),
+        stated_ms_ago=(state.now_us - seen.heard_us) // 1000,
+        ejected=attempt.target.ejected,
+    )
+
+
 def learn(
     state: state_lib.GateState,
     call: state_lib.Call,
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -74,6 +74,14 @@
     _learn_from_answer(state, call, attempt, event)
     attempts.learn(state, call, attempt, event)
     attempt.declined = event.not_run
+    call.note(
+        state.now_us,
+        "answered",
+        attempt.target.spec.key,
+        attempt=attempt.number,
+        status=event.status,
+        not_run=event.not_run,
+    )
     if not event.not_run:
         call.status = event.status
     if call.phase is not state_lib.CallPhase.WAITING:
@@ -192,6 +200,14 @@
     if call is None or event.attempt not in call.attempts:
         return
     attempt = call.attempts[event.attempt]
+    call.note(
+        state.now_us,
+        "failed",
+        attempt.target.spec.key,
+        attempt=attempt.number,
+        why=event.reason.value,
+        sent=event.sent,
+    )
     attempts.release(state, call, attempt)
     service = state.services.get(call.service)
     if service is not None:
@@ -236,6 +252,7 @@
     call = state.calls.get(event.call_id)
     if call is None:
         return
+    call.note(state.now_us, "caller_left")
     call.phase = state_lib.CallPhase.ANSWERED
     if not call.attempts and not call.maybe_ran:
         call.outcome = effects.Outcome.NOT_RUN
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fireflyspindle.core import published
+from fireflyspindle.core import steps as steps_lib
 
 
 class Outcome(enum.Enum):
@@ -103,6 +104,10 @@
         total_us: Time from arrival to the end.
         target_us: Time spent waiting for the answering target.
         attempts: Number of attempts sent.
+        route: Name of the published rule that it came by, or "".
+        late: Whether it ended after the time within which an answer is
+            worth most.
+        steps: What was decided for it; kept for published rules only.
     """
 
     call_id: int
@@ -113,6 +118,9 @@
     total_us: int
     target_us: int
     attempts: int
+    route: str = ""
+    late: bool = False
+    steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
 
 
 @attrs.define
--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -232,7 +232,7 @@
         health.ejections = 0
     service.ejected[target.spec.key] = target
     _pause(state, target)
-    detail = f"{service.name}: {target.spec.address} is ejected: {why}"
+    detail = f"{service.name}: {target.spec.key} is ejected: {why}"
     state.emit(effects.Report("warning", "target_ejected", detail))
 
 
@@ -268,5 +268,5 @@
     )
     out_us = state.now_us - health.ejected_us
     slow_start.begin(state, service, target, out_us)
-    detail = f"{service.name}: {target.spec.address} is back after trials"
+    detail = f"{service.name}: {target.spec.key} is back after trials"
     state.emit(effects.Report("info", "target_returned", detail))
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -19,6 +19,7 @@
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
 from fireflyspindle.core import recovery_state
+from fireflyspindle.core import steps as steps_lib
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
@@ -118,6 +119,7 @@
         priority: Rank of its route; 0 is the most urgent.
         unreached_attempts: Attempts that never reached their target.
         look: Loads that are asked for before its next attempt, if any.
+        steps: What was decided for it.
     """
 
     call_id: int
@@ -146,6 +148,22 @@
     priority: int = 0
     unreached_attempts: int = 0
     look: "Look | None" = None
+    steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
+
+    def note(
+        self,
+        now_us: int,
+        what: str,
+        target: str = "",
+        **inputs: str | int | float | bool,
+    ) -> None:
+        """Keeps a step of a call that came by a published rule."""
+        if not self.route:
+            return
+        at_us = now_us - self.arrived_us
+        self.steps.add(
+            steps_lib.Step(at_us, what, target, tuple(inputs.items()))
+        )
 
 
 @attrs.define
--- a/src/fireflyspindle/core/waiting.py
+++ b/src/fireflyspindle/core/waiting.py
@@ -47,6 +47,13 @@
         return
     if call.call_id not in service.room:
         service.room[call.call_id] = None
+        call.note(
+            state.now_us,
+            "waits",
+            waiting=len(service.room),
+            targets=len(service.targets),
+            mean_pace=round(service.pace.pace, 2),
+        )
         state.timers.add(
             _wait_end_us(service, call), timers.WaitOver(call.call_id)
         )
--- a/src/fireflyspindle/metrics.py
+++ b/src/fireflyspindle/metrics.py
@@ -141,7 +141,7 @@
 
     def on_call_finished(self, effect: effects.CallFinished) -> None:
         """Counts a call that has ended."""
-        key = (effect.tenant, effect.traffic_class)
+        key = (effect.tenant, effect.traffic_class or effect.route)
         series = self.calls.get(key)
         if series is None:
             series = self.calls[key] = CallSeries()
--- a/src/fireflyspindle/platform/daemon.py
+++ b/src/fireflyspindle/platform/daemon.py
@@ -37,12 +37,14 @@
         for error in loaded.err_value:
             print(f"{path}: {error}", file=sys.stderr)
         return status.BAD_USE
-    logs.set_up("INFO", sys.stdout)
-    return asyncio.run(_run(loaded.ok_value))
+    log = logs.set_up_bounded("INFO", sys.stdout)
+    return asyncio.run(_run(loaded.ok_value, log))
 
 
-async def _run(settings: settings_lib.HostSettings) -> int:
-    running = host_lib.PlatformHost(settings)
+async def _run(
+    settings: settings_lib.HostSettings, log: logs.BoundedHandler
+) -> int:
+    running = host_lib.PlatformHost(settings, log)
     try:
         await running.start()
     except OSError as error:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -59,8 +59,13 @@
         settings: What this host was told at its start.
     """
 
-    def __init__(self, settings: settings_lib.HostSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_lib.HostSettings,
+        log: logs.BoundedHandler | None = None,
+    ) -> None:
         super().__init__(_core_settings(settings))
+        self._log = log
         self.settings = settings
         self._store = store_lib.StoreClient(settings.store_address)
         self._unreadable: dict[str, bytes] = {}
@@ -100,7 +105,12 @@
 
     async def _serve_readiness(self) -> None:
         app = web.Application()
-        app.add_routes([web.get("/readiness", self._on_readiness)])
+        app.add_routes(
+            [
+                web.get("/readiness", self._on_readiness),
+                web.get("/metrics", self._on_metrics),
+            ]
+        )
         self._ready = web.AppRunner(app, access_log=None)
         await self._ready.setup()
         address, _, port = self.settings.ready_address.rpartition(":")
@@ -110,6 +120,16 @@
         reason = readiness.not_ready_reason(self.state)
         return web.Response(status=200 if reason is None else 503, text=reason)
 
+    async def _on_metrics(self, _request: web.Request) -> web.Response:
+        if self._log is not None:
+            self.metrics.gauges["log_lines_left_out"] = self._log.dropped
+        self.metrics.gauges["calls_in_flight"] = len(self.state.calls)
+        self.metrics.gauges["configuration_version"] = (
+            self.state.rules.version or 0
+        )
+        content, http_headers = self.metrics.render()
+        return web.Response(body=content, headers=http_headers)
+
     def carry_out_own(self, effect: effects.Effect) -> None:
         """Carries out an effect on the store."""
         match effect:
