Test the platform's gate host end to end against its stand-ins

Change: raw callers, scripted servers and the stand-in store around a whole gate host: identity and deadline headers, pipelining, second answers, answers without length, cut answers by kind, 421, bodies, leaving servers, the store down, configurations old and torn, a planned stop.

--- /dev/null
+++ b/tests/test_platform_host.py
@@ -0,0 +1,401 @@
+"""A gate host on the platform, between raw callers and scripted servers."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import attrs
+import pytest
+
+from fireflyspindle import testing
+from fireflyspindle.core import events
+from fireflyspindle.platform import dialect
+from fireflyspindle.platform import host as host_lib
+from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.testing import store as store_lib
+import wire
+
+WAIT_S = 10.0
+IDEMPOTENT = "/read/"
+STRICT = "/offer/"
+
+
+def answer(request, body=b"ok", *lines, status="200 OK", framed=True):
+    """Returns the bytes of a server's answer to a request."""
+    request_id = b"".join(request.values(dialect.REQUEST_ID)).decode()
+    head = [
+        f"HTTP/1.1 {status}",
+        f"{dialect.REQUEST_ID}: {request_id}",
+        f"{dialect.SERVER_SIGNATURE}: s.{request_id}",
+        f"{dialect.SERVER_LOAD}: 0,0,4,100",
+        *lines,
+    ]
+    if framed:
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*head, "", ""]).encode() + body
+
+
+def answers(work=None, instance="i-0"):
+    """Returns the behaviour of a server; `work` writes answers of requests."""
+
+    async def behave(request, writer):
+        if request.first_line.startswith(b"GET /health "):
+            lines = f"{dialect.INSTANCE_ID}: {instance}"
+            found = answer(request, b"", lines).replace(
+                f"{dialect.REQUEST_ID}: \r\n".encode(), b""
+            )
+            writer.write(found)
+        elif work is None:
+            writer.write(answer(request))
+        else:
+            await work(request, writer)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+
+    return behave
+
+
+@attrs.define
+class Platform:
+    """A store, scripted servers and one gate host."""
+
+    store: testing.StandInStore
+    servers: list[testing.ScriptedTarget]
+    host: host_lib.PlatformHost
+
+    @property
+    def requests(self):
+        """Requests that reached servers, probes left out."""
+        return [
+            seen
+            for server in self.servers
+            for seen in server.requests
+            if not seen.first_line.startswith(b"GET /health ")
+        ]
+
+    async def caller(self):
+        """Opens a caller's connection."""
+        return await testing.connect(self.host.data_path.server.address)
+
+    async def ask(self, request):
+        """Sends a request on a connection of its own."""
+        caller = await self.caller()
+        async with asyncio.timeout(WAIT_S):
+            found = await caller.ask(request)
+        caller.close()
+        return found
+
+
+def reset_on_close(writer):
+    """Makes the close of a connection reset it."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
+def request(path=IDEMPOTENT + "1", *lines, method="GET", body=b"", name="q1"):
+    """Returns the bytes of a caller's request."""
+    return wire.request(
+        method,
+        path,
+        f"{dialect.REQUEST_ID}: {name}",
+        f"{dialect.DEADLINE_MS}: 3000",
+        *lines,
+        body=body,
+    )
+
+
+def document(version):
+    """The operator's configuration, with one route of each kind."""
+
+    def rule(name, prefix, kind):
+        return {
+            "name": name,
+            "route-kind": kind,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "match": {"path-prefix": prefix},
+            "action": {
+                "service": "s",
+                "timeout-ms": 2500,
+                "max-attempts": 2,
+            },
+        }
+
+    return {
+        "version": f"{version:08x}",
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "listeners": [
+            {
+                "host": "dossier.example",
+                "rules": [
+                    rule("r-1", IDEMPOTENT, "idempotent"),
+                    rule("r-2", STRICT, "non_idempotent"),
+                ],
+            }
+        ],
+        "clusters": [{"name": "s", "health-path": "/health", "max-conns": 99}],
+    }
+
+
+def entry(address, state="ready"):
+    """A server's entry."""
+    return {
+        "address": address,
+        "info": {"service": "s", "version": "v1", "zone": "a", "capacity": 4},
+        "status": {"state": state, "sequence": 1, "cold-left-ms": 0},
+        "born": 1_790_000_000_000,
+    }
+
+
+@contextlib.asynccontextmanager
+async def running(*behaviours):
+    """Runs a gate host before one scripted server for each behaviour."""
+    store = testing.StandInStore()
+    store_server = testing.Server(store.application())
+    store_address = await store_server.start()
+    servers = [testing.ScriptedTarget(found) for found in behaviours]
+    store.write(store_lib.CONFIGURATION_TOPIC, "config", document(1))
+    for number, server in enumerate(servers):
+        address = await server.start()
+        store.write(store_lib.TARGETS_TOPIC, f"i-{number}", entry(address))
+    store.write(store_lib.TARGETS_TOPIC, "i-bad", b"no entry")
+    host = host_lib.PlatformHost(
+        settings_lib.HostSettings(
+            host_id="edge-1",
+            failure_domain="a",
+            callers_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            store_address=store_address,
+        )
+    )
+    await host.start()
+    await wire.until(
+        lambda: (
+            len(host.state.registered) == len(servers)
+            and host.state.rules.version is not None
+        )
+    )
+    try:
+        yield Platform(store, servers, host)
+    finally:
+        host.request_stop()
+        host.request_stop()
+        await host.wait_closed()
+        for server in servers:
+            await server.close()
+        await store_server.close()
+
+
+async def test_request_reaches_the_server_and_its_answer_the_caller():
+    async with running(answers()) as platform:
+        found = await platform.ask(
+            request(IDEMPOTENT + "1?x=%20y", "X-Other: kept")
+        )
+        seen = platform.requests[0]
+    assert found.first_line == b"HTTP/1.1 200 OK"
+    assert found.body == b"ok"
+    assert found.values(dialect.SERVER_SIGNATURE) == [b"s.q1"]
+    assert found.values(dialect.REQUEST_ID) == [b"q1"]
+    assert seen.first_line == b"GET /read/1?x=%20y HTTP/1.1"
+    assert seen.values("X-Other") == [b"kept"]
+    assert seen.values(dialect.TARGET_INSTANCE) == [b"i-0"]
+    assert 0 < int(seen.values(dialect.DEADLINE_MS)[0]) <= 2500
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (request("/nowhere/1"), b"404"),
+        (wire.request("GET", IDEMPOTENT), b"400"),
+    ],
+)
+async def test_request_without_a_route_or_an_id_is_refused(sent, status):
+    async with running(answers()) as platform:
+        found = await platform.ask(sent)
+        assert platform.requests == []
+    assert found.first_line.split()[1] == status
+
+
+async def test_pipelined_requests_run_together_and_are_answered_in_order():
+    async def work(asked, writer):
+        arrived.append(asked)
+        if asked.values(dialect.REQUEST_ID) == [b"q1"]:
+            await wire.until(lambda: len(arrived) == 3)
+        writer.write(answer(asked, asked.values(dialect.REQUEST_ID)[0]))
+
+    arrived = []
+    async with running(answers(work)) as platform:
+        caller = await platform.caller()
+        names = ["q1", "q2", "q3"]
+        caller.writer.write(b"".join(request(name=name) for name in names))
+        async with asyncio.timeout(WAIT_S):
+            found = [await caller.ask(b"") for _ in names]
+        caller.close()
+    assert [each.body for each in found] == [b"q1", b"q2", b"q3"]
+
+
+async def test_second_answer_to_an_earlier_request_is_passed_over():
+    async def work(asked, writer):
+        late = answer(asked, b"late")
+        if asked.values(dialect.REQUEST_ID) == [b"q2"]:
+            writer.write(late.replace(b"q2", b"q1"))
+        writer.write(answer(asked, b"own"))
+
+    async with running(answers(work)) as platform:
+        first = await platform.ask(request(STRICT, method="POST", name="q1"))
+        second = await platform.ask(request(STRICT, method="POST", name="q2"))
+    assert (first.body, second.body) == (b"own", b"own")
+    assert second.values(dialect.SERVER_SIGNATURE) == [b"s.q2"]
+
+
+@pytest.mark.parametrize("whole", [True, False])
+async def test_answer_without_length_is_whole_only_if_its_end_is_sound(whole):
+    async def work(asked, writer):
+        writer.write(answer(asked, b"body", framed=False))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if not whole:
+            reset_on_close(writer)
+        writer.close()
+
+    async with running(answers(work)) as platform:
+        found = await platform.ask(request(STRICT, method="POST"))
+    status = found.first_line.split()[1]
+    assert status == (b"200" if whole else b"502")
+    if whole:
+        assert found.body == b"body"
+
+
+async def test_cut_answer_of_a_repeatable_request_is_tried_again():
+    async def cut(asked, writer):
+        writer.write(answer(asked, b"whole")[:-2])
+        await writer.drain()
+        writer.transport.abort()
+
+    async def work(asked, writer):
+        tried.append(asked)
+        if len(tried) == 1:
+            await cut(asked, writer)
+        else:
+            writer.write(answer(asked, b"whole"))
+
+    tried = []
+    async with running(answers(work), answers(work, "i-1")) as platform:
+        found = await platform.ask(request())
+    assert found.body == b"whole"
+    assert len(tried) == 2
+
+
+async def test_cut_answer_of_a_strict_request_is_not_tried_again():
+    async def work(asked, writer):
+        writer.write(answer(asked, b"whole")[:-2])
+        await writer.drain()
+        writer.transport.abort()
+
+    async with running(answers(work), answers(work, "i-1")) as platform:
+        found = await platform.ask(request(STRICT, method="POST"))
+        assert len(platform.requests) == 1
+    assert found.first_line.split()[1] == b"502"
+
+
+async def test_misdirected_request_goes_to_another_server():
+    async def work(asked, writer):
+        writer.write(
+            answer(
+                asked,
+                b"",
+                f"{dialect.INSTANCE_ID}: i-9",
+                f"{dialect.NOT_EXECUTED}: 1",
+                status="421 Misdirected Request",
+            )
+        )
+
+    async with running(answers(work), answers(None, "i-1")) as platform:
+        for number in range(4):
+            found = await platform.ask(
+                request(STRICT, method="POST", name=f"q{number}")
+            )
+            assert found.body == b"ok"
+        assert len(platform.servers[0].requests) <= 3
+
+
+@pytest.mark.parametrize("lines", [(), ("Transfer-Encoding: chunked",)])
+async def test_body_reaches_the_server_whole(lines):
+    async with running(answers()) as platform:
+        if lines:
+            sent = request(STRICT, *lines, method="POST")
+            sent += b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        else:
+            sent = request(STRICT, method="POST", body=b"abcde")
+        found = await platform.ask(sent)
+        seen = platform.requests[0]
+    assert found.first_line.split()[1] == b"200"
+    assert seen.body == b"abcde"
+
+
+async def test_leaving_server_gets_no_request_and_the_store_may_be_down():
+    async with running(answers(), answers(None, "i-1")) as platform:
+        address = platform.host.state.registered["i-0"].entry.address
+        leaving = entry(address, "draining")
+        leaving["status"]["sequence"] = 2
+        platform.store.write(store_lib.TARGETS_TOPIC, "i-0", leaving)
+        await wire.until(lambda: platform.host.state.registered["i-0"].leaving)
+        platform.store.refuse_status = 503
+        for number in range(6):
+            found = await platform.ask(request(name=f"q{number}"))
+            assert found.first_line.split()[1] == b"200"
+        reached = [
+            seen
+            for seen in platform.servers[0].requests
+            if not seen.first_line.startswith(b"GET /health ")
+        ]
+    assert reached == []
+
+
+async def test_new_configuration_is_in_force_and_an_older_one_is_not():
+    async with running(answers()) as platform:
+        newer = document(9)
+        newer["listeners"][0]["host"] = "other.example"
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", newer)
+        await wire.until(lambda: platform.host.state.rules.version == 9)
+        platform.store.write(
+            store_lib.CONFIGURATION_TOPIC, "config", document(3)
+        )
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", b"{torn")
+        await asyncio.sleep(0.05)
+        found = await platform.ask(request())
+    assert found.first_line.split()[1] == b"404"
+
+
+async def test_planned_stop_ends_what_is_in_flight():
+    async def work(asked, writer):
+        arrived.set()
+        await asyncio.sleep(0.2)
+        writer.write(answer(asked, b"done"))
+
+    arrived = asyncio.Event()
+    async with running(answers(work)) as platform:
+        asking = asyncio.create_task(
+            platform.ask(request(STRICT, method="POST"))
+        )
+        await arrived.wait()
+        platform.host.request_stop()
+        found = await asking
+    assert found.body == b"done"
+    assert found.values("Connection") == [b"close"]
+
+
+async def test_malformed_entry_is_logged_once():
+    async with running(answers()) as platform:
+        batch = await platform.host._store.read(store_lib.TARGETS_TOPIC, None)
+        read = platform.host._targets(batch)
+    assert isinstance(read, events.TargetsRead)
+    assert [each.target_id for each in read.entries] == ["i-0"]
+    assert list(platform.host._unreadable) == ["i-bad"]
