Add a fault soak of the platform's gate processes

Cause: nothing played kills, pauses, planned stops, harmed connections and store outages together against the real processes. Change: 'fireflyspindle bench soak' starts gate hosts as processes, harms them from outside by signals and a loopback proxy, and checks what callers and servers saw: own and whole answers, at most once, 'not run', no work to a server that left, recovery. Configuration in force in time and planned stops that cut are not checked yet.

--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -1,5 +1,6 @@
 """The bench commands of the command line."""
 
+import asyncio
 import json as json_lib
 import sys
 from typing import Literal
@@ -14,6 +15,7 @@
 from fireflyspindle.bench import policy as policy_lib
 from fireflyspindle.bench import policy_model
 from fireflyspindle.bench import slopes as slopes_lib
+from fireflyspindle.bench import soak as soak_lib
 
 CLAIM_LOADS_PER_S = (5.0, 100.0, 1000.0, 3000.0)
 
@@ -193,6 +195,57 @@
     return 0
 
 
+def soak(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    hosts: int = 3,
+    targets: int = 6,
+    json: bool = False,
+) -> int:
+    """Runs gate host processes under random faults, and checks promises.
+
+    Args:
+        seed: First seed.
+        seeds: Number of seeds, each a run of its own.
+        seconds: Time during which faults come in each run.
+        hosts: Number of gate host processes.
+        targets: Number of servers.
+        json: Print one line of JSON for each run.
+
+    Returns:
+        The exit status: 1 when a promise was broken, 2 when an argument is
+        out of bounds.
+    """
+    if not 1 <= hosts <= 200 or not 2 <= targets <= 200 or seconds <= 0:
+        print(
+            f"bench soak: --hosts is {hosts}, --targets {targets} and"
+            f" --seconds {seconds}; give 1 to 200, 2 to 200 and above 0",
+            file=sys.stderr,
+        )
+        return 2
+    broken = 0
+    for number in range(seed, seed + seeds):
+        run = soak_lib.Soak(number, seconds, hosts, targets)
+        report = asyncio.run(run.run())
+        broken += bool(report.violations)
+        if json:
+            print(json_lib.dumps(attrs.asdict(report)), flush=True)
+            continue
+        print(
+            f"seed {number}: {report.served} of {report.calls} calls served,"
+            f" {len(report.faults)} faults,"
+            f" {len(report.violations)} violations",
+            flush=True,
+        )
+        for line in report.violations[:20]:
+            print(f"  {line}")
+        if report.violations:
+            print("  faults: " + "; ".join(report.faults))
+    return 1 if broken else 0
+
+
 COMMANDS = {
     "claims": claims,
     "configuration": configuration_lib.configuration,
@@ -201,4 +254,5 @@
     "overhead": overhead_lib.overhead,
     "policy": policy,
     "slopes": slopes,
+    "soak": soak,
 }
--- /dev/null
+++ b/src/fireflyspindle/bench/soak.py
@@ -0,0 +1,350 @@
+"""A randomized soak: real gate processes under faults from outside them.
+
+The store and the servers are stand-ins in this process; gate hosts are
+processes of their own. Callers keep using open connections. The checks see
+only what callers and servers saw.
+"""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import attrs
+
+from fireflyspindle import testing
+from fireflyspindle.bench import soak_callers
+from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.testing import platform_server
+from fireflyspindle.testing import store as store_lib
+from fireflyspindle.testing import tcp_proxy
+
+# Time after the last fault at which calls have to be served again.
+RECOVERY_S = 5.0
+# Share of the calls that have to be served then.
+RECOVERED_SHARE = 0.9
+# Bounds of the users, and a margin for the bench's own lag.
+DRAIN_S = 2.0
+LAG_S = 0.5
+GRACE_S = 6.0
+START_S = 10.0
+FAULT_SPACING_S = 1.0
+
+
+@attrs.define(eq=False)
+class Gate:
+    """One gate host and its process."""
+
+    name: str
+    settings: pathlib.Path
+    callers_address: str
+    ready_address: str
+    log: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "fireflyspindle.platform",
+                env={
+                    settings_lib.PATH_VARIABLE: str(self.settings),
+                    "PYTHONPATH": ":".join(filter(None, sys.path)),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Signals the process by its id, if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> None:
+        """Waits until the process has ended."""
+        if self.process is not None:
+            await self.process.wait()
+
+
+@attrs.define(eq=False)
+class Server:
+    """One server behind its proxy.
+
+    Attributes:
+        stand_in: The server.
+        web_server: Serves it.
+        proxy: Stands before it.
+        address: Address of the proxy.
+        born_ms: Time of its start, as it registers it.
+        harmed_s: Time of the loop at which its proxy last did harm.
+    """
+
+    stand_in: platform_server.StandInServer
+    web_server: testing.Server
+    proxy: tcp_proxy.TcpProxy
+    address: str
+    born_ms: int
+    harmed_s: float = -1e9
+
+
+@attrs.define
+class Report:
+    """What a soak found."""
+
+    seed: int
+    calls: int = 0
+    served: int = 0
+    faults: list[str] = attrs.field(factory=list)
+    violations: list[str] = attrs.field(factory=list)
+
+
+class Soak:
+    """One run.
+
+    Args:
+        seed: Seed of everything that is drawn.
+        seconds: Time during which faults come.
+        hosts: Number of gate hosts.
+        servers: Number of servers.
+    """
+
+    def __init__(
+        self, seed: int, seconds: float, hosts: int, servers: int
+    ) -> None:
+        self.report = Report(seed)
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._hosts = hosts
+        self._servers_wanted = servers
+        self._store = testing.StandInStore()
+        self._gates: list[Gate] = []
+        self._servers: list[Server] = []
+        self._all_servers: list[Server] = []
+        self._version = 1
+        self._store_fault_s = -1e9
+        self._pause_s = -1e9
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> Report:
+        """Runs the soak and returns what it found."""
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                await self._start(pathlib.Path(folder))
+                await self._play()
+            finally:
+                await self._stop()
+            if self.report.violations:
+                self._keep_logs()
+        return self.report
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _start(self, folder: pathlib.Path) -> None:
+        self._store_server = testing.Server(self._store.application())
+        self._store_proxy = tcp_proxy.TcpProxy(await self._store_server.start())
+        store_address = await self._store_proxy.start()
+        self._configure()
+        for _ in range(self._servers_wanted):
+            await self._add_server()
+        for number in range(self._hosts):
+            self._gates.append(await _new_gate(folder, number, store_address))
+        await asyncio.gather(*(gate.start() for gate in self._gates))
+        self.callers = soak_callers.Callers(
+            [gate.callers_address for gate in self._gates],
+            random.Random(self._random.random()),
+        )
+        await self.callers.wait_served(START_S)
+
+    def _configure(self) -> None:
+        document = soak_callers.document(self._version)
+        self._store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+
+    async def _add_server(self) -> None:
+        number = len(self._all_servers)
+        stand_in = platform_server.StandInServer(f"i-{number}")
+        web_server = testing.Server(stand_in.application())
+        proxy = tcp_proxy.TcpProxy(await web_server.start())
+        address = await proxy.start()
+        server = Server(stand_in, web_server, proxy, address, 1_000 + number)
+        self._servers.append(server)
+        self._all_servers.append(server)
+        self._register(server, "ready")
+
+    def _register(self, server: Server, state: str) -> None:
+        entry = soak_callers.entry(server.address, state, server.born_ms)
+        key = server.stand_in.server_id
+        self._store.write(store_lib.TARGETS_TOPIC, key, entry)
+
+    async def _play(self) -> None:
+        calling = asyncio.create_task(self.callers.run())
+        end_s = self._now_s() + self._seconds
+        while self._now_s() < end_s:
+            await self._fault()
+            pause_s = FAULT_SPACING_S * self._random.random() * 2
+            await asyncio.sleep(pause_s)
+        await asyncio.gather(*self._tasks)
+        await asyncio.sleep(RECOVERY_S)
+        before = self.callers.count()
+        await asyncio.sleep(RECOVERY_S)
+        after = self.callers.count()
+        self.callers.stop()
+        await calling
+        self._check(before, after)
+
+    async def _fault(self) -> None:
+        faults = [
+            self._kill,
+            self._stop_planned,
+            self._pause,
+            self._harm_server,
+            self._harm_store,
+            self._refuse_store,
+            self._forget,
+            self._change,
+            self._replace,
+            self._fail_server,
+        ]
+        chosen = self._random.choice(faults)
+        at_s = self._now_s()
+        self.report.faults.append(f"{at_s:.2f} {chosen.__name__[1:]}")
+        self._tasks.append(asyncio.create_task(chosen()))
+
+    async def _kill(self) -> None:
+        gate = self._random.choice(self._gates)
+        gate.send(signal.SIGCONT)
+        gate.send(signal.SIGKILL)
+        await gate.wait()
+        await gate.start()
+
+    async def _stop_planned(self) -> None:
+        gate = self._random.choice(self._gates)
+        gate.send(signal.SIGHUP)
+        gate.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await gate.wait()
+        except TimeoutError:
+            gate.send(signal.SIGKILL)
+            await gate.wait()
+        await gate.start()
+
+    async def _pause(self) -> None:
+        gate = self._random.choice(self._gates)
+        gate.send(signal.SIGSTOP)
+        self._pause_s = float("inf")
+        await asyncio.sleep(self._random.uniform(0.2, 3.0))
+        gate.send(signal.SIGCONT)
+        self._pause_s = self._now_s()
+
+    async def _harm_server(self) -> None:
+        server = self._random.choice(self._servers)
+        server.harmed_s = float("inf")
+        server.proxy.harm = self._random.choice(list(tcp_proxy.Harm))
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        server.proxy.harm = tcp_proxy.Harm.NONE
+        server.harmed_s = self._now_s()
+
+    async def _harm_store(self) -> None:
+        self._store_proxy.harm = self._random.choice(list(tcp_proxy.Harm))
+        await self._store_outage()
+        self._store_proxy.harm = tcp_proxy.Harm.NONE
+
+    async def _refuse_store(self) -> None:
+        self._store.refuse_status = self._random.choice([429, 503])
+        await self._store_outage()
+        self._store.refuse_status = None
+
+    async def _store_outage(self) -> None:
+        self._store_fault_s = float("inf")
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        self._store_fault_s = self._now_s()
+
+    async def _forget(self) -> None:
+        self._store.forget(store_lib.TARGETS_TOPIC)
+        self._store.forget(store_lib.CONFIGURATION_TOPIC)
+
+    async def _change(self) -> None:
+        self._version += self._random.randint(1, 3)
+        self._configure()
+
+    async def _fail_server(self) -> None:
+        server = self._random.choice(self._servers).stand_in
+        server.failing = True
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        server.failing = False
+
+    async def _replace(self) -> None:
+        """Replaces a server that leaves, or leaves without a word."""
+        server = self._servers.pop(self._random.randrange(len(self._servers)))
+        await self._add_server()
+        if self._random.random() < 0.5:
+            self._register(server, "draining")
+        else:
+            key = server.stand_in.server_id
+            self._store.write(store_lib.TARGETS_TOPIC, key, None)
+        began_s = self._now_s()
+        await asyncio.sleep(DRAIN_S + LAG_S)
+        bound_s = self._now_s()
+        await asyncio.sleep(DRAIN_S)
+        last_fault_s = max(self._store_fault_s, self._pause_s, server.harmed_s)
+        calm = last_fault_s < began_s - RECOVERY_S
+        late = [at_s for at_s in server.stand_in.reached_s if at_s > bound_s]
+        if calm and late:
+            self.report.violations.append(
+                f"leaving: {server.stand_in.server_id} was reached"
+                f" {late[0] - began_s:.2f} s after it left"
+            )
+
+    def _check(self, before: tuple[int, int], after: tuple[int, int]) -> None:
+        report = self.report
+        report.calls, report.served = after
+        asked, served = after[0] - before[0], after[1] - before[1]
+        if served < RECOVERED_SHARE * asked:
+            report.violations.append(
+                f"recovery: {served} of {asked} calls were served after the"
+                " last fault"
+            )
+        report.violations += self.callers.violations
+        runs: dict[str, int] = {}
+        for server in self._all_servers:
+            for request_id, count in server.stand_in.runs.items():
+                runs[request_id] = runs.get(request_id, 0) + count
+        report.violations += self.callers.check_runs(runs)
+
+    def _keep_logs(self) -> None:
+        for gate in self._gates:
+            name = f"soak-{self.report.seed}-{gate.name}.log"
+            pathlib.Path(name).write_bytes(gate.log.read_bytes())
+
+    async def _stop(self) -> None:
+        for gate in self._gates:
+            gate.send(signal.SIGCONT)
+            gate.send(signal.SIGKILL)
+            await gate.wait()
+        for server in self._all_servers:
+            await server.proxy.close()
+            with contextlib.suppress(RuntimeError):
+                await server.web_server.close()
+        await self._store_proxy.close()
+        await self._store_server.close()
+
+
+async def _new_gate(
+    folder: pathlib.Path, number: int, store_address: str
+) -> Gate:
+    callers = soak_callers.free_address()
+    ready = soak_callers.free_address()
+    settings = folder / f"gate-{number}.toml"
+    settings.write_text(
+        soak_callers.SETTINGS.format(
+            number=number, callers=callers, ready=ready, store=store_address
+        )
+    )
+    log = folder / f"gate-{number}.log"
+    return Gate(f"gate-{number}", settings, callers, ready, log)
--- /dev/null
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -0,0 +1,227 @@
+"""Callers of the soak, and what they check."""
+
+import asyncio
+import itertools
+import random
+import socket
+from typing import Any
+
+import attrs
+
+from fireflyspindle import testing
+from fireflyspindle.platform import dialect
+from fireflyspindle.testing import platform_server
+
+HOST = "soak.example"
+REPEATABLE = "/read/"
+STRICT = "/book/"
+DEADLINE_MS = 2_000
+# A caller gives up a little after its deadline.
+PATIENCE_S = 3.0
+CALLERS = 12
+PAUSE_S = 0.02
+# Statuses that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+
+SETTINGS = """
+[self]
+node-name = "gate-{number}"
+zone = "a"
+[network.listen-addrs]
+front = "{callers}"
+ready-addr = "{ready}"
+[platform.platform]
+address = "{store}"
+[terms.contract-params]
+drain-ms = 2000
+config-apply-ms = 2000
+grace-s = 6
+retry-budget-ratio = 0.2
+retry-slack = 60
+budget-window-s = 10
+probes-per-s = 60
+"""
+
+
+def document(version: int) -> dict[str, Any]:
+    """Returns a configuration; each version has a route of its own."""
+    kinds = {
+        "read": (REPEATABLE, "idempotent"),
+        "book": (STRICT, "non_idempotent"),
+        "version": (f"/version-{version}/", "idempotent"),
+    }
+    rules = [
+        {
+            "name": name,
+            "route-kind": kind,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "match": {"path-prefix": prefix},
+            "action": {
+                "service": "s",
+                "timeout-ms": DEADLINE_MS,
+                "max-attempts": 2,
+            },
+        }
+        for name, (prefix, kind) in kinds.items()
+    ]
+    return {
+        "version": f"{version:08x}",
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        "listeners": [{"host": HOST, "rules": rules}],
+        "clusters": [{"name": "s", "health-path": "/health", "max-conns": 200}],
+    }
+
+
+def entry(address: str, state: str, born_ms: int) -> dict[str, Any]:
+    """Returns the entry of a server."""
+    sequence = 1 if state == "ready" else 2
+    return {
+        "address": address,
+        "info": {"service": "s", "version": "v1", "zone": "a", "capacity": 4},
+        "status": {"state": state, "sequence": sequence, "cold-left-ms": 0},
+        "born": born_ms,
+    }
+
+
+def free_address() -> str:
+    """Returns a loopback address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@attrs.define
+class Told:
+    """What the caller of a request was told; status 0 is a cut."""
+
+    strict: bool
+    status: int
+
+
+class Callers:
+    """Callers that keep their connections, and remember what they saw.
+
+    Attributes:
+        violations: Broken promises that callers saw.
+    """
+
+    def __init__(self, addresses: list[str], randomness: random.Random) -> None:
+        self.violations: list[str] = []
+        self._addresses = addresses
+        self._random = randomness
+        self._told: dict[str, Told] = {}
+        self._served = 0
+        self._numbers = itertools.count(1)
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Lets every caller end after its present request."""
+        self._stopping = True
+
+    def count(self) -> tuple[int, int]:
+        """Returns the number of calls told, and of those served."""
+        return len(self._told), self._served
+
+    async def wait_served(self, limit_s: float) -> None:
+        """Waits until every gate host has served a request.
+
+        Raises:
+            TimeoutError: One did not.
+        """
+        async with asyncio.timeout(limit_s):
+            for address in self._addresses:
+                while await self._ask_once(address) != 200:
+                    await asyncio.sleep(PAUSE_S)
+
+    async def _ask_once(self, address: str) -> int:
+        try:
+            connection = await testing.connect(address)
+        except OSError:
+            return 0
+        status = await self._ask(connection, strict=False)
+        connection.close()
+        return status
+
+    async def run(self) -> None:
+        """Calls until `stop`."""
+        await asyncio.gather(*(self._call() for _ in range(CALLERS)))
+
+    async def _call(self) -> None:
+        while not self._stopping:
+            address = self._random.choice(self._addresses)
+            try:
+                connection = await testing.connect(address)
+            except OSError:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            await self._use(connection)
+            connection.close()
+
+    async def _use(self, connection: testing.RawCaller) -> None:
+        """Sends requests on a connection until it ends or enough were sent."""
+        for _ in range(self._random.randint(1, 40)):
+            if self._stopping:
+                return
+            strict = self._random.random() < 0.5
+            if not await self._ask(connection, strict=strict):
+                return
+            await asyncio.sleep(PAUSE_S * self._random.random())
+
+    async def _ask(self, connection: testing.RawCaller, *, strict: bool) -> int:
+        """Sends a request; returns the status, or 0 when it was cut."""
+        request_id = f"soak{next(self._numbers)}"
+        path = (STRICT if strict else REPEATABLE) + request_id
+        method = "POST" if strict else "GET"
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"{dialect.REQUEST_ID}: {request_id}\r\n"
+            f"{dialect.DEADLINE_MS}: {DEADLINE_MS}\r\n\r\n"
+        )
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                found = await connection.ask(head.encode())
+        except (TimeoutError, ConnectionError):
+            found = None
+        told = Told(strict, 0)
+        self._told[request_id] = told
+        if found is None or not found.whole:
+            return 0
+        told.status = int(found.first_line.split()[1])
+        self._check_answer(request_id, told.status, found)
+        if found.values("Connection") == [b"close"]:
+            return 0
+        return told.status
+
+    def _check_answer(
+        self, request_id: str, status: int, found: testing.RawMessage
+    ) -> None:
+        if status != 200:
+            return
+        self._served += 1
+        if found.body != platform_server.body_for(request_id):
+            self.violations.append(f"{request_id}: got another body")
+        if found.values(dialect.REQUEST_ID) != [request_id.encode()]:
+            self.violations.append(f"{request_id}: got another id")
+        signature = b"".join(found.values(dialect.SERVER_SIGNATURE))
+        if not signature.endswith(b"." + request_id.encode()):
+            self.violations.append(f"{request_id}: has no signature")
+
+    def check_runs(self, runs: dict[str, int]) -> list[str]:
+        """Returns the broken promises on what ran, by runs of each request."""
+        found = []
+        for request_id, told in self._told.items():
+            count = runs.get(request_id, 0)
+            if told.strict and count > 1:
+                found.append(f"{request_id}: ran {count} times")
+            if told.strict and told.status in PROMISES and count:
+                found.append(f"{request_id}: told {told.status} and it ran")
+            if told.status == 200 and not count:
+                found.append(f"{request_id}: told 200 and it never ran")
+        unknown = runs.keys() - self._told.keys()
+        return found + [f"{name}: nobody sent it" for name in unknown]
