Let reads wait briefly for a while after the store was regained

Change: for 6 s after the store was regained a read waits 0.8 s, so that one that is lost for whatever reason is repeated before the bounds hold again.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -19,6 +19,11 @@
 # first one after a failure does not wait, and a store that goes silent while
 # reads wait there resets them or is noticed by the kernel.
 WAIT_MS = 15_000
+# Wait of a read in the time after the store was regained, which is twice the
+# users' `contact-ms`: a read that is lost then is repeated before the bounds
+# hold again.
+SETTLING_WAIT_MS = 800
+SETTLING_US = 6_000_000
 # Part of each pause that is drawn at random, so that a fleet which lost the
 # store at one moment does not come back to it at one moment.
 RETRY_SPREAD = 0.5
@@ -104,6 +109,16 @@
             from_offset=reads.next_offset,
             first_offset=reads.first_offset,
             delay_us=delay_us,
-            wait_ms=0 if reads.failures else WAIT_MS,
+            wait_ms=_wait_ms(state, reads),
         )
     )
+
+
+def _wait_ms(state: state_lib.GateState, reads: store_state.Reads) -> int:
+    """Returns how long a read may wait at the store."""
+    if reads.failures:
+        return 0
+    if reads.regained_us is None:
+        return WAIT_MS
+    settled = state.now_us >= reads.regained_us + SETTLING_US
+    return WAIT_MS if settled else SETTLING_WAIT_MS
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -163,7 +163,10 @@
     assert reports.count("store_lost") == 1
     host.register()
     assert [e.code for e in host.of(effects.Report)][-1] == "store_regained"
-    assert host.of(effects.ReadStore)[-1].wait_ms > 0
+    assert 0 < host.of(effects.ReadStore)[-1].wait_ms <= 1_000
+    host.advance(7_000_000)
+    host.register()
+    assert host.of(effects.ReadStore)[-1].wait_ms >= 10_000
 
 
 def test_call_after_the_grace_time_of_a_stop_is_refused(make_published_host):
