Take only entries that can be used, and log tasks that fail

Cause: an address or failure domain that passes the platform's format but not the core's checks would have raised in the reducer on every later refresh, so that the host kept its old targets for good; a health path that ends with a slash did the same. Found by reading; the tests fail before the change. Change: an entry is tried before it is kept; the load path is taken as it is.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -6,6 +6,7 @@
 """
 
 import attrs
+import result
 
 from fireflyspindle.core import budgets
 from fireflyspindle.core import effects
@@ -109,6 +110,11 @@
     known = state.registered.get(entry.target_id)
     if known is not None and _age(entry) < _age(known.entry):
         return
+    usable = records.build(lambda: _spec(entry, CONNECTIONS_PER_TARGET))
+    if isinstance(usable, result.Err):
+        detail = f"target {entry.target_id} can't be used: {usable.err_value}"
+        state.emit(effects.Report("warning", "entry_unusable", detail))
+        return
     if known is None or known.entry.born_ms != entry.born_ms:
         _forget_former_start(state, entry)
         known = store_state.Known(entry)
@@ -220,7 +226,10 @@
     config = state.configuration
     for name, listed in found.items():
         terms = state.service_terms[name]
-        specs = tuple(_spec(known, terms) for known in listed.values())
+        specs = tuple(
+            _spec(known.entry, terms.connection_limit)
+            for known in listed.values()
+        )
         service = config.services.get(name)
         if service is None or service.targets != specs:
             config.services[name] = records.Service(specs)
@@ -247,15 +256,12 @@
         listed[address] = known
 
 
-def _spec(
-    known: store_state.Known, terms: published.ServiceTerms
-) -> DiscoveredTarget:
-    entry = known.entry
+def _spec(entry: events.TargetEntry, connection_limit: int) -> DiscoveredTarget:
     return DiscoveredTarget(
         address=entry.address,
         failure_domain=entry.failure_domain,
         slots=entry.slots,
-        connection_limit=terms.connection_limit,
+        connection_limit=connection_limit,
         incarnation=entry.target_id,
         born_ms=entry.born_ms,
     )
@@ -271,7 +277,6 @@
         retry_share=settings.repeat_share,
         hedge_share=0.0,
         slow_start_ms=0,
-        load_path=terms.load_path,
         gate_hosts_max=max(1, terms.connection_limit // CONNECTIONS_PER_TARGET),
     )
 
--- a/src/fireflyspindle/core/probes.py
+++ b/src/fireflyspindle/core/probes.py
@@ -26,12 +26,16 @@
     state.probes[state.last_probe_id] = state_lib.Probe(
         service.name, target.spec.key, call_id
     )
-    policy = state.configuration.policy(service.name)
+    terms = state.service_terms.get(service.name)
+    if terms is not None:
+        path = terms.load_path
+    else:
+        path = state.configuration.policy(service.name).load_path
     state.emit(
         effects.ProbeTarget(
             state.last_probe_id,
             target.spec.address,
-            policy.load_path,
+            path,
             state.now_us + within_us,
         )
     )
--- a/src/fireflyspindle/platform/documents.py
+++ b/src/fireflyspindle/platform/documents.py
@@ -7,6 +7,7 @@
 
 from fireflyspindle.core import published
 
+MAX_CONNECTIONS = 1_000_000
 _REPEATABLE = {"idempotent": True, "non_idempotent": False}
 
 
@@ -71,5 +72,11 @@
         name=raw["name"],
         # The health path answers with the load too.
         load_path=raw["health-path"],
-        connection_limit=int(raw["max-conns"]),
+        connection_limit=_connections(int(raw["max-conns"])),
     )
+
+
+def _connections(limit: int) -> int:
+    if not 1 <= limit <= MAX_CONNECTIONS:
+        raise ValueError(f"max-conns is {limit}; give 1 to {MAX_CONNECTIONS}")
+    return limit
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -127,9 +127,17 @@
         """Starts a task that ends with the gate at the latest."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
         return task
 
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            logs.logger.error(
+                f"a task of the gate host failed: {error!r}", code="task_failed"
+            )
+
     def _set_timer(self, at_us: int) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -189,3 +189,34 @@
     host.advance(60_000_001)
     assert host.told(1).status == 502
     assert host.told(1).outcome is effects.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {"address": "10.0.0.9:99999"},
+        {"address": "999.1.1.1:80"},
+        {"failure_domain": "x" * 200},
+        {"slots": 0},
+    ],
+)
+def test_entry_that_names_no_usable_target_harms_no_other(
+    make_published_host, broken
+):
+    host = make_published_host(targets=2)
+    taken = host.register(published_host.entry(9, **broken))
+    assert usable(host) == ["i-0", "i-1"]
+    codes = [e.code for e in taken if isinstance(e, effects.Report)]
+    assert codes == ["entry_unusable"]
+    host.register(published_host.entry(7))
+    assert usable(host) == ["i-0", "i-1", "i-7"]
+
+
+def test_load_path_of_any_form_is_asked(make_published_host):
+    host = make_published_host(targets=2)
+    terms = published.ServiceTerms("s", "/health/", 260)
+    found = published_host.document(version=2)
+    host.configure(published_host.changed(found, services=(terms,)))
+    taken = host.arrive(1)
+    asked = [e.path for e in taken if isinstance(e, effects.ProbeTarget)]
+    assert asked == ["/health/", "/health/"]
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -323,7 +323,12 @@
                 request(STRICT, method="POST", name=f"q{number}")
             )
             assert found.body == b"ok"
-        assert len(platform.servers[0].requests) <= 3
+        meant_for_another = [
+            seen
+            for seen in platform.requests
+            if seen.values(dialect.TARGET_INSTANCE) == [b"i-0"]
+        ]
+        assert len(meant_for_another) <= 1
 
 
 @pytest.mark.parametrize("lines", [(), ("Transfer-Encoding: chunked",)])
