Look at other targets when the one heard last is full

A full target whose answers kept its statement fresh was the best known, so that no look was begun, for each wait anew. Change: a look is left out only when a target that said so lately has room. Also: looks are steps of the story, and 'explain' takes its id and files as plain arguments, as its page says. Before: the new test fails, nothing is asked. After: two others are asked.

--- a/src/fireflyspindle/cli.py
+++ b/src/fireflyspindle/cli.py
@@ -30,7 +30,7 @@
     sys.exit(
         defopt.run(
             COMMANDS,
-            cli_options="all",
+            cli_options="kwonly",
             argparse_kwargs={"prog": "fireflyspindle"},
         )
     )
--- a/src/fireflyspindle/core/placing.py
+++ b/src/fireflyspindle/core/placing.py
@@ -92,13 +92,9 @@
     Returns:
         Whether the call goes on once the targets have answered.
     """
-    ranked = routing.ranked(state, service, call)
-    if not ranked:
-        return False
-    best = ranked[0][1]
-    sound = forecast.pace(state, service, best) <= forecast.SLOW_PACE
-    if sound and not best.in_flight:
-        if forecast.is_fresh(state, best, FRESH_US):
+    known = waiting.room_for(state, service, call)
+    if known is not None and not known.in_flight:
+        if forecast.is_fresh(state, known, FRESH_US):
             return False
     asked = [
         target
@@ -113,6 +109,14 @@
             begun.waiting.add(
                 probes.ask(state, service, target, ROUND_US, call.call_id)
             )
+    call.note(
+        state.now_us,
+        "looks",
+        round=number_of_round,
+        asked=len(begun.waiting),
+        wanted=len(asked),
+        probes_left=int(state.probe_tokens),
+    )
     if not begun.waiting:
         return False
     call.look = begun
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -32,16 +32,17 @@
         host.tell_loads()
     host.answer(1, 2)
     host.finish(1)
-    assert words(host) == ["sent", "answered", "sent", "answered"]
-    sent = dict(finished(host).steps.kept[0].inputs)
+    decided = [word for word in words(host) if word != "looks"]
+    assert decided == ["sent", "answered", "sent", "answered"]
+    sent = dict(finished(host).steps.kept[1].inputs)
     assert {"pace", "stated_ms_ago", "own_in_flight"} <= sent.keys()
 
 
 def test_refusal_keeps_its_status_and_reason(make_published_host):
     host = make_published_host(targets=0)
     host.arrive(1)
-    assert words(host) == ["gave_up"]
-    told = dict(finished(host).steps.kept[0].inputs)
+    assert words(host) == ["looks", "gave_up"]
+    told = dict(finished(host).steps.kept[1].inputs)
     assert (told["status"], told["error"]) == (503, "no_target")
 
 
@@ -49,7 +50,7 @@
     host = make_published_host(targets=1)
     host.place(1, repeatable=False)
     host.fail(1, 1, events.FailureReason.DISCONNECTED, sent=True)
-    failed = dict(finished(host).steps.kept[1].inputs)
+    failed = dict(finished(host).steps.kept[2].inputs)
     assert failed == {"attempt": 1, "why": "disconnected", "sent": True}
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -450,3 +450,20 @@
             host.tell_loads()
         host.now_us += 50_000
     assert len({e.call_id for e in host.sent}) == 200
+
+
+def test_full_target_that_stated_its_load_just_now_hides_no_other(
+    make_published_host,
+):
+    """Answers of a full target keep its statement fresh all the time."""
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule])
+    host.place(1)
+    busy = host.sent[0].target
+    host.advance(400_000)
+    host.answer(1, 1, report=load(in_flight=4))
+    host.finish(1)
+    taken = host.arrive(2)
+    asked = [e.target for e in taken if isinstance(e, effects.ProbeTarget)]
+    assert len(asked) == 2
+    assert busy not in asked
