Send declined calls elsewhere, and go on when no probe is left

And a target of which nothing was known was never sent to once the budget of probes was used up. Ruled out: the budget of repeats, which had been charged. Change: the declined attempt ends first; without probes an unknown target is as good as any. Before: the two new tests and the test of misdirected requests fail.

--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -89,12 +89,12 @@
         attempts.drop(state, call, attempt)
         answers.finish_if_done(state, call)
         return
+    if event.not_run and call.route:
+        _after_decline(state, call, attempt, event)
+        return
     if _declined(call, event) and _replaced(state, call, attempt):
         call.maybe_ran = call.maybe_ran or not event.not_run
         return
-    if event.not_run and call.route:
-        _decline(state, call, attempt, event)
-        return
     call.phase = state_lib.CallPhase.FORWARDING
     call.outcome = _outcome(call, event)
     call.target_us = state.now_us - attempt.started_us
@@ -142,14 +142,18 @@
     return event.status in retries.RETRIED_STATUSES
 
 
-def _decline(
+def _after_decline(
     state: state_lib.GateState,
     call: state_lib.Call,
     attempt: state_lib.Attempt,
     event: events.AttemptAnswered,
 ) -> None:
-    """Tells a caller when to come back, which its target does not."""
+    """Sends a call that did not run elsewhere, or tells when to come back."""
     attempts.drop(state, call, attempt)
+    if call.attempts or call.look is not None:
+        return
+    if retries.begin(state, call, reached_target=True):
+        return
     answers.give_up(
         state,
         call,
--- a/src/fireflyspindle/core/waiting.py
+++ b/src/fireflyspindle/core/waiting.py
@@ -81,12 +81,17 @@
         if not is_late(state, service, _next(state, service)):
             return None
         return _room_at_slow(state, service, call)
+    # Without probes nothing would ever be known of an idle target.
+    may_ask = state.probe_tokens >= 1.0
     for expected_us, target in routing.ranked(state, service, call):
         if expected_us >= forecast.SILENT_US:
             return None
-        if not forecast.is_fresh(state, target, KNOWN_US):
+        known = forecast.is_fresh(state, target, KNOWN_US)
+        if may_ask and not known:
             continue
-        if forecast.pace(state, service, target) > forecast.SLOW_PACE:
+        if known and forecast.pace(state, service, target) > (
+            forecast.SLOW_PACE
+        ):
             continue
         if forecast.has_room(state, service, target):
             return target
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -467,3 +467,27 @@
     asked = [e.target for e in taken if isinstance(e, effects.ProbeTarget)]
     assert len(asked) == 2
     assert busy not in asked
+
+
+def test_calls_go_on_when_the_budget_of_probes_is_used_up(
+    make_published_host,
+):
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=4, rules=[rule], probes_per_s=0.01)
+    for call_id in range(1, 11):
+        assert host.place(call_id) is not None
+        host.now_us += 100_000
+        host.answer(call_id, 1, report=load())
+        host.finish(call_id)
+        host.now_us += 400_000
+    assert len(host.of(effects.ProbeTarget)) <= 2
+
+
+def test_declined_call_goes_elsewhere_without_a_look(make_published_host):
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(
+        targets=2, rules=[rule], probes_per_s=0.01, repeat_slack=64.0
+    )
+    host.place(1)
+    host.answer(1, 1, status=421, not_run=True)
+    assert len(host.sent) == 2
