Let the kind of a published rule decide on connections and cancelling

Cause (reading): the data path judged by the method whether a request may be repeated, which decides how old a kept connection may be and whether an unwanted answer is read to its end; published rules decide that by their kind.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -113,7 +113,10 @@
             self._shell.metrics.counts[
                 "hedge" if effect.hedge else "retry"
             ] += 1
-        self.client.begin(self.exchanges[effect.call_id], effect)
+        exchange = self.exchanges[effect.call_id]
+        # A published rule may say otherwise than the request's method.
+        exchange.repeatable = effect.repeatable
+        self.client.begin(exchange, effect)
 
     def answer(self, effect: effects.AnswerCaller) -> None:
         """Answers a caller from the gate itself."""
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -52,6 +52,7 @@
             timeout_us=call.deadline_us - state.now_us,
             hedge=len(call.attempts) > 1,
             incarnation=discovery.incarnation(target),
+            repeatable=call.repeatable,
         )
     )
     hedging.schedule(state, call)
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -28,6 +28,7 @@
         hedge: Whether another attempt of the call is still in flight.
         incarnation: Incarnation of the target that the request is meant for,
             or an empty string for any.
+        repeatable: Whether the request may run more than once.
     """
 
     call_id: int
@@ -36,6 +37,7 @@
     timeout_us: int
     hedge: bool = False
     incarnation: str = ""
+    repeatable: bool = True
 
 
 @attrs.define
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -491,3 +491,13 @@
     host.place(1)
     host.answer(1, 1, status=421, not_run=True)
     assert len(host.sent) == 2
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_kind_of_the_route_goes_before_the_method(
+    make_published_host, repeatable
+):
+    rule = published_host.rule(repeatable=repeatable)
+    host = make_published_host(targets=2, rules=[rule])
+    sent = host.place(1, repeatable=not repeatable)
+    assert sent.repeatable is repeatable
