--- a/tests/published_driver.py
+++ b/tests/published_driver.py
@@ -12,6 +12,7 @@
 
 DOMAIN = "west-a"
 OTHER_DOMAIN = "west-b"
+SLOW = 7.0
 LIMITS = published.CallerLimits(16_384, 1_000_000, 3_000, 15_000)
 
 
@@ -63,6 +64,27 @@
     )
 
 
+def load(in_flight=0, pace=1.0, slots=4):
+    """What a target states of its load."""
+    return events.LoadReport(in_flight=in_flight, slots=slots, pace=pace)
+
+
+def all_slow(count=6, in_flight=0, pace=SLOW):
+    """The same load of every target, by address."""
+    return {
+        f"10.0.0.{n}:80": load(in_flight=in_flight, pace=pace)
+        for n in range(count)
+    }
+
+
+def answer_probes(host, loads, for_us):
+    """Answers probes for a time, 6 ms after each is asked."""
+    end_us = host.now_us + for_us
+    while host.now_us < end_us:
+        host.advance(6_000)
+        host.tell_loads(loads)
+
+
 class PublishedHost(driver.Host):
     """A gate host with a configuration and registered targets."""
 
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,217 @@
+"""Calls that wait at a gate host for room, under loads at their worst."""
+
+import collections
+
+from fireflyspindle.core import effects
+import published_driver as published_host
+
+
+def test_call_waits_while_every_target_is_full_and_goes_when_one_is_not(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    host.arrive(1)
+    published_host.answer_probes(
+        host, published_host.all_slow(in_flight=4, pace=1.0), 60_000
+    )
+    assert host.sent == []
+    assert host.told(1) is None
+    published_host.answer_probes(host, None, 60_000)
+    assert [e.call_id for e in host.sent] == [1]
+
+
+def test_of_waiting_calls_the_newest_that_is_in_time_goes_first(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    host.arrive(1)
+    published_host.answer_probes(
+        host, published_host.all_slow(in_flight=4, pace=1.0), 190_000
+    )
+    host.arrive(2)
+    published_host.answer_probes(
+        host, published_host.all_slow(in_flight=4, pace=1.0), 30_000
+    )
+    assert host.sent == []
+    published_host.answer_probes(host, None, 40_000)
+    assert [e.call_id for e in host.sent] == [2, 1]
+
+
+def test_late_call_goes_to_a_slow_target_that_nobody_else_wants(
+    make_published_host,
+):
+    rule = published_host.rule(timeout_ms=2_000)
+    host = make_published_host(targets=6, rules=[rule])
+    loads = published_host.all_slow(in_flight=4, pace=1.0)
+    loads["10.0.0.3:80"] = published_host.load(pace=published_host.SLOW)
+    host.arrive(1)
+    published_host.answer_probes(host, loads, 100_000)
+    assert host.sent == []
+    published_host.answer_probes(host, loads, 120_000)
+    assert [e.target for e in host.sent] == ["10.0.0.3:80"]
+
+
+def test_waiting_call_is_refused_unsent_before_its_deadline(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    host.arrive(1, deadline_ms=600)
+    published_host.answer_probes(
+        host, published_host.all_slow(in_flight=4, pace=1.0), 500_000
+    )
+    assert host.sent == []
+    assert host.told(1).status == 503
+    assert host.told(1).outcome is effects.Outcome.NOT_RUN
+    assert not host.service().room
+
+
+def test_more_urgent_route_goes_first(make_published_host):
+    rules = [
+        published_host.rule("urgent", prefix="/u/", priority=0),
+        published_host.rule("other", prefix="/s/", priority=2),
+    ]
+    host = make_published_host(targets=6, rules=rules)
+    host.arrive(1, path="/u/x")
+    host.arrive(2)
+    published_host.answer_probes(
+        host, published_host.all_slow(in_flight=4, pace=1.0), 40_000
+    )
+    published_host.answer_probes(host, None, 40_000)
+    assert [e.call_id for e in host.sent] == [1, 2]
+
+
+def test_burst_beyond_capacity_serves_what_fits_in_time(make_published_host):
+    """Twice the calls that six targets of 4 slots serve, for two seconds."""
+    host = make_published_host(targets=6, seed=5)
+    work_us, spacing_us = 120_000, 2_500
+    held = collections.Counter()
+    ends = []
+    arrived = {}
+    in_time = seen = 0
+    for step in range(1_000):
+        call_id = step + 1
+        if step < 800:
+            arrived[call_id] = host.now_us
+            host.arrive(call_id)
+        next_us = host.now_us + spacing_us
+        host.advance(spacing_us)
+        host.now_us = next_us
+        host.tell_loads(
+            {
+                f"10.0.0.{n}:80": published_host.load(
+                    in_flight=held[f"10.0.0.{n}:80"]
+                )
+                for n in range(6)
+            }
+        )
+        new, seen = host.sent[seen:], len(host.sent)
+        for effect in new:
+            held[effect.target] += 1
+            queued = max(0, held[effect.target] - 4)
+            end_us = host.now_us + work_us * (1 + queued / 4)
+            ends.append((end_us, effect))
+        for end in [end for end in ends if end[0] <= host.now_us]:
+            ends.remove(end)
+            effect = end[1]
+            held[effect.target] -= 1
+            if effect.call_id not in host.state.calls:
+                continue
+            in_time += host.now_us - arrived[effect.call_id] <= 300_000
+            host.answer(
+                effect.call_id,
+                effect.attempt,
+                report=published_host.load(in_flight=held[effect.target]),
+            )
+            host.finish(effect.call_id)
+    capacity = 6 * 4 * 2.0 / 0.120
+    assert in_time >= 0.75 * capacity
+
+
+def test_waiting_call_that_was_sent_is_not_sent_again_by_its_look(
+    make_published_host,
+):
+    """The look for room of a call ends after an answer showed some."""
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule])
+    full = published_host.all_slow(in_flight=4, pace=1.0)
+    host.place(1)
+    host.advance(300_000)
+    host.arrive(2)
+    published_host.answer_probes(host, full, 24_000)
+    for _ in range(60):
+        host.advance(1_000)
+        if host.state.calls[2].look is not None:
+            break
+    assert host.state.calls[2].look is not None
+    assert 2 in host.service().room
+    host.answer(1, 1, report=published_host.load())
+    host.finish(1)
+    assert [e.call_id for e in host.sent] == [1, 2]
+    host.tell_loads()
+    assert [e.call_id for e in host.sent] == [1, 2]
+
+
+def test_targets_that_slow_down_when_crowded_keep_a_slot_free(
+    make_published_host,
+):
+    host = make_published_host(targets=4)
+    for call_id in range(1, 41):
+        crowded = call_id > 10
+        loads = published_host.all_slow(in_flight=3 if crowded else 0, pace=1.0)
+        host.arrive(call_id)
+        while host.state.probes:
+            host.tell_loads(loads)
+        host.now_us += 200_000 if crowded else 100_000
+        host.answer(
+            call_id,
+            1,
+            report=published_host.load(in_flight=3 if crowded else 0),
+        )
+        host.finish(call_id)
+        host.now_us += 50_000
+    sent = len(host.sent)
+    host.arrive(99)
+    published_host.answer_probes(
+        host, published_host.all_slow(in_flight=3, pace=1.0), 30_000
+    )
+    assert len(host.sent) == sent
+
+
+def test_calls_go_on_while_every_target_sheds_half_of_them(
+    make_published_host,
+):
+    host = make_published_host(targets=6, repeat_share=0.0)
+    for call_id in range(1, 201):
+        host.place(call_id)
+        if call_id % 2:
+            host.answer(
+                call_id,
+                1,
+                status=503,
+                not_run=True,
+                report=published_host.load(),
+            )
+        else:
+            host.answer(call_id, 1, report=published_host.load())
+            host.finish(call_id)
+        while host.state.probes:
+            host.tell_loads()
+        host.now_us += 50_000
+    assert len({e.call_id for e in host.sent}) == 200
+
+
+def test_full_target_that_stated_its_load_just_now_hides_no_other(
+    make_published_host,
+):
+    """Answers of a full target keep its statement fresh all the time."""
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule])
+    host.place(1)
+    busy = host.sent[0].target
+    host.advance(400_000)
+    host.answer(1, 1, report=published_host.load(in_flight=4))
+    host.finish(1)
+    taken = host.arrive(2)
+    asked = [e.target for e in taken if isinstance(e, effects.ProbeTarget)]
+    assert len(asked) == 2
+    assert busy not in asked
