--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -18,6 +18,8 @@
 DEADLINE_MS = 2_000
 # A caller gives up a little after its deadline.
 PATIENCE_S = 3.0
+# Callers at a time, and the longest pause between their requests: some 400
+# requests a second, which three gate hosts on one core each can serve.
 CALLERS = 12
 PAUSE_S = 0.02
 # Statuses that promise that a request has not run and never will.
--- a/src/fireflyspindle/core/forecast.py
+++ b/src/fireflyspindle/core/forecast.py
@@ -14,16 +14,20 @@
 # Time over which a statement loses its worth: the spells of slowness that
 # the users measured last half a second.
 STALE_US = 500_000
-# Weight of one statement in the averages of a service.
+# Weight of one statement in the averages of a service: about two seconds of
+# the statements that a host of the users gets.
 AVERAGE_STEP = 1 / 64
-# Weight of one answer in the time that work takes.
+# Weight of one answer in the time that work takes: the spread of the users'
+# work, 0.3, is a twentieth in the average.
 WORK_STEP = 1 / 32
 # Work that a first answer is expected to need, as a share of the time within
 # which the operators want it; the users' routes state 0.34 to 0.4.
 EXPECTED_WORK_SHARE = 0.4
-# Least time that work is expected to take where nothing is known.
+# Time that work is expected to take where nothing is known, in the middle of
+# the 67 to 160 ms of the users' sheets.
 DEFAULT_WORK_US = 100_000
-# Pace from which a target counts as slow.
+# Pace from which a target counts as slow: a call with twice its usual work
+# still meets the users' aims, which are 2.5 times the work.
 SLOW_PACE = 2.0
 # Extra time at a target in another failure domain, as a share of the work:
 # bytes between failure domains are paid for.
@@ -34,14 +38,16 @@
 # Extra time at a target that has just started, as a share of the work; the
 # users' targets work about twice as long then.
 COLD_SHARE = 1.0
-# Extra time at a target of which every answer fails, as a share of the work.
+# Extra time at a target of which every answer fails, as a share of the work:
+# as much as at a slow one, whose work takes seven times as long.
 FAILURE_SHARE = 8.0
 # Extra time at a target that stated nothing lately, as a share of the work, so
 # that one which was asked and is as usual goes first.
 UNKNOWN_SHARE = 0.2
 # Time that a silent target is expected to take.
 SILENT_US = 60_000_000
-# First pause after which a silent target is asked again, and its limit.
+# First pause after which a silent target is asked again, and the doublings up
+# to its limit of 3.2 s, about the `contact-ms` of the users.
 SILENCE_US = 200_000
 MAX_SILENCE_DOUBLINGS = 4
 # Share of the slots above which a target may slow down; the users' targets
@@ -50,7 +56,8 @@
 # Slowdown of crowded targets from which these slots are left free, since more
 # calls at once then mean fewer answers a second.
 CROWDING_LIMIT = 1.2
-# Weight of one answer in the estimate of that slowdown, and its limit.
+# Weight of one answer in the estimate of that slowdown, so that a burst shows
+# it within some 16 answers, and its limit, against single long requests.
 CROWDING_STEP = 1 / 16
 MAX_CROWDING = 3.0
 # Random part of a forecast, so that gate hosts with the same knowledge do not
--- a/src/fireflyspindle/core/placing.py
+++ b/src/fireflyspindle/core/placing.py
@@ -18,12 +18,17 @@
 from fireflyspindle.core import timers
 from fireflyspindle.core import waiting
 
+# Targets asked in one round, and rounds of one look: of four targets, of which
+# a third are slow as at the worst of the users' sites, 1 in 80 looks finds
+# none at its usual pace.
 LOOKS_PER_ROUND = 2
 MAX_ROUNDS = 2
 # Longest wait for the loads of one round; the users' targets take 6 ms.
 ROUND_US = 25_000
-# Age up to which a statement needs no look.
+# Age up to which a statement needs no look: a target keeps its pace for half a
+# second, so that 1 in 16 has another one by then.
 FRESH_US = 30_000
+# Time whose probes may be sent at once.
 PROBE_BURST_S = 1.0
 # Gate hosts that the budget of probes is divided by. The store names no
 # number of them; the users run 14 to 17 where calls come close to the budget.
--- a/src/fireflyspindle/core/waiting.py
+++ b/src/fireflyspindle/core/waiting.py
@@ -21,17 +21,20 @@
 # each look takes probes from the calls that come.
 LOOK_SPACING_US = 30_000
 # Time that an answer needs at the least, as a multiple of the usual work; a
-# call with less time left can't be answered in time.
+# call with less time left can't be answered in time. The tenth is for a round
+# of looks.
 LEAST_WORK_FACTOR = 1.1
 # Age up to which a statement shows that a target has room: half the time for
 # which the users' targets keep their pace.
 KNOWN_US = 250_000
-# Margin, as a factor, to the deadline of a call that goes to a slow target.
+# Margin, as a factor, to the deadline of a call that goes to a slow target:
+# the users' work spreads by 0.3 of its mean.
 SLOW_MARGIN = 1.4
 # Part of its time that a call waits for room at the most. Later there is
 # little chance left, and a caller that is told early may still come back.
 MAX_WAIT_SHARE = 0.6
-# Calls of a service that wait at one gate host.
+# Calls of a service that wait at one gate host, as many as its queue holds by
+# default (`records.Policy.max_queued_calls`).
 MAX_WAITING = 200
 
 
