--- a/src/fireflyspindle/core/waiting.py
+++ b/src/fireflyspindle/core/waiting.py
@@ -84,13 +84,17 @@
         if not is_late(state, service, _next(state, service)):
             return None
         return _room_at_slow(state, service, call)
-    # Without probes nothing would ever be known of an idle target.
-    may_ask = state.probe_tokens >= 1.0
+    # Without probes nothing would ever be known of idle targets. While answers
+    # tell of some, a call that waits for these is late less often.
+    some_known = state.probe_tokens >= 1.0 or any(
+        forecast.is_fresh(state, target, KNOWN_US)
+        for target in service.candidates
+    )
     for expected_us, target in routing.ranked(state, service, call):
         if expected_us >= forecast.SILENT_US:
             return None
         known = forecast.is_fresh(state, target, KNOWN_US)
-        if may_ask and not known:
+        if some_known and not known:
             continue
         if known and forecast.pace(state, service, target) > (
             forecast.SLOW_PACE
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -215,3 +215,18 @@
     asked = [e.target for e in taken if isinstance(e, effects.ProbeTarget)]
     assert len(asked) == 2
     assert busy not in asked
+
+
+def test_unknown_target_is_not_tried_while_answers_tell_of_others(
+    make_published_host,
+):
+    rule = published_host.rule(repeatable=False)
+    host = make_published_host(targets=6, rules=[rule], probes_per_s=0.01)
+    host.place(1)
+    host.advance(100_000)
+    host.answer(1, 1, report=published_host.load(in_flight=4))
+    host.finish(1)
+    host.arrive(2)
+    assert len(host.sent) == 1
+    host.advance(260_000)
+    assert 2 in host.state.calls or host.told(2) is not None
