Choose the status of a failed call in one place, and forecast only where used

Change: answers.failure_status; the forecast is made for published rules only. Behaviour is unchanged.

--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -75,6 +75,11 @@
     )
 
 
+def failure_status(call: state_lib.Call) -> int:
+    """Returns the status of a failed call; 503 promises that it never ran."""
+    return 502 if call.maybe_ran else 503
+
+
 def spread_ms(state: state_lib.GateState, wait_ms: int) -> int:
     """Returns a time to come back at, spread so that callers don't bunch."""
     return int(max(_least_ms(state), wait_ms) * (1 + state.random.random()))
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -30,13 +30,11 @@
     call.look = None
     service = state.services[call.service]
     attempt = state_lib.Attempt(
-        call.sent_attempts,
-        target,
-        state.now_us,
-        service,
-        forecast.pace(state, service, target),
-        forecast.is_crowded(state, service, target),
+        call.sent_attempts, target, state.now_us, service
     )
+    if call.route:
+        attempt.pace = forecast.pace(state, service, target)
+        attempt.crowded = forecast.is_crowded(state, service, target)
     capacity.on_attempt_begun(service, call)
     call.attempts[attempt.number] = attempt
     _note(state, call, attempt)
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -157,7 +157,7 @@
     answers.give_up(
         state,
         call,
-        502 if call.maybe_ran else 503,
+        answers.failure_status(call),
         "target_declined",
         f"the target declined the request with status {event.status}",
     )
@@ -243,7 +243,7 @@
     answers.give_up(
         state,
         call,
-        502 if call.maybe_ran else 503,
+        answers.failure_status(call),
         "target_failed",
         f"the attempt at the target failed: {event.reason.value}",
     )
--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -69,7 +69,7 @@
     answers.give_up(
         state,
         call,
-        502 if call.maybe_ran else 503,
+        answers.failure_status(call),
         "stopping",
         "the gate host stops; ask again elsewhere",
     )
--- a/src/fireflyspindle/core/waiting.py
+++ b/src/fireflyspindle/core/waiting.py
@@ -208,7 +208,7 @@
     answers.give_up(
         state,
         call,
-        502 if call.maybe_ran else 503,
+        answers.failure_status(call),
         "no_room",
         detail,
         answers.spread_ms(state, wait_ms),
