--- /dev/null
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -0,0 +1,271 @@
+"""Passes on what one gate host read of the platform's store to the others.
+
+One HTTP answer without end for each host that follows; its lines are JSON.
+The first line tells who speaks. Each further line tells the outcome of a read
+of one source: the records that the follower lacks, often none, or why the
+read failed.
+"""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator, Callable
+import json
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+import attrs
+
+from fireflyspindle.adapters import store_records
+
+PATH = "/store-feed"
+# A host of the same failure domain or the next answers in a few milliseconds.
+CONNECT_TIMEOUT_S = 0.5
+# Longest line: some thousands of entries of targets, or a large configuration.
+MAX_LINE_BYTES = 8 * 1024 * 1024
+
+_JSON_LINES = "application/x-ndjson"
+
+
+@attrs.define(frozen=True)
+class Met:
+    """The host that is followed has answered.
+
+    Attributes:
+        failure_domain: Failure domain that it runs in.
+    """
+
+    failure_domain: str
+
+
+@attrs.define(frozen=True)
+class Told:
+    """The outcome of a read by the host that is followed.
+
+    Attributes:
+        source: What was read.
+        age_ms: Time since the read ended.
+        outcome: What it brought beyond what was told before.
+    """
+
+    source: str
+    age_ms: int
+    outcome: store_records.Batch | store_records.Failed
+
+
+@attrs.define
+class _Source:
+    copy: store_records.Copy = attrs.field(factory=store_records.Copy)
+    reads: int = 0
+    ended_us: int = 0
+    failed: store_records.Failed | None = None
+
+
+class Feed:
+    """What this host reads of the store, for the hosts that follow it.
+
+    Args:
+        failure_domain: Failure domain of this host.
+        sources: Names of what is read.
+        now_us: Clock that runs on while the host is suspended.
+
+    Attributes:
+        followers: Hosts that follow this one now.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        sources: tuple[str, ...],
+        now_us: Callable[[], int],
+    ) -> None:
+        self.followers = 0
+        self._now_us = now_us
+        self._failure_domain = failure_domain
+        self._sources = {name: _Source() for name in sources}
+        self._changed = asyncio.Event()
+        self._closed = False
+
+    def routes(self) -> list[web.RouteDef]:
+        """Returns the route on which others follow."""
+        return [web.get(PATH, self._on_follow)]
+
+    def take(
+        self, name: str, outcome: store_records.Batch | store_records.Failed
+    ) -> None:
+        """Takes the outcome of a read of the store by this host."""
+        source = self._sources[name]
+        source.reads += 1
+        source.ended_us = self._now_us()
+        match outcome:
+            case store_records.Batch():
+                source.copy.take(outcome)
+                source.failed = None
+            case store_records.Failed():
+                source.failed = outcome
+        self._wake()
+
+    def merge(self, name: str, batch: store_records.Batch) -> None:
+        """Takes in what another host read, without vouching for it."""
+        self._sources[name].copy.take(batch)
+
+    def close(self) -> None:
+        """Ends every follower's answer."""
+        self._closed = True
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _on_follow(self, request: web.Request) -> web.StreamResponse:
+        offsets: dict[str, int | None] = {}
+        for name in self._sources:
+            text = request.query.get(name, "")
+            if text and not (text.isascii() and text.isdecimal()):
+                return web.json_response(
+                    {"error": f"{name}: found {text!r}; give an offset"},
+                    status=400,
+                )
+            offsets[name] = int(text) if text else None
+        answer = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
+        await answer.prepare(request)
+        self.followers += 1
+        try:
+            await answer.write(_line({"failure-domain": self._failure_domain}))
+            await self._tell(answer, offsets)
+        except ConnectionError:
+            # The follower left; it says why in its own log.
+            pass
+        finally:
+            self.followers -= 1
+        return answer
+
+    async def _tell(
+        self, answer: web.StreamResponse, offsets: dict[str, int | None]
+    ) -> None:
+        told = dict.fromkeys(self._sources, 0)
+        while not self._closed:
+            changed = self._changed
+            for name, source in self._sources.items():
+                if told[name] == source.reads:
+                    continue
+                told[name] = source.reads
+                line = self._outcome(name, offsets)
+                if line is not None:
+                    await answer.write(line)
+            await changed.wait()
+
+    def _outcome(
+        self, name: str, offsets: dict[str, int | None]
+    ) -> bytes | None:
+        """Returns the line on the newest read; moves the offset past it."""
+        source = self._sources[name]
+        age_ms = (self._now_us() - source.ended_us) // 1000
+        head = {"source": name, "age-ms": age_ms}
+        if source.failed is not None:
+            return _line({**head, "failed": source.failed.why})
+        batch = source.copy.since(offsets[name])
+        if batch is None:
+            return None
+        offsets[name] = batch.next_offset
+        records = [
+            [
+                record.key,
+                None
+                if record.value is None
+                else base64.b64encode(record.value).decode(),
+                record.offset,
+            ]
+            for record in batch.records
+        ]
+        return _line(
+            {
+                **head,
+                "next-offset": batch.next_offset,
+                "whole": batch.whole,
+                "records": records,
+            }
+        )
+
+
+def _line(content: dict[str, Any]) -> bytes:
+    return json.dumps(content, separators=(",", ":")).encode() + b"\n"
+
+
+class FeedClient:
+    """Follows other gate hosts."""
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+    async def follow(
+        self, address: str, offsets: dict[str, int | None]
+    ) -> AsyncIterator[Met | Told]:
+        """Yields what a host tells, until it ends its answer.
+
+        Args:
+            address: Control address of the host, "ip:port".
+            offsets: First offset not read of each source; None for the whole.
+
+        Raises:
+            aiohttp.ClientError: The host can't be reached or refuses.
+            OSError: The connection broke.
+            ValueError: The host tells what can't be read.
+        """
+        query = {
+            name: str(offset)
+            for name, offset in offsets.items()
+            if offset is not None
+        }
+        # A host that falls silent is left by the reducer, which knows how
+        # often a line is due.
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        )
+        async with self._session.get(
+            f"http://{address}{PATH}",
+            params=query,
+            timeout=timeout,
+            read_bufsize=MAX_LINE_BYTES,
+            raise_for_status=True,
+        ) as answer:
+            async for line in answer.content:
+                yield _read_line(line)
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self._session.close()
+
+
+def _read_line(line: bytes) -> Met | Told:
+    """Reads one line.
+
+    Raises:
+        ValueError: It can't be read.
+    """
+    try:
+        found = json.loads(line)
+        if "failure-domain" in found:
+            return Met(str(found["failure-domain"]))
+        outcome: store_records.Batch | store_records.Failed
+        if "failed" in found:
+            outcome = store_records.Failed(str(found["failed"]))
+        else:
+            outcome = store_records.Batch(
+                [_read_record(row) for row in found["records"]],
+                int(found["next-offset"]),
+                bool(found["whole"]),
+            )
+        return Told(str(found["source"]), int(found["age-ms"]), outcome)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"line {line[:100]!r} can't be read") from error
+
+
+def _read_record(row: list[Any]) -> store_records.Record:
+    key, text, offset = row
+    value = None if text is None else base64.b64decode(text, validate=True)
+    return store_records.Record(str(key), value, int(offset))
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import budgets
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import following
 from fireflyspindle.core import in_force
 from fireflyspindle.core import published
 from fireflyspindle.core import records
@@ -58,6 +59,8 @@
     state: state_lib.GateState, event: events.ConfigurationRead
 ) -> None:
     """Takes what was read of the published configuration."""
+    if not following.counts(state, event.passed_on):
+        return
     document = event.document
     if document is not None:
         _put_in_force(state, document)
@@ -66,6 +69,7 @@
         store_state.Source.CONFIGURATION,
         event.next_offset,
         changed=document is not None,
+        passed_on=event.passed_on,
     )
 
 
@@ -91,10 +95,21 @@
     state: state_lib.GateState, event: events.TargetsRead
 ) -> None:
     """Takes entries that were written or removed."""
-    changed = bool(event.entries or event.removed)
+    if not following.counts(state, event.passed_on):
+        return
+    source = store_state.Source.TARGETS
+    known_offset = state.store_reads[source].next_offset
     store_reads.on_read(
-        state, store_state.Source.TARGETS, event.next_offset, changed
+        state,
+        source,
+        event.next_offset,
+        changed=bool(event.entries or event.removed),
+        passed_on=event.passed_on,
     )
+    if known_offset is not None and event.next_offset < known_offset:
+        # Another read brought more meanwhile; an entry that this one lacks
+        # may have been written since.
+        return
     for entry in event.entries:
         _take(state, entry)
     gone = set(event.removed)
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -165,6 +165,40 @@
     wait_ms: int
 
 
+@attrs.define
+class StopReading:
+    """Give up a read of the platform's store that is under way.
+
+    Attributes:
+        source: What is read.
+    """
+
+    source: str
+
+
+@attrs.define
+class FollowReader:
+    """Follow a host that passes on its reads, in place of any other.
+
+    The shell reports `ReaderMet`, then reads with `events.PassedOn`, and
+    `ReaderLost` in the end.
+
+    Attributes:
+        stream: Number of the stream.
+        address: Control address of the host, "ip:port".
+        from_offsets: First offset wanted of each source; None for the whole.
+    """
+
+    stream: int
+    address: str
+    from_offsets: dict[str, int | None]
+
+
+@attrs.define
+class StopFollowing:
+    """End the stream of the host that is followed."""
+
+
 @attrs.define
 class LimitCallers:
     """Apply limits to what callers send from now on."""
@@ -268,6 +302,9 @@
     | CallFinished
     | ReadLog
     | ReadStore
+    | StopReading
+    | FollowReader
+    | StopFollowing
     | LimitCallers
     | ReadHostList
     | AppendRecord
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -314,6 +314,19 @@
     sequence: int
 
 
+@attrs.define(frozen=True)
+class PassedOn:
+    """A read of the store was made by the host that this one follows.
+
+    Attributes:
+        stream: Number of the stream that brought it.
+        age_us: Time since the read ended.
+    """
+
+    stream: int
+    age_us: int
+
+
 @attrs.define
 class ConfigurationRead:
     """The published configuration was read from the platform's store.
@@ -322,11 +335,13 @@
         now_us: Monotonic time.
         document: The newest one that was read, or None when there was none.
         next_offset: First offset that has not been read.
+        passed_on: Set when another host made the read.
     """
 
     now_us: int
     document: published.Document | None
     next_offset: int
+    passed_on: PassedOn | None = None
 
 
 @attrs.define
@@ -339,6 +354,7 @@
         removed: Ids of targets whose entries were removed.
         whole: Whether every entry that there is was read.
         next_offset: First offset that has not been read.
+        passed_on: Set when another host made the read.
     """
 
     now_us: int
@@ -346,6 +362,7 @@
     removed: list[str]
     whole: bool
     next_offset: int
+    passed_on: PassedOn | None = None
 
 
 @attrs.define
@@ -371,11 +388,58 @@
         now_us: Monotonic time.
         source: What was read.
         why: Sentence for a person.
+        passed_on: Set when another host made the read.
     """
 
     now_us: int
     source: str
     why: str
+    passed_on: PassedOn | None = None
+
+
+@attrs.define
+class ReaderMet:
+    """The host that is followed has answered.
+
+    Attributes:
+        now_us: Monotonic time.
+        stream: Number of the stream.
+        failure_domain: Failure domain that it runs in.
+    """
+
+    now_us: int
+    stream: int
+    failure_domain: str
+
+
+@attrs.define
+class ReaderLost:
+    """The stream of the host that is followed has ended.
+
+    Attributes:
+        now_us: Monotonic time.
+        stream: Number of the stream.
+        why: Sentence for a person.
+    """
+
+    now_us: int
+    stream: int
+    why: str
+
+
+@attrs.define
+class ReadersListed:
+    """The platform named the hosts that read the store for others.
+
+    Attributes:
+        now_us: Monotonic time.
+        is_reader: Whether this host is one of them.
+        readers: Control addresses of the others.
+    """
+
+    now_us: int
+    is_reader: bool
+    readers: tuple[str, ...]
 
 
 Event = (
@@ -397,4 +461,7 @@
     | TargetsRead
     | StoreHistoryDropped
     | StoreReadFailed
+    | ReaderMet
+    | ReaderLost
+    | ReadersListed
 )
--- /dev/null
+++ b/src/fireflyspindle/core/following.py
@@ -0,0 +1,246 @@
+"""Following a reader, a host that passes on what it reads of the store.
+
+The platform names a few hosts that read the store for all others. A host
+follows one of them, of its own failure domain where there is one. A reader
+tells the outcome of each of its reads, also of those that bring nothing, so
+that its silence shows. When no reader vouches for a source any more, a host
+reads the store itself, before the bounds by which changes have to be in
+force.
+"""
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
+from fireflyspindle.core import timers
+
+# Least time between two reads of one source by a reader: a change reaches
+# every host within a third of a second, and a burst of changes costs at most
+# four reads a second.
+READER_SPACING_MS = 250
+# Time beyond the longest wait of a reader after which it counts as silent:
+# its pause after a change, and a lost packet, which is sent again after 0.2 s.
+SILENCE_US = READER_SPACING_MS * 1000 + 200_000
+# Time beyond that wait after which this host reads the store itself. With a
+# wait of 0.4 of the users' bound (2 s and more), 0.5 s are left for the read.
+OWN_READ_US = SILENCE_US + 250_000
+# Time at the start for which a reader is sought before the store is read.
+# Hosts start within 0.3 s of each other, and a process in about 0.5 s.
+START_PATIENCE_US = 1_500_000
+# Pause between attempts to follow while no reader can be reached.
+RETRY_US = 300_000
+# Least time with one reader before another is tried for its silence.
+SWITCH_US = 500_000
+# Time for which a reader that was lost is tried after the others.
+AVOID_US = 3_000_000
+
+
+def start(state: state_lib.GateState) -> None:
+    """Begins to follow a reader, unless this host is one."""
+    settings = _settings(state)
+    found = state.following
+    found.is_reader = settings.is_reader
+    found.readers = {
+        address: store_state.Reader() for address in settings.readers
+    }
+    if found.reads_always:
+        return
+    found.own_reads_from_us = state.now_us + START_PATIENCE_US
+    _follow_next(state)
+    _plan(state)
+
+
+def reads_itself(
+    state: state_lib.GateState, source: store_state.Source
+) -> bool:
+    """Whether this host has to read a source, since no reader does for it."""
+    found = state.following
+    if found.reads_always:
+        return True
+    if state.now_us < found.own_reads_from_us:
+        return False
+    return _overdue(state, source, OWN_READ_US)
+
+
+def counts(
+    state: state_lib.GateState, passed_on: events.PassedOn | None
+) -> bool:
+    """Whether a read counts: not one by a host that was followed before."""
+    return passed_on is None or passed_on.stream == state.following.number
+
+
+def reader_fails_too(state: state_lib.GateState) -> bool:
+    """Whether a reader is followed whose reads fail as well."""
+    return state.following.address is not None and any(
+        reads.reader_failed for reads in state.store_reads.values()
+    )
+
+
+def on_met(state: state_lib.GateState, event: events.ReaderMet) -> None:
+    """Takes the failure domain of a reader, and may look for a nearer one."""
+    found = state.following
+    if event.stream != found.number or found.address is None:
+        return
+    found.readers[found.address].failure_domain = event.failure_domain
+    detail = (
+        f"following {found.address} in {event.failure_domain} for what the"
+        " store says"
+    )
+    state.emit(effects.Report("info", "reader_followed", detail))
+    if event.failure_domain == state.settings.failure_domain:
+        return
+    nearest = _nearest(state)
+    if _distance(state, nearest) < _distance(state, found.address):
+        _follow(state, nearest)
+
+
+def on_lost(state: state_lib.GateState, event: events.ReaderLost) -> None:
+    """Takes the end of a stream, and follows another reader."""
+    found = state.following
+    if event.stream != found.number or found.address is None:
+        return
+    if found.readers[found.address].failure_domain is not None:
+        # Those that never answered are not worth a line each: at a common
+        # start every host finds some that do not listen yet.
+        detail = f"the reader {found.address} is lost: {event.why}"
+        state.emit(effects.Report("warning", "reader_lost", detail))
+    _avoid(state, found.address)
+    found.address = None
+    if any(
+        reader.avoided_until_us <= state.now_us
+        for reader in found.readers.values()
+    ):
+        _follow_next(state)
+    _plan(state)
+
+
+def on_listed(state: state_lib.GateState, event: events.ReadersListed) -> None:
+    """Takes a new list of readers."""
+    found = state.following
+    found.is_reader = event.is_reader
+    found.readers = {
+        address: found.readers.get(address, store_state.Reader())
+        for address in event.readers
+    }
+    if found.reads_always or found.address not in found.readers:
+        stop(state)
+    on_due(state)
+
+
+def stop(state: state_lib.GateState) -> None:
+    """Stops following, where a reader is followed."""
+    found = state.following
+    if found.address is None:
+        return
+    found.address = None
+    found.number += 1
+    state.emit(effects.StopFollowing())
+
+
+def on_own_failure(state: state_lib.GateState) -> None:
+    """Follows a reader once reads by this host fail, also if it is one."""
+    if state.following.address is None and state.following.readers:
+        _follow_next(state)
+        _plan(state)
+
+
+def on_told(state: state_lib.GateState) -> None:
+    """Sees to it that the silence of the reader will be noticed."""
+    _plan(state)
+
+
+def on_due(state: state_lib.GateState) -> None:
+    """Leaves a reader that is silent or fails, and seeks one where none is."""
+    found = state.following
+    if not found.readers or (found.is_reader and not _fails(state)):
+        return
+    if found.address is None:
+        _follow_next(state)
+    elif state.now_us >= found.since_us + SWITCH_US and any(
+        _overdue(state, source, SILENCE_US) for source in store_state.Source
+    ):
+        _avoid(state, found.address)
+        _follow_next(state)
+    _plan(state)
+
+
+def _settings(state: state_lib.GateState) -> store_state.StoreSettings:
+    settings = state.settings.store
+    assert settings is not None
+    return settings
+
+
+def _fails(state: state_lib.GateState) -> bool:
+    return any(reads.failures for reads in state.store_reads.values())
+
+
+def _overdue(
+    state: state_lib.GateState, source: store_state.Source, slack_us: int
+) -> bool:
+    """Whether the reader's next read of a source is overdue by a time."""
+    told_us = state.store_reads[source].told_us
+    if told_us is None:
+        return True
+    wait_us = _settings(state).reader_wait_ms * 1000
+    return state.now_us >= told_us + wait_us + slack_us
+
+
+def _avoid(state: state_lib.GateState, address: str) -> None:
+    reader = state.following.readers.get(address)
+    if reader is not None:
+        reader.avoided_until_us = state.now_us + AVOID_US
+
+
+def _distance(state: state_lib.GateState, address: str) -> int:
+    domain = state.following.readers[address].failure_domain
+    if domain is None:
+        return 1
+    return 0 if domain == state.settings.failure_domain else 2
+
+
+def _nearest(state: state_lib.GateState) -> str:
+    """Returns the reader to follow; of equal ones, one at random."""
+    readers = state.following.readers
+
+    def order(address: str) -> tuple[int, int, float]:
+        avoided_us = max(0, readers[address].avoided_until_us - state.now_us)
+        distance = _distance(state, address)
+        return avoided_us, distance, state.random.random()
+
+    return min(readers, key=order)
+
+
+def _follow_next(state: state_lib.GateState) -> None:
+    _follow(state, _nearest(state))
+
+
+def _follow(state: state_lib.GateState, address: str) -> None:
+    found = state.following
+    found.number += 1
+    found.address = address
+    found.since_us = state.now_us
+    offsets = {
+        source.value: reads.next_offset
+        for source, reads in state.store_reads.items()
+    }
+    state.emit(effects.FollowReader(found.number, address, offsets))
+
+
+def _plan(state: state_lib.GateState) -> None:
+    """Sets a timer for the next look after the stream, if none is as early."""
+    found = state.following
+    if not found.readers:
+        return
+    wait_us = _settings(state).reader_wait_ms * 1000
+    times_us = [found.since_us + SWITCH_US, found.own_reads_from_us]
+    for reads in state.store_reads.values():
+        if reads.told_us is not None:
+            overdue_us = reads.told_us + wait_us
+            times_us += [overdue_us + SILENCE_US, overdue_us + OWN_READ_US]
+    later_us = [at_us for at_us in times_us if at_us > state.now_us]
+    if found.address is None:
+        later_us.append(state.now_us + RETRY_US)
+    at_us = min(later_us, default=state.now_us + SWITCH_US)
+    if found.due_us is None or at_us < found.due_us:
+        found.due_us = at_us
+        state.timers.add(at_us, timers.FollowDue())
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import drain
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import following
 from fireflyspindle.core import hedging
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
@@ -105,8 +106,16 @@
             store_reads.on_forgotten(
                 state, store_state.Source(source), first_offset
             )
-        case events.StoreReadFailed(_, source, why):
-            store_reads.on_failed(state, store_state.Source(source), why)
+        case events.StoreReadFailed(_, source, why, passed_on):
+            store_reads.on_failed(
+                state, store_state.Source(source), why, passed_on
+            )
+        case events.ReaderMet():
+            following.on_met(state, event)
+        case events.ReaderLost():
+            following.on_lost(state, event)
+        case events.ReadersListed():
+            store_reads.on_readers_listed(state, event)
         case _:
             pass
 
@@ -147,6 +156,8 @@
             waiting.on_wait_over(state, call_id)
         case timers.RejoinOver():
             discovery.on_rejoin_over(state)
+        case timers.FollowDue():
+            store_reads.on_follow_due(state)
         case _:
             pass
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -410,6 +410,7 @@
         last_probe_id: Number of the latest probe.
         outbox: Effects of the event at hand.
         store_reads: Reads of the platform's store by source.
+        following: Whom this host follows for what the store says.
         rules: Published rules in force.
         service_terms: Published terms of services by name.
         registered: Targets that registered themselves, by id.
@@ -452,6 +453,9 @@
     store_reads: dict[store_state.Source, store_state.Reads] = attrs.field(
         factory=dict
     )
+    following: store_state.Following = attrs.field(
+        factory=store_state.Following
+    )
     rules: published.RuleTable = attrs.field(factory=published.RuleTable)
     service_terms: dict[str, published.ServiceTerms] = attrs.field(factory=dict)
     registered: dict[str, store_state.Known] = attrs.field(factory=dict)
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -7,6 +7,8 @@
 """
 
 from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import following
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
 
@@ -32,16 +34,44 @@
 # hold again.
 SETTLING_WAIT_MS = 800
 SETTLING_US = 6_000_000
+# Pause after a read that failed while the reader that is followed fails too.
+# The reader finds out when the store is back; this host's own reads are for
+# the case that only the reader is cut off.
+FOLLOWER_RETRY_US = 6_000_000
 # Part of each pause that is drawn at random, so that a fleet which lost the
 # store at one moment does not come back to it at one moment.
 RETRY_SPREAD = 0.5
 
 
 def start(state: state_lib.GateState) -> None:
-    """Asks for the first read of every source."""
+    """Asks for the first read of every source, here or from a reader."""
     for source in store_state.Source:
         state.store_reads[source] = store_state.Reads()
-        _ask(state, source, 0)
+    following.start(state)
+    _read_what_no_reader_reads(state)
+
+
+def on_follow_due(state: state_lib.GateState) -> None:
+    """Looks after the host that is followed."""
+    state.following.due_us = None
+    _read_what_no_reader_reads(state)
+    following.on_due(state)
+
+
+def on_readers_listed(
+    state: state_lib.GateState, event: events.ReadersListed
+) -> None:
+    """Takes a new list of the hosts that read the store for others."""
+    following.on_listed(state, event)
+    _read_what_no_reader_reads(state)
+
+
+def _read_what_no_reader_reads(state: state_lib.GateState) -> None:
+    for source, reads in state.store_reads.items():
+        if reads.under_way or reads.parked:
+            continue
+        if following.reads_itself(state, source):
+            _ask(state, source, 0)
 
 
 def on_read(
@@ -49,6 +79,7 @@
     source: store_state.Source,
     next_offset: int,
     changed: bool,
+    passed_on: events.PassedOn | None = None,
 ) -> None:
     """Takes a read that succeeded, and asks for the next one.
 
@@ -57,10 +88,34 @@
         source: What was read.
         next_offset: First offset that has not been read.
         changed: Whether the read brought anything.
+        passed_on: Set when another host made the read.
     """
     reads = state.store_reads[source]
-    reads.next_offset = next_offset
+    reads.next_offset = max(next_offset, reads.next_offset or 0)
+    if passed_on is not None:
+        _on_told(state, source, passed_on)
+        return
     reads.succeeded = True
+    reads.under_way = False
+    _on_success(state, source)
+    if state.following.reads_always:
+        following.stop(state)
+    _unpark(state)
+    if not following.reads_itself(state, source):
+        return
+    settings = state.settings.store
+    assert settings is not None
+    delay_us = 0
+    if changed:
+        spacing_ms = settings.read_spacing_ms
+        if state.following.is_reader:
+            spacing_ms = min(spacing_ms, following.READER_SPACING_MS)
+        delay_us = spacing_ms * 1000 - max(0, state.now_us - reads.asked_us)
+    _ask(state, source, max(0, delay_us))
+
+
+def _on_success(state: state_lib.GateState, source: store_state.Source) -> None:
+    reads = state.store_reads[source]
     if reads.failures:
         reads.regained_us = state.now_us
         detail = (
@@ -69,14 +124,25 @@
         )
         state.emit(effects.Report("info", "store_regained", detail))
     reads.failures = 0
-    settings = state.settings.store
-    assert settings is not None
-    delay_us = 0
-    if changed:
-        delay_us = settings.read_spacing_ms * 1000
-        delay_us -= max(0, state.now_us - reads.asked_us)
-    _ask(state, source, max(0, delay_us))
-    _unpark(state)
+
+
+def _on_told(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    passed_on: events.PassedOn,
+) -> None:
+    """Takes a read that the reader made, which spares this host its own."""
+    reads = state.store_reads[source]
+    reads.told_us = state.now_us - passed_on.age_us
+    reads.reader_failed = False
+    if not state.following.reads_always:
+        reads.succeeded = True
+        _on_success(state, source)
+        reads.parked = False
+        if reads.under_way and not following.reads_itself(state, source):
+            reads.under_way = False
+            state.emit(effects.StopReading(source.value))
+    following.on_told(state)
 
 
 def _unpark(state: state_lib.GateState) -> None:
@@ -84,7 +150,8 @@
     for source, reads in state.store_reads.items():
         if reads.parked:
             reads.parked = False
-            _ask(state, source, 0)
+            if following.reads_itself(state, source):
+                _ask(state, source, 0)
 
 
 def on_forgotten(
@@ -100,19 +167,29 @@
 
 
 def on_failed(
-    state: state_lib.GateState, source: store_state.Source, why: str
+    state: state_lib.GateState,
+    source: store_state.Source,
+    why: str,
+    passed_on: events.PassedOn | None = None,
 ) -> None:
     """Takes a read that failed, and asks for another after a pause."""
     reads = state.store_reads[source]
-    reads.failures += 1
-    if reads.failures == 1:
-        reads.lost_us = state.now_us
-        detail = f"{source.value}: a read of the store failed: {why}"
-        state.emit(effects.Report("warning", "store_lost", detail))
+    if passed_on is not None:
+        if following.counts(state, passed_on):
+            reads.reader_failed = True
+            if not state.following.reads_always:
+                _count_failure(state, source, f"by the reader: {why}")
+        return
+    reads.under_way = False
+    _count_failure(state, source, why)
+    if reads.failures > 1:
+        following.on_own_failure(state)
+    if not following.reads_itself(state, source):
+        return
     others = [
         other
         for other in state.store_reads.values()
-        if other is not reads and other.failures and not other.parked
+        if other is not reads and other.failures and other.under_way
     ]
     if others and reads.failures > 1:
         # One source is enough to see that the store is back.
@@ -120,15 +197,29 @@
         return
     pause_us = FIRST_RETRY_US << min(reads.failures - 1, 10)
     pause_us = min(MAX_RETRY_US, pause_us)
+    if following.reader_fails_too(state):
+        pause_us = FOLLOWER_RETRY_US
     spread = 1 + RETRY_SPREAD * (state.random.random() - 0.5)
     _ask(state, source, int(pause_us * spread))
 
 
+def _count_failure(
+    state: state_lib.GateState, source: store_state.Source, why: str
+) -> None:
+    reads = state.store_reads[source]
+    reads.failures += 1
+    if reads.failures == 1:
+        reads.lost_us = state.now_us
+        detail = f"{source.value}: a read of the store failed: {why}"
+        state.emit(effects.Report("warning", "store_lost", detail))
+
+
 def _ask(
     state: state_lib.GateState, source: store_state.Source, delay_us: int
 ) -> None:
     reads = state.store_reads[source]
     reads.asked_us = state.now_us + delay_us
+    reads.under_way = True
     state.emit(
         effects.ReadStore(
             source=source.value,
@@ -148,6 +239,10 @@
     if reads.regained_us is not None:
         if state.now_us < reads.regained_us + SETTLING_US:
             return SETTLING_WAIT_MS
+    if state.following.is_reader:
+        settings = state.settings.store
+        assert settings is not None
+        return settings.reader_wait_ms
     small = len(state.registered) < LARGE_FLEET_TARGETS
     if source is store_state.Source.CONFIGURATION and small:
         return SHORT_WAIT_MS
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -21,6 +21,9 @@
             the requests, over all gate hosts.
         repeat_slack: Sends beyond that share that all gate hosts may make.
         repeat_window_ms: Length of any time in which that holds.
+        is_reader: Whether this host reads the store for others.
+        readers: Control addresses of the other hosts that do.
+        reader_wait_ms: Longest wait of a reader's read at the store.
     """
 
     read_spacing_ms: int = 1_000
@@ -29,6 +32,9 @@
     repeat_share: float = 0.1
     repeat_slack: float = 10.0
     repeat_window_ms: int = 10_000
+    is_reader: bool = False
+    readers: tuple[str, ...] = ()
+    reader_wait_ms: int = 800
 
 
 class Source(enum.Enum):
@@ -53,6 +59,10 @@
         regained_us: Time at which the store was last regained.
         succeeded: Whether a read ever succeeded.
         parked: Whether the next read waits until another source is read.
+        under_way: Whether a read by this host is under way or due.
+        told_us: End of the latest read that a reader told of; None while it
+            has told of none that succeeded.
+        reader_failed: Whether the latest read that the reader told of failed.
     """
 
     next_offset: int | None = None
@@ -63,6 +73,50 @@
     regained_us: int | None = None
     succeeded: bool = False
     parked: bool = False
+    under_way: bool = False
+    told_us: int | None = None
+    reader_failed: bool = False
+
+
+@attrs.define
+class Reader:
+    """A host that reads the store for others.
+
+    Attributes:
+        failure_domain: Failure domain that it runs in, once it told.
+        avoided_until_us: Time until which others are tried first.
+    """
+
+    failure_domain: str | None = None
+    avoided_until_us: int = 0
+
+
+@attrs.define
+class Following:
+    """Whom this host follows for what the store says.
+
+    Attributes:
+        is_reader: Whether this host reads the store for others.
+        readers: The other hosts that do, by control address.
+        number: Number of the latest stream; older ones do not count.
+        address: Host that is followed, or None.
+        since_us: Start of the stream.
+        own_reads_from_us: Time from which this host may read the store.
+        due_us: Time of the next look after the stream, if one is planned.
+    """
+
+    is_reader: bool = False
+    readers: dict[str, Reader] = attrs.field(factory=dict)
+    number: int = 0
+    address: str | None = None
+    since_us: int = 0
+    own_reads_from_us: int = 0
+    due_us: int | None = None
+
+    @property
+    def reads_always(self) -> bool:
+        """Whether this host reads the store whatever others tell it."""
+        return self.is_reader or not self.readers
 
 
 @attrs.define
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -58,6 +58,11 @@
     """Targets that an outage of the store cost have had time to come back."""
 
 
+@attrs.define
+class FollowDue:
+    """It is time to see whether the host that is followed still tells."""
+
+
 @attrs.define
 class DrainGraceOver:
     """The platform's balancer has had time to leave this gate host."""
@@ -102,6 +107,7 @@
     | RoomDue
     | WaitOver
     | RejoinOver
+    | FollowDue
     | DrainGraceOver
     | DrainDeadline
     | PeersDue
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import aiohttp
 from aiohttp import web
 import result
 
@@ -11,6 +12,8 @@
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import requests
+from fireflyspindle.adapters import store_feed
+from fireflyspindle.adapters import store_records
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -27,10 +30,17 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
+TOPICS = {
+    store_state.Source.CONFIGURATION: CONFIGURATION_TOPIC,
+    store_state.Source.TARGETS: TARGETS_TOPIC,
+}
 
 # Margin between a read of the store and the bound by which what it brings has
 # to be in force: the answer of a slow store, and the sends under way.
 READ_MARGIN_MS = 600
+# Wait of a reader's reads at the store, as a part of that bound; what is left
+# is for a host to notice that its reader is silent, and to read itself.
+READER_WAIT_PART = 0.4
 # Time for which a host that stops still takes connections: the balancer asks
 # once a second and leaves a host after two misses.
 DRAIN_GRACE_MS = 2_800
@@ -40,6 +50,8 @@
 # Bodies up to this size are held for another attempt; the users' requests
 # have a few kilobytes.
 HELD_BODY_BYTES = 256 * 1024
+# Time for an open answer to end when the process does.
+SHUTDOWN_TIMEOUT_S = 0.2
 # Largest body until the configuration states a limit.
 FIRST_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
@@ -69,6 +81,15 @@
         self.settings = settings
         self._store = store_lib.StoreClient(settings.store_address)
         self._unreadable: dict[str, bytes] = {}
+        self._feed = store_feed.Feed(
+            settings.failure_domain,
+            tuple(source.value for source in store_state.Source),
+            self.now_us,
+        )
+        self._feed_client = store_feed.FeedClient()
+        self._reads: dict[str, asyncio.Task[None]] = {}
+        self._runners: list[web.AppRunner] = []
+        self._follow: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the store.
@@ -90,31 +111,57 @@
             PROBE_TIMEOUT_S,
         )
         await self.data_path.start(self.settings.callers_address)
-        await self._serve_readiness()
+        await self._serve(
+            self.settings.ready_address,
+            [
+                web.get("/readiness", self._on_readiness),
+                web.get("/metrics", self._on_metrics),
+            ],
+        )
+        if self.settings.control_address:
+            await self._serve(
+                self.settings.control_address, self._feed.routes()
+            )
         self.begin()
 
+    def take_settings(self, settings: settings_lib.HostSettings) -> None:
+        """Takes settings that changed while the process runs.
+
+        Of these only the list of readers can change; addresses and names are
+        those of the start.
+        """
+        if settings.readers == self.settings.readers:
+            return
+        self.settings = settings
+        self.submit(
+            events.ReadersListed(
+                self.now_us(), settings.is_reader, settings.other_readers
+            )
+        )
+
     async def wait_closed(self) -> None:
         """Waits until nothing is in flight, then closes everything."""
         await self.wait_exit()
-        await self._ready.cleanup()
+        self._feed.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._feed_client.close()
         await self._store.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time, the suspension of a host included."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
 
-    async def _serve_readiness(self) -> None:
+    async def _serve(self, address: str, routes: list[web.RouteDef]) -> None:
         app = web.Application()
-        app.add_routes(
-            [
-                web.get("/readiness", self._on_readiness),
-                web.get("/metrics", self._on_metrics),
-            ]
+        app.add_routes(routes)
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
-        self._ready = web.AppRunner(app, access_log=None)
-        await self._ready.setup()
-        address, _, port = self.settings.ready_address.rpartition(":")
-        await web.TCPSite(self._ready, address, int(port)).start()
+        await runner.setup()
+        self._runners.append(runner)
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
 
     async def _on_readiness(self, _request: web.Request) -> web.Response:
         reason = readiness.not_ready_reason(self.state)
@@ -133,8 +180,16 @@
     def carry_out_own(self, effect: effects.Effect) -> None:
         """Carries out an effect on the store."""
         match effect:
-            case effects.ReadStore():
-                self.spawn(self._read(effect))
+            case effects.ReadStore(source):
+                self._end_read(source)
+                self._reads[source] = self.spawn(self._read(effect))
+            case effects.StopReading(source):
+                self._end_read(source)
+            case effects.FollowReader():
+                self._end_follow()
+                self._follow = self.spawn(self._follow_reader(effect))
+            case effects.StopFollowing():
+                self._end_follow()
             case effects.LimitCallers(limits):
                 self._limit_callers(limits)
             case _:
@@ -147,33 +202,82 @@
             min(HELD_BODY_BYTES, limits.body_bytes), limits.body_bytes
         )
 
+    def _end_read(self, source: str) -> None:
+        former = self._reads.pop(source, None)
+        if former is not None:
+            former.cancel()
+
+    def _end_follow(self) -> None:
+        if self._follow is not None:
+            self._follow.cancel()
+            self._follow = None
+
     async def _read(self, effect: effects.ReadStore) -> None:
         await asyncio.sleep(effect.delay_us / 1e6)
         source = store_state.Source(effect.source)
-        topic = CONFIGURATION_TOPIC
-        if source is store_state.Source.TARGETS:
-            topic = TARGETS_TOPIC
         self.metrics.counts["store_read"] += 1
         found = await self._store.read(
-            topic, effect.from_offset, effect.first_offset, effect.wait_ms
+            TOPICS[source],
+            effect.from_offset,
+            effect.first_offset,
+            effect.wait_ms,
         )
-        match found:
-            case store_lib.Failed(why):
-                event: events.Event = events.StoreReadFailed(
-                    self.now_us(), effect.source, why
+        # From here on there is nothing to give up.
+        self._reads.pop(effect.source, None)
+        if isinstance(found, store_records.Dropped):
+            self.submit(
+                events.StoreHistoryDropped(
+                    self.now_us(), effect.source, found.first_offset
                 )
-            case store_lib.Dropped(first_offset):
-                event = events.StoreHistoryDropped(
-                    self.now_us(), effect.source, first_offset
+            )
+            return
+        self._feed.take(effect.source, found)
+        self.submit(self._outcome(source, found, None))
+
+    async def _follow_reader(self, effect: effects.FollowReader) -> None:
+        why = "it ended its answer"
+        try:
+            async for told in self._feed_client.follow(
+                effect.address, effect.from_offsets
+            ):
+                self._on_told(effect.stream, told)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            why = f"{type(error).__name__}: {error}"
+        self.submit(events.ReaderLost(self.now_us(), effect.stream, why))
+
+    def _on_told(
+        self, stream: int, told: store_feed.Met | store_feed.Told
+    ) -> None:
+        match told:
+            case store_feed.Met(failure_domain):
+                self.submit(
+                    events.ReaderMet(self.now_us(), stream, failure_domain)
+                )
+            case store_feed.Told(name, age_ms, outcome):
+                passed_on = events.PassedOn(stream, age_ms * 1000)
+                source = store_state.Source(name)
+                if isinstance(outcome, store_records.Batch):
+                    self._feed.merge(name, outcome)
+                self.submit(self._outcome(source, outcome, passed_on))
+
+    def _outcome(
+        self,
+        source: store_state.Source,
+        found: store_records.Batch | store_records.Failed,
+        passed_on: events.PassedOn | None,
+    ) -> events.Event:
+        match found:
+            case store_records.Failed(why):
+                return events.StoreReadFailed(
+                    self.now_us(), source.value, why, passed_on
                 )
-            case store_lib.Batch() if source is store_state.Source.TARGETS:
-                event = self._targets(found)
-            case store_lib.Batch():
-                event = self._configuration(found)
-        self.submit(event)
+            case store_records.Batch() if source is store_state.Source.TARGETS:
+                return self._targets(found, passed_on)
+            case store_records.Batch():
+                return self._configuration(found, passed_on)
 
     def _configuration(
-        self, batch: store_lib.Batch
+        self, batch: store_records.Batch, passed_on: events.PassedOn | None
     ) -> events.ConfigurationRead:
         newest: published.Document | None = None
         for record in batch.records:
@@ -187,10 +291,12 @@
             if newest is None or document.version > newest.version:
                 newest = document
         return events.ConfigurationRead(
-            self.now_us(), newest, batch.next_offset
+            self.now_us(), newest, batch.next_offset, passed_on
         )
 
-    def _targets(self, batch: store_lib.Batch) -> events.TargetsRead:
+    def _targets(
+        self, batch: store_records.Batch, passed_on: events.PassedOn | None
+    ) -> events.TargetsRead:
         found: dict[str, list[events.TargetEntry]] = {}
         removed: set[str] = set()
         for record in batch.records:
@@ -212,9 +318,12 @@
             removed=sorted(removed),
             whole=batch.whole,
             next_offset=batch.next_offset,
+            passed_on=passed_on,
         )
 
-    def _report_unreadable(self, record: store_lib.Record, why: str) -> None:
+    def _report_unreadable(
+        self, record: store_records.Record, why: str
+    ) -> None:
         """Writes a log line of a record, once for each value."""
         assert record.value is not None
         if self._unreadable.get(record.key) == record.value:
@@ -242,5 +351,8 @@
             repeat_share=bounds.retry_budget_ratio,
             repeat_slack=bounds.retry_slack,
             repeat_window_ms=int(bounds.budget_window_s * 1000),
+            is_reader=settings.is_reader,
+            readers=settings.other_readers,
+            reader_wait_ms=int(bound_ms * READER_WAIT_PART),
         ),
     )
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -44,6 +44,10 @@
         callers_address: Address on which callers are served.
         ready_address: Address on which the balancer asks for readiness.
         store_address: Address of the platform's store.
+        control_address: Address on which other hosts follow this one; empty
+            where the role does not serve it.
+        readers: Control addresses of the hosts that read the store for all;
+            they may be out of date.
         bounds: Bounds that the users state.
     """
 
@@ -52,8 +56,24 @@
     callers_address: str
     ready_address: str
     store_address: str
+    control_address: str = ""
+    readers: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host reads the store for others."""
+        return self.control_address in self.readers
+
+    @property
+    def other_readers(self) -> tuple[str, ...]:
+        """The readers, this host left out."""
+        return tuple(
+            address
+            for address in self.readers
+            if address != self.control_address
+        )
+
 
 def load(path: pathlib.Path) -> result.Result[HostSettings, list[str]]:
     """Reads the settings; the errors name every key that is missing."""
@@ -83,11 +103,35 @@
         callers_address=text("network", "listen-addrs", "front"),
         ready_address=text("network", "listen-addrs", "ready-addr"),
         store_address=text("platform", "platform", "address"),
+        control_address=_control_address(raw, errors),
+        readers=_readers(raw, errors),
         bounds=_bounds(raw, errors),
     )
     return result.Err(errors) if errors else result.Ok(settings)
 
 
+def _control_address(raw: dict[str, Any], errors: list[str]) -> str:
+    path = ("network", "listen-addrs", "control-addr")
+    found = _at(raw, path)
+    if found is None:
+        return ""
+    if not isinstance(found, str):
+        errors.append(f"{'.'.join(path)}: found {found!r}; give a string")
+        return ""
+    return found
+
+
+def _readers(raw: dict[str, Any], errors: list[str]) -> tuple[str, ...]:
+    # The platform calls them seeds: hosts that a new one may ask first.
+    found = _at(raw, ("network", "seed-nodes"))
+    if found is None:
+        return ()
+    if isinstance(found, list) and all(isinstance(each, str) for each in found):
+        return tuple(found)
+    errors.append(f"network.seed-nodes: found {found!r}; give strings")
+    return ()
+
+
 def _bounds(raw: dict[str, Any], errors: list[str]) -> Bounds:
     given: dict[str, float] = {}
     for field in attrs.fields(Bounds):
--- a/src/fireflyspindle/platform/store.py
+++ b/src/fireflyspindle/platform/store.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 import aiohttp
-import attrs
+
+from fireflyspindle.adapters import store_records
 
 # Time for an answer beyond what a read waits at the store. A slow store takes
 # 0.4 s; the users' bounds hold again 3 s after the store is sound
@@ -28,56 +29,6 @@
 _OFFSET_BYTES = 8
 
 
-@attrs.define(frozen=True)
-class Record:
-    """The newest record of a key; `value` is None for a key that was dropped.
-
-    Attributes:
-        key: The key.
-        value: What was written.
-    """
-
-    key: str
-    value: bytes | None
-
-
-@attrs.define(frozen=True)
-class Batch:
-    """What a read brought.
-
-    Attributes:
-        records: Records by ascending offset.
-        next_offset: First offset that has not been read.
-        whole: Whether the records are all that there are.
-    """
-
-    records: list[Record]
-    next_offset: int
-    whole: bool
-
-
-@attrs.define(frozen=True)
-class Dropped:
-    """The store no longer holds the records from the offset asked for.
-
-    Attributes:
-        first_offset: Offset of the oldest record that it holds.
-    """
-
-    first_offset: int
-
-
-@attrs.define(frozen=True)
-class Failed:
-    """A call failed or was not answered in time.
-
-    Attributes:
-        why: Sentence for a person.
-    """
-
-    why: str
-
-
 class StoreClient:
     """Reads keyed topics of the platform's store.
 
@@ -98,7 +49,7 @@
         from_offset: int | None,
         first_offset: int = 0,
         wait_ms: int = 0,
-    ) -> Batch | Dropped | Failed:
+    ) -> store_records.Batch | store_records.Dropped | store_records.Failed:
         """Reads the records from an offset, or the newest of every key.
 
         Args:
@@ -114,15 +65,15 @@
                 return await self._read_newest(topic, first_offset)
             return await self._read_from(topic, from_offset, wait_ms)
         except TimeoutError:
-            return Failed("it did not answer in time")
+            return store_records.Failed("it did not answer in time")
         except (aiohttp.ClientError, OSError) as error:
-            return Failed(f"{type(error).__name__}: {error}")
+            return store_records.Failed(f"{type(error).__name__}: {error}")
         except (KeyError, TypeError, ValueError) as error:
-            return Failed(f"its answer can't be read: {error!r}")
+            return store_records.Failed(f"its answer can't be read: {error!r}")
 
     async def _read_from(
         self, topic: str, offset: int, wait_ms: int
-    ) -> Batch | Dropped | Failed:
+    ) -> store_records.Batch | store_records.Dropped | store_records.Failed:
         query = {
             "topic": topic,
             "part": "0",
@@ -132,25 +83,25 @@
         }
         status, body = await self._get("/log-read", query, wait_ms)
         if status == 410:
-            return Dropped(int(_json(body)["first-offset"]))
+            return store_records.Dropped(int(_json(body)["first-offset"]))
         if status != 200:
-            return Failed(f"it answered with status {status}")
+            return store_records.Failed(f"it answered with status {status}")
         end = int.from_bytes(body[:_OFFSET_BYTES])
         if end < offset:
-            return Dropped(end)
-        records = _records(body[2 * _OFFSET_BYTES :])
-        return Batch(records, offset + len(records), whole=False)
+            return store_records.Dropped(end)
+        records = _records(body[2 * _OFFSET_BYTES :], offset)
+        return store_records.Batch(records, offset + len(records), whole=False)
 
     async def _read_newest(
         self, topic: str, first_offset: int
-    ) -> Batch | Failed:
+    ) -> store_records.Batch | store_records.Failed:
         """Lists the newest record of every key.
 
         Pages are no snapshot, and neither are a page and the end that it
         states. What is written meanwhile comes after the records of the
         first page, so that reading goes on from there.
         """
-        records: list[Record] = []
+        records: list[store_records.Record] = []
         next_offset = first_offset
         after = ""
         for number in range(MAX_PAGES):
@@ -159,7 +110,7 @@
                 query["after"] = after
             status, body = await self._get("/log-newest", query, 0)
             if status != 200:
-                return Failed(f"it answered with status {status}")
+                return store_records.Failed(f"it answered with status {status}")
             page = _json(body)
             items = page["items"]
             if number == 0:
@@ -167,9 +118,9 @@
                 next_offset = max(next_offset, last + 1)
             records += [_item(item) for item in items]
             if not page["has-more"] or not items:
-                return Batch(records, next_offset, whole=True)
+                return store_records.Batch(records, next_offset, whole=True)
             after = items[-1]["key"]
-        return Failed(f"topic {topic} has over {MAX_PAGES} pages")
+        return store_records.Failed(f"topic {topic} has over {MAX_PAGES} pages")
 
     async def _get(
         self, path: str, query: dict[str, str], wait_ms: int
@@ -195,18 +146,18 @@
     return found
 
 
-def _item(item: dict[str, Any]) -> Record:
+def _item(item: dict[str, Any]) -> store_records.Record:
     try:
         value = base64.b64decode(item["value"], validate=True)
     except binascii.Error:
         # Bytes that can't be read are handed on, for the log line that tells
         # whose they are.
         value = b""
-    return Record(str(item["key"]), value)
+    return store_records.Record(str(item["key"]), value, int(item["offset"]))
 
 
-def _records(data: bytes) -> list[Record]:
-    """Splits the records of a keyed topic.
+def _records(data: bytes, offset: int) -> list[store_records.Record]:
+    """Splits the records of a keyed topic; the first has the offset given.
 
     Raises:
         ValueError: The data ends within a record.
@@ -222,7 +173,9 @@
         at += length
         key_end = 1 + content[0]
         key = content[1:key_end].decode("utf-8", "replace")
-        records.append(Record(key, content[key_end:] or None))
+        value = content[key_end:] or None
+        records.append(store_records.Record(key, value, offset))
+        offset += 1
     return records
 
 
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,273 @@
+"""Hosts that follow a reader for what the platform's store says."""
+
+import pytest
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import reducer
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
+import published_driver as published_host
+
+READERS = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+WAIT_US = 800_000
+# Within this time of a change every host has to have it; the users' bound.
+BOUND_US = 2_000_000
+
+
+class FollowingHost(published_host.PublishedHost):
+    """A gate host that has just started."""
+
+    def __init__(self, seed=0, **store):
+        self.settings = store_state.StoreSettings(
+            **{"readers": READERS, "probes_per_s": 600.0, **store}
+        )
+        self.state = state_lib.new(
+            state_lib.CoreSettings(
+                host_id="gate-1",
+                failure_domain=published_host.DOMAIN,
+                store=self.settings,
+            ),
+            seed,
+        )
+        self.now_us = 1_000_000
+        self.effects = []
+        self.next_offset = 0
+        self._take(reducer.start(self.state, self.now_us))
+
+    @property
+    def stream(self):
+        """Number of the newest stream."""
+        return self.state.following.number
+
+    @property
+    def address(self):
+        """Address of the reader that is followed."""
+        return self.state.following.address
+
+    def own_reads(self):
+        """Reads of the store by this host."""
+        return self.of(effects.ReadStore)
+
+    def tell(self, stream=None, age_us=0, configured=None, entries=()):
+        """Feeds one read of each source by the reader."""
+        passed_on = events.PassedOn(stream or self.stream, age_us)
+        if configured is not None or entries:
+            self.next_offset += 1
+        self.feed(
+            events.ConfigurationRead,
+            configured,
+            self.next_offset,
+            passed_on=passed_on,
+        )
+        self.feed(
+            events.TargetsRead,
+            list(entries),
+            [],
+            False,
+            self.next_offset,
+            passed_on=passed_on,
+        )
+
+    def tell_for(self, for_us):
+        """Lets time pass in which the reader's reads bring nothing."""
+        end_us = self.now_us + for_us
+        while self.now_us < end_us:
+            self.tell()
+            self.advance(min(WAIT_US, end_us - self.now_us))
+
+    def lose(self, why="reset"):
+        """Ends the stream."""
+        return self.feed(events.ReaderLost, self.stream, why)
+
+    def meet(self, failure_domain):
+        """Feeds the answer of the reader."""
+        return self.feed(events.ReaderMet, self.stream, failure_domain)
+
+
+def test_host_that_follows_reads_nothing_itself():
+    host = FollowingHost()
+    host.tell(
+        configured=published_host.document(), entries=[published_host.entry(0)]
+    )
+    host.tell_for(30_000_000)
+    assert host.own_reads() == []
+    assert len(host.of(effects.FollowReader)) == 1
+    assert host.state.rules.version == 1
+    assert list(host.state.registered) == ["i-0"]
+
+
+def test_reader_reads_both_sources_at_once_and_follows_nobody():
+    host = FollowingHost(is_reader=True)
+    assert [read.source for read in host.own_reads()] == [
+        source.value for source in store_state.Source
+    ]
+    assert host.of(effects.FollowReader) == []
+    host.configure(published_host.document())
+    host.advance(0)
+    latest = host.own_reads()[-1]
+    assert latest.wait_ms == 800
+    assert latest.delay_us <= 250_000
+
+
+def test_only_reader_keeps_the_cadence_of_a_reader():
+    host = FollowingHost(is_reader=True, readers=())
+    host.configure(published_host.document())
+    assert host.own_reads()[-1].wait_ms == 800
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_host_reads_itself_before_the_bound_when_its_reader_falls_silent(seed):
+    host = FollowingHost(seed)
+    host.tell(configured=published_host.document())
+    host.advance(BOUND_US - 400_000)
+    assert {read.source for read in host.own_reads()} == {
+        source.value for source in store_state.Source
+    }
+    assert all(read.delay_us == 0 for read in host.own_reads())
+
+
+def test_silent_reader_is_left_for_another_before_the_store_is_read():
+    host = FollowingHost()
+    host.tell()
+    first = host.address
+    host.advance(WAIT_US + 500_000)
+    assert host.address != first
+    host.tell()
+    host.advance(WAIT_US)
+    assert host.own_reads() == []
+
+
+def test_pause_of_a_reader_after_a_change_is_no_silence():
+    host = FollowingHost()
+    host.tell()
+    first = host.stream
+    host.advance(WAIT_US + 250_000 + 100_000)
+    assert host.stream == first
+
+
+def test_lost_reader_is_replaced_at_once():
+    host = FollowingHost()
+    host.tell()
+    seen = {host.address}
+    host.lose()
+    seen.add(host.address)
+    host.lose()
+    seen.add(host.address)
+    assert seen == set(READERS)
+    host.lose()
+    assert host.address is None
+    host.advance(310_000)
+    assert host.address in READERS
+
+
+def test_stream_of_a_former_reader_does_not_count():
+    host = FollowingHost()
+    former = host.stream
+    host.lose()
+    host.tell(stream=former, configured=published_host.document())
+    assert host.state.rules.version is None
+
+
+def test_reader_of_the_own_failure_domain_is_sought():
+    host = FollowingHost()
+    first = host.address
+    host.meet(published_host.OTHER_DOMAIN)
+    second = host.address
+    assert second != first
+    host.meet(published_host.DOMAIN)
+    assert host.address == second
+
+
+def test_host_stays_once_every_reader_is_elsewhere():
+    host = FollowingHost()
+    for _ in READERS:
+        host.meet(published_host.OTHER_DOMAIN)
+    streams = len(host.of(effects.FollowReader))
+    assert streams == len(READERS)
+    host.tell_for(5_000_000)
+    assert len(host.of(effects.FollowReader)) == streams
+
+
+def test_starting_host_reads_itself_when_no_reader_is_found():
+    host = FollowingHost()
+    while host.now_us < 1_000_000 + 1_400_000:
+        if host.address is not None:
+            host.lose()
+        host.advance(100_000)
+    assert host.own_reads() == []
+    host.advance(200_000)
+    assert len(host.own_reads()) == 2
+
+
+def test_own_read_is_given_up_when_a_reader_tells():
+    host = FollowingHost()
+    host.advance(1_600_000)
+    assert len(host.own_reads()) == 2
+    host.tell()
+    assert {stop.source for stop in host.of(effects.StopReading)} == {
+        source.value for source in store_state.Source
+    }
+
+
+def test_late_own_read_takes_nothing_back():
+    host = FollowingHost()
+    host.tell(entries=[published_host.entry(0)])
+    host.next_offset = 7
+    host.tell(entries=[published_host.entry(1)])
+    host.feed(events.TargetsRead, [], ["i-0", "i-1"], False, 3)
+    assert set(host.state.registered) == {"i-0", "i-1"}
+
+
+def test_few_reads_are_made_while_the_store_fails_for_the_reader_too():
+    host = FollowingHost()
+    host.tell(configured=published_host.document())
+    for _ in range(200):
+        passed_on = events.PassedOn(host.stream, 0)
+        for source in store_state.Source:
+            host.feed(events.StoreReadFailed, source.value, "503", passed_on)
+        asked = len(host.own_reads())
+        host.advance(100_000)
+        if len(host.own_reads()) > asked:
+            for read in host.own_reads()[asked:]:
+                host.feed(events.StoreReadFailed, read.source, "503")
+    assert len(host.own_reads()) <= 2 + 2 * 20_000_000 / 4_500_000
+    host.tell()
+    assert not any(reads.failures for reads in host.state.store_reads.values())
+
+
+def test_reader_whose_reads_fail_follows_another_until_they_succeed():
+    host = FollowingHost(is_reader=True)
+    host.configure(published_host.document())
+    for _ in range(2):
+        host.feed(events.StoreReadFailed, "targets", "refused")
+    assert host.address in READERS
+    host.tell(configured=published_host.document(version=2))
+    assert host.state.rules.version == 2
+    assert host.state.store_reads[store_state.Source.TARGETS].failures
+    host.register(published_host.entry(0))
+    assert host.address is None
+    assert host.of(effects.StopFollowing)
+
+
+def test_new_list_of_readers_is_followed():
+    host = FollowingHost()
+    host.tell()
+    host.feed(events.ReadersListed, False, ("10.0.0.9:1",))
+    assert host.address == "10.0.0.9:1"
+    host.feed(events.ReadersListed, True, ("10.0.0.8:1",))
+    assert host.address is None
+    assert len(host.own_reads()) == 2
+
+
+def test_outage_that_a_reader_tells_of_lets_lapsed_targets_come_back():
+    host = FollowingHost(rejoin_ms=2_000)
+    host.tell(
+        configured=published_host.document(), entries=[published_host.entry(0)]
+    )
+    passed_on = events.PassedOn(host.stream, 0)
+    host.feed(events.StoreReadFailed, "targets", "503", passed_on)
+    host.feed(events.TargetsRead, [], ["i-0"], False, 9, passed_on=passed_on)
+    assert list(host.state.registered) == ["i-0"]
+    host.advance(2_100_000)
+    assert list(host.state.registered) == []
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -400,7 +400,89 @@
 async def test_malformed_entry_is_logged_once():
     async with running(answers()) as platform:
         batch = await platform.host._store.read(store_lib.TARGETS_TOPIC, None)
-        read = platform.host._targets(batch)
+        read = platform.host._targets(batch, None)
     assert isinstance(read, events.TargetsRead)
     assert [each.target_id for each in read.entries] == ["i-0"]
     assert list(platform.host._unreadable) == ["i-bad"]
+
+
+@contextlib.asynccontextmanager
+async def fleet():
+    """Runs a store, a host that reads it and one that follows that host."""
+    store = testing.StandInStore()
+    store_server = testing.Server(store.application())
+    store_address = await store_server.start()
+    store.write(store_lib.CONFIGURATION_TOPIC, "config", document(1))
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        control_address = f"127.0.0.1:{bound.getsockname()[1]}"
+    hosts = []
+    for own_address in (control_address, "127.0.0.1:0"):
+        host = host_lib.PlatformHost(
+            settings_lib.HostSettings(
+                host_id=own_address,
+                failure_domain="a",
+                callers_address="127.0.0.1:0",
+                ready_address="127.0.0.1:0",
+                store_address=store_address,
+                control_address=own_address,
+                readers=(control_address,),
+            )
+        )
+        await host.start()
+        hosts.append(host)
+    await wire.until(lambda: all(h.state.rules.version == 1 for h in hosts))
+    try:
+        yield store, *hosts
+    finally:
+        for host in hosts:
+            host.request_stop()
+            host.request_stop()
+            await host.wait_closed()
+        await store_server.close()
+
+
+async def test_host_that_follows_gets_changes_without_a_call_to_the_store():
+    async with fleet() as (store, reader, follower):
+        store.write(store_lib.CONFIGURATION_TOPIC, "config", document(2))
+        store.write(store_lib.TARGETS_TOPIC, "i-0", entry("127.0.0.1:1"))
+        await wire.until(
+            lambda: (
+                follower.state.rules.version == 2
+                and "i-0" in follower.state.registered
+            )
+        )
+        assert reader.metrics.counts["store_read"] > 2
+        assert follower.metrics.counts["store_read"] == 0
+
+
+async def test_host_reads_the_store_itself_once_its_reader_has_gone():
+    async with fleet() as (store, reader, follower):
+        reader.request_stop()
+        reader.request_stop()
+        await reader.wait_closed()
+        store.write(store_lib.CONFIGURATION_TOPIC, "config", document(2))
+        await wire.until(lambda: follower.state.rules.version == 2)
+        assert follower.metrics.counts["store_read"] > 0
+
+
+async def test_host_whose_reader_the_store_turns_away_reads_itself():
+    async with fleet() as (store, reader, follower):
+        del reader
+        store.refuse_status = 503
+        await wire.until(lambda: follower.metrics.counts["store_read"] > 0)
+        store.refuse_status = None
+        store.write(store_lib.CONFIGURATION_TOPIC, "config", document(2))
+        await wire.until(lambda: follower.state.rules.version == 2)
+
+
+async def test_changed_list_of_readers_is_taken_while_the_host_runs():
+    async with fleet() as (_, reader, follower):
+        changed = attrs.evolve(
+            follower.settings, readers=(follower.settings.control_address,)
+        )
+        follower.take_settings(changed)
+        assert follower.state.following.is_reader
+        assert follower.state.following.address is None
+        await wire.until(lambda: follower.metrics.counts["store_read"] > 1)
+        assert reader.state.following.is_reader
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 import pytest_asyncio
 
 from fireflyspindle import testing
+from fireflyspindle.adapters import store_records
 from fireflyspindle.platform import store as store_lib
 
 TOPIC = "keyed.servers"
@@ -44,21 +45,21 @@
     assert not reading.done()
     stand_in.write(TOPIC, "i-1", None)
     found = await reading
-    assert found.records == [store_lib.Record("i-1", None)]
+    assert found.records == [store_records.Record("i-1", None, 1)]
     assert (found.next_offset, found.whole) == (2, False)
 
 
 async def test_read_without_news_ends_empty(store):
     _, client = store
     found = await client.read(TOPIC, 0, wait_ms=50)
-    assert found == store_lib.Batch([], 0, whole=False)
+    assert found == store_records.Batch([], 0, whole=False)
 
 
 async def test_dropped_history_is_told(store):
     stand_in, client = store
     stand_in.write(TOPIC, "i-1", b"one")
     stand_in.forget(TOPIC)
-    assert await client.read(TOPIC, 0) == store_lib.Dropped(1)
+    assert await client.read(TOPIC, 0) == store_records.Dropped(1)
     found = await client.read(TOPIC, None, 1)
     assert (found.next_offset, len(found.records)) == (1, 1)
 
@@ -102,7 +103,7 @@
     found = await client.read(TOPIC, from_offset, wait_ms=50)
     assert "in time" in found.why
     stand_in.silent = False
-    assert isinstance(await client.read(TOPIC, None), store_lib.Batch)
+    assert isinstance(await client.read(TOPIC, None), store_records.Batch)
 
 
 @pytest.mark.parametrize(
@@ -121,12 +122,12 @@
     await client.close()
     await server.close()
     if not body:
-        assert found == store_lib.Batch([], 0, whole=False)
+        assert found == store_records.Batch([], 0, whole=False)
     else:
-        assert isinstance(found, store_lib.Failed)
+        assert isinstance(found, store_records.Failed)
 
 
 async def test_unreachable_store_is_a_failure():
     client = store_lib.StoreClient("127.0.0.1:9")
-    assert isinstance(await client.read(TOPIC, None), store_lib.Failed)
+    assert isinstance(await client.read(TOPIC, None), store_records.Failed)
     await client.close()
--- /dev/null
+++ b/tests/test_store_feed.py
@@ -0,0 +1,180 @@
+"""Passing on what one gate host reads of the store, over HTTP."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+import pytest
+import pytest_asyncio
+
+from fireflyspindle import testing
+from fireflyspindle.adapters import store_feed
+from fireflyspindle.adapters import store_records
+
+NAME = "targets"
+
+
+def batch(*rows, next_offset, whole=False):
+    """A batch of (key, value, offset)."""
+    return store_records.Batch(
+        [store_records.Record(*row) for row in rows], next_offset, whole
+    )
+
+
+class Passing:
+    """A feed that is served, and hosts that follow it."""
+
+    def __init__(self):
+        self.now_us = 5_000_000
+        self.feed = store_feed.Feed("a", (NAME,), lambda: self.now_us)
+        self.client = store_feed.FeedClient()
+        app = web.Application()
+        app.add_routes(self.feed.routes())
+        self.server = testing.Server(app)
+        self.address = ""
+
+    async def follow(self, offset=None):
+        """Returns the lines that a host gets, after the first one."""
+        lines = self.client.follow(self.address, {NAME: offset})
+        assert await anext(lines) == store_feed.Met("a")
+        return lines
+
+
+@pytest_asyncio.fixture
+async def passing():
+    """A feed that is served."""
+    made = Passing()
+    made.address = await made.server.start()
+    yield made
+    made.feed.close()
+    await made.client.close()
+    await made.server.close()
+
+
+async def test_host_gets_the_whole_then_each_change(passing):
+    passing.feed.take(
+        NAME, batch(("i-1", b"one", 3), next_offset=4, whole=True)
+    )
+    passing.now_us += 250_000
+    lines = await passing.follow()
+    first = await anext(lines)
+    assert (first.source, first.age_ms) == (NAME, 250)
+    assert first.outcome == batch(("i-1", b"one", 3), next_offset=4, whole=True)
+    passing.feed.take(NAME, batch(("i-1", None, 4), next_offset=5))
+    second = await anext(lines)
+    assert second.outcome == batch(("i-1", None, 4), next_offset=5)
+    passing.feed.take(NAME, batch(next_offset=5))
+    assert (await anext(lines)).outcome == batch(next_offset=5)
+    await lines.aclose()
+
+
+async def test_host_that_is_a_little_behind_gets_what_it_lacks(passing):
+    passing.feed.take(
+        NAME,
+        batch(("i-1", b"1", 1), ("i-2", b"2", 2), next_offset=3, whole=True),
+    )
+    passing.feed.take(
+        NAME, batch(("i-3", b"3", 3), ("i-1", b"new", 4), next_offset=5)
+    )
+    lines = await passing.follow(4)
+    assert (await anext(lines)).outcome == batch(
+        ("i-1", b"new", 4), next_offset=5
+    )
+    await lines.aclose()
+    lines = await passing.follow(1)
+    found = (await anext(lines)).outcome
+    assert found.whole
+    assert {record.key for record in found.records} == {"i-1", "i-2", "i-3"}
+    await lines.aclose()
+
+
+async def test_failed_read_is_told_with_its_reason(passing):
+    passing.feed.take(NAME, batch(next_offset=2, whole=True))
+    lines = await passing.follow()
+    await anext(lines)
+    passing.feed.take(NAME, store_records.Failed("status 503"))
+    assert (await anext(lines)).outcome == store_records.Failed("status 503")
+    await lines.aclose()
+
+
+async def test_nothing_is_told_before_the_first_read(passing):
+    lines = await passing.follow()
+    passing.feed.merge(NAME, batch(next_offset=9, whole=True))
+    waiting = asyncio.ensure_future(anext(lines))
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    passing.feed.take(NAME, batch(next_offset=9, whole=True))
+    assert (await waiting).outcome.next_offset == 9
+    await lines.aclose()
+
+
+async def test_followers_are_counted_and_their_leaving_is_noticed(passing):
+    lines = await passing.follow()
+    assert passing.feed.followers == 1
+    await lines.aclose()
+    for number in range(100):
+        passing.feed.take(NAME, batch(next_offset=number, whole=True))
+        await asyncio.sleep(0.01)
+        if not passing.feed.followers:
+            break
+    assert passing.feed.followers == 0
+
+
+async def test_closed_feed_ends_its_answers(passing):
+    lines = await passing.follow()
+    passing.feed.close()
+    with pytest.raises(StopAsyncIteration):
+        await anext(lines)
+
+
+async def test_large_listing_is_one_line(passing):
+    rows = [(f"i-{n}", b"x" * 800, n) for n in range(1_000)]
+    passing.feed.take(NAME, batch(*rows, next_offset=1_000, whole=True))
+    lines = await passing.follow()
+    assert len((await anext(lines)).outcome.records) == 1_000
+    await lines.aclose()
+
+
+@pytest.mark.parametrize("offset", ["-1", "x", "²"])
+async def test_bad_offset_is_refused(passing, offset):
+    async with aiohttp.ClientSession() as session:
+        url = f"http://{passing.address}{store_feed.PATH}"
+        async with session.get(url, params={NAME: offset}) as answer:
+            assert answer.status == 400
+            assert "give an offset" in await answer.text()
+
+
+@pytest.mark.parametrize(
+    "line", [b"spoilt\n", b"[]\n", b'{"source":"targets"}\n', b"3\n"]
+)
+async def test_line_that_cannot_be_read_ends_the_stream(line):
+    async def answer(_request):
+        return web.Response(body=line)
+
+    app = web.Application()
+    app.add_routes([web.get(store_feed.PATH, answer)])
+    server = testing.Server(app)
+    client = store_feed.FeedClient()
+    with pytest.raises(ValueError, match=r"can't be read|Expecting value"):
+        async for _ in client.follow(await server.start(), {NAME: None}):
+            pass
+    await client.close()
+    await server.close()
+
+
+def test_copy_that_was_ahead_takes_nothing_back():
+    copy = store_records.Copy()
+    copy.take(batch(("i-1", b"new", 8), next_offset=9, whole=True))
+    copy.take(batch(("i-1", b"old", 2), next_offset=3))
+    assert copy.since(None).records[0].value == b"new"
+    assert copy.next_offset == 9
+
+
+def test_dropped_keys_are_forgotten_in_the_end():
+    copy = store_records.Copy()
+    copy.take(batch(next_offset=0, whole=True))
+    count = store_records.MAX_DROPPED_KEYS + 1
+    rows = [(f"i-{n}", None, n) for n in range(count)]
+    copy.take(batch(*rows, next_offset=count))
+    assert copy.since(count) == batch(next_offset=count)
+    assert copy.since(5).whole
