Let one reader read the store, and let callers wait for a starting host

Now the reader with the first address reads, the others pass on what it tells and take over after 1.18 s of silence. Readers read at their start, other hosts after 0.15 s without a reader (2 s at the first start of the system). The connections of callers wait up to 0.6 s for the first reads instead of being told that there is no configuration.

Ruled out: two readers following each other (they follow earlier addresses only, and vouch only for what those tell).

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -63,13 +63,17 @@
             self, host_id, body_limits, dialect
         )
 
-    async def start(self, address: str) -> None:
+    async def start(self, address: str, accepting: bool = True) -> None:
         """Opens the callers' address.
 
+        Args:
+            address: "ip:port".
+            accepting: Whether to accept connections at once.
+
         Raises:
             OSError: The address can't be opened.
         """
-        await self.server.start(address)
+        await self.server.start(address, accepting)
 
     async def settle(self) -> None:
         """Waits until no request is half read and no call is in flight."""
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import socket
 import time
 from typing import Protocol
 
@@ -21,6 +22,8 @@
 SWEEP_INTERVAL_S = 1.0
 CLOSE_LIMIT_S = 2.0
 CLOSE_POLL_S = 0.01
+# Connections that may wait to be accepted; a burst of a second or two.
+BACKLOG = 1_024
 
 Connection = caller_connection.CallerConnection
 Turn = caller_connection.Turn
@@ -76,23 +79,40 @@
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
 
-    async def start(self, address: str) -> None:
+    async def start(self, address: str, accepting: bool = True) -> None:
         """Opens the callers' address.
 
+        Args:
+            address: "ip:port".
+            accepting: Whether to accept connections at once. Otherwise they
+                wait, already made, until `accept` is called.
+
         Raises:
             OSError: The address can't be opened.
         """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        listening = socket.create_server(
+            (host.strip("[]"), int(port)),
+            family=socket.AF_INET6 if ":" in host else socket.AF_INET,
+            backlog=BACKLOG,
+        )
+        listening.setblocking(False)
         buffer = bytearray(receiving.RECEIVE_BUFFER_BYTES)
         self._server = await loop.create_server(
             lambda: Connection(self, loop, buffer),
-            host.strip("[]"),
-            int(port),
-            backlog=1024,
+            sock=listening,
+            backlog=BACKLOG,
+            start_serving=accepting,
         )
         self._on_sweep()
 
+    async def accept(self) -> None:
+        """Accepts the connections that wait, and all further ones."""
+        assert self._server is not None
+        if not self.stopping:
+            await self._server.start_serving()
+
     @property
     def address(self) -> str:
         """The address that was opened, with its real port."""
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -91,18 +91,31 @@
         return [web.get(PATH, self._on_follow)]
 
     def take(
-        self, name: str, outcome: store_records.Batch | store_records.Failed
+        self,
+        name: str,
+        outcome: store_records.Batch | store_records.Failed,
+        age_us: int = 0,
     ) -> None:
-        """Takes the outcome of a read of the store by this host."""
+        """Takes the outcome of a read of the store, to vouch for it.
+
+        Args:
+            name: What was read.
+            outcome: What the read brought.
+            age_us: Time since the read ended, by this host or another.
+        """
         source = self._sources[name]
-        source.reads += 1
-        source.ended_us = self._now_us()
+        failed: store_records.Failed | None = None
         match outcome:
             case store_records.Batch():
                 source.copy.take(outcome)
-                source.failed = None
             case store_records.Failed():
-                source.failed = outcome
+                failed = outcome
+        ended_us = self._now_us() - age_us
+        if source.reads and ended_us < source.ended_us:
+            return
+        source.reads += 1
+        source.ended_us = ended_us
+        source.failed = failed
         self._wake()
 
     def merge(self, name: str, batch: store_records.Batch) -> None:
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import following
 from fireflyspindle.core import in_force
 from fireflyspindle.core import published
+from fireflyspindle.core import readiness
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
@@ -71,6 +72,7 @@
         changed=document is not None,
         passed_on=event.passed_on,
     )
+    readiness.accept_callers(state)
 
 
 def _put_in_force(
@@ -119,6 +121,7 @@
     for target_id in gone:
         _remove(state, target_id)
     _refresh(state)
+    readiness.accept_callers(state)
 
 
 def _take(state: state_lib.GateState, entry: events.TargetEntry) -> None:
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -187,11 +187,14 @@
         stream: Number of the stream.
         address: Control address of the host, "ip:port".
         from_offsets: First offset wanted of each source; None for the whole.
+        passes_on: Whether to vouch for these reads to hosts that follow this
+            one.
     """
 
     stream: int
     address: str
     from_offsets: dict[str, int | None]
+    passes_on: bool = False
 
 
 @attrs.define
@@ -284,6 +287,11 @@
     """Close each caller's connection after its next answer."""
 
 
+@attrs.define
+class AcceptCallers:
+    """Accept the connections of callers, which waited to be accepted."""
+
+
 @attrs.define
 class StopListening:
     """Close the address for callers; connections that are open go on."""
@@ -313,6 +321,7 @@
     | SetTimer
     | Report
     | CloseAfterAnswers
+    | AcceptCallers
     | StopListening
     | Exit
 )
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -1,11 +1,12 @@
 """Following a reader, a host that passes on what it reads of the store.
 
-The platform names a few hosts that read the store for all others. A host
-follows one of them, of its own failure domain where there is one. A reader
-tells the outcome of each of its reads, also of those that bring nothing, so
-that its silence shows. When no reader vouches for a source any more, a host
-reads the store itself, before the bounds by which changes have to be in
-force.
+The platform names a few hosts as readers. The first of them by address, which
+leads, reads the store; the others follow those before them and pass on what
+they are told, and every other host follows a reader, of its own failure
+domain where there is one. A reader tells the outcome of each read, also of
+those that bring nothing, so that its silence shows. When the hosts before it
+fall silent, a reader takes over; when all readers do, each host reads the
+store itself, before the bounds by which changes have to be in force.
 """
 
 from fireflyspindle.core import effects
@@ -21,14 +22,19 @@
 # Time beyond the longest wait of a reader after which it counts as silent:
 # its pause after a change, and a lost packet, which is sent again after 0.2 s.
 SILENCE_US = READER_SPACING_MS * 1000 + 200_000
-# Time beyond that wait after which this host reads the store itself. With a
+# The same for a reader, which takes over before its followers turn away.
+TAKE_OVER_US = READER_SPACING_MS * 1000 + 130_000
+# Time beyond that wait after which any host reads the store itself. With a
 # wait of 0.4 of the users' bound (2 s and more), 0.5 s are left for the read.
 OWN_READ_US = SILENCE_US + 250_000
-# Time at the start for which a reader is sought before the store is read.
-# Hosts start within 0.3 s of each other, and a process in about 0.5 s.
-START_PATIENCE_US = 1_500_000
+# Time for which a host that starts seeks a reader before it reads the store
+# itself. At the first start of the whole system callers come seconds later;
+# after that they may wait already, and a reader that runs answers within some
+# milliseconds.
+FIRST_START_PATIENCE_US = 2_000_000
+START_PATIENCE_US = 150_000
 # Pause between attempts to follow while no reader can be reached.
-RETRY_US = 300_000
+RETRY_US = 50_000
 # Least time with one reader before another is tried for its silence.
 SWITCH_US = 500_000
 # Time for which a reader that was lost is tried after the others.
@@ -43,23 +49,35 @@
     found.readers = {
         address: store_state.Reader() for address in settings.readers
     }
-    if found.reads_always:
+    if leads(state):
         return
-    found.own_reads_from_us = state.now_us + START_PATIENCE_US
+    if not found.is_reader:
+        patience_us = START_PATIENCE_US
+        if settings.first_start:
+            patience_us = FIRST_START_PATIENCE_US
+        found.own_reads_from_us = state.now_us + patience_us
     _follow_next(state)
     _plan(state)
 
 
+def leads(state: state_lib.GateState) -> bool:
+    """Whether this host reads the store whatever others tell it."""
+    found = state.following
+    if not found.readers:
+        return True
+    return found.is_reader and not _earlier_readers(state)
+
+
 def reads_itself(
     state: state_lib.GateState, source: store_state.Source
 ) -> bool:
     """Whether this host has to read a source, since no reader does for it."""
     found = state.following
-    if found.reads_always:
+    if leads(state):
         return True
     if state.now_us < found.own_reads_from_us:
         return False
-    return _overdue(state, source, OWN_READ_US)
+    return _overdue(state, source, _own_read_slack_us(state))
 
 
 def counts(
@@ -87,7 +105,7 @@
         " store says"
     )
     state.emit(effects.Report("info", "reader_followed", detail))
-    if event.failure_domain == state.settings.failure_domain:
+    if found.is_reader:
         return
     nearest = _nearest(state)
     if _distance(state, nearest) < _distance(state, found.address):
@@ -107,8 +125,8 @@
     _avoid(state, found.address)
     found.address = None
     if any(
-        reader.avoided_until_us <= state.now_us
-        for reader in found.readers.values()
+        found.readers[address].avoided_until_us <= state.now_us
+        for address in _candidates(state)
     ):
         _follow_next(state)
     _plan(state)
@@ -122,7 +140,7 @@
         address: found.readers.get(address, store_state.Reader())
         for address in event.readers
     }
-    if found.reads_always or found.address not in found.readers:
+    if found.address not in _candidates(state):
         stop(state)
     on_due(state)
 
@@ -139,11 +157,17 @@
 
 def on_own_failure(state: state_lib.GateState) -> None:
     """Follows a reader once reads by this host fail, also if it is one."""
-    if state.following.address is None and state.following.readers:
+    if state.following.address is None and _candidates(state):
         _follow_next(state)
         _plan(state)
 
 
+def on_own_success(state: state_lib.GateState) -> None:
+    """Leaves a reader that was followed only while own reads failed."""
+    if state.following.address not in _candidates(state):
+        stop(state)
+
+
 def on_told(state: state_lib.GateState) -> None:
     """Sees to it that the silence of the reader will be noticed."""
     _plan(state)
@@ -152,7 +176,7 @@
 def on_due(state: state_lib.GateState) -> None:
     """Leaves a reader that is silent or fails, and seeks one where none is."""
     found = state.following
-    if not found.readers or (found.is_reader and not _fails(state)):
+    if not _candidates(state):
         return
     if found.address is None:
         _follow_next(state)
@@ -170,8 +194,27 @@
     return settings
 
 
-def _fails(state: state_lib.GateState) -> bool:
-    return any(reads.failures for reads in state.store_reads.values())
+def _earlier_readers(state: state_lib.GateState) -> list[str]:
+    own_address = _settings(state).control_address
+    return [
+        address for address in state.following.readers if address < own_address
+    ]
+
+
+def _candidates(state: state_lib.GateState) -> list[str]:
+    """Returns the readers that may be followed.
+
+    Readers follow only those before them, so that no two follow each other;
+    one whose own reads fail follows any, and passes nothing on from those
+    after it.
+    """
+    found = state.following
+    own_reads_fail = any(
+        reads.failures > 1 for reads in state.store_reads.values()
+    )
+    if not found.is_reader or own_reads_fail:
+        return list(found.readers)
+    return _earlier_readers(state)
 
 
 def _overdue(
@@ -181,10 +224,14 @@
     told_us = state.store_reads[source].told_us
     if told_us is None:
         return True
-    wait_us = _settings(state).reader_wait_ms * 1000
+    wait_us = _settings(state).read_wait_ms * 1000
     return state.now_us >= told_us + wait_us + slack_us
 
 
+def _own_read_slack_us(state: state_lib.GateState) -> int:
+    return TAKE_OVER_US if state.following.is_reader else OWN_READ_US
+
+
 def _avoid(state: state_lib.GateState, address: str) -> None:
     reader = state.following.readers.get(address)
     if reader is not None:
@@ -199,15 +246,22 @@
 
 
 def _nearest(state: state_lib.GateState) -> str:
-    """Returns the reader to follow; of equal ones, one at random."""
-    readers = state.following.readers
+    """Returns the reader to follow; of equal ones, one at random.
 
-    def order(address: str) -> tuple[int, int, float]:
-        avoided_us = max(0, readers[address].avoided_until_us - state.now_us)
+    Of several readers, another reader takes the first by address, which does
+    not follow itself.
+    """
+    found = state.following
+
+    def order(address: str) -> tuple[int, int, str | float]:
+        reader = found.readers[address]
+        avoided_us = max(0, reader.avoided_until_us - state.now_us)
+        if found.is_reader:
+            return avoided_us, 0, address
         distance = _distance(state, address)
         return avoided_us, distance, state.random.random()
 
-    return min(readers, key=order)
+    return min(_candidates(state), key=order)
 
 
 def _follow_next(state: state_lib.GateState) -> None:
@@ -219,24 +273,26 @@
     found.number += 1
     found.address = address
     found.since_us = state.now_us
-    offsets = {
-        source.value: reads.next_offset
-        for source, reads in state.store_reads.items()
-    }
-    state.emit(effects.FollowReader(found.number, address, offsets))
+    offsets = {}
+    for source, reads in state.store_reads.items():
+        offsets[source.value] = reads.next_offset
+        reads.reader_failed = False
+    passes_on = found.is_reader and address in _earlier_readers(state)
+    state.emit(effects.FollowReader(found.number, address, offsets, passes_on))
 
 
 def _plan(state: state_lib.GateState) -> None:
     """Sets a timer for the next look after the stream, if none is as early."""
     found = state.following
-    if not found.readers:
+    if not _candidates(state):
         return
-    wait_us = _settings(state).reader_wait_ms * 1000
+    wait_us = _settings(state).read_wait_ms * 1000
     times_us = [found.since_us + SWITCH_US, found.own_reads_from_us]
     for reads in state.store_reads.values():
         if reads.told_us is not None:
             overdue_us = reads.told_us + wait_us
-            times_us += [overdue_us + SILENCE_US, overdue_us + OWN_READ_US]
+            times_us.append(overdue_us + SILENCE_US)
+            times_us.append(overdue_us + _own_read_slack_us(state))
     later_us = [at_us for at_us in times_us if at_us > state.now_us]
     if found.address is None:
         later_us.append(state.now_us + RETRY_US)
--- a/src/fireflyspindle/core/readiness.py
+++ b/src/fireflyspindle/core/readiness.py
@@ -1,9 +1,29 @@
 """Whether a gate host may take calls, and why not."""
 
+from fireflyspindle.core import effects
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
+from fireflyspindle.core import timers
 
 MAX_HOST_LIST_FAILURES = 3
+# Time for which the connections of callers wait for a host that has just
+# started to read the store. The users' callers give a host up after a second,
+# or a third of the time that they have left.
+ACCEPT_WITHIN_US = 600_000
+
+
+def start(state: state_lib.GateState) -> None:
+    """Lets callers wait until the first reads of the store are done."""
+    at_us = state.now_us + ACCEPT_WITHIN_US
+    state.timers.add(at_us, timers.AcceptDue())
+
+
+def accept_callers(state: state_lib.GateState, due: bool = False) -> None:
+    """Accepts callers once the store was read, or when they waited long."""
+    if state.accepting or (_store_gap(state) is not None and not due):
+        return
+    state.accepting = True
+    state.emit(effects.AcceptCallers())
 
 
 def not_ready_reason(state: state_lib.GateState) -> str | None:
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -16,6 +16,7 @@
 from fireflyspindle.core import placing
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probing
+from fireflyspindle.core import readiness
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_looks
 from fireflyspindle.core import state as state_lib
@@ -29,6 +30,7 @@
     """Returns the effects with which a gate host begins."""
     state.now_us = now_us
     if state.settings.store is not None:
+        readiness.start(state)
         store_reads.start(state)
         return _take_effects(state)
     recovery.start(state)
@@ -154,8 +156,16 @@
             waiting.on_room_due(state, service)
         case timers.WaitOver(call_id):
             waiting.on_wait_over(state, call_id)
+        case _:
+            _fire_store(state, timer)
+
+
+def _fire_store(state: state_lib.GateState, timer: timers.Timer) -> None:
+    match timer:
         case timers.RejoinOver():
             discovery.on_rejoin_over(state)
+        case timers.AcceptDue():
+            readiness.accept_callers(state, due=True)
         case timers.FollowDue():
             store_reads.on_follow_due(state)
         case _:
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -410,6 +410,7 @@
         last_probe_id: Number of the latest probe.
         outbox: Effects of the event at hand.
         store_reads: Reads of the platform's store by source.
+        accepting: Whether a host that the store drives accepts callers.
         following: Whom this host follows for what the store says.
         rules: Published rules in force.
         service_terms: Published terms of services by name.
@@ -453,6 +454,7 @@
     store_reads: dict[store_state.Source, store_state.Reads] = attrs.field(
         factory=dict
     )
+    accepting: bool = False
     following: store_state.Following = attrs.field(
         factory=store_state.Following
     )
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -18,22 +18,6 @@
 # bounds hold again (`contact-ms`).
 FIRST_RETRY_US = 100_000
 MAX_RETRY_US = 1_400_000
-# Longest wait of a read at the store, half of what it allows. Each read is
-# paid for. A read that the store never answers would hang for this long: the
-# first one after a failure does not wait, and a store that goes silent while
-# reads wait there resets them or is noticed by the kernel.
-WAIT_MS = 15_000
-# Wait of a read of the configuration where few targets are registered. A read
-# that waits may miss a record without an error (docs/limits.md); a wait below
-# the users' bound of 2 s keeps the bound all the same. Large fleets pay for
-# each read of each host, at some hundredths of what they earn, and wait long.
-SHORT_WAIT_MS = 1_200
-LARGE_FLEET_TARGETS = 60
-# Wait of a read in the time after the store was regained, which is twice the
-# users' `contact-ms`: a read that is lost then is repeated before the bounds
-# hold again.
-SETTLING_WAIT_MS = 800
-SETTLING_US = 6_000_000
 # Pause after a read that failed while the reader that is followed fails too.
 # The reader finds out when the store is back; this host's own reads are for
 # the case that only the reader is cut off.
@@ -98,8 +82,7 @@
     reads.succeeded = True
     reads.under_way = False
     _on_success(state, source)
-    if state.following.reads_always:
-        following.stop(state)
+    following.on_own_success(state)
     _unpark(state)
     if not following.reads_itself(state, source):
         return
@@ -135,7 +118,7 @@
     reads = state.store_reads[source]
     reads.told_us = state.now_us - passed_on.age_us
     reads.reader_failed = False
-    if not state.following.reads_always:
+    if not following.leads(state):
         reads.succeeded = True
         _on_success(state, source)
         reads.parked = False
@@ -173,15 +156,14 @@
     passed_on: events.PassedOn | None = None,
 ) -> None:
     """Takes a read that failed, and asks for another after a pause."""
-    reads = state.store_reads[source]
     if passed_on is not None:
         if following.counts(state, passed_on):
-            reads.reader_failed = True
-            if not state.following.reads_always:
-                _count_failure(state, source, f"by the reader: {why}")
+            _on_told_of_failure(state, source, why)
         return
+    reads = state.store_reads[source]
     reads.under_way = False
-    _count_failure(state, source, why)
+    _report_lost(state, source, why)
+    reads.failures += 1
     if reads.failures > 1:
         following.on_own_failure(state)
     if not following.reads_itself(state, source):
@@ -197,21 +179,34 @@
         return
     pause_us = FIRST_RETRY_US << min(reads.failures - 1, 10)
     pause_us = min(MAX_RETRY_US, pause_us)
-    if following.reader_fails_too(state):
+    if following.reader_fails_too(state) and not following.leads(state):
         pause_us = FOLLOWER_RETRY_US
     spread = 1 + RETRY_SPREAD * (state.random.random() - 0.5)
     _ask(state, source, int(pause_us * spread))
 
 
-def _count_failure(
+def _on_told_of_failure(
     state: state_lib.GateState, source: store_state.Source, why: str
 ) -> None:
+    """Takes the failure of a read that the reader made."""
     reads = state.store_reads[source]
-    reads.failures += 1
-    if reads.failures == 1:
-        reads.lost_us = state.now_us
-        detail = f"{source.value}: a read of the store failed: {why}"
-        state.emit(effects.Report("warning", "store_lost", detail))
+    reads.reader_failed = True
+    if following.leads(state):
+        return
+    _report_lost(state, source, f"by the reader: {why}")
+    # The count goes on with the reads by this host.
+    reads.failures = max(1, reads.failures)
+
+
+def _report_lost(
+    state: state_lib.GateState, source: store_state.Source, why: str
+) -> None:
+    reads = state.store_reads[source]
+    if reads.failures:
+        return
+    reads.lost_us = state.now_us
+    detail = f"{source.value}: a read of the store failed: {why}"
+    state.emit(effects.Report("warning", "store_lost", detail))
 
 
 def _ask(
@@ -232,18 +227,14 @@
 
 
 def _wait_ms(state: state_lib.GateState, source: store_state.Source) -> int:
-    """Returns how long a read may wait at the store."""
-    reads = state.store_reads[source]
-    if reads.failures:
+    """Returns how long a read may wait at the store.
+
+    A read that waits may miss a record without an error (docs/limits.md), so
+    that the wait has to leave time for the next one. The first read after a
+    failure does not wait: the store may never answer it.
+    """
+    if state.store_reads[source].failures:
         return 0
-    if reads.regained_us is not None:
-        if state.now_us < reads.regained_us + SETTLING_US:
-            return SETTLING_WAIT_MS
-    if state.following.is_reader:
-        settings = state.settings.store
-        assert settings is not None
-        return settings.reader_wait_ms
-    small = len(state.registered) < LARGE_FLEET_TARGETS
-    if source is store_state.Source.CONFIGURATION and small:
-        return SHORT_WAIT_MS
-    return WAIT_MS
+    settings = state.settings.store
+    assert settings is not None
+    return settings.read_wait_ms
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -21,9 +21,11 @@
             the requests, over all gate hosts.
         repeat_slack: Sends beyond that share that all gate hosts may make.
         repeat_window_ms: Length of any time in which that holds.
+        first_start: Whether the whole system starts for the first time.
+        control_address: Address on which others follow this host.
         is_reader: Whether this host reads the store for others.
         readers: Control addresses of the other hosts that do.
-        reader_wait_ms: Longest wait of a reader's read at the store.
+        read_wait_ms: Longest wait of a read at the store.
     """
 
     read_spacing_ms: int = 1_000
@@ -32,9 +34,11 @@
     repeat_share: float = 0.1
     repeat_slack: float = 10.0
     repeat_window_ms: int = 10_000
+    first_start: bool = False
+    control_address: str = ""
     is_reader: bool = False
     readers: tuple[str, ...] = ()
-    reader_wait_ms: int = 800
+    read_wait_ms: int = 800
 
 
 class Source(enum.Enum):
@@ -113,11 +117,6 @@
     own_reads_from_us: int = 0
     due_us: int | None = None
 
-    @property
-    def reads_always(self) -> bool:
-        """Whether this host reads the store whatever others tell it."""
-        return self.is_reader or not self.readers
-
 
 @attrs.define
 class Known:
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -58,6 +58,11 @@
     """Targets that an outage of the store cost have had time to come back."""
 
 
+@attrs.define
+class AcceptDue:
+    """Callers have waited long enough for a host that has just started."""
+
+
 @attrs.define
 class FollowDue:
     """It is time to see whether the host that is followed still tells."""
@@ -107,6 +112,7 @@
     | RoomDue
     | WaitOver
     | RejoinOver
+    | AcceptDue
     | FollowDue
     | DrainGraceOver
     | DrainDeadline
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -38,9 +38,10 @@
 # Margin between a read of the store and the bound by which what it brings has
 # to be in force: the answer of a slow store, and the sends under way.
 READ_MARGIN_MS = 600
-# Wait of a reader's reads at the store, as a part of that bound; what is left
-# is for a host to notice that its reader is silent, and to read itself.
-READER_WAIT_PART = 0.4
+# Wait of a read at the store, as a part of that bound; what is left
+# is for a host to notice that its reader is silent, and to read itself, or to
+# read once more what a waiting read missed.
+READ_WAIT_PART = 0.4
 # Time for which a host that stops still takes connections: the balancer asks
 # once a second and leaves a host after two misses.
 DRAIN_GRACE_MS = 2_800
@@ -110,7 +111,9 @@
             self.data_path.client,
             PROBE_TIMEOUT_S,
         )
-        await self.data_path.start(self.settings.callers_address)
+        await self.data_path.start(
+            self.settings.callers_address, accepting=False
+        )
         await self._serve(
             self.settings.ready_address,
             [
@@ -240,14 +243,17 @@
             async for told in self._feed_client.follow(
                 effect.address, effect.from_offsets
             ):
-                self._on_told(effect.stream, told)
+                self._on_told(effect, told)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             why = f"{type(error).__name__}: {error}"
         self.submit(events.ReaderLost(self.now_us(), effect.stream, why))
 
     def _on_told(
-        self, stream: int, told: store_feed.Met | store_feed.Told
+        self,
+        followed: effects.FollowReader,
+        told: store_feed.Met | store_feed.Told,
     ) -> None:
+        stream = followed.stream
         match told:
             case store_feed.Met(failure_domain):
                 self.submit(
@@ -256,7 +262,9 @@
             case store_feed.Told(name, age_ms, outcome):
                 passed_on = events.PassedOn(stream, age_ms * 1000)
                 source = store_state.Source(name)
-                if isinstance(outcome, store_records.Batch):
+                if followed.passes_on:
+                    self._feed.take(name, outcome, passed_on.age_us)
+                elif isinstance(outcome, store_records.Batch):
                     self._feed.merge(name, outcome)
                 self.submit(self._outcome(source, outcome, passed_on))
 
@@ -351,8 +359,10 @@
             repeat_share=bounds.retry_budget_ratio,
             repeat_slack=bounds.retry_slack,
             repeat_window_ms=int(bounds.budget_window_s * 1000),
+            first_start=settings.first_start,
+            control_address=settings.control_address,
             is_reader=settings.is_reader,
             readers=settings.other_readers,
-            reader_wait_ms=int(bound_ms * READER_WAIT_PART),
+            read_wait_ms=int(bound_ms * READ_WAIT_PART),
         ),
     )
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -48,6 +48,7 @@
             where the role does not serve it.
         readers: Control addresses of the hosts that read the store for all;
             they may be out of date.
+        first_start: Whether the whole system starts for the first time.
         bounds: Bounds that the users state.
     """
 
@@ -58,6 +59,7 @@
     store_address: str
     control_address: str = ""
     readers: tuple[str, ...] = ()
+    first_start: bool = False
     bounds: Bounds = Bounds()
 
     @property
@@ -105,6 +107,7 @@
         store_address=text("platform", "platform", "address"),
         control_address=_control_address(raw, errors),
         readers=_readers(raw, errors),
+        first_start=_at(raw, ("self", "bootstrap")) is True,
         bounds=_bounds(raw, errors),
     )
     return result.Err(errors) if errors else result.Ok(settings)
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -112,6 +112,8 @@
                 logs.logger.log(level.upper(), detail, code=code)
             case effects.CloseAfterAnswers():
                 self.data_path.server.stopping = True
+            case effects.AcceptCallers():
+                self.spawn(self.data_path.server.accept())
             case effects.StopListening():
                 self.data_path.server.stop_listening()
             case effects.Exit():
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -486,3 +486,20 @@
         assert follower.state.following.address is None
         await wire.until(lambda: follower.metrics.counts["store_read"] > 1)
         assert reader.state.following.is_reader
+
+
+async def test_caller_waits_for_a_host_that_has_just_started():
+    async with running(answers()) as platform:
+        platform.store.delay_s = 0.2
+        host = host_lib.PlatformHost(
+            attrs.evolve(platform.host.settings, host_id="edge-2")
+        )
+        await host.start()
+        caller = await testing.connect(host.data_path.server.address)
+        async with asyncio.timeout(WAIT_S):
+            found = await caller.ask(request())
+        caller.close()
+        host.request_stop()
+        host.request_stop()
+        await host.wait_closed()
+    assert found.first_line == b"HTTP/1.1 200 OK"
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -88,6 +88,22 @@
     await lines.aclose()
 
 
+async def test_older_read_of_another_host_is_not_vouched_for(passing):
+    passing.feed.take(NAME, batch(next_offset=2, whole=True))
+    lines = await passing.follow()
+    await anext(lines)
+    passing.feed.take(NAME, store_records.Failed("503"), age_us=400_000)
+    passing.feed.take(
+        NAME, batch(("i-1", b"1", 2), next_offset=3), age_us=400_000
+    )
+    passing.now_us += 500_000
+    passing.feed.take(NAME, batch(next_offset=3), age_us=100_000)
+    found = await anext(lines)
+    assert found.age_ms == 100
+    assert found.outcome == batch(("i-1", b"1", 2), next_offset=3)
+    await lines.aclose()
+
+
 async def test_failed_read_is_told_with_its_reason(passing):
     passing.feed.take(NAME, batch(next_offset=2, whole=True))
     lines = await passing.follow()
