Check configurations and planned stops in the soak

Cause: the soak looked at answers, runs, leaving and recovery only. Whether a configuration was in force in time or taken back, and whether a planned stop cut a request that ran, nobody asked; the feed between hosts was not in it.

Now each gate host is asked ten times a second for routes that only the newest and the former version have; cuts during a planned stop count when the request ran and no fault that cuts was under way; a proxy before each control address harms what readers pass on.

Ruled out as findings: answers while the store or the host itself is disturbed and for 5.5 s after (2.5 s bound and margin, 3 s of contact).

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
+import json
 import pathlib
 import random
 import signal
@@ -17,6 +19,7 @@
 
 from fireflyspindle import testing
 from fireflyspindle.bench import soak_callers
+from fireflyspindle.bench import soak_promises
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.testing import platform_server
 from fireflyspindle.testing import store as store_lib
@@ -30,23 +33,36 @@
 DRAIN_S = 2.0
 LAG_S = 0.5
 GRACE_S = 6.0
+# Gate hosts that read the store for all, as on the platform.
+READERS = 3
 START_S = 10.0
 FAULT_SPACING_S = 1.0
 
 
 @attrs.define(eq=False)
 class Gate:
-    """One gate host and its process."""
+    """One gate host and its process.
+
+    Attributes:
+        name: Its name.
+        settings: Its settings file.
+        watched: What the checks know of it.
+        feed: Stands before its control address, for the other gate hosts.
+        log: What it writes.
+        process: Its process.
+    """
 
     name: str
     settings: pathlib.Path
-    callers_address: str
-    ready_address: str
+    watched: soak_promises.Watched
+    feed: tcp_proxy.TcpProxy
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Starts the process."""
+        self.watched.starts += 1
+        self.watched.served = 0
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -129,6 +145,11 @@
         self._store_fault_s = -1e9
         self._pause_s = -1e9
         self._tasks: list[asyncio.Task[None]] = []
+        self._stops: list[soak_promises.Span] = []
+        self._faults: list[soak_promises.Span] = []
+        self._configurations = soak_promises.Configurations(
+            lambda: self._store_fault_s
+        )
 
     async def run(self) -> Report:
         """Runs the soak and returns what it found."""
@@ -152,11 +173,10 @@
         self._configure()
         for _ in range(self._servers_wanted):
             await self._add_server()
-        for number in range(self._hosts):
-            self._gates.append(await _new_gate(folder, number, store_address))
+        self._gates = await _new_gates(folder, self._hosts, store_address)
         await asyncio.gather(*(gate.start() for gate in self._gates))
         self.callers = soak_callers.Callers(
-            [gate.callers_address for gate in self._gates],
+            [gate.watched.address for gate in self._gates],
             random.Random(self._random.random()),
         )
         await self.callers.wait_served(START_S)
@@ -164,6 +184,7 @@
     def _configure(self) -> None:
         document = soak_callers.document(self._version)
         self._store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+        self._configurations.wrote(self._version)
 
     async def _add_server(self) -> None:
         number = len(self._all_servers)
@@ -183,6 +204,10 @@
 
     async def _play(self) -> None:
         calling = asyncio.create_task(self.callers.run())
+        watching = [
+            asyncio.create_task(self._configurations.watch(gate.watched))
+            for gate in self._gates
+        ]
         end_s = self._now_s() + self._seconds
         while self._now_s() < end_s:
             await self._fault()
@@ -195,6 +220,9 @@
         after = self.callers.count()
         self.callers.stop()
         await calling
+        for each in watching:
+            each.cancel()
+        await asyncio.gather(*watching, return_exceptions=True)
         self._check(before, after)
 
     async def _fault(self) -> None:
@@ -209,45 +237,77 @@
             self._change,
             self._replace,
             self._fail_server,
+            self._harm_feed,
         ]
         chosen = self._random.choice(faults)
         at_s = self._now_s()
         self.report.faults.append(f"{at_s:.2f} {chosen.__name__[1:]}")
         self._tasks.append(asyncio.create_task(chosen()))
 
+    @contextlib.contextmanager
+    def _disturbed(self, address: str = "") -> Iterator[None]:
+        """Notes the time of a fault that may cut requests."""
+        began_s = self._now_s()
+        gates = [g.watched for g in self._gates if g.watched.address == address]
+        for gate in gates:
+            gate.disturbed_s = float("inf")
+        try:
+            yield
+        finally:
+            end_s = self._now_s()
+            for gate in gates:
+                gate.disturbed_s = end_s
+            self._faults.append(soak_promises.Span(address, began_s, end_s))
+
     async def _kill(self) -> None:
         gate = self._random.choice(self._gates)
-        gate.send(signal.SIGCONT)
-        gate.send(signal.SIGKILL)
-        await gate.wait()
-        await gate.start()
+        with self._disturbed(gate.watched.address):
+            gate.send(signal.SIGCONT)
+            gate.send(signal.SIGKILL)
+            await gate.wait()
+            await gate.start()
 
     async def _stop_planned(self) -> None:
         gate = self._random.choice(self._gates)
+        began_s = self._now_s()
         gate.send(signal.SIGHUP)
         gate.send(signal.SIGTERM)
+        address = gate.watched.address
         try:
             async with asyncio.timeout(GRACE_S):
                 await gate.wait()
         except TimeoutError:
-            gate.send(signal.SIGKILL)
-            await gate.wait()
+            with self._disturbed(address):
+                gate.send(signal.SIGKILL)
+                await gate.wait()
+        stop = soak_promises.Span(address, began_s, self._now_s())
+        self._stops.append(stop)
         await gate.start()
+        gate.watched.disturbed_s = self._now_s()
 
     async def _pause(self) -> None:
         gate = self._random.choice(self._gates)
-        gate.send(signal.SIGSTOP)
         self._pause_s = float("inf")
-        await asyncio.sleep(self._random.uniform(0.2, 3.0))
-        gate.send(signal.SIGCONT)
+        with self._disturbed(gate.watched.address):
+            gate.send(signal.SIGSTOP)
+            await asyncio.sleep(self._random.uniform(0.2, 3.0))
+            gate.send(signal.SIGCONT)
         self._pause_s = self._now_s()
 
+    async def _harm_feed(self) -> None:
+        """Harms what a gate host passes on; the bounds hold all the same."""
+        feed = self._random.choice(self._gates).feed
+        feed.harm = self._random.choice(list(tcp_proxy.Harm))
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        feed.harm = tcp_proxy.Harm.NONE
+
     async def _harm_server(self) -> None:
         server = self._random.choice(self._servers)
         server.harmed_s = float("inf")
-        server.proxy.harm = self._random.choice(list(tcp_proxy.Harm))
-        await asyncio.sleep(self._random.uniform(0.5, 3.0))
-        server.proxy.harm = tcp_proxy.Harm.NONE
+        with self._disturbed():
+            server.proxy.harm = self._random.choice(list(tcp_proxy.Harm))
+            await asyncio.sleep(self._random.uniform(0.5, 3.0))
+            server.proxy.harm = tcp_proxy.Harm.NONE
         server.harmed_s = self._now_s()
 
     async def _harm_store(self) -> None:
@@ -316,6 +376,10 @@
             for request_id, count in server.stand_in.runs.items():
                 runs[request_id] = runs.get(request_id, 0) + count
         report.violations += self.callers.check_runs(runs)
+        report.violations += self._configurations.violations
+        report.violations += soak_promises.cut_at_stops(
+            self.callers.told, runs, self._stops, self._faults
+        )
 
     def _keep_logs(self) -> None:
         for gate in self._gates:
@@ -327,6 +391,7 @@
             gate.send(signal.SIGCONT)
             gate.send(signal.SIGKILL)
             await gate.wait()
+            await gate.feed.close()
         for server in self._all_servers:
             await server.proxy.close()
             with contextlib.suppress(RuntimeError):
@@ -335,16 +400,42 @@
         await self._store_server.close()
 
 
-async def _new_gate(
-    folder: pathlib.Path, number: int, store_address: str
-) -> Gate:
-    callers = soak_callers.free_address()
-    ready = soak_callers.free_address()
-    settings = folder / f"gate-{number}.toml"
-    settings.write_text(
-        soak_callers.SETTINGS.format(
-            number=number, callers=callers, ready=ready, store=store_address
+async def _new_gates(
+    folder: pathlib.Path, count: int, store_address: str
+) -> list[Gate]:
+    """Returns gate hosts, of which the first three read for the others."""
+    feeds = {}
+    for _ in range(count):
+        control = soak_callers.free_address()
+        feeds[control] = tcp_proxy.TcpProxy(control)
+    reached = {control: await feed.start() for control, feed in feeds.items()}
+    readers = list(reached)[:READERS]
+    made = []
+    for number, control in enumerate(reached):
+        address = soak_callers.free_address()
+        settings = folder / f"gate-{number}.toml"
+        # A gate host finds itself by its own address, others by the proxy's.
+        listed = [
+            reader if reader == control else reached[reader]
+            for reader in readers
+        ]
+        settings.write_text(
+            soak_callers.SETTINGS.format(
+                number=number,
+                callers=address,
+                ready=soak_callers.free_address(),
+                control=control,
+                readers=json.dumps(listed),
+                store=store_address,
+            )
+        )
+        made.append(
+            Gate(
+                f"gate-{number}",
+                settings,
+                soak_promises.Watched(address),
+                feeds[control],
+                folder / f"gate-{number}.log",
+            )
         )
-    )
-    log = folder / f"gate-{number}.log"
-    return Gate(f"gate-{number}", settings, callers, ready, log)
+    return made
--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -22,6 +22,8 @@
 # requests a second, which three gate hosts on one core each can serve.
 CALLERS = 12
 PAUSE_S = 0.02
+# Ids of requests that only ask which configuration is in force.
+PROBE_PREFIX = "probe"
 # Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -29,9 +31,12 @@
 [self]
 node-name = "gate-{number}"
 zone = "a"
+[network]
+seed-nodes = {readers}
 [network.listen-addrs]
 front = "{callers}"
 ready-addr = "{ready}"
+control-addr = "{control}"
 [platform.platform]
 address = "{store}"
 [terms.contract-params]
@@ -91,6 +96,15 @@
     }
 
 
+def request(method: str, path: str, request_id: str) -> bytes:
+    """Returns the bytes of a request without a body."""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"{dialect.REQUEST_ID}: {request_id}\r\n"
+        f"{dialect.DEADLINE_MS}: {DEADLINE_MS}\r\n\r\n"
+    ).encode()
+
+
 def free_address() -> str:
     """Returns a loopback address that nobody listens on."""
     with socket.socket() as probe:
@@ -100,10 +114,21 @@
 
 @attrs.define
 class Told:
-    """What the caller of a request was told; status 0 is a cut."""
+    """What the caller of a request was told.
+
+    Attributes:
+        strict: Whether the request may run once at most.
+        status: Status of the answer; 0 is a cut.
+        address: Gate host that was asked.
+        sent_s: Time at which the request was sent.
+        ended_s: Time of the answer or the cut.
+    """
 
     strict: bool
     status: int
+    address: str = ""
+    sent_s: float = 0.0
+    ended_s: float = 0.0
 
 
 class Callers:
@@ -111,13 +136,14 @@
 
     Attributes:
         violations: Broken promises that callers saw.
+        told: What was told, by request id.
     """
 
     def __init__(self, addresses: list[str], randomness: random.Random) -> None:
         self.violations: list[str] = []
         self._addresses = addresses
         self._random = randomness
-        self._told: dict[str, Told] = {}
+        self.told: dict[str, Told] = {}
         self._served = 0
         self._numbers = itertools.count(1)
         self._stopping = False
@@ -128,7 +154,7 @@
 
     def count(self) -> tuple[int, int]:
         """Returns the number of calls told, and of those served."""
-        return len(self._told), self._served
+        return len(self.told), self._served
 
     async def wait_served(self, limit_s: float) -> None:
         """Waits until every gate host has served a request.
@@ -146,7 +172,7 @@
             connection = await testing.connect(address)
         except OSError:
             return 0
-        status = await self._ask(connection, strict=False)
+        status = await self._ask(connection, address, strict=False)
         connection.close()
         return status
 
@@ -162,36 +188,36 @@
             except OSError:
                 await asyncio.sleep(PAUSE_S)
                 continue
-            await self._use(connection)
+            await self._use(connection, address)
             connection.close()
 
-    async def _use(self, connection: testing.RawCaller) -> None:
+    async def _use(self, connection: testing.RawCaller, address: str) -> None:
         """Sends requests on a connection until it ends or enough were sent."""
         for _ in range(self._random.randint(1, 40)):
             if self._stopping:
                 return
             strict = self._random.random() < 0.5
-            if not await self._ask(connection, strict=strict):
+            if not await self._ask(connection, address, strict=strict):
                 return
             await asyncio.sleep(PAUSE_S * self._random.random())
 
-    async def _ask(self, connection: testing.RawCaller, *, strict: bool) -> int:
+    async def _ask(
+        self, connection: testing.RawCaller, address: str, *, strict: bool
+    ) -> int:
         """Sends a request; returns the status, or 0 when it was cut."""
         request_id = f"soak{next(self._numbers)}"
         path = (STRICT if strict else REPEATABLE) + request_id
         method = "POST" if strict else "GET"
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"{dialect.REQUEST_ID}: {request_id}\r\n"
-            f"{dialect.DEADLINE_MS}: {DEADLINE_MS}\r\n\r\n"
-        )
+        head = request(method, path, request_id)
+        clock = asyncio.get_running_loop()
+        told = Told(strict, 0, address, clock.time())
         try:
             async with asyncio.timeout(PATIENCE_S):
-                found = await connection.ask(head.encode())
+                found = await connection.ask(head)
         except (TimeoutError, ConnectionError):
             found = None
-        told = Told(strict, 0)
-        self._told[request_id] = told
+        told.ended_s = clock.time()
+        self.told[request_id] = told
         if found is None or not found.whole:
             return 0
         told.status = int(found.first_line.split()[1])
@@ -217,7 +243,7 @@
     def check_runs(self, runs: dict[str, int]) -> list[str]:
         """Returns the broken promises on what ran, by runs of each request."""
         found = []
-        for request_id, told in self._told.items():
+        for request_id, told in self.told.items():
             count = runs.get(request_id, 0)
             if told.strict and count > 1:
                 found.append(f"{request_id}: ran {count} times")
@@ -225,5 +251,9 @@
                 found.append(f"{request_id}: told {told.status} and it ran")
             if told.status == 200 and not count:
                 found.append(f"{request_id}: told 200 and it never ran")
-        unknown = runs.keys() - self._told.keys()
+        unknown = [
+            name
+            for name in runs.keys() - self.told.keys()
+            if not name.startswith(PROBE_PREFIX)
+        ]
         return found + [f"{name}: nobody sent it" for name in unknown]
