Leave large records to the store, and pass a read on only once

From the change to 1,600 routes on, and again after the loss of all power, hosts left their reader some 90 times a second: a configuration of hundreds of kilobytes, or the entries of 223 targets, went to 33 followers of a reader whose link has 5 Mbit/s, silence followed, and each switch asked for the same again (0.416 GB between failure domains).

Ruled out: (1) readers short of processor time, whose quiet hours had no switches; (2) the store, which a new host read without fault.

Now a line carries at most 8 KiB of records. It tells from which offset it is complete; a host that lacks what lies before reads the store once, or, if the store turns it away, asks the reader for all. A read is passed on once, by a host that heard it from the one that made it.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -3,11 +3,12 @@
 One HTTP answer without end for each host that follows; its lines are JSON.
 The first line tells who speaks. Each further line tells the outcome of a read
 of one source: the records that the follower lacks, often none, or why the
-read failed.
+read failed. Records that are large in sum are left out, since the links of
+hosts are narrow: the line tells up to where they go, and the follower reads
+them from the store.
 """
 
 import asyncio
-import base64
 from collections.abc import AsyncIterator, Callable
 import json
 from typing import Any
@@ -21,6 +22,9 @@
 PATH = "/store-feed"
 # A host of the same failure domain or the next answers in a few milliseconds.
 CONNECT_TIMEOUT_S = 0.5
+# Largest sum of records in a line. A reader tells 40 hosts; at the users' least
+# 5 Mbit/s, lines of this size keep its link busy for half a second.
+MAX_PASSED_BYTES = 8_192
 # Longest line: some thousands of entries of targets, or a large configuration.
 MAX_LINE_BYTES = 8 * 1024 * 1024
 
@@ -46,11 +50,13 @@
         source: What was read.
         age_ms: Time since the read ended.
         outcome: What it brought beyond what was told before.
+        own: Whether the host that is followed made the read itself.
     """
 
     source: str
     age_ms: int
     outcome: store_records.Batch | store_records.Failed
+    own: bool
 
 
 @attrs.define
@@ -59,6 +65,7 @@
     reads: int = 0
     ended_us: int = 0
     failed: store_records.Failed | None = None
+    own: bool = True
 
 
 class Feed:
@@ -95,19 +102,24 @@
         name: str,
         outcome: store_records.Batch | store_records.Failed,
         age_us: int = 0,
+        own: bool = True,
     ) -> None:
         """Takes the outcome of a read of the store, to vouch for it.
 
         Args:
             name: What was read.
             outcome: What the read brought.
-            age_us: Time since the read ended, by this host or another.
+            age_us: Time since the read ended.
+            own: Whether this host made the read. The reads of another host
+                are passed on once, so that they can't go round among hosts
+                that follow each other.
         """
         source = self._sources[name]
         failed: store_records.Failed | None = None
         match outcome:
             case store_records.Batch():
-                source.copy.take(outcome)
+                if not source.copy.take(outcome):
+                    return
             case store_records.Failed():
                 failed = outcome
         ended_us = self._now_us() - age_us
@@ -116,6 +128,7 @@
         source.reads += 1
         source.ended_us = ended_us
         source.failed = failed
+        source.own = own
         self._wake()
 
     def merge(self, name: str, batch: store_records.Batch) -> None:
@@ -141,12 +154,15 @@
                     status=400,
                 )
             offsets[name] = int(text) if text else None
+        limit_bytes = MAX_PASSED_BYTES
+        if "unlimited" in request.query:
+            limit_bytes = MAX_LINE_BYTES // 2
         answer = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
         await answer.prepare(request)
         self.followers += 1
         try:
             await answer.write(_line({"failure-domain": self._failure_domain}))
-            await self._tell(answer, offsets)
+            await self._tell(answer, offsets, limit_bytes)
         except ConnectionError:
             # The follower left; it says why in its own log.
             pass
@@ -155,7 +171,10 @@
         return answer
 
     async def _tell(
-        self, answer: web.StreamResponse, offsets: dict[str, int | None]
+        self,
+        answer: web.StreamResponse,
+        offsets: dict[str, int | None],
+        limit_bytes: int,
     ) -> None:
         told = dict.fromkeys(self._sources, 0)
         while not self._closed:
@@ -164,44 +183,46 @@
                 if told[name] == source.reads:
                     continue
                 told[name] = source.reads
-                line = self._outcome(name, offsets)
+                line = self._outcome(name, offsets, limit_bytes)
                 if line is not None:
                     await answer.write(line)
             await changed.wait()
 
     def _outcome(
-        self, name: str, offsets: dict[str, int | None]
+        self, name: str, offsets: dict[str, int | None], limit_bytes: int
     ) -> bytes | None:
         """Returns the line on the newest read; moves the offset past it."""
         source = self._sources[name]
         age_ms = (self._now_us() - source.ended_us) // 1000
-        head = {"source": name, "age-ms": age_ms}
+        head = {"source": name, "age-ms": age_ms, "own": source.own}
         if source.failed is not None:
             return _line({**head, "failed": source.failed.why})
         batch = source.copy.since(offsets[name])
         if batch is None:
             return None
+        if batch.value_bytes > limit_bytes:
+            # The follower sees from the offset that it lacks records.
+            end = batch.next_offset
+            batch = store_records.Batch([], end, False, end)
         offsets[name] = batch.next_offset
-        records = [
-            [
-                record.key,
-                None
-                if record.value is None
-                else base64.b64encode(record.value).decode(),
-                record.offset,
-            ]
-            for record in batch.records
-        ]
         return _line(
             {
                 **head,
+                "from-offset": batch.from_offset,
                 "next-offset": batch.next_offset,
                 "whole": batch.whole,
-                "records": records,
+                "records": [_row(record) for record in batch.records],
             }
         )
 
 
+def _row(record: store_records.Record) -> list[Any]:
+    # Bytes as the characters of the same numbers, which JSON can carry.
+    value = record.value
+    text = None if value is None else value.decode("latin-1")
+    return [record.key, text, record.offset]
+
+
 def _line(content: dict[str, Any]) -> bytes:
     return json.dumps(content, separators=(",", ":")).encode() + b"\n"
 
@@ -216,13 +237,17 @@
         )
 
     async def follow(
-        self, address: str, offsets: dict[str, int | None]
+        self,
+        address: str,
+        offsets: dict[str, int | None],
+        unlimited: bool = False,
     ) -> AsyncIterator[Met | Told]:
         """Yields what a host tells, until it ends its answer.
 
         Args:
             address: Control address of the host, "ip:port".
             offsets: First offset not read of each source; None for the whole.
+            unlimited: Whether to be told also records that are large in sum.
 
         Raises:
             aiohttp.ClientError: The host can't be reached or refuses.
@@ -234,6 +259,8 @@
             for name, offset in offsets.items()
             if offset is not None
         }
+        if unlimited:
+            query["unlimited"] = "yes"
         # A host that falls silent is left by the reducer, which knows how
         # often a line is due.
         timeout = aiohttp.ClientTimeout(
@@ -272,13 +299,19 @@
                 [_read_record(row) for row in found["records"]],
                 int(found["next-offset"]),
                 bool(found["whole"]),
+                int(found["from-offset"]),
             )
-        return Told(str(found["source"]), int(found["age-ms"]), outcome)
-    except (KeyError, TypeError) as error:
+        return Told(
+            str(found["source"]),
+            int(found["age-ms"]),
+            outcome,
+            bool(found["own"]),
+        )
+    except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"line {line[:100]!r} can't be read") from error
 
 
 def _read_record(row: list[Any]) -> store_records.Record:
     key, text, offset = row
-    value = None if text is None else base64.b64decode(text, validate=True)
+    value = None if text is None else text.encode("latin-1")
     return store_records.Record(str(key), value, int(offset))
--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -30,11 +30,18 @@
         records: Records, those of one key by ascending offset.
         next_offset: First offset that has not been read.
         whole: Whether the records are all that there are.
+        from_offset: Offset from which no record is missing.
     """
 
     records: list[Record]
     next_offset: int
     whole: bool
+    from_offset: int = 0
+
+    @property
+    def value_bytes(self) -> int:
+        """Size of all values."""
+        return sum(len(record.value or b"") for record in self.records)
 
 
 @attrs.define(frozen=True)
@@ -72,13 +79,18 @@
         self._newest: dict[str, Record] = {}
         self._complete_from = 0
 
-    def take(self, batch: Batch) -> None:
-        """Takes a read in; one that is older than the copy changes nothing."""
-        if (
-            self.next_offset is not None
-            and batch.next_offset < self.next_offset
-        ):
-            return
+    def take(self, batch: Batch) -> bool:
+        """Takes a read in; one that is older than the copy changes nothing.
+
+        Returns:
+            Whether the copy has all that was read; False for a read that
+            leaves a gap, which changes nothing.
+        """
+        known = self.next_offset
+        if known is not None and batch.next_offset < known:
+            return True
+        if not batch.whole and (known or 0) < batch.from_offset:
+            return False
         if batch.whole:
             self._newest = {record.key: record for record in batch.records}
             self._complete_from = batch.next_offset
@@ -89,6 +101,7 @@
                 self._newest[record.key] = record
         self.next_offset = batch.next_offset
         self._forget_dropped_keys()
+        return True
 
     def since(self, offset: int | None) -> Batch | None:
         """Returns what a host lacks that has read up to an offset.
@@ -113,7 +126,7 @@
             for record in self._newest.values()
             if record.offset >= offset
         ]
-        return Batch(newer, self.next_offset, whole=False)
+        return Batch(newer, self.next_offset, False, offset)
 
     def _forget_dropped_keys(self) -> None:
         dropped = [
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -11,7 +11,6 @@
 from fireflyspindle.core import budgets
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
-from fireflyspindle.core import following
 from fireflyspindle.core import in_force
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
@@ -60,14 +59,15 @@
     state: state_lib.GateState, event: events.ConfigurationRead
 ) -> None:
     """Takes what was read of the published configuration."""
-    if not following.counts(state, event.passed_on):
+    source = store_state.Source.CONFIGURATION
+    if not store_reads.counts(state, source, event.passed_on):
         return
     document = event.document
     if document is not None:
         _put_in_force(state, document)
     store_reads.on_read(
         state,
-        store_state.Source.CONFIGURATION,
+        source,
         event.next_offset,
         changed=document is not None,
         passed_on=event.passed_on,
@@ -97,9 +97,9 @@
     state: state_lib.GateState, event: events.TargetsRead
 ) -> None:
     """Takes entries that were written or removed."""
-    if not following.counts(state, event.passed_on):
-        return
     source = store_state.Source.TARGETS
+    if not store_reads.counts(state, source, event.passed_on):
+        return
     known_offset = state.store_reads[source].next_offset
     store_reads.on_read(
         state,
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -189,12 +189,14 @@
         from_offsets: First offset wanted of each source; None for the whole.
         passes_on: Whether to vouch for these reads to hosts that follow this
             one.
+        unlimited: Whether to be told also records that are large in sum.
     """
 
     stream: int
     address: str
     from_offsets: dict[str, int | None]
     passes_on: bool = False
+    unlimited: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -321,10 +321,12 @@
     Attributes:
         stream: Number of the stream that brought it.
         age_us: Time since the read ended.
+        from_offset: Offset from which what it brought is complete.
     """
 
     stream: int
     age_us: int
+    from_offset: int = 0
 
 
 @attrs.define
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -168,6 +168,13 @@
         stop(state)
 
 
+def ask_for_all(state: state_lib.GateState) -> None:
+    """Asks the reader for what it leaves out, as the store gives nothing."""
+    found = state.following
+    if found.address is not None and not found.unlimited:
+        _follow(state, found.address, unlimited=True)
+
+
 def on_told(state: state_lib.GateState) -> None:
     """Sees to it that the silence of the reader will be noticed."""
     _plan(state)
@@ -268,17 +275,24 @@
     _follow(state, _nearest(state))
 
 
-def _follow(state: state_lib.GateState, address: str) -> None:
+def _follow(
+    state: state_lib.GateState, address: str, unlimited: bool = False
+) -> None:
     found = state.following
     found.number += 1
     found.address = address
     found.since_us = state.now_us
+    found.unlimited = unlimited
     offsets = {}
     for source, reads in state.store_reads.items():
         offsets[source.value] = reads.next_offset
         reads.reader_failed = False
     passes_on = found.is_reader and address in _earlier_readers(state)
-    state.emit(effects.FollowReader(found.number, address, offsets, passes_on))
+    state.emit(
+        effects.FollowReader(
+            found.number, address, offsets, passes_on, unlimited
+        )
+    )
 
 
 def _plan(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -58,6 +58,25 @@
             _ask(state, source, 0)
 
 
+def counts(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    passed_on: events.PassedOn | None,
+) -> bool:
+    """Whether a read counts; one that leaves a gap is read again here."""
+    if passed_on is None:
+        return True
+    if not following.counts(state, passed_on):
+        return False
+    reads = state.store_reads[source]
+    if (reads.next_offset or 0) >= passed_on.from_offset:
+        return True
+    reads.lacks_records = True
+    if not reads.under_way:
+        _ask(state, source, 0)
+    return False
+
+
 def on_read(
     state: state_lib.GateState,
     source: store_state.Source,
@@ -81,6 +100,7 @@
         return
     reads.succeeded = True
     reads.under_way = False
+    reads.lacks_records = False
     _on_success(state, source)
     following.on_own_success(state)
     _unpark(state)
@@ -164,6 +184,8 @@
     reads.under_way = False
     _report_lost(state, source, why)
     reads.failures += 1
+    if reads.lacks_records:
+        following.ask_for_all(state)
     if reads.failures > 1:
         following.on_own_failure(state)
     if not following.reads_itself(state, source):
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -66,6 +66,7 @@
         under_way: Whether a read by this host is under way or due.
         told_us: End of the latest read that a reader told of; None while it
             has told of none that succeeded.
+        lacks_records: Whether the reader told of records that it left out.
         reader_failed: Whether the latest read that the reader told of failed.
     """
 
@@ -79,6 +80,7 @@
     parked: bool = False
     under_way: bool = False
     told_us: int | None = None
+    lacks_records: bool = False
     reader_failed: bool = False
 
 
@@ -105,6 +107,7 @@
         number: Number of the latest stream; older ones do not count.
         address: Host that is followed, or None.
         since_us: Start of the stream.
+        unlimited: Whether it tells also records that are large in sum.
         own_reads_from_us: Time from which this host may read the store.
         due_us: Time of the next look after the stream, if one is planned.
     """
@@ -114,6 +117,7 @@
     number: int = 0
     address: str | None = None
     since_us: int = 0
+    unlimited: bool = False
     own_reads_from_us: int = 0
     due_us: int | None = None
 
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -241,7 +241,7 @@
         why = "it ended its answer"
         try:
             async for told in self._feed_client.follow(
-                effect.address, effect.from_offsets
+                effect.address, effect.from_offsets, effect.unlimited
             ):
                 self._on_told(effect, told)
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -259,11 +259,14 @@
                 self.submit(
                     events.ReaderMet(self.now_us(), stream, failure_domain)
                 )
-            case store_feed.Told(name, age_ms, outcome):
-                passed_on = events.PassedOn(stream, age_ms * 1000)
+            case store_feed.Told(name, age_ms, outcome, own):
+                from_offset = 0
+                if isinstance(outcome, store_records.Batch):
+                    from_offset = outcome.from_offset
+                passed_on = events.PassedOn(stream, age_ms * 1000, from_offset)
                 source = store_state.Source(name)
-                if followed.passes_on:
-                    self._feed.take(name, outcome, passed_on.age_us)
+                if followed.passes_on and own:
+                    self._feed.take(name, outcome, passed_on.age_us, own=False)
                 elif isinstance(outcome, store_records.Batch):
                     self._feed.merge(name, outcome)
                 self.submit(self._outcome(source, outcome, passed_on))
--- a/src/fireflyspindle/platform/store.py
+++ b/src/fireflyspindle/platform/store.py
@@ -90,7 +90,8 @@
         if end < offset:
             return store_records.Dropped(end)
         records = _records(body[2 * _OFFSET_BYTES :], offset)
-        return store_records.Batch(records, offset + len(records), whole=False)
+        end = offset + len(records)
+        return store_records.Batch(records, end, False, offset)
 
     async def _read_newest(
         self, topic: str, first_offset: int
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -382,3 +382,30 @@
     assert host.of(effects.AcceptCallers) == []
     host.advance(1)
     assert len(host.of(effects.AcceptCallers)) == 1
+
+
+def test_records_that_the_reader_leaves_out_are_read_from_the_store():
+    host = FollowingHost()
+    host.tell(configured=published_host.document())
+    large = events.PassedOn(host.stream, 0, from_offset=5)
+    host.feed(events.ConfigurationRead, None, 5, passed_on=large)
+    (read,) = host.own_reads()
+    assert (read.source, read.from_offset) == ("configuration", 1)
+    assert (
+        host.state.store_reads[store_state.Source.CONFIGURATION].next_offset
+        == 1
+    )
+    host.feed(events.ConfigurationRead, published_host.document(version=5), 5)
+    host.feed(events.ConfigurationRead, None, 5, passed_on=large)
+    assert len(host.own_reads()) == 1
+
+
+def test_host_that_the_store_turns_away_asks_the_reader_for_all():
+    host = FollowingHost()
+    host.tell(configured=published_host.document())
+    large = events.PassedOn(host.stream, 0, from_offset=5)
+    host.feed(events.ConfigurationRead, None, 5, passed_on=large)
+    host.feed(events.StoreReadFailed, "configuration", "503")
+    follow = host.of(effects.FollowReader)[-1]
+    assert follow.unlimited
+    assert follow.from_offsets["configuration"] == 1
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -14,6 +14,7 @@
 from fireflyspindle.platform import host as host_lib
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.testing import store as store_lib
+from fireflyspindle.testing import tcp_proxy
 import wire
 
 WAIT_S = 10.0
@@ -503,3 +504,32 @@
         host.request_stop()
         await host.wait_closed()
     assert found.first_line == b"HTTP/1.1 200 OK"
+
+
+async def test_hosts_that_follow_each_other_do_not_vouch_in_circles():
+    """Each knows the other by an address that comes before its own."""
+    async with fleet() as (store, reader, follower):
+        addresses = {}
+        proxies = []
+        for host in (reader, follower):
+            server = host._runners[-1].addresses[0]
+            proxy = tcp_proxy.TcpProxy(f"{server[0]}:{server[1]}")
+            addresses[host] = await proxy.start()
+            proxies.append(proxy)
+        for host, other in ((reader, follower), (follower, reader)):
+            own = "127.0.0.2:1"
+            host.state.settings = attrs.evolve(
+                host.state.settings,
+                store=attrs.evolve(
+                    host.state.settings.store, control_address=own
+                ),
+            )
+            host.submit(
+                events.ReadersListed(host.now_us(), True, (addresses[other],))
+            )
+        await asyncio.sleep(0.5)
+        store.write(store_lib.CONFIGURATION_TOPIC, "config", document(2))
+        hosts = (reader, follower)
+        await wire.until(lambda: all(h.state.rules.version == 2 for h in hosts))
+        for proxy in proxies:
+            await proxy.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,9 @@
 from fireflyspindle.testing import platform_server
 
 # Seeds that ever failed, with the cause.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS: dict[int, str] = {
+    501: "hosts that followed each other vouched in circles for old reads",
+}
 
 
 @pytest.mark.parametrize("seed", [7, *REGRESSIONS])
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -14,10 +14,13 @@
 NAME = "targets"
 
 
-def batch(*rows, next_offset, whole=False):
+def batch(*rows, next_offset, whole=False, from_offset=0):
     """A batch of (key, value, offset)."""
     return store_records.Batch(
-        [store_records.Record(*row) for row in rows], next_offset, whole
+        [store_records.Record(*row) for row in rows],
+        next_offset,
+        whole,
+        from_offset,
     )
 
 
@@ -62,9 +65,11 @@
     assert first.outcome == batch(("i-1", b"one", 3), next_offset=4, whole=True)
     passing.feed.take(NAME, batch(("i-1", None, 4), next_offset=5))
     second = await anext(lines)
-    assert second.outcome == batch(("i-1", None, 4), next_offset=5)
+    assert second.outcome == batch(
+        ("i-1", None, 4), next_offset=5, from_offset=4
+    )
     passing.feed.take(NAME, batch(next_offset=5))
-    assert (await anext(lines)).outcome == batch(next_offset=5)
+    assert (await anext(lines)).outcome == batch(next_offset=5, from_offset=5)
     await lines.aclose()
 
 
@@ -78,7 +83,7 @@
     )
     lines = await passing.follow(4)
     assert (await anext(lines)).outcome == batch(
-        ("i-1", b"new", 4), next_offset=5
+        ("i-1", b"new", 4), next_offset=5, from_offset=4
     )
     await lines.aclose()
     lines = await passing.follow(1)
@@ -100,7 +105,18 @@
     passing.feed.take(NAME, batch(next_offset=3), age_us=100_000)
     found = await anext(lines)
     assert found.age_ms == 100
-    assert found.outcome == batch(("i-1", b"1", 2), next_offset=3)
+    assert found.outcome == batch(
+        ("i-1", b"1", 2), next_offset=3, from_offset=2
+    )
+    await lines.aclose()
+
+
+async def test_read_of_another_host_is_told_as_such(passing):
+    passing.feed.take(NAME, batch(next_offset=2, whole=True))
+    lines = await passing.follow()
+    assert (await anext(lines)).own
+    passing.feed.take(NAME, batch(next_offset=2, from_offset=2), own=False)
+    assert not (await anext(lines)).own
     await lines.aclose()
 
 
@@ -143,14 +159,41 @@
         await anext(lines)
 
 
-async def test_large_listing_is_one_line(passing):
+async def test_records_that_are_large_in_sum_are_left_out(passing):
+    """A reader's link of 5 Mbit/s can't carry them to 40 hosts in time."""
     rows = [(f"i-{n}", b"x" * 800, n) for n in range(1_000)]
     passing.feed.take(NAME, batch(*rows, next_offset=1_000, whole=True))
     lines = await passing.follow()
+    found = (await anext(lines)).outcome
+    assert found == batch(next_offset=1_000, from_offset=1_000)
+    copy = store_records.Copy()
+    assert not copy.take(found)
+    passing.feed.take(
+        NAME, batch(("i-1", b"y", 1_000), next_offset=1_001, from_offset=1_000)
+    )
+    found = (await anext(lines)).outcome
+    assert (found.from_offset, len(found.records)) == (1_000, 1)
+    assert not copy.take(found)
+    await lines.aclose()
+
+
+async def test_host_that_the_store_turns_away_is_told_all(passing):
+    rows = [(f"i-{n}", b"x" * 800, n) for n in range(1_000)]
+    passing.feed.take(NAME, batch(*rows, next_offset=1_000, whole=True))
+    lines = passing.client.follow(passing.address, {NAME: None}, unlimited=True)
+    assert await anext(lines) == store_feed.Met("a")
     assert len((await anext(lines)).outcome.records) == 1_000
     await lines.aclose()
 
 
+async def test_any_bytes_are_passed_on(passing):
+    rows = [("i-1", bytes(range(256)), 0)]
+    passing.feed.take(NAME, batch(*rows, next_offset=1, whole=True))
+    lines = await passing.follow()
+    assert (await anext(lines)).outcome.records[0].value == bytes(range(256))
+    await lines.aclose()
+
+
 @pytest.mark.parametrize("offset", ["-1", "x", "²"])
 async def test_bad_offset_is_refused(passing, offset):
     async with aiohttp.ClientSession() as session:
@@ -192,5 +235,5 @@
     count = store_records.MAX_DROPPED_KEYS + 1
     rows = [(f"i-{n}", None, n) for n in range(count)]
     copy.take(batch(*rows, next_offset=count))
-    assert copy.since(count) == batch(next_offset=count)
+    assert copy.since(count) == batch(next_offset=count, from_offset=count)
     assert copy.since(5).whole
