Note answers that were ready and could not be delivered

Now such an answer leaves a line with the id of the request it waited behind, and `explain` tells it. A test failed before (no line) and passes now. The loopback proxy can reset a connection at an answer, which the soak lacked to find a second send.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -48,6 +48,9 @@
     ) -> None:
         """Answers bytes that are no HTTP request; `Turn.finish` ends it."""
 
+    def on_undelivered(self, request_id: str, behind: str) -> None:
+        """Notes an answer that was ready when its caller left."""
+
     def on_caller_left(self, turn: "Turn") -> None:
         """Takes the loss of a connection whose request is unanswered."""
 
@@ -65,6 +68,7 @@
         exchange: The call's exchange, once there is one.
         reading_body: Whether the body is still read, before it is a call.
         ended: Whether the whole answer has been written.
+        answered_id: Id of the request, once the answer has been written.
         keep_alive: Whether the connection goes on after the answer.
         cut: Whether the answer was cut short.
     """
@@ -76,6 +80,7 @@
     reading_body: bool = False
     ended: bool = False
     keep_alive: bool = True
+    answered_id: str = ""
     cut: bool = False
     _held: list[bytes] = attrs.field(factory=list)
     _held_bytes: int = 0
@@ -125,6 +130,8 @@
         self.ended = True
         self.keep_alive = keep_alive
         self.reading_body = False
+        if self.exchange is not None:
+            self.answered_id = self.exchange.request_id
         self.exchange = None
         self.connection.on_turn_ended(self)
 
@@ -304,7 +311,11 @@
         """Gives up the requests that can't be answered any more."""
         turns = list(self.turns)
         self.turns.clear()
+        first = turns[0].exchange if turns else None
         for turn in turns:
+            if turn.answered_id:
+                behind = first.request_id if first is not None else ""
+                self._server.on_undelivered(turn.answered_id, behind)
             turn.wake()
             payload = turn.payload
             if payload is not None and not payload.is_eof():
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -11,6 +11,7 @@
 import result
 
 from fireflyspindle import headers
+from fireflyspindle import logs
 from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
@@ -274,6 +275,16 @@
         turn.exchange = exchange
         self._shell.open(exchange, event)
 
+    def on_undelivered(self, request_id: str, behind: str) -> None:
+        """Notes an answer that was ready when its caller left."""
+        logs.logger.info(
+            "an answer was not delivered: the caller left while an earlier"
+            " request of its connection was not answered",
+            code="answer_undelivered",
+            request_id=request_id,
+            behind=behind,
+        )
+
     def on_caller_left(self, turn: Turn) -> None:
         """Tells the reducer that a caller is gone before its answer was."""
         exchange = turn.exchange
--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -37,7 +37,8 @@
     """
     lines = list(_read_all(files))
     calls = [line for line in lines if _is_call(line, request_id)]
-    if not calls:
+    undelivered = [line for line in lines if _undelivered(line, request_id)]
+    if not calls and not undelivered:
         print(
             f"no line names request {request_id!r}; calls that were answered"
             " in time by their first target leave none",
@@ -47,6 +48,14 @@
     for call in calls:
         for text in story(call, lines):
             print(text)
+    for line in undelivered:
+        fields = line.fields
+        print(
+            f"{fields['time']} {line.source}: the answer to request"
+            f" {request_id} was ready; the caller left while request"
+            f" {fields['behind']}, sent before it on the same connection, was"
+            " not answered"
+        )
     return status.SUCCESS
 
 
@@ -77,6 +86,12 @@
     return line.fields.get("request_id") == request_id
 
 
+def _undelivered(line: Line, request_id: str) -> bool:
+    if line.fields.get("code") != "answer_undelivered":
+        return False
+    return line.fields.get("request_id") == request_id
+
+
 def story(call: Line, lines: list[Line]) -> Iterator[str]:
     """Yields the story of a call, and what its host believed of its targets."""
     fields = call.fields
--- a/src/fireflyspindle/testing/tcp_proxy.py
+++ b/src/fireflyspindle/testing/tcp_proxy.py
@@ -16,6 +16,7 @@
     SILENCE = "silence"
     ONE_WAY = "one_way"
     RESET = "reset"
+    RESET_ANSWERS = "reset_answers"
 
 
 class TcpProxy:
@@ -78,6 +79,9 @@
                 await asyncio.sleep(DELAY_S)
             case Harm.RESET:
                 return False
+            case Harm.RESET_ANSWERS:
+                # What was asked has run; the one who asked can't know.
+                return not answers
             case Harm.SILENCE:
                 await self._wait_for_end(Harm.SILENCE)
             case Harm.ONE_WAY if answers:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import struct
 
 import attrs
+import logbook
 import pytest
 
 from fireflyspindle import testing
+from fireflyspindle.commands import explain
 from fireflyspindle.core import events
 from fireflyspindle.platform import dialect
 from fireflyspindle.platform import host as host_lib
@@ -533,3 +536,45 @@
         await wire.until(lambda: all(h.state.rules.version == 2 for h in hosts))
         for proxy in proxies:
             await proxy.close()
+
+
+async def test_answer_that_waits_behind_another_leaves_a_line(tmp_path, capsys):
+    async def work(asked, writer):
+        if asked.values(dialect.REQUEST_ID) == [b"q1"]:
+            return
+        writer.write(answer(asked))
+        answered.set()
+
+    answered = asyncio.Event()
+    async with running(answers(work)) as platform:
+        with logbook.TestHandler().applicationbound() as kept:
+            caller = await platform.caller()
+            caller.writer.write(request(name="q1") + request(name="q2"))
+            await answered.wait()
+            server = platform.host.data_path.server
+            await wire.until(
+                lambda: any(
+                    turn.ended
+                    for connection in server.connections
+                    for turn in connection.turns
+                )
+            )
+            caller.close()
+            await wire.until(
+                lambda: any(
+                    record.kwargs.get("code") == "answer_undelivered"
+                    for record in kept.records
+                )
+            )
+    lines = [
+        {"time": "t", "message": record.message, **record.kwargs}
+        for record in kept.records
+        if record.kwargs.get("code") == "answer_undelivered"
+    ]
+    assert [(line["request_id"], line["behind"]) for line in lines] == [
+        ("q2", "q1")
+    ]
+    log = tmp_path / "log"
+    log.write_text(json.dumps(lines[0]))
+    assert explain.explain("q2", log) == 0
+    assert "request q1" in capsys.readouterr().out
