--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -36,7 +36,9 @@
 # Gate hosts that read the store for all, as on the platform.
 READERS = 3
 START_S = 10.0
-FAULT_SPACING_S = 1.0
+FAULT_SPACING_S = 0.7
+# What a proxy may do to the connections through it.
+HARMS = [harm for harm in tcp_proxy.Harm if harm is not tcp_proxy.Harm.NONE]
 
 
 @attrs.define(eq=False)
@@ -297,7 +299,7 @@
     async def _harm_feed(self) -> None:
         """Harms what a gate host passes on; the bounds hold all the same."""
         feed = self._random.choice(self._gates).feed
-        feed.harm = self._random.choice(list(tcp_proxy.Harm))
+        feed.harm = self._random.choice(HARMS)
         await asyncio.sleep(self._random.uniform(0.5, 3.0))
         feed.harm = tcp_proxy.Harm.NONE
 
@@ -305,13 +307,13 @@
         server = self._random.choice(self._servers)
         server.harmed_s = float("inf")
         with self._disturbed():
-            server.proxy.harm = self._random.choice(list(tcp_proxy.Harm))
+            server.proxy.harm = self._random.choice(HARMS)
             await asyncio.sleep(self._random.uniform(0.5, 3.0))
             server.proxy.harm = tcp_proxy.Harm.NONE
         server.harmed_s = self._now_s()
 
     async def _harm_store(self) -> None:
-        self._store_proxy.harm = self._random.choice(list(tcp_proxy.Harm))
+        self._store_proxy.harm = self._random.choice(HARMS)
         await self._store_outage()
         self._store_proxy.harm = tcp_proxy.Harm.NONE
 
