Apply the configuration's limits on heads

Cause: head_bytes and head_timeout_ms were decoded and not used; a proper request with a header line above 8,190 bytes was refused with 400, and a head that never ended was cut at the idle limit only.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -22,18 +22,35 @@
 IDLE_LIMIT_S = 75.0
 BODY_LIMIT_S = 30.0
 LINGER_LIMIT_S = 2.0
+# Longest line of a head where no configuration states a limit; aiohttp's own.
+HEAD_LINE_BYTES = 8_190
+HEAD_LIMIT_S = 30.0
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _Request = tuple[http.RawRequestMessage, streams.StreamReader]
 
 
+@attrs.define(frozen=True)
+class HeadLimits:
+    """Limits on the heads of requests.
+
+    Attributes:
+        line_bytes: Longest line of a head.
+        timeout_s: Time from the first byte of a head to its end.
+    """
+
+    line_bytes: int = HEAD_LINE_BYTES
+    timeout_s: float = HEAD_LIMIT_S
+
+
 class Server(Protocol):
     """Whoever serves the requests of callers' connections."""
 
     connections: "set[CallerConnection]"
     stopping: bool
     idle_limit_s: float
+    head_limits: HeadLimits
 
     def on_request(
         self,
@@ -179,8 +196,11 @@
             READ_BUFFER_BYTES,
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
+            max_line_size=server.head_limits.line_bytes,
+            max_field_size=server.head_limits.line_bytes,
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
+        self._head_since_s: float | None = None
         self.since_s = loop.time()
         self.turns: collections.deque[Turn] = collections.deque()
         self._server = server
@@ -207,6 +227,10 @@
             self._malformed = error
             messages = []
             upgraded = False
+        if messages or not data or self.turns:
+            self._head_since_s = None
+        elif self._head_since_s is None:
+            self._head_since_s = self._loop.time()
         if messages:
             self._queued.extend(messages)
             if len(self._queued) >= MAX_QUEUED_REQUESTS:
@@ -341,7 +365,12 @@
         for turn in self.turns:
             if turn.reading_body and now_s - turn.began_s > BODY_LIMIT_S:
                 return True
-        return self.idle and age_s > self._server.idle_limit_s
+        if not self.idle:
+            return False
+        if self._head_since_s is not None:
+            head_s = now_s - self._head_since_s
+            return head_s > self._server.head_limits.timeout_s
+        return age_s > self._server.idle_limit_s
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Tells the server of the requests that are left unanswered."""
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -58,6 +58,7 @@
         connections: Open connections of callers.
         stopping: Whether each connection is closed after its next answer.
         idle_limit_s: Time after which an idle connection is closed.
+        head_limits: Limits on the heads of requests on new connections.
         body_limits: Limits on the bodies of requests.
     """
 
@@ -71,6 +72,7 @@
         self.connections: set[Connection] = set()
         self.stopping = False
         self.idle_limit_s = caller_connection.IDLE_LIMIT_S
+        self.head_limits = caller_connection.HeadLimits()
         self.body_limits = body_limits
         self._shell = shell
         self._dialect = dialect
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -9,6 +9,7 @@
 
 from fireflyspindle import logs
 from fireflyspindle import shell
+from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import requests
@@ -201,6 +202,9 @@
     def _limit_callers(self, limits: published.CallerLimits) -> None:
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
+        server.head_limits = caller_connection.HeadLimits(
+            limits.head_bytes, limits.head_timeout_ms / 1000
+        )
         server.body_limits = requests.BodyLimits(
             min(HELD_BODY_BYTES, limits.body_bytes), limits.body_bytes
         )
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -578,3 +578,30 @@
     log.write_text(json.dumps(lines[0]))
     assert explain.explain("q2", log) == 0
     assert "request q1" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("size", "status"), [(12_000, b"200"), (20_000, b"400")]
+)
+async def test_limit_of_the_configuration_on_a_head_line_holds(size, status):
+    async with running(answers()) as platform:
+        found = await platform.ask(
+            request(IDEMPOTENT + "1", "X-Long: " + "x" * size)
+        )
+    assert found.first_line.split()[1] == status
+
+
+async def test_head_that_does_not_come_to_its_end_is_cut():
+    async with running(answers()) as platform:
+        server = platform.host.data_path.server
+        server.head_limits = attrs.evolve(server.head_limits, timeout_s=0.2)
+        caller = await platform.caller()
+        caller.writer.write(request()[:-10])
+        await wire.until(lambda: len(server.connections) == 1)
+        (connection,) = server.connections
+        clock = asyncio.get_running_loop()
+        await wire.until(lambda: connection.overdue(clock.time() + 1.0))
+        async with asyncio.timeout(WAIT_S):
+            # The next sweep, within a second, cuts it.
+            assert await caller.ask(b"") is None
+        caller.close()
