Ignore timers of earlier plans to look after a reader

An earlier time for the next look after the stream adds a timer; the later one stayed and fired as well, each firing planned again, and the timers grew without end.

Ruled out: the reads of the store (their pause is 1.4 s), the log lines (two).

Now a timer counts only when its time is the planned one, and a host that finds no reader tries every 0.05 s for 2 s after its start, then every 0.5 s. A test counts 401 tries in 20 s before, at most 117 now.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -33,10 +33,10 @@
 # milliseconds.
 FIRST_START_PATIENCE_US = 2_000_000
 START_PATIENCE_US = 150_000
-# Pause between attempts to follow while no reader can be reached: the first
-# for a host that knows nothing yet, the second for one that reads the store
-# itself meanwhile.
+# Pause between attempts to follow while no reader can be reached: the first in
+# the time after the start, in which readers start too, the second later.
 FIRST_RETRY_US = 50_000
+FIRST_RETRIES_US = 2_000_000
 RETRY_US = 500_000
 # Least time with one reader before another is tried for its silence.
 SWITCH_US = 500_000
@@ -54,11 +54,12 @@
     }
     if leads(state):
         return
+    found.own_reads_from_us = state.now_us
     if not found.is_reader:
         patience_us = START_PATIENCE_US
         if settings.first_start:
             patience_us = FIRST_START_PATIENCE_US
-        found.own_reads_from_us = state.now_us + patience_us
+        found.own_reads_from_us += patience_us
     _follow_next(state)
     _plan(state)
 
@@ -314,8 +315,8 @@
             times_us.append(overdue_us + _own_read_slack_us(state))
     later_us = [at_us for at_us in times_us if at_us > state.now_us]
     if found.address is None:
-        knows = any(reads.succeeded for reads in state.store_reads.values())
-        pause_us = RETRY_US if knows else FIRST_RETRY_US
+        starting = state.now_us < found.own_reads_from_us + FIRST_RETRIES_US
+        pause_us = FIRST_RETRY_US if starting else RETRY_US
         later_us.append(state.now_us + pause_us)
     at_us = min(later_us, default=state.now_us + SWITCH_US)
     if found.due_us is None or at_us < found.due_us:
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -37,6 +37,10 @@
 
 def on_follow_due(state: state_lib.GateState) -> None:
     """Looks after the host that is followed."""
+    due_us = state.following.due_us
+    if due_us is None or state.now_us < due_us:
+        # A later look was planned and then an earlier one, which has been.
+        return
     state.following.due_us = None
     _read_what_no_reader_reads(state)
     following.on_due(state)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -163,8 +163,22 @@
     assert host.address in READERS
 
 
+def test_host_without_the_store_and_readers_tries_twice_a_second():
+    host = FollowingHost()
+    for _ in range(400):
+        if host.address is not None:
+            host.lose()
+        host.advance(50_000)
+        for source, reads in host.state.store_reads.items():
+            if reads.under_way and host.now_us >= reads.asked_us:
+                host.feed(events.StoreReadFailed, source.value, "refused")
+    # 2 s with a try every 0.05 s, 18 s with one every 0.5 s.
+    assert len(host.of(effects.FollowReader)) <= 45 + 2 * 36
+
+
 def test_reader_that_is_away_is_reported_once_and_tried_twice_a_second():
     host = second_reader(readers=READERS[:1])
+    host.advance(2_100_000)
     host.tell()
     host.meet(published_host.DOMAIN)
     before = len(host.of(effects.FollowReader))
