--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -45,7 +45,7 @@
 
 
 def start(state: state_lib.GateState) -> None:
-    """Begins to follow a reader, unless this host is one."""
+    """Begins to follow a reader, unless this host leads."""
     settings = _settings(state)
     found = state.following
     found.is_reader = settings.is_reader
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -1,11 +1,8 @@
 """A gate host on the users' platform."""
 
-import asyncio
 import time
 
-import aiohttp
 from aiohttp import web
-import result
 
 from fireflyspindle import logs
 from fireflyspindle import shell
@@ -13,8 +10,6 @@
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import requests
-from fireflyspindle.adapters import store_feed
-from fireflyspindle.adapters import store_records
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -23,18 +18,8 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
 from fireflyspindle.platform import dialect
-from fireflyspindle.platform import documents
-from fireflyspindle.platform import entries
+from fireflyspindle.platform import reading
 from fireflyspindle.platform import settings as settings_lib
-from fireflyspindle.platform import store as store_lib
-
-CONFIGURATION_TOPIC = "keyed.op"
-CONFIGURATION_KEY = "config"
-TARGETS_TOPIC = "keyed.servers"
-TOPICS = {
-    store_state.Source.CONFIGURATION: CONFIGURATION_TOPIC,
-    store_state.Source.TARGETS: TARGETS_TOPIC,
-}
 
 # Margin between a read of the store and the bound by which what it brings has
 # to be in force: the answer of a slow store, and the sends under way.
@@ -81,17 +66,10 @@
         super().__init__(_core_settings(settings))
         self._log = log
         self.settings = settings
-        self._store = store_lib.StoreClient(settings.store_address)
-        self._unreadable: dict[str, bytes] = {}
-        self._feed = store_feed.Feed(
-            settings.failure_domain,
-            tuple(source.value for source in store_state.Source),
-            self.now_us,
+        self._reading = reading.Reading(
+            self, settings.store_address, settings.failure_domain
         )
-        self._feed_client = store_feed.FeedClient()
-        self._reads: dict[str, asyncio.Task[None]] = {}
         self._runners: list[web.AppRunner] = []
-        self._follow: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Opens the addresses and begins to read the store.
@@ -124,7 +102,7 @@
         )
         if self.settings.control_address:
             await self._serve(
-                self.settings.control_address, self._feed.routes()
+                self.settings.control_address, self._reading.feed.routes()
             )
         self.begin()
 
@@ -146,11 +124,10 @@
     async def wait_closed(self) -> None:
         """Waits until nothing is in flight, then closes everything."""
         await self.wait_exit()
-        self._feed.close()
+        self._reading.feed.close()
         for runner in self._runners:
             await runner.cleanup()
-        await self._feed_client.close()
-        await self._store.close()
+        await self._reading.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time, the suspension of a host included."""
@@ -184,16 +161,13 @@
     def carry_out_own(self, effect: effects.Effect) -> None:
         """Carries out an effect on the store."""
         match effect:
-            case effects.ReadStore(source):
-                self._end_read(source)
-                self._reads[source] = self.spawn(self._read(effect))
-            case effects.StopReading(source):
-                self._end_read(source)
-            case effects.FollowReader():
-                self._end_follow()
-                self._follow = self.spawn(self._follow_reader(effect))
-            case effects.StopFollowing():
-                self._end_follow()
+            case (
+                effects.ReadStore()
+                | effects.StopReading()
+                | effects.FollowReader()
+                | effects.StopFollowing()
+            ):
+                self._reading.carry_out(effect)
             case effects.LimitCallers(limits):
                 self._limit_callers(limits)
             case _:
@@ -209,146 +183,6 @@
             min(HELD_BODY_BYTES, limits.body_bytes), limits.body_bytes
         )
 
-    def _end_read(self, source: str) -> None:
-        former = self._reads.pop(source, None)
-        if former is not None:
-            former.cancel()
-
-    def _end_follow(self) -> None:
-        if self._follow is not None:
-            self._follow.cancel()
-            self._follow = None
-
-    async def _read(self, effect: effects.ReadStore) -> None:
-        await asyncio.sleep(effect.delay_us / 1e6)
-        source = store_state.Source(effect.source)
-        self.metrics.counts["store_read"] += 1
-        found = await self._store.read(
-            TOPICS[source],
-            effect.from_offset,
-            effect.first_offset,
-            effect.wait_ms,
-        )
-        # From here on there is nothing to give up.
-        self._reads.pop(effect.source, None)
-        if isinstance(found, store_records.Dropped):
-            self.submit(
-                events.StoreHistoryDropped(
-                    self.now_us(), effect.source, found.first_offset
-                )
-            )
-            return
-        self._feed.take(effect.source, found)
-        self.submit(self._outcome(source, found, None))
-
-    async def _follow_reader(self, effect: effects.FollowReader) -> None:
-        why = "it ended its answer"
-        try:
-            async for told in self._feed_client.follow(
-                effect.address, effect.from_offsets, effect.unlimited
-            ):
-                self._on_told(effect, told)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            why = f"{type(error).__name__}: {error}"
-        self.submit(events.ReaderLost(self.now_us(), effect.stream, why))
-
-    def _on_told(
-        self,
-        followed: effects.FollowReader,
-        told: store_feed.Met | store_feed.Told,
-    ) -> None:
-        stream = followed.stream
-        match told:
-            case store_feed.Met(failure_domain):
-                self.submit(
-                    events.ReaderMet(self.now_us(), stream, failure_domain)
-                )
-            case store_feed.Told(name, age_ms, outcome, own):
-                from_offset = 0
-                if isinstance(outcome, store_records.Batch):
-                    from_offset = outcome.from_offset
-                passed_on = events.PassedOn(stream, age_ms * 1000, from_offset)
-                source = store_state.Source(name)
-                if followed.passes_on and own:
-                    self._feed.take(name, outcome, passed_on.age_us, own=False)
-                elif isinstance(outcome, store_records.Batch):
-                    self._feed.merge(name, outcome)
-                self.submit(self._outcome(source, outcome, passed_on))
-
-    def _outcome(
-        self,
-        source: store_state.Source,
-        found: store_records.Batch | store_records.Failed,
-        passed_on: events.PassedOn | None,
-    ) -> events.Event:
-        match found:
-            case store_records.Failed(why):
-                return events.StoreReadFailed(
-                    self.now_us(), source.value, why, passed_on
-                )
-            case store_records.Batch() if source is store_state.Source.TARGETS:
-                return self._targets(found, passed_on)
-            case store_records.Batch():
-                return self._configuration(found, passed_on)
-
-    def _configuration(
-        self, batch: store_records.Batch, passed_on: events.PassedOn | None
-    ) -> events.ConfigurationRead:
-        newest: published.Document | None = None
-        for record in batch.records:
-            if record.key != CONFIGURATION_KEY or record.value is None:
-                continue
-            decoded = documents.decode(record.value)
-            if isinstance(decoded, result.Err):
-                self._report_unreadable(record, decoded.err_value)
-                continue
-            document = decoded.ok_value
-            if newest is None or document.version > newest.version:
-                newest = document
-        return events.ConfigurationRead(
-            self.now_us(), newest, batch.next_offset, passed_on
-        )
-
-    def _targets(
-        self, batch: store_records.Batch, passed_on: events.PassedOn | None
-    ) -> events.TargetsRead:
-        found: dict[str, list[events.TargetEntry]] = {}
-        removed: set[str] = set()
-        for record in batch.records:
-            if record.value is None:
-                removed.add(record.key)
-                found.pop(record.key, None)
-                continue
-            decoded = entries.decode(record.key, record.value)
-            if isinstance(decoded, result.Err):
-                self._report_unreadable(record, decoded.err_value)
-                # What was known of the target before still holds.
-                found.setdefault(record.key, [])
-                continue
-            removed.discard(record.key)
-            found.setdefault(record.key, []).append(decoded.ok_value)
-        return events.TargetsRead(
-            now_us=self.now_us(),
-            entries=[entry for each in found.values() for entry in each],
-            removed=sorted(removed),
-            whole=batch.whole,
-            next_offset=batch.next_offset,
-            passed_on=passed_on,
-        )
-
-    def _report_unreadable(
-        self, record: store_records.Record, why: str
-    ) -> None:
-        """Writes a log line of a record, once for each value."""
-        assert record.value is not None
-        if self._unreadable.get(record.key) == record.value:
-            return
-        self._unreadable[record.key] = record.value
-        logs.logger.warning(
-            f"the entry {record.key!r} can't be read: {why}",
-            code="entry_unreadable",
-        )
-
 
 def _core_settings(
     settings: settings_lib.HostSettings,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -13,9 +13,11 @@
 from fireflyspindle import testing
 from fireflyspindle.commands import explain
 from fireflyspindle.core import events
+from fireflyspindle.core import store_state
 from fireflyspindle.platform import dialect
 from fireflyspindle.platform import host as host_lib
 from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.platform import store as store_client
 from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
 import wire
@@ -403,11 +405,14 @@
 
 async def test_malformed_entry_is_logged_once():
     async with running(answers()) as platform:
-        batch = await platform.host._store.read(store_lib.TARGETS_TOPIC, None)
-        read = platform.host._targets(batch, None)
+        client = store_client.StoreClient(platform.host.settings.store_address)
+        batch = await client.read(store_lib.TARGETS_TOPIC, None)
+        await client.close()
+        decoder = platform.host._reading.decoder
+        read = decoder.event(0, store_state.Source.TARGETS, batch, None)
     assert isinstance(read, events.TargetsRead)
     assert [each.target_id for each in read.entries] == ["i-0"]
-    assert list(platform.host._unreadable) == ["i-bad"]
+    assert list(decoder.unreadable) == ["i-bad"]
 
 
 @contextlib.asynccontextmanager
