Close a connection with half a head at the idle limit as well

Cause: with a time for heads of its own (30 s by default), a connection that stopped in the middle of a head outlived the idle limit; test_caller_that_stalls_is_closed[half a head] failed. Both limits hold now.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -369,7 +369,8 @@
             return False
         if self._head_since_s is not None:
             head_s = now_s - self._head_since_s
-            return head_s > self._server.head_limits.timeout_s
+            if head_s > self._server.head_limits.timeout_s:
+                return True
         return age_s > self._server.idle_limit_s
 
     def connection_lost(self, exc: BaseException | None) -> None:
