--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -155,6 +155,7 @@
         self.metrics.gauges["configuration_version"] = (
             self.state.rules.version or 0
         )
+        self.metrics.gauges["followers"] = self._reading.feed.followers
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 
+import aiohttp
 import attrs
 import logbook
 import pytest
@@ -415,6 +416,16 @@
     assert list(decoder.unreadable) == ["i-bad"]
 
 
+async def gauge(host, name):
+    """Returns a value that a host serves to the operators' metrics."""
+    address, port = host._runners[0].addresses[0]
+    url = f"http://{address}:{port}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as found:
+        text = await found.text()
+    (line,) = [line for line in text.splitlines() if f'"{name}"' in line]
+    return float(line.split()[-1])
+
+
 @contextlib.asynccontextmanager
 async def fleet():
     """Runs a store, a host that reads it and one that follows that host."""
@@ -462,6 +473,8 @@
             )
         )
         assert reader.metrics.counts["store_read"] > 2
+        assert await gauge(reader, "followers") == 1.0
+        assert await gauge(follower, "followers") == 0.0
         assert follower.metrics.counts["store_read"] == 0
 
 
