--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -22,7 +22,7 @@
 
 
 class Shell(Protocol):
-    """What the data path needs of the shell."""
+    """What those who carry out effects need of the shell."""
 
     metrics: metrics_lib.Metrics
 
--- a/src/fireflyspindle/platform/reading.py
+++ b/src/fireflyspindle/platform/reading.py
@@ -1,12 +1,10 @@
 """Reads of the platform's store, made here or by another gate host."""
 
 import asyncio
-from typing import Protocol
 
 import aiohttp
 
-from fireflyspindle import metrics as metrics_lib
-from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import effects
@@ -22,21 +20,6 @@
 }
 
 
-class Shell(Protocol):
-    """What reads need of the shell."""
-
-    metrics: metrics_lib.Metrics
-
-    def now_us(self) -> int:
-        """Returns the monotonic time."""
-
-    def submit(self, event: events.Event) -> None:
-        """Feeds an event to the reducer."""
-
-    def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
-        """Starts a task."""
-
-
 class Reading:
     """Carries out the effects on the store and on readers.
 
@@ -51,7 +34,7 @@
     """
 
     def __init__(
-        self, shell: Shell, store_address: str, failure_domain: str
+        self, shell: data_path.Shell, store_address: str, failure_domain: str
     ) -> None:
         sources = tuple(source.value for source in store_state.Source)
         self.feed = store_feed.Feed(failure_domain, sources, shell.now_us)
