Forget that records were lacking once a reader told them

Cause: `lacks_records` was cleared by reads of this host's own only. A host that the store turned away and that got large records from its reader went on asking later readers for all.

Besides, without a change of behaviour: the check of a told read is `store_reads.accept`, since it may ask for a read, and no longer allows for a missing argument that it never gets; `following.on_told` only passed on to the plan, which is called by its own name now; `explain` finds both kinds of lines of a request by one function in place of two.

--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -36,8 +36,8 @@
         The exit status: 1 if no line names the request.
     """
     lines = list(_read_all(files))
-    calls = [line for line in lines if _is_call(line, request_id)]
-    undelivered = [line for line in lines if _undelivered(line, request_id)]
+    calls = _of_request(lines, request_id, "call")
+    undelivered = _of_request(lines, request_id, "answer_undelivered")
     if not calls and not undelivered:
         print(
             f"no line names request {request_id!r}; calls that were answered"
@@ -80,16 +80,14 @@
         yield Line(f"{source} {before}".strip(), fields)
 
 
-def _is_call(line: Line, request_id: str) -> bool:
-    if line.fields.get("code") != "call":
-        return False
-    return line.fields.get("request_id") == request_id
-
-
-def _undelivered(line: Line, request_id: str) -> bool:
-    if line.fields.get("code") != "answer_undelivered":
-        return False
-    return line.fields.get("request_id") == request_id
+def _of_request(lines: list[Line], request_id: str, code: str) -> list[Line]:
+    """Returns the lines of one kind that name a request."""
+    return [
+        line
+        for line in lines
+        if line.fields.get("code") == code
+        and line.fields.get("request_id") == request_id
+    ]
 
 
 def story(call: Line, lines: list[Line]) -> Iterator[str]:
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -60,7 +60,7 @@
 ) -> None:
     """Takes what was read of the published configuration."""
     source = store_state.Source.CONFIGURATION
-    if not store_reads.counts(state, source, event.passed_on):
+    if not store_reads.accept(state, source, event.passed_on):
         return
     document = event.document
     if document is not None:
@@ -98,7 +98,7 @@
 ) -> None:
     """Takes entries that were written or removed."""
     source = store_state.Source.TARGETS
-    if not store_reads.counts(state, source, event.passed_on):
+    if not store_reads.accept(state, source, event.passed_on):
         return
     known_offset = state.store_reads[source].next_offset
     changed = bool(event.entries or event.removed)
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -61,7 +61,7 @@
             patience_us = FIRST_START_PATIENCE_US
         found.own_reads_from_us += patience_us
     _follow_next(state)
-    _plan(state)
+    plan(state)
 
 
 def leads(state: state_lib.GateState) -> bool:
@@ -84,11 +84,9 @@
     return _overdue(state, source, _own_read_slack_us(state))
 
 
-def counts(
-    state: state_lib.GateState, passed_on: events.PassedOn | None
-) -> bool:
-    """Whether a read counts: not one by a host that was followed before."""
-    return passed_on is None or passed_on.stream == state.following.number
+def is_current(state: state_lib.GateState, passed_on: events.PassedOn) -> bool:
+    """Whether a read was told by the host that is followed now."""
+    return passed_on.stream == state.following.number
 
 
 def reader_fails_too(state: state_lib.GateState) -> bool:
@@ -134,7 +132,7 @@
         for address in _candidates(state)
     ):
         _follow_next(state)
-    _plan(state)
+    plan(state)
 
 
 def on_listed(state: state_lib.GateState, event: events.ReadersListed) -> None:
@@ -164,7 +162,7 @@
     """Follows a reader once reads by this host fail, also if it is one."""
     if state.following.address is None and _candidates(state):
         _follow_next(state)
-        _plan(state)
+        plan(state)
 
 
 def on_own_success(state: state_lib.GateState) -> None:
@@ -180,9 +178,30 @@
         _follow(state, found.address, unlimited=True)
 
 
-def on_told(state: state_lib.GateState) -> None:
-    """Sees to it that the silence of the reader will be noticed."""
-    _plan(state)
+def plan(state: state_lib.GateState) -> None:
+    """Sets a timer for the next look after the stream, if none is as early.
+
+    So the silence of the reader is noticed.
+    """
+    found = state.following
+    if not _candidates(state):
+        return
+    wait_us = _settings(state).read_wait_ms * 1000
+    times_us = [found.since_us + SWITCH_US, found.own_reads_from_us]
+    for reads in state.store_reads.values():
+        if reads.told_us is not None:
+            overdue_us = reads.told_us + wait_us
+            times_us.append(overdue_us + SILENCE_US)
+            times_us.append(overdue_us + _own_read_slack_us(state))
+    later_us = [at_us for at_us in times_us if at_us > state.now_us]
+    if found.address is None:
+        starting = state.now_us < found.own_reads_from_us + FIRST_RETRIES_US
+        pause_us = FIRST_RETRY_US if starting else RETRY_US
+        later_us.append(state.now_us + pause_us)
+    at_us = min(later_us, default=state.now_us + SWITCH_US)
+    if found.due_us is None or at_us < found.due_us:
+        found.due_us = at_us
+        state.timers.add(at_us, timers.FollowDue())
 
 
 def on_due(state: state_lib.GateState) -> None:
@@ -197,7 +216,7 @@
     ):
         _avoid(state, found.address)
         _follow_next(state)
-    _plan(state)
+    plan(state)
 
 
 def _settings(state: state_lib.GateState) -> store_state.StoreSettings:
@@ -299,26 +318,3 @@
             found.number, address, offsets, passes_on, unlimited
         )
     )
-
-
-def _plan(state: state_lib.GateState) -> None:
-    """Sets a timer for the next look after the stream, if none is as early."""
-    found = state.following
-    if not _candidates(state):
-        return
-    wait_us = _settings(state).read_wait_ms * 1000
-    times_us = [found.since_us + SWITCH_US, found.own_reads_from_us]
-    for reads in state.store_reads.values():
-        if reads.told_us is not None:
-            overdue_us = reads.told_us + wait_us
-            times_us.append(overdue_us + SILENCE_US)
-            times_us.append(overdue_us + _own_read_slack_us(state))
-    later_us = [at_us for at_us in times_us if at_us > state.now_us]
-    if found.address is None:
-        starting = state.now_us < found.own_reads_from_us + FIRST_RETRIES_US
-        pause_us = FIRST_RETRY_US if starting else RETRY_US
-        later_us.append(state.now_us + pause_us)
-    at_us = min(later_us, default=state.now_us + SWITCH_US)
-    if found.due_us is None or at_us < found.due_us:
-        found.due_us = at_us
-        state.timers.add(at_us, timers.FollowDue())
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -62,15 +62,15 @@
             _ask(state, source, 0)
 
 
-def counts(
+def accept(
     state: state_lib.GateState,
     source: store_state.Source,
     passed_on: events.PassedOn | None,
 ) -> bool:
-    """Whether a read counts; one that leaves a gap is read again here."""
+    """Returns whether to take a read in; reads itself what leaves a gap."""
     if passed_on is None:
         return True
-    if not following.counts(state, passed_on):
+    if not following.is_current(state, passed_on):
         return False
     reads = state.store_reads[source]
     if (reads.next_offset or 0) >= passed_on.from_offset:
@@ -99,12 +99,12 @@
     """
     reads = state.store_reads[source]
     reads.next_offset = max(next_offset, reads.next_offset or 0)
+    reads.lacks_records = False
     if passed_on is not None:
         _on_told(state, source, passed_on)
         return
     reads.succeeded = True
     reads.under_way = False
-    reads.lacks_records = False
     _on_success(state, source)
     following.on_own_success(state)
     _unpark(state)
@@ -149,7 +149,7 @@
         if reads.under_way and not following.reads_itself(state, source):
             reads.under_way = False
             state.emit(effects.StopReading(source.value))
-    following.on_told(state)
+    following.plan(state)
 
 
 def _unpark(state: state_lib.GateState) -> None:
@@ -181,7 +181,7 @@
 ) -> None:
     """Takes a read that failed, and asks for another after a pause."""
     if passed_on is not None:
-        if following.counts(state, passed_on):
+        if following.is_current(state, passed_on):
             _on_told_of_failure(state, source, why)
         return
     reads = state.store_reads[source]
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -441,3 +441,20 @@
     follow = host.of(effects.FollowReader)[-1]
     assert follow.unlimited
     assert follow.from_offsets["configuration"] == 1
+
+
+def test_host_that_got_all_asks_for_all_no_more():
+    host = FollowingHost()
+    large = events.PassedOn(host.stream, 0, from_offset=5)
+    host.feed(events.ConfigurationRead, None, 5, passed_on=large)
+    host.feed(events.StoreReadFailed, "configuration", "503")
+    whole = events.PassedOn(host.stream, 0)
+    host.feed(
+        events.ConfigurationRead,
+        published_host.document(),
+        5,
+        passed_on=whole,
+    )
+    host.lose()
+    host.feed(events.StoreReadFailed, "configuration", "503")
+    assert not host.of(effects.FollowReader)[-1].unlimited
