Keep one builder of the operator's documents and of free addresses

Cause: the soak and tests/test_platform_host.py each wrote the operator's configuration and a server's entry.

`max-conns` of the host tests is 200 now, as in the soak, where it was 99; an entry that drains has sequence 2.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -8,19 +8,18 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
-import json
 import pathlib
 import random
 import signal
-import sys
 import tempfile
 
 import attrs
 
 from fireflyspindle import testing
 from fireflyspindle.bench import soak_callers
+from fireflyspindle.bench import soak_gates
 from fireflyspindle.bench import soak_promises
-from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.testing import platform_documents
 from fireflyspindle.testing import platform_server
 from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
@@ -29,66 +28,15 @@
 RECOVERY_S = 5.0
 # Share of the calls that have to be served then.
 RECOVERED_SHARE = 0.9
-# Bounds of the users, and a margin for the bench's own lag.
+# Bounds of the users.
 DRAIN_S = 2.0
-LAG_S = 0.5
 GRACE_S = 6.0
-# Gate hosts that read the store for all, as on the platform.
-READERS = 3
 START_S = 10.0
 FAULT_SPACING_S = 0.7
 # What a proxy may do to the connections through it.
 HARMS = [harm for harm in tcp_proxy.Harm if harm is not tcp_proxy.Harm.NONE]
 
 
-@attrs.define(eq=False)
-class Gate:
-    """One gate host and its process.
-
-    Attributes:
-        name: Its name.
-        settings: Its settings file.
-        watched: What the checks know of it.
-        feed: Stands before its control address, for the other gate hosts.
-        log: What it writes.
-        process: Its process.
-    """
-
-    name: str
-    settings: pathlib.Path
-    watched: soak_promises.Watched
-    feed: tcp_proxy.TcpProxy
-    log: pathlib.Path
-    process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Starts the process."""
-        self.watched.starts += 1
-        self.watched.served = 0
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "fireflyspindle.platform",
-                env={
-                    settings_lib.PATH_VARIABLE: str(self.settings),
-                    "PYTHONPATH": ":".join(filter(None, sys.path)),
-                },
-                stdout=log,
-                stderr=log,
-            )
-
-    def send(self, number: signal.Signals) -> None:
-        """Signals the process by its id, if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def wait(self) -> None:
-        """Waits until the process has ended."""
-        if self.process is not None:
-            await self.process.wait()
-
-
 @attrs.define(eq=False)
 class Server:
     """One server behind its proxy.
@@ -140,7 +88,7 @@
         self._hosts = hosts
         self._servers_wanted = servers
         self._store = testing.StandInStore()
-        self._gates: list[Gate] = []
+        self._gates: list[soak_gates.Gate] = []
         self._servers: list[Server] = []
         self._all_servers: list[Server] = []
         self._version = 1
@@ -175,7 +123,7 @@
         self._configure()
         for _ in range(self._servers_wanted):
             await self._add_server()
-        self._gates = await _new_gates(folder, self._hosts, store_address)
+        self._gates = await soak_gates.make(folder, self._hosts, store_address)
         await asyncio.gather(*(gate.start() for gate in self._gates))
         self.callers = soak_callers.Callers(
             [gate.watched.address for gate in self._gates],
@@ -200,7 +148,7 @@
         self._register(server, "ready")
 
     def _register(self, server: Server, state: str) -> None:
-        entry = soak_callers.entry(server.address, state, server.born_ms)
+        entry = platform_documents.entry(server.address, state, server.born_ms)
         key = server.stand_in.server_id
         self._store.write(store_lib.TARGETS_TOPIC, key, entry)
 
@@ -351,7 +299,7 @@
             key = server.stand_in.server_id
             self._store.write(store_lib.TARGETS_TOPIC, key, None)
         began_s = self._now_s()
-        await asyncio.sleep(DRAIN_S + LAG_S)
+        await asyncio.sleep(DRAIN_S + soak_promises.LAG_S)
         bound_s = self._now_s()
         await asyncio.sleep(DRAIN_S)
         last_fault_s = max(self._store_fault_s, self._pause_s, server.harmed_s)
@@ -400,44 +348,3 @@
                 await server.web_server.close()
         await self._store_proxy.close()
         await self._store_server.close()
-
-
-async def _new_gates(
-    folder: pathlib.Path, count: int, store_address: str
-) -> list[Gate]:
-    """Returns gate hosts, of which the first three read for the others."""
-    feeds = {}
-    for _ in range(count):
-        control = soak_callers.free_address()
-        feeds[control] = tcp_proxy.TcpProxy(control)
-    reached = {control: await feed.start() for control, feed in feeds.items()}
-    readers = list(reached)[:READERS]
-    made = []
-    for number, control in enumerate(reached):
-        address = soak_callers.free_address()
-        settings = folder / f"gate-{number}.toml"
-        # A gate host finds itself by its own address, others by the proxy's.
-        listed = [
-            reader if reader == control else reached[reader]
-            for reader in readers
-        ]
-        settings.write_text(
-            soak_callers.SETTINGS.format(
-                number=number,
-                callers=address,
-                ready=soak_callers.free_address(),
-                control=control,
-                readers=json.dumps(listed),
-                store=store_address,
-            )
-        )
-        made.append(
-            Gate(
-                f"gate-{number}",
-                settings,
-                soak_promises.Watched(address),
-                feeds[control],
-                folder / f"gate-{number}.log",
-            )
-        )
-    return made
--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -3,13 +3,13 @@
 import asyncio
 import itertools
 import random
-import socket
 from typing import Any
 
 import attrs
 
 from fireflyspindle import testing
 from fireflyspindle.platform import dialect
+from fireflyspindle.testing import platform_documents
 from fireflyspindle.testing import platform_server
 
 HOST = "soak.example"
@@ -27,73 +27,15 @@
 # Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
 
-SETTINGS = """
-[self]
-node-name = "gate-{number}"
-zone = "a"
-[network]
-seed-nodes = {readers}
-[network.listen-addrs]
-front = "{callers}"
-ready-addr = "{ready}"
-control-addr = "{control}"
-[platform.platform]
-address = "{store}"
-[terms.contract-params]
-drain-ms = 2000
-config-apply-ms = 2000
-grace-s = 6
-retry-budget-ratio = 0.2
-retry-slack = 60
-budget-window-s = 10
-probes-per-s = 60
-"""
-
 
 def document(version: int) -> dict[str, Any]:
     """Returns a configuration; each version has a route of its own."""
-    kinds = {
+    routes = {
         "read": (REPEATABLE, "idempotent"),
         "book": (STRICT, "non_idempotent"),
         "version": (f"/version-{version}/", "idempotent"),
     }
-    rules = [
-        {
-            "name": name,
-            "route-kind": kind,
-            "target-latency-ms": 500,
-            "priority": 1,
-            "match": {"path-prefix": prefix},
-            "action": {
-                "service": "s",
-                "timeout-ms": DEADLINE_MS,
-                "max-attempts": 2,
-            },
-        }
-        for name, (prefix, kind) in kinds.items()
-    ]
-    return {
-        "version": f"{version:08x}",
-        "limits": {
-            "max-header-bytes": 16_384,
-            "max-body-bytes": 1_000_000,
-            "header-timeout-ms": 3_000,
-            "idle-timeout-ms": 15_000,
-        },
-        "listeners": [{"host": HOST, "rules": rules}],
-        "clusters": [{"name": "s", "health-path": "/health", "max-conns": 200}],
-    }
-
-
-def entry(address: str, state: str, born_ms: int) -> dict[str, Any]:
-    """Returns the entry of a server."""
-    sequence = 1 if state == "ready" else 2
-    return {
-        "address": address,
-        "info": {"service": "s", "version": "v1", "zone": "a", "capacity": 4},
-        "status": {"state": state, "sequence": sequence, "cold-left-ms": 0},
-        "born": born_ms,
-    }
+    return platform_documents.document(version, HOST, routes, DEADLINE_MS)
 
 
 def request(method: str, path: str, request_id: str) -> bytes:
@@ -105,13 +47,6 @@
     ).encode()
 
 
-def free_address() -> str:
-    """Returns a loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 @attrs.define
 class Told:
     """What the caller of a request was told.
--- a/src/fireflyspindle/testing/__init__.py
+++ b/src/fireflyspindle/testing/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform and for targets, for users' own tests."""
 
+from fireflyspindle.testing.addresses import free_address
 from fireflyspindle.testing.hosts import StandInHosts
 from fireflyspindle.testing.log import StandInLog
 from fireflyspindle.testing.raw import RawCaller
@@ -24,6 +25,7 @@
     "StandInSystem",
     "StandInTarget",
     "connect",
+    "free_address",
     "gate_settings",
     "publish",
 ]
--- /dev/null
+++ b/src/fireflyspindle/testing/platform_documents.py
@@ -0,0 +1,70 @@
+"""What the users' operator and servers write to the platform's store."""
+
+from collections.abc import Mapping
+from typing import Any
+
+SERVICE = "s"
+# Wall-clock milliseconds of a server's start.
+BORN_MS = 1_790_000_000_000
+
+
+def document(
+    version: int,
+    host: str,
+    routes: Mapping[str, tuple[str, str]],
+    timeout_ms: int = 2_500,
+) -> dict[str, Any]:
+    """Returns a configuration with one service.
+
+    Args:
+        version: Its version.
+        host: Name of the host that callers ask for.
+        routes: Path prefix and kind of each route, by its name.
+        timeout_ms: Longest time that a caller is kept waiting.
+    """
+    rules = [
+        {
+            "name": name,
+            "route-kind": kind,
+            "target-latency-ms": 500,
+            "priority": 1,
+            "match": {"path-prefix": prefix},
+            "action": {
+                "service": SERVICE,
+                "timeout-ms": timeout_ms,
+                "max-attempts": 2,
+            },
+        }
+        for name, (prefix, kind) in routes.items()
+    ]
+    return {
+        "version": f"{version:08x}",
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        "listeners": [{"host": host, "rules": rules}],
+        "clusters": [
+            {"name": SERVICE, "health-path": "/health", "max-conns": 200}
+        ],
+    }
+
+
+def entry(
+    address: str, state: str = "ready", born_ms: int = BORN_MS
+) -> dict[str, Any]:
+    """Returns the entry of a server in zone a with four slots."""
+    sequence = 1 if state == "ready" else 2
+    return {
+        "address": address,
+        "info": {
+            "service": SERVICE,
+            "version": "v1",
+            "zone": "a",
+            "capacity": 4,
+        },
+        "status": {"state": state, "sequence": sequence, "cold-left-ms": 0},
+        "born": born_ms,
+    }
--- /dev/null
+++ b/tests/platform_driver.py
@@ -0,0 +1,157 @@
+"""Drives a gate host on the platform, between callers and servers."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import attrs
+
+from fireflyspindle import testing
+from fireflyspindle.platform import dialect
+from fireflyspindle.platform import host as host_lib
+from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.testing import platform_documents
+from fireflyspindle.testing import store as store_lib
+import wire
+
+WAIT_S = 10.0
+IDEMPOTENT = "/read/"
+STRICT = "/offer/"
+
+
+def answer(request, body=b"ok", *lines, status="200 OK", framed=True):
+    """Returns the bytes of a server's answer to a request."""
+    request_id = b"".join(request.values(dialect.REQUEST_ID)).decode()
+    head = [
+        f"HTTP/1.1 {status}",
+        f"{dialect.REQUEST_ID}: {request_id}",
+        f"{dialect.SERVER_SIGNATURE}: s.{request_id}",
+        f"{dialect.SERVER_LOAD}: 0,0,4,100",
+        *lines,
+    ]
+    if framed:
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*head, "", ""]).encode() + body
+
+
+def answers(work=None, instance="i-0"):
+    """Returns the behaviour of a server; `work` writes answers of requests."""
+
+    async def behave(request, writer):
+        if request.first_line.startswith(b"GET /health "):
+            lines = f"{dialect.INSTANCE_ID}: {instance}"
+            found = answer(request, b"", lines).replace(
+                f"{dialect.REQUEST_ID}: \r\n".encode(), b""
+            )
+            writer.write(found)
+        elif work is None:
+            writer.write(answer(request))
+        else:
+            await work(request, writer)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+
+    return behave
+
+
+@attrs.define
+class Platform:
+    """A store, scripted servers and one gate host."""
+
+    store: testing.StandInStore
+    servers: list[testing.ScriptedTarget]
+    host: host_lib.PlatformHost
+
+    @property
+    def requests(self):
+        """Requests that reached servers, probes left out."""
+        return [
+            seen
+            for server in self.servers
+            for seen in server.requests
+            if not seen.first_line.startswith(b"GET /health ")
+        ]
+
+    async def caller(self):
+        """Opens a caller's connection."""
+        return await testing.connect(self.host.data_path.server.address)
+
+    async def ask(self, request):
+        """Sends a request on a connection of its own."""
+        caller = await self.caller()
+        async with asyncio.timeout(WAIT_S):
+            found = await caller.ask(request)
+        caller.close()
+        return found
+
+
+def reset_on_close(writer):
+    """Makes the close of a connection reset it."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+
+
+def request(path=IDEMPOTENT + "1", *lines, method="GET", body=b"", name="q1"):
+    """Returns the bytes of a caller's request."""
+    return wire.request(
+        method,
+        path,
+        f"{dialect.REQUEST_ID}: {name}",
+        f"{dialect.DEADLINE_MS}: 3000",
+        *lines,
+        body=body,
+    )
+
+
+def document(version):
+    """The operator's configuration, with one route of each kind."""
+    routes = {
+        "r-1": (IDEMPOTENT, "idempotent"),
+        "r-2": (STRICT, "non_idempotent"),
+    }
+    return platform_documents.document(version, "dossier.example", routes)
+
+
+@contextlib.asynccontextmanager
+async def running(*behaviours):
+    """Runs a gate host before one scripted server for each behaviour."""
+    store = testing.StandInStore()
+    store_server = testing.Server(store.application())
+    store_address = await store_server.start()
+    servers = [testing.ScriptedTarget(found) for found in behaviours]
+    store.write(store_lib.CONFIGURATION_TOPIC, "config", document(1))
+    for number, server in enumerate(servers):
+        address = await server.start()
+        store.write(
+            store_lib.TARGETS_TOPIC,
+            f"i-{number}",
+            platform_documents.entry(address),
+        )
+    store.write(store_lib.TARGETS_TOPIC, "i-bad", b"no entry")
+    host = host_lib.PlatformHost(
+        settings_lib.HostSettings(
+            host_id="edge-1",
+            failure_domain="a",
+            callers_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            store_address=store_address,
+        )
+    )
+    await host.start()
+    await wire.until(
+        lambda: (
+            len(host.state.registered) == len(servers)
+            and host.state.rules.version is not None
+        )
+    )
+    try:
+        yield Platform(store, servers, host)
+    finally:
+        host.request_stop()
+        host.request_stop()
+        await host.wait_closed()
+        for server in servers:
+            await server.close()
+        await store_server.close()
--- /dev/null
+++ b/tests/test_platform_readers.py
@@ -0,0 +1,152 @@
+"""Gate hosts on the platform that follow one that reads the store."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import attrs
+
+from fireflyspindle import testing
+from fireflyspindle.core import events
+from fireflyspindle.platform import host as host_lib
+from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.testing import platform_documents
+from fireflyspindle.testing import store as store_lib
+from fireflyspindle.testing import tcp_proxy
+import platform_driver
+import wire
+
+
+async def gauge(host, name):
+    """Returns a value that a host serves to the operators' metrics."""
+    address, port = host._runners[0].addresses[0]
+    url = f"http://{address}:{port}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as found:
+        text = await found.text()
+    (line,) = [line for line in text.splitlines() if f'"{name}"' in line]
+    return float(line.split()[-1])
+
+
+@contextlib.asynccontextmanager
+async def fleet():
+    """Runs a store, a host that reads it and one that follows that host."""
+    store = testing.StandInStore()
+    store_server = testing.Server(store.application())
+    store_address = await store_server.start()
+    store.write(
+        store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(1)
+    )
+    control_address = testing.free_address()
+    hosts = []
+    for own_address in (control_address, "127.0.0.1:0"):
+        host = host_lib.PlatformHost(
+            settings_lib.HostSettings(
+                host_id=own_address,
+                failure_domain="a",
+                callers_address="127.0.0.1:0",
+                ready_address="127.0.0.1:0",
+                store_address=store_address,
+                control_address=own_address,
+                readers=(control_address,),
+            )
+        )
+        await host.start()
+        hosts.append(host)
+    await wire.until(lambda: all(h.state.rules.version == 1 for h in hosts))
+    try:
+        yield store, *hosts
+    finally:
+        for host in hosts:
+            host.request_stop()
+            host.request_stop()
+            await host.wait_closed()
+        await store_server.close()
+
+
+async def test_host_that_follows_gets_changes_without_a_call_to_the_store():
+    async with fleet() as (store, reader, follower):
+        store.write(
+            store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(2)
+        )
+        store.write(
+            store_lib.TARGETS_TOPIC,
+            "i-0",
+            platform_documents.entry("127.0.0.1:1"),
+        )
+        await wire.until(
+            lambda: (
+                follower.state.rules.version == 2
+                and "i-0" in follower.state.registered
+            )
+        )
+        assert reader.metrics.counts["store_read"] > 2
+        assert await gauge(reader, "followers") == 1.0
+        assert await gauge(follower, "followers") == 0.0
+        assert follower.metrics.counts["store_read"] == 0
+
+
+async def test_host_reads_the_store_itself_once_its_reader_has_gone():
+    async with fleet() as (store, reader, follower):
+        reader.request_stop()
+        reader.request_stop()
+        await reader.wait_closed()
+        store.write(
+            store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(2)
+        )
+        await wire.until(lambda: follower.state.rules.version == 2)
+        assert follower.metrics.counts["store_read"] > 0
+
+
+async def test_host_whose_reader_the_store_turns_away_reads_itself():
+    async with fleet() as (store, reader, follower):
+        del reader
+        store.refuse_status = 503
+        await wire.until(lambda: follower.metrics.counts["store_read"] > 0)
+        store.refuse_status = None
+        store.write(
+            store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(2)
+        )
+        await wire.until(lambda: follower.state.rules.version == 2)
+
+
+async def test_changed_list_of_readers_is_taken_while_the_host_runs():
+    async with fleet() as (_, reader, follower):
+        changed = attrs.evolve(
+            follower.settings, readers=(follower.settings.control_address,)
+        )
+        follower.take_settings(changed)
+        assert follower.state.following.is_reader
+        assert follower.state.following.address is None
+        await wire.until(lambda: follower.metrics.counts["store_read"] > 1)
+        assert reader.state.following.is_reader
+
+
+async def test_hosts_that_follow_each_other_do_not_vouch_in_circles():
+    """Each knows the other by an address that comes before its own."""
+    async with fleet() as (store, reader, follower):
+        addresses = {}
+        proxies = []
+        for host in (reader, follower):
+            server = host._runners[-1].addresses[0]
+            proxy = tcp_proxy.TcpProxy(f"{server[0]}:{server[1]}")
+            addresses[host] = await proxy.start()
+            proxies.append(proxy)
+        for host, other in ((reader, follower), (follower, reader)):
+            own = "127.0.0.2:1"
+            host.state.settings = attrs.evolve(
+                host.state.settings,
+                store=attrs.evolve(
+                    host.state.settings.store, control_address=own
+                ),
+            )
+            host.submit(
+                events.ReadersListed(host.now_us(), True, (addresses[other],))
+            )
+        await asyncio.sleep(0.5)
+        store.write(
+            store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(2)
+        )
+        hosts = (reader, follower)
+        await wire.until(lambda: all(h.state.rules.version == 2 for h in hosts))
+        for proxy in proxies:
+            await proxy.close()
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import itertools
 import os
 import pathlib
 import signal
@@ -14,6 +13,7 @@
 import pytest_asyncio
 
 from fireflyspindle import headers
+from fireflyspindle import testing
 
 TOKEN = "token-of-the-process-test"
 SETTINGS = """
@@ -46,20 +46,6 @@
 """
 
 
-_numbers = itertools.count(1)
-
-
-def free_address():
-    """Returns a loopback address that only this test process uses.
-
-    The system gives out ports of 127.0.0.1 to others at any time; a host
-    number of one's own rules that out.
-    """
-    number = next(_numbers)
-    high, low = divmod(os.getpid() % 65_536, 256)
-    return f"127.{1 + number // 1_000}.{high}.{low}:{20_000 + number % 1_000}"
-
-
 @attrs.define
 class Process:
     """A gate host's process and addresses."""
@@ -148,7 +134,7 @@
 
 
 async def start(made):
-    log, hosts, target = (free_address() for _ in range(3))
+    log, hosts, target = (testing.free_address() for _ in range(3))
     await made.run("stand-in", "log", "--address", log)
     await made.run("stand-in", "hosts", "--address", hosts)
     await made.run(
@@ -156,9 +142,9 @@
     )
     for address in (log, hosts, target):
         await made.until_listening(address)
-    controls = [free_address(), free_address()]
+    controls = [testing.free_address(), testing.free_address()]
     for number, control in enumerate(controls):
-        callers = free_address()
+        callers = testing.free_address()
         path = made.folder / f"gate-{number}.toml"
         path.write_text(
             SETTINGS.format(
