Use one type for requests refused before they become calls

Cause: `destinations.Nowhere` wrote `answers.BadRequest` again: status, error and detail of what a caller is told.

--- a/src/fireflyspindle/adapters/answers.py
+++ b/src/fireflyspindle/adapters/answers.py
@@ -15,6 +15,7 @@
 from fireflyspindle.adapters import target_client
 from fireflyspindle.adapters import wire
 from fireflyspindle.core import effects
+from fireflyspindle.core import refusals
 
 _OUTCOME_LINES = {
     outcome: b"%b: %b\r\n" % (headers.OUTCOME.encode(), outcome.value.encode())
@@ -26,22 +27,7 @@
 DISCARD_LIMIT_S = 5.0
 
 
-@attrs.define
-class BadRequest:
-    """A request that is refused before it becomes a call.
-
-    Attributes:
-        status: HTTP status.
-        error: Short machine-readable code.
-        detail: Sentence for a person.
-    """
-
-    status: int
-    error: str
-    detail: str
-
-
-def refuse(turn: caller_connection.Turn, refusal: BadRequest) -> None:
+def refuse(turn: caller_connection.Turn, refusal: refusals.Refusal) -> None:
     """Refuses a request, which reaches no target, and closes."""
     body = {
         "outcome": effects.Outcome.NOT_RUN.value,
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -19,6 +19,7 @@
 from fireflyspindle.adapters import receiving
 from fireflyspindle.adapters import requests
 from fireflyspindle.core import events
+from fireflyspindle.core import refusals
 
 SWEEP_INTERVAL_S = 1.0
 CLOSE_LIMIT_S = 2.0
@@ -167,10 +168,10 @@
     def on_malformed(self, turn: Turn, error: http.HttpProcessingError) -> None:
         """Answers bytes that are no HTTP request."""
         detail = error.message.strip() or "the request is not HTTP/1.1"
-        refusal = answers.BadRequest(400, "bad_http", detail)
+        refusal = refusals.Refusal(400, "bad_http", detail)
         self._refuse(turn, refusal)
 
-    def _refuse(self, turn: Turn, refusal: answers.BadRequest) -> None:
+    def _refuse(self, turn: Turn, refusal: refusals.Refusal) -> None:
         self._shell.on_refused(refusal.error)
         answers.refuse(turn, refusal)
 
@@ -256,7 +257,7 @@
         if event.idempotency_key:
             if body is None:
                 detail = keyed_requests.too_large(self.body_limits.held_bytes)
-                refusal = answers.BadRequest(413, "body_too_large", detail)
+                refusal = refusals.Refusal(413, "body_too_large", detail)
                 self._refuse(turn, refusal)
                 return
             keyed_requests.stamp(event, message.method, message.path, body)
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -7,9 +7,9 @@
 import result
 
 from fireflyspindle import headers
-from fireflyspindle.adapters import answers
 from fireflyspindle.adapters import keyed_requests
 from fireflyspindle.core import events
+from fireflyspindle.core import refusals
 
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_NAME_CHARACTERS = 100
@@ -37,7 +37,7 @@
     now_us: int,
     body_limit_bytes: int,
     dialect: headers.Dialect = headers.OWN,
-) -> result.Result[events.CallArrived, answers.BadRequest]:
+) -> result.Result[events.CallArrived, refusals.Refusal]:
     """Reads the head of a request.
 
     Args:
@@ -53,7 +53,7 @@
     given = message.headers
     if message.method == "CONNECT":
         return result.Err(
-            answers.BadRequest(405, "bad_method", "CONNECT is not served")
+            refusals.Refusal(405, "bad_method", "CONNECT is not served")
         )
     problem = _body_problem(message, body_limit_bytes)
     if problem is not None:
@@ -97,31 +97,31 @@
 
 def _body_problem(
     message: http.RawRequestMessage, limit_bytes: int
-) -> answers.BadRequest | None:
+) -> refusals.Refusal | None:
     expected = message.headers.get("Expect", "100-continue")
     if expected.lower() != "100-continue":
         detail = f'header Expect is {expected[:40]!r}; give "100-continue"'
-        return answers.BadRequest(417, "bad_header", detail)
+        return refusals.Refusal(417, "bad_header", detail)
     coding = message.headers.get("Transfer-Encoding", "chunked")
     if coding.lower() != "chunked":
         detail = f'Transfer-Encoding is {coding[:40]!r}; give "chunked"'
-        return answers.BadRequest(400, "bad_header", detail)
+        return refusals.Refusal(400, "bad_header", detail)
     stated = message.headers.get("Content-Length")
     if stated is not None and int(stated) > limit_bytes:
         detail = f"the body has {stated} bytes; give at most {limit_bytes}"
-        return answers.BadRequest(413, "body_too_large", detail)
+        return refusals.Refusal(413, "body_too_large", detail)
     return None
 
 
 def _with_key(
     event: events.CallArrived, message: http.RawRequestMessage
-) -> result.Result[events.CallArrived, answers.BadRequest]:
+) -> result.Result[events.CallArrived, refusals.Refusal]:
     """Puts the idempotency key of a non-repeatable request on its event."""
     if event.repeatable:
         return result.Ok(event)
     match keyed_requests.read(message.headers):
         case result.Err(why):
-            return result.Err(answers.BadRequest(400, "bad_key", why))
+            return result.Err(refusals.Refusal(400, "bad_key", why))
         case result.Ok(key):
             keyed_requests.put(event, key)
     return result.Ok(event)
@@ -140,8 +140,6 @@
     return path.partition("?")[0]
 
 
-def _bad(
-    name: str, value: str, accepted: str
-) -> result.Err[answers.BadRequest]:
+def _bad(name: str, value: str, accepted: str) -> result.Err[refusals.Refusal]:
     detail = f"header {name} is {value[:40]!r}; give {accepted}"
-    return result.Err(answers.BadRequest(400, "bad_header", detail))
+    return result.Err(refusals.Refusal(400, "bad_header", detail))
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -2,9 +2,9 @@
 
 from fireflyspindle.core import capacity
 from fireflyspindle.core import claim_outcomes
-from fireflyspindle.core import destinations
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
 
 # Least time after which a caller is asked to come back.
@@ -17,9 +17,9 @@
 def refuse_unrouted(
     state: state_lib.GateState,
     event: events.CallArrived,
-    nowhere: destinations.Nowhere,
+    refusal: refusals.Refusal,
 ) -> None:
-    """Refuses a call that leads nowhere."""
+    """Refuses a call that leads refusal."""
     outcome = effects.Outcome.NOT_RUN
     if event.other_copies:
         outcome = effects.Outcome.UNKNOWN
@@ -27,11 +27,11 @@
         effects.AnswerCaller(
             call_id=event.call_id,
             outcome=outcome,
-            status=nowhere.status,
-            error=nowhere.error,
-            detail=nowhere.detail,
+            status=refusal.status,
+            error=refusal.error,
+            detail=refusal.detail,
             retry_after_ms=(
-                spread_ms(state, 0) if nowhere.status == 503 else None
+                spread_ms(state, 0) if refusal.status == 503 else None
             ),
         )
     )
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
 from fireflyspindle.core import leaving
+from fireflyspindle.core import refusals
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
@@ -24,8 +25,8 @@
 def on_arrived(state: state_lib.GateState, event: events.CallArrived) -> None:
     """Admits a call and sends its first attempt, or refuses it."""
     match destinations.find(state, event):
-        case destinations.Nowhere() as nowhere:
-            answers.refuse_unrouted(state, event, nowhere)
+        case refusals.Refusal() as refusal:
+            answers.refuse_unrouted(state, event, refusal)
         case destinations.Destination() as destination:
             _take_in(state, event, destination)
 
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -4,6 +4,7 @@
 
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
+from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
 
 # Attempts of a call whose route states no limit.
@@ -33,24 +34,9 @@
     priority: int = 0
 
 
-@attrs.define(frozen=True)
-class Nowhere:
-    """A call leads nowhere; what its caller is told.
-
-    Attributes:
-        status: HTTP status.
-        error: Short machine-readable code.
-        detail: Sentence for a person.
-    """
-
-    status: int
-    error: str
-    detail: str
-
-
 def find(
     state: state_lib.GateState, event: events.CallArrived
-) -> Destination | Nowhere:
+) -> Destination | refusals.Refusal:
     """Returns where a call goes."""
     if state.settings.store is not None:
         return _by_rule(state, event)
@@ -67,12 +53,12 @@
 
 def _by_rule(
     state: state_lib.GateState, event: events.CallArrived
-) -> Destination | Nowhere:
+) -> Destination | refusals.Refusal:
     if not state.listening:
         # What is taken now might not end before the process is killed.
-        return Nowhere(503, "stopping", "this gate host stops")
+        return refusals.Refusal(503, "stopping", "this gate host stops")
     if state.rules.version is None:
-        return Nowhere(
+        return refusals.Refusal(
             503, "no_configuration", "this gate host has no configuration yet"
         )
     rule = state.rules.find(event.host, event.path)
@@ -82,7 +68,7 @@
     service = state.services.get(part.service)
     if service is None:
         detail = f"route {rule.name} leads to unknown service {part.service}"
-        return Nowhere(503, "no_service", detail)
+        return refusals.Refusal(503, "no_service", detail)
     deadline_us = event.now_us + rule.timeout_ms * 1000
     if event.deadline_us is not None:
         deadline_us = min(deadline_us, event.deadline_us)
@@ -97,5 +83,7 @@
     )
 
 
-def _no_route(event: events.CallArrived) -> Nowhere:
-    return Nowhere(404, "no_route", f"no route covers the path {event.path!r}")
+def _no_route(event: events.CallArrived) -> refusals.Refusal:
+    return refusals.Refusal(
+        404, "no_route", f"no route covers the path {event.path!r}"
+    )
