Log when a host reads the store again and what its reader left out

Callers saw answers of an older configuration seconds after the newer one had been acknowledged.

`store_retry` is written for each own read that fails, with the start of the next one; `store_records_omitted` once for each gap, with the offsets and the start of the read that fills it. Both are bounded by the pauses between reads.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -77,12 +77,29 @@
     reads = state.store_reads[source]
     if (reads.next_offset or 0) >= relayed.from_offset:
         return True
+    if not reads.has_relay_gap:
+        _log_relay_gap(state, source, relayed)
     reads.has_relay_gap = True
     if not reads.pending:
         _schedule_read(state, source, 0)
     return False
 
 
+def _log_relay_gap(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    relayed: events.RelayedRead,
+) -> None:
+    reads = state.store_reads[source]
+    delay_us = max(0, reads.scheduled_us - state.now_us) if reads.pending else 0
+    detail = (
+        f"{source.value}: the reader omitted the records from offset"
+        f" {reads.next_offset or 0} to {relayed.from_offset}; the next read of"
+        f" the store starts in {delay_us // 1000} ms"
+    )
+    state.emit(effects.WriteLogLine("info", "store_records_omitted", detail))
+
+
 def on_read_succeeded(
     state: state_lib.GateState,
     source: store_state.Source,
@@ -209,6 +226,7 @@
     if failing_reads and reads.failures > 1:
         # Retries of one source suffice to detect that the store is back.
         reads.suspended = True
+        _log_retry(state, source, reason, "after a read of the other source")
         return
     pause_us = INITIAL_BACKOFF_US << min(reads.failures - 1, 10)
     pause_us = min(MAX_BACKOFF_US, pause_us)
@@ -217,7 +235,9 @@
     ):
         pause_us = FOLLOWER_BACKOFF_US
     jitter = 1 + BACKOFF_JITTER * (state.random.random() - 0.5)
-    _schedule_read(state, source, int(pause_us * jitter))
+    delay_us = int(pause_us * jitter)
+    _log_retry(state, source, reason, f"in {delay_us // 1000} ms")
+    _schedule_read(state, source, delay_us)
 
 
 def _on_relayed_failure(
@@ -245,6 +265,19 @@
     state.emit(effects.WriteLogLine("warning", "store_lost", detail))
 
 
+def _log_retry(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    reason: str,
+    next_read: str,
+) -> None:
+    detail = (
+        f"{source.value}: read {state.store_reads[source].failures} of the"
+        f" store failed: {reason}; the next read starts {next_read}"
+    )
+    state.emit(effects.WriteLogLine("info", "store_retry", detail))
+
+
 def _schedule_read(
     state: state_lib.GateState, source: store_state.Source, delay_us: int
 ) -> None:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -55,6 +55,14 @@
         """Reads of the store by this host."""
         return self.effects_of(effects.ReadStore)
 
+    def lines(self, code):
+        """Texts of the log lines with a code."""
+        return [
+            line.detail
+            for line in self.effects_of(effects.WriteLogLine)
+            if line.code == code
+        ]
+
     def relay_reads(self, stream=None, age_us=0, configured=None, entries=()):
         """Feeds one relayed read of each source."""
         relayed = events.RelayedRead(stream or self.stream, age_us)
@@ -443,6 +451,24 @@
     assert len(host.own_reads()) == 1
 
 
+def test_lines_tell_when_omitted_records_are_read():
+    host = FollowingHost()
+    host.relay_reads(configured=published_host.document())
+    relayed = events.RelayedRead(host.stream, 0)
+    host.feed(events.StoreReadFailed, "configuration", "503", relayed)
+    host.advance(READ_WAIT_US + following.OWN_READ_TIMEOUT_US)
+    host.feed(events.StoreReadFailed, "configuration", "refused")
+    delay_ms = host.own_reads()[-1].delay_us // 1000
+    (retry,) = host.lines("store_retry")
+    assert "read 2 of the store failed: refused" in retry
+    assert f"in {delay_ms} ms" in retry
+    for _ in range(2):
+        with_gap = events.RelayedRead(host.stream, 0, from_offset=5)
+        host.feed(events.ConfigurationRead, None, 5, relayed=with_gap)
+    (omitted,) = host.lines("store_records_omitted")
+    assert "from offset 1 to 5" in omitted
+
+
 def test_host_refused_by_the_store_requests_all_records_from_the_reader():
     host = FollowingHost()
     host.relay_reads(configured=published_host.document())
