Add a failing test: a configuration that is late after an outage

A host that follows a reader answered by an older configuration seconds after the newer one had been acknowledged. While the reads of its reader fail too, it pauses its own reads for 4.5 to 7.5 s. The reader leaves out records above 8 KiB; what it left out is read only at the end of that pause.

--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -90,6 +90,37 @@
             self.relay_reads()
             self.advance(min(READ_WAIT_US, end_us - self.now_us))
 
+    def fail_reads_for(self, duration_us, retried_source):
+        """Advances time while reads of this host and of its reader fail.
+
+        The reads of `retried_source` fail last, so that this source is retried
+        and the other one suspended.
+        """
+        end_us = self.now_us + duration_us
+        sources = sorted(
+            store_state.Source, key=lambda source: source is retried_source
+        )
+        while self.now_us < end_us:
+            relayed = events.RelayedRead(self.stream, 0)
+            for source in sources:
+                reads = self.state.store_reads[source]
+                self.feed(events.StoreReadFailed, source.value, "503", relayed)
+                if reads.pending and self.now_us >= reads.scheduled_us:
+                    self.feed(events.StoreReadFailed, source.value, "503")
+            self.advance(100_000)
+
+    def omit_records(self, source, next_offset):
+        """Feeds a relayed read whose records the reader left out."""
+        relayed = events.RelayedRead(self.stream, 0, from_offset=next_offset)
+        if source is store_state.Source.CONFIGURATION:
+            self.feed(
+                events.ConfigurationRead, None, next_offset, relayed=relayed
+            )
+        else:
+            self.feed(
+                events.TargetsRead, [], [], False, next_offset, relayed=relayed
+            )
+
     def lose_reader(self, reason="reset"):
         """Ends the stream."""
         return self.feed(events.ReaderDisconnected, self.stream, reason)
@@ -451,20 +482,37 @@
     assert len(host.own_reads()) == 1
 
 
-def test_lines_tell_when_omitted_records_are_read():
-    host = FollowingHost()
+def follower_in_an_outage(retried_source, seed=0):
+    """Returns a host whose reads fail, like those of every reader."""
+    host = FollowingHost(seed)
     host.relay_reads(configured=published_host.document())
-    relayed = events.RelayedRead(host.stream, 0)
-    host.feed(events.StoreReadFailed, "configuration", "503", relayed)
-    host.advance(READ_WAIT_US + following.OWN_READ_TIMEOUT_US)
-    host.feed(events.StoreReadFailed, "configuration", "refused")
-    delay_ms = host.own_reads()[-1].delay_us // 1000
-    (retry,) = host.lines("store_retry")
-    assert "read 2 of the store failed: refused" in retry
-    assert f"in {delay_ms} ms" in retry
+    host.fail_reads_for(5_000_000, retried_source)
+    return host
+
+
+# The reader omits large records, so the host has to read them itself.
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("source", store_state.Source)
+def test_records_omitted_after_an_outage_are_not_read_too_late(source, seed):
+    host = follower_in_an_outage(source, seed)
+    reads = host.state.store_reads[source]
+    assert reads.pending
+    assert reads.scheduled_us > host.now_us
+    host.omit_records(source, next_offset=5)
+    assert reads.scheduled_us == host.now_us
+    assert host.own_reads()[-1].source == source.value
+
+
+def test_lines_tell_when_omitted_records_are_read():
+    host = follower_in_an_outage(store_state.Source.CONFIGURATION)
+    delay_ms = max(read.delay_us for read in host.own_reads()) // 1000
+    assert any(
+        "configuration: read 2 of the store failed: 503" in line
+        and f"starts in {delay_ms} ms" in line
+        for line in host.lines("store_retry")
+    )
     for _ in range(2):
-        with_gap = events.RelayedRead(host.stream, 0, from_offset=5)
-        host.feed(events.ConfigurationRead, None, 5, relayed=with_gap)
+        host.omit_records(store_state.Source.CONFIGURATION, next_offset=5)
     (omitted,) = host.lines("store_records_omitted")
     assert "from offset 1 to 5" in omitted
 
