Read records that a reader left out as soon as the store is back

What callers saw: after an outage of the store, a follower answered by an older configuration (404 for a route that had been added, or the old service) for up to 8 s after the newer version was in force elsewhere; the bound is 2 s.

Cause: while the reader's reads fail, a follower pauses its own reads for 4.5 to 7.5 s, as the reader finds out when the store is back. The pause was a timer and outlived its reason: when the reader's reads succeeded again but left out a large record, the follower marked the gap and kept the read that was scheduled at the end of the pause.

Why this works: a relayed read that succeeded shows that the store answers, so a read that has not started yet starts now. One that is in progress is left alone, and a host that the store refuses asks its reader for all records, as before.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -18,8 +18,8 @@
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 1_400_000
 # Pause after a failed read while the reads of the followed reader fail too. The
-# reader detects when the store is back; this host's own reads only cover the
-# case that the reader alone can't reach the store.
+# reader detects when the store is back, which ends the pause; this host's own
+# reads only cover the case that the reader alone can't reach the store.
 FOLLOWER_BACKOFF_US = 6_000_000
 # Share of each pause that is random, so that the hosts of a fleet don't all
 # retry at the same moment after an outage.
@@ -80,22 +80,32 @@
     if not reads.has_relay_gap:
         _log_relay_gap(state, source, relayed)
     reads.has_relay_gap = True
-    if not reads.pending:
+    if not reads.pending or _is_delayed(state, reads):
+        # The reader's success shows that the store answers, so the pause after
+        # a failed read no longer serves a purpose.
         _schedule_read(state, source, 0)
     return False
 
 
+def _is_delayed(
+    state: state_lib.GateState, reads: store_state.SourceReads
+) -> bool:
+    """Whether a read by this host is scheduled but has not started."""
+    return reads.pending and reads.scheduled_us > state.now_us
+
+
 def _log_relay_gap(
     state: state_lib.GateState,
     source: store_state.Source,
     relayed: events.RelayedRead,
 ) -> None:
     reads = state.store_reads[source]
-    delay_us = max(0, reads.scheduled_us - state.now_us) if reads.pending else 0
+    next_read = "a read of the store starts now"
+    if reads.pending and not _is_delayed(state, reads):
+        next_read = "a read of the store is in progress"
     detail = (
         f"{source.value}: the reader omitted the records from offset"
-        f" {reads.next_offset or 0} to {relayed.from_offset}; the next read of"
-        f" the store starts in {delay_us // 1000} ms"
+        f" {reads.next_offset or 0} to {relayed.from_offset}; {next_read}"
     )
     state.emit(effects.WriteLogLine("info", "store_records_omitted", detail))
 
