Retry the store sooner when no reader reports its state any more

What callers would have seen: an older configuration for up to 7.5 s after an outage of the store in which the readers were lost too, where the bound is 3 s.

When the readers die, or fall silent, during the outage, nobody finds out, and the pause went on.

Why this works: the time of the last report of a failed read is kept in place of a flag of the stream. Once it is older than a second, a pause is cut down to the one that a host without readers makes. A second covers one attempt to follow a reader that is down, so that an outage with two readers left costs no more calls.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -41,6 +41,9 @@
 RETRY_US = 500_000
 # Minimum time with one reader before a silent one is replaced.
 MIN_FOLLOW_US = 500_000
+# Time for which a report of failed reads counts. It covers one attempt to
+# follow a reader that is down.
+FAILURE_REPORT_TIMEOUT_US = 2 * MIN_FOLLOW_US
 # Time for which other readers are preferred over one that was lost.
 LOST_READER_AVOIDANCE_US = 3_000_000
 
@@ -93,10 +96,16 @@
     return relayed.stream == state.following.stream_number
 
 
-def reader_reads_fail(state: state_lib.GateState) -> bool:
-    """Whether a reader is followed whose reads of the store fail."""
-    return state.following.address is not None and any(
-        reads.relay_failed for reads in state.store_reads.values()
+def reader_detects_recovery(state: state_lib.GateState) -> bool:
+    """Whether a reader that reports failed reads will tell when they succeed.
+
+    The report of a reader that was lost since counts for a while, in which
+    another reader may report.
+    """
+    reported_us = state.following.failure_reported_us
+    return (
+        reported_us is not None
+        and state.now_us < reported_us + FAILURE_REPORT_TIMEOUT_US
     )
 
 
@@ -336,7 +345,6 @@
     offsets = {}
     for source, reads in state.store_reads.items():
         offsets[source.value] = reads.next_offset
-        reads.relay_failed = False
     relays = follow.is_reader and address in _lower_readers(state)
     state.emit(
         effects.FollowReader(
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -59,6 +59,8 @@
         first_offset: Offset of the oldest record that the store holds, as
             last reported by the store.
         scheduled_us: Time for which the latest read was scheduled.
+        retry_us: Time of the next read after a failure, unless a reader
+            detects before that the store is back.
         failures: Consecutive failed reads.
         failing_since_us: Time of the first of these failures.
         recovered_us: Time of the first success after the last failures.
@@ -69,12 +71,12 @@
         relayed_us: End of the latest successful read that the reader relayed;
             None before the first.
         has_relay_gap: Whether the reader left out records of this source.
-        relay_failed: Whether the latest read relayed by the reader failed.
     """
 
     next_offset: int | None = None
     first_offset: int = 0
     scheduled_us: int = 0
+    retry_us: int = 0
     failures: int = 0
     failing_since_us: int = 0
     recovered_us: int | None = None
@@ -83,7 +85,6 @@
     pending: bool = False
     relayed_us: int | None = None
     has_relay_gap: bool = False
-    relay_failed: bool = False
 
 
 @attrs.define
@@ -116,6 +117,8 @@
         own_reads_allowed_us: Earliest time at which this host may read the
             store.
         next_check_us: Time of the next scheduled check of the stream, or None.
+        failure_reported_us: Time at which a reader reported a failed read; None
+            once a reader has reported a successful one.
     """
 
     is_reader: bool = False
@@ -127,6 +130,7 @@
     unlimited_size: bool = False
     own_reads_allowed_us: int = 0
     next_check_us: int | None = None
+    failure_reported_us: int | None = None
 
 
 @attrs.define
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -15,6 +15,10 @@
 READ_WAIT_US = 800_000
 # Time limit for a change to reach every host.
 CHANGE_LIMIT_US = 2_000_000
+# Time after an outage of the store from which that limit holds again, and time
+# after which a read without a response fails.
+RECOVERY_LIMIT_US = 3_000_000
+READ_TIMEOUT_US = 1_200_000
 
 
 class FollowingHost(published_host.PublishedHost):
@@ -503,6 +507,23 @@
     assert host.own_reads()[-1].source == source.value
 
 
+# Only a reader tells when the store is back, so a host without one has to try.
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("silent", [True, False])
+def test_store_is_not_read_too_late_when_readers_are_lost_in_an_outage(
+    silent, seed
+):
+    host = follower_in_an_outage(store_state.Source.CONFIGURATION, seed)
+    lost_us = host.now_us
+    while host.now_us < lost_us + RECOVERY_LIMIT_US - READ_TIMEOUT_US:
+        if host.address is not None and not silent:
+            host.lose_reader()
+        host.advance(50_000)
+    reads = host.state.store_reads[store_state.Source.CONFIGURATION]
+    assert reads.pending
+    assert reads.scheduled_us <= host.now_us
+
+
 def test_lines_tell_when_omitted_records_are_read():
     host = follower_in_an_outage(store_state.Source.CONFIGURATION)
     delay_ms = max(read.delay_us for read in host.own_reads()) // 1000
