Serve each host's share of the probe budget as a metric

What operators saw: targets of a large fleet probed more often than the budget allows. Neither a log line nor a metric gave the share that a host takes, so that an assumed number of hosts could not be told from calls that probe too often.

`probe_budget_per_s` is that share, beside the counter `probe`.

--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -115,7 +115,7 @@
         state.last_probe_round_id, round_index, set()
     )
     for target in candidates:
-        if _take_probe_token(state, service):
+        if _take_probe_token(state):
             probe_round.pending_probes.add(
                 probes.send_probe(
                     state, service, target, PROBE_TIMEOUT_US, call.call_id
@@ -139,13 +139,19 @@
     return True
 
 
-def _take_probe_token(
-    state: state_lib.GateState, service: state_lib.ServiceState
-) -> bool:
+def probe_budget_per_s(state: state_lib.GateState) -> float:
+    """Returns this gate host's share of the probe budget, per second."""
+    budget_per_s = sum(
+        state.configuration.policy(service.name).probes_per_s
+        * len(service.targets)
+        for service in state.services.values()
+    )
+    return budget_per_s / ASSUMED_GATE_HOSTS
+
+
+def _take_probe_token(state: state_lib.GateState) -> bool:
     """Takes one token from this gate host's share of the probe budget."""
-    policy = state.configuration.policy(service.name)
-    target_count = sum(len(each.targets) for each in state.services.values())
-    per_s = policy.probes_per_s * target_count / ASSUMED_GATE_HOSTS
+    per_s = probe_budget_per_s(state)
     earned = (state.now_us - state.probe_tokens_refilled_us) / 1e6 * per_s
     state.probe_tokens = min(
         max(1.0, per_s * PROBE_BURST_S), state.probe_tokens + earned
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -13,6 +13,7 @@
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import placement
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
 from fireflyspindle.core import state as state_lib
@@ -158,6 +159,9 @@
             self.state.rule_table.version or 0
         )
         self.metrics.gauges["followers"] = self._store_sync.feed.followers
+        self.metrics.gauges["probe_budget_per_s"] = (
+            placement.probe_budget_per_s(self.state)
+        )
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -85,6 +85,7 @@
         assert await gauge(reader, "followers") == 1.0
         assert await gauge(follower, "followers") == 0.0
         assert follower.metrics.event_counts["store_read"] == 0
+        assert await gauge(follower, "probe_budget_per_s") > 0.0
 
 
 async def test_follower_reads_the_store_after_its_reader_stopped():
