Divide the probe budget by the largest fleet instead of by 18 hosts

What users saw: targets of a fleet of 99 gate hosts were probed more often than the budget allows.

Cause: each host took an 18th of the budget, a number that fitted two fleets of 14 and 17 hosts.

Why this works: a policy's `gate_hosts_max` is how many hosts the connection limit of a target has room for, six connections each. More hosts can't run, so the shares add up to at most the budget, whatever a host knows of the others.

A fleet far below that number leaves much of the budget unused: 14 hosts of the 36 that fit send at most 0.39 of it, after 0.78 before.

--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import dispatch_queue
 from fireflyspindle.core import ejection
 from fireflyspindle.core import events
+from fireflyspindle.core import fleet
 from fireflyspindle.core import forecast
 from fireflyspindle.core import probes
 from fireflyspindle.core import state as state_lib
@@ -29,9 +30,6 @@
 FRESH_REPORT_US = 30_000
 # Burst of the probe budget, as the time in which it accrues.
 PROBE_BURST_S = 1.0
-# Gate hosts that share the probe budget. The store does not give their number;
-# deployments whose load comes close to the budget run 14 to 17.
-ASSUMED_GATE_HOSTS = 18
 
 
 def place(
@@ -141,12 +139,12 @@
 
 def probe_budget_per_s(state: state_lib.GateState) -> float:
     """Returns this gate host's share of the probe budget, per second."""
-    budget_per_s = sum(
-        state.configuration.policy(service.name).probes_per_s
-        * len(service.targets)
-        for service in state.services.values()
-    )
-    return budget_per_s / ASSUMED_GATE_HOSTS
+    per_s = 0.0
+    for service in state.services.values():
+        policy = state.configuration.policy(service.name)
+        targets_per_s = policy.probes_per_s * len(service.targets)
+        per_s += targets_per_s * fleet.share(policy)
+    return per_s
 
 
 def _take_probe_token(state: state_lib.GateState) -> bool:
