Divide the slack of resends by the largest fleet instead of by 64 hosts

What callers would have seen: during failures, more repeated sends at the targets than the users allow, on fleets of more than 64 hosts, or of more hosts than the slack has resends.

Cause: as with the probes, each host took a fixed part, a 64th, and at least one resend.

Why this works: the shares add up to at most 1, as the probes' do, and there is no least share. A host whose share is below one resend earns it by its requests.

Tests changed: the hosts of the test drivers get the slack of today's deployments, 62, in place of 10. With 10 their share of a fleet of 43 is 0.19 of a resend, so that tests of other matters would have no resend to look at.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import configuration_updates
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import fleet
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
 from fireflyspindle.core import records
@@ -28,10 +29,6 @@
 # Fraction of the resend budget that is used. Calls move between gate hosts with
 # their callers, so the sum over all hosts needs a margin.
 RESEND_BUDGET_FRACTION = 0.8
-# Number of gate hosts that the resend slack is divided by. The store does not
-# give the actual number; the slack that the platform allows grows with it, by
-# at least 1.5 per gate host.
-ASSUMED_GATE_HOSTS = 64
 
 MISDIRECTED_STATUS = 421
 
@@ -274,6 +271,7 @@
     configuration_updates.refresh_services(state)
     for name in registered_by_service:
         _init_service(state, state.services[name])
+        _update_resend_slack(state, state.services[name])
     for registered in state.registered_targets.values():
         _update_target(state, registered)
 
@@ -328,11 +326,24 @@
     service.probes_before_send = True
     service.resend_budget = budgets.WindowBudget(
         share=RESEND_BUDGET_FRACTION * settings.resend_share,
-        slack=max(1.0, settings.resend_slack / ASSUMED_GATE_HOSTS),
+        slack=0.0,
         window_us=settings.resend_window_ms * 1000,
     )
 
 
+def _update_resend_slack(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> None:
+    """Sets this host's share of the resends beyond the share of requests."""
+    settings = state.settings.store
+    if service.resend_budget is None or settings is None:
+        return
+    policy = state.configuration.policy(service.name)
+    service.resend_budget.slack = (
+        RESEND_BUDGET_FRACTION * settings.resend_slack * fleet.share(policy)
+    )
+
+
 def _update_target(
     state: state_lib.GateState, registered: store_state.RegisteredTarget
 ) -> None:
--- a/tests/platform_driver.py
+++ b/tests/platform_driver.py
@@ -139,6 +139,7 @@
             callers_address="127.0.0.1:0",
             readiness_address="127.0.0.1:0",
             store_address=store_address,
+            bounds=settings_lib.Bounds(retry_slack=62.0),
         )
     )
     await host.start()
--- a/tests/published_driver.py
+++ b/tests/published_driver.py
@@ -92,7 +92,12 @@
 
     def __init__(self, targets=4, seed=0, rules=(), **store):
         self.settings = store_state.StoreSettings(
-            **{"probes_per_s": 600.0, "resend_share": 0.2, **store}
+            **{
+                "probes_per_s": 600.0,
+                "resend_share": 0.2,
+                "resend_slack": 62.0,
+                **store,
+            }
         )
         core_settings = state_lib.CoreSettings(
             host_id="gate-1", failure_domain=DOMAIN, store=self.settings
