Divide the budgets of the fleet by the number of its gate hosts

Every host but the readers follows exactly one reader. Each reader now counts its followers, asks the other readers for theirs every 2 s and adds up; the feed carries the sum. A reader that refuses the connection has none; the last count of one that does not answer is used for a minute. Hosts use the largest sum of the last minute, since hosts that are cut off still use their shares. In its first 5 s a host divides by the largest fleet, until the others know of it. The same number now also bounds the connections of a host to a target.

A host of the build before reads the new lines, and is counted as a follower.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -3,7 +3,8 @@
 Each follower gets one streaming HTTP response of JSON lines. The first line
 identifies the sender. Each further line is the outcome of a read of one
 source: the records that the follower lacks, often none, or why the read
-failed. Records whose total size is too large for the hosts' narrow links are
+failed. A line also has the number of gate hosts when it is new to the follower.
+Records whose total size is too large for the hosts' narrow links are
 omitted: the line has the offset after them, and the follower reads them from
 the store.
 """
@@ -20,6 +21,7 @@
 from fireflyspindle.adapters import store_records
 
 PATH = "/store-feed"
+HOST_COUNT_PATH = "/hosts"
 # Hosts of the same or a neighbouring failure domain connect within a few
 # milliseconds.
 CONNECT_TIMEOUT_S = 0.5
@@ -28,6 +30,8 @@
 MAX_RELAYED_BYTES = 8_192
 # Longest line: some thousands of target entries, or a large configuration.
 MAX_LINE_BYTES = 8 * 1024 * 1024
+# Time for the response to a host count; a reader counts every 2 s.
+COUNT_TIMEOUT_S = 1.0
 
 _JSON_LINES = "application/x-ndjson"
 
@@ -38,9 +42,11 @@
 
     Attributes:
         failure_domain: Failure domain of the followed host.
+        gate_hosts: Number of gate hosts of the fleet; None if unknown.
     """
 
     failure_domain: str
+    gate_hosts: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -52,12 +58,15 @@
         age_ms: Time since the read ended.
         outcome: Records that were not sent before, or the failure.
         own: Whether the followed host made the read itself.
+        gate_hosts: Number of gate hosts of the fleet; None if it has not
+            changed or is unknown.
     """
 
     source: str
     age_ms: int
     outcome: store_records.Batch | store_records.ReadFailed
     own: bool
+    gate_hosts: int | None = None
 
 
 @attrs.define
@@ -71,6 +80,28 @@
     own: bool = True
 
 
+@attrs.define(eq=False)
+class _Stream:
+    """The stream to one follower.
+
+    Attributes:
+        request: The follower's request.
+        is_reader: Whether the follower is a reader too.
+    """
+
+    request: web.Request
+    is_reader: bool
+
+    @property
+    def connected(self) -> bool:
+        """Whether the follower is connected.
+
+        The response ends only at the first write after a disconnection.
+        """
+        transport = self.request.transport
+        return transport is not None and not transport.is_closing()
+
+
 class Feed:
     """Streams this host's reads of the store to its followers.
 
@@ -80,7 +111,8 @@
         now_us: Clock that also advances while the host is suspended.
 
     Attributes:
-        followers: Number of connected followers.
+        gate_hosts: Number of gate hosts of the fleet, reported to the
+            followers; None if unknown.
     """
 
     def __init__(
@@ -89,7 +121,8 @@
         sources: tuple[str, ...],
         now_us: Callable[[], int],
     ) -> None:
-        self.followers = 0
+        self.gate_hosts: int | None = None
+        self._streams: set[_Stream] = set()
         self._now_us = now_us
         self._failure_domain = failure_domain
         self._sources = {name: _Source() for name in sources}
@@ -97,8 +130,25 @@
         self._closed = False
 
     def routes(self) -> list[web.RouteDef]:
-        """Returns the route of the stream."""
-        return [web.get(PATH, self._on_follow)]
+        """Returns the routes of the stream and of the host count."""
+        return [
+            web.get(PATH, self._on_follow),
+            web.get(HOST_COUNT_PATH, self._on_count),
+        ]
+
+    @property
+    def followers(self) -> int:
+        """Number of connected followers."""
+        return sum(stream.connected for stream in self._streams)
+
+    def count_hosts(self) -> int:
+        """Returns the number of followers that are no readers, and this host.
+
+        Each gate host is counted by exactly one reader.
+        """
+        return 1 + sum(
+            stream.connected for stream in self._streams if not stream.is_reader
+        )
 
     def record_read(
         self,
@@ -143,6 +193,9 @@
         self._closed = True
         self._notify()
 
+    async def _on_count(self, _request: web.Request) -> web.Response:
+        return web.json_response({"hosts": self.count_hosts()})
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -162,25 +215,29 @@
             limit_bytes = MAX_LINE_BYTES // 2
         response = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
         await response.prepare(request)
-        self.followers += 1
+        stream = _Stream(request, "reader" in request.query)
+        self._streams.add(stream)
         try:
-            await response.write(
-                _encode_line({"failure-domain": self._failure_domain})
-            )
-            await self._write_outcomes(response, offsets, limit_bytes)
+            await self._write_lines(response, offsets, limit_bytes)
         except ConnectionError:
             # The follower disconnected; it logs the reason itself.
             pass
         finally:
-            self.followers -= 1
+            self._streams.remove(stream)
         return response
 
-    async def _write_outcomes(
+    async def _write_lines(
         self,
         response: web.StreamResponse,
         offsets: dict[str, int | None],
         limit_bytes: int,
     ) -> None:
+        gate_hosts = self.gate_hosts
+        first_line = {
+            "failure-domain": self._failure_domain,
+            "gate-hosts": gate_hosts,
+        }
+        await response.write(_encode_line(first_line))
         written = dict.fromkeys(self._sources, 0)
         while not self._closed:
             changed = self._changed
@@ -189,19 +246,22 @@
                     continue
                 written[name] = source.reads
                 line = self._outcome_line(name, offsets, limit_bytes)
-                if line is not None:
-                    await response.write(line)
+                if line is None:
+                    continue
+                if gate_hosts != self.gate_hosts:
+                    gate_hosts = line["gate-hosts"] = self.gate_hosts
+                await response.write(_encode_line(line))
             await changed.wait()
 
     def _outcome_line(
         self, name: str, offsets: dict[str, int | None], limit_bytes: int
-    ) -> bytes | None:
+    ) -> dict[str, Any] | None:
         """Returns the line for the latest read and advances the offset."""
         source = self._sources[name]
         age_ms = (self._now_us() - source.ended_us) // 1000
         fields = {"source": name, "age-ms": age_ms, "own": source.own}
         if source.failed is not None:
-            return _encode_line({**fields, "failed": source.failed.reason})
+            return {**fields, "failed": source.failed.reason}
         batch = source.latest.since(offsets[name])
         if batch is None:
             return None
@@ -210,15 +270,13 @@
             next_offset = batch.next_offset
             batch = store_records.Batch([], next_offset, False, next_offset)
         offsets[name] = batch.next_offset
-        return _encode_line(
-            {
-                **fields,
-                "from-offset": batch.from_offset,
-                "next-offset": batch.next_offset,
-                "whole": batch.is_snapshot,
-                "records": [_encode_record(record) for record in batch.records],
-            }
-        )
+        return {
+            **fields,
+            "from-offset": batch.from_offset,
+            "next-offset": batch.next_offset,
+            "whole": batch.is_snapshot,
+            "records": [_encode_record(record) for record in batch.records],
+        }
 
 
 def _encode_record(record: store_records.Record) -> list[Any]:
@@ -246,6 +304,7 @@
         address: str,
         offsets: dict[str, int | None],
         unlimited: bool = False,
+        is_reader: bool = False,
     ) -> AsyncIterator[StreamStarted | RelayedOutcome]:
         """Yields the lines of a host's stream until it ends.
 
@@ -254,6 +313,7 @@
             offsets: First unread offset of each source; None for a full
                 snapshot.
             unlimited: Whether to receive records of any total size.
+            is_reader: Whether the follower is a reader too.
 
         Raises:
             aiohttp.ClientError: The host is unreachable or rejects the request.
@@ -267,6 +327,8 @@
         }
         if unlimited:
             query["unlimited"] = "yes"
+        if is_reader:
+            query["reader"] = "yes"
         # No time limit between lines: the reducer detects a silent host, since
         # it knows how often a line is due.
         timeout = aiohttp.ClientTimeout(
@@ -282,6 +344,33 @@
             async for line in response.content:
                 yield _decode_line(line)
 
+    async def count_hosts(self, address: str) -> int | None:
+        """Returns how many gate hosts a reader counts.
+
+        Returns:
+            The number of its followers and itself; 0 if no process listens at
+            the address, None if there is no valid response in time.
+        """
+        timeout = aiohttp.ClientTimeout(total=COUNT_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                f"http://{address}{HOST_COUNT_PATH}",
+                timeout=timeout,
+                raise_for_status=True,
+            ) as response:
+                return int((await response.json())["hosts"])
+        except aiohttp.ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            return 0 if refused else None
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TypeError,
+            KeyError,
+            ValueError,
+        ):
+            return None
+
     async def close(self) -> None:
         """Closes every connection."""
         await self._session.close()
@@ -296,7 +385,9 @@
     try:
         content = json.loads(line)
         if "failure-domain" in content:
-            return StreamStarted(str(content["failure-domain"]))
+            return StreamStarted(
+                str(content["failure-domain"]), _decode_gate_hosts(content)
+            )
         outcome: store_records.Batch | store_records.ReadFailed
         if "failed" in content:
             outcome = store_records.ReadFailed(str(content["failed"]))
@@ -312,11 +403,17 @@
             int(content["age-ms"]),
             outcome,
             bool(content["own"]),
+            _decode_gate_hosts(content),
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"line {line[:100]!r} can't be read") from error
 
 
+def _decode_gate_hosts(content: dict[str, Any]) -> int | None:
+    gate_hosts = content.get("gate-hosts")
+    return None if gate_hosts is None else int(gate_hosts)
+
+
 def _decode_record(row: list[Any]) -> store_records.Record:
     key, text, offset = row
     value = None if text is None else text.encode("latin-1")
--- a/src/fireflyspindle/core/budgets.py
+++ b/src/fireflyspindle/core/budgets.py
@@ -45,12 +45,10 @@
 
     Attributes:
         share: Extra attempts as a share of the requests.
-        slack: Extra attempts granted in addition to that share.
         window_us: Length of the window.
     """
 
     share: float
-    slack: float
     window_us: int
     # Bucket number, requests and extra attempts of each bucket.
     _buckets: collections.deque[list[int]] = attrs.field(
@@ -61,15 +59,20 @@
         """Counts one request."""
         self._bucket(now_us)[1] += 1
 
-    def spend(self, now_us: int) -> bool:
-        """Counts one extra attempt; False when the budget is exhausted."""
-        if self.available(now_us) < 1.0:
+    def spend(self, now_us: int, slack: float) -> bool:
+        """Counts one extra attempt; False when the budget is exhausted.
+
+        Args:
+            now_us: Monotonic time.
+            slack: Extra attempts granted in addition to the share.
+        """
+        if slack + self.earned(now_us) < 1.0:
             return False
         self._bucket(now_us)[2] += 1
         return True
 
-    def available(self, now_us: int) -> float:
-        """Returns the extra attempts that may be made now."""
+    def earned(self, now_us: int) -> float:
+        """Returns the share of the requests, less the extra attempts."""
         bucket_number = now_us // BUCKET_US
         window_buckets = self.window_us // BUCKET_US
         while (
@@ -83,7 +86,7 @@
             if counts[0] > bucket_number - window_buckets
         )
         extra_attempts = sum(counts[2] for counts in self._buckets)
-        return self.slack + self.share * requests - extra_attempts
+        return self.share * requests - extra_attempts
 
     def _bucket(self, now_us: int) -> list[int]:
         bucket_number = now_us // BUCKET_US
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -26,10 +26,6 @@
 # least 8.5 per gate host; two are left for probes and closing connections.
 CONNECTIONS_PER_TARGET = 6
 
-# Fraction of the resend budget that is used. Calls move between gate hosts with
-# their callers, so the sum over all hosts needs a margin.
-RESEND_BUDGET_FRACTION = 0.8
-
 MISDIRECTED_STATUS = 421
 
 
@@ -89,7 +85,7 @@
         f" {len(document.services)} services"
     )
     state.emit(effects.WriteLogLine("info", "configuration_in_force", detail))
-    _sync_services(state)
+    refresh_services(state)
 
 
 def on_targets_read(
@@ -119,7 +115,7 @@
         removed_ids |= state.registered_targets.keys() - present
     for target_id in removed_ids:
         _remove_target(state, target_id)
-    _sync_services(state)
+    refresh_services(state)
 
 
 def _apply_entry(
@@ -200,7 +196,7 @@
     for target_id in expired:
         _remove_target(state, target_id)
     if expired:
-        _sync_services(state)
+        refresh_services(state)
 
 
 def on_misdirected(state: state_lib.GateState, target: targets.Target) -> None:
@@ -243,8 +239,8 @@
     state.emit(effects.WriteLogLine("info", "target_left", detail))
 
 
-def _sync_services(state: state_lib.GateState) -> None:
-    """Updates services and targets from the entries and the configuration."""
+def refresh_services(state: state_lib.GateState) -> None:
+    """Updates services from the entries, the configuration and the fleet."""
     registered_by_service: dict[
         str, dict[str, store_state.RegisteredTarget]
     ] = {name: {} for name in state.service_settings}
@@ -271,7 +267,6 @@
     configuration_updates.refresh_services(state)
     for name in registered_by_service:
         _init_service(state, state.services[name])
-        _update_resend_slack(state, state.services[name])
     for registered in state.registered_targets.values():
         _update_target(state, registered)
 
@@ -311,7 +306,9 @@
         hedge_share=0.0,
         slow_start_ms=0,
         gate_hosts_max=max(
-            1, service_settings.connection_limit // CONNECTIONS_PER_TARGET
+            1,
+            service_settings.connection_limit // CONNECTIONS_PER_TARGET,
+            fleet.counted_hosts(state) or 1,
         ),
     )
 
@@ -325,25 +322,11 @@
         return
     service.probes_before_send = True
     service.resend_budget = budgets.WindowBudget(
-        share=RESEND_BUDGET_FRACTION * settings.resend_share,
-        slack=0.0,
+        share=fleet.RESEND_BUDGET_FRACTION * settings.resend_share,
         window_us=settings.resend_window_ms * 1000,
     )
 
 
-def _update_resend_slack(
-    state: state_lib.GateState, service: state_lib.ServiceState
-) -> None:
-    """Sets this host's share of the resends beyond the share of requests."""
-    settings = state.settings.store
-    if service.resend_budget is None or settings is None:
-        return
-    policy = state.configuration.policy(service.name)
-    service.resend_budget.slack = (
-        RESEND_BUDGET_FRACTION * settings.resend_slack * fleet.share(policy)
-    )
-
-
 def _update_target(
     state: state_lib.GateState, registered: store_state.RegisteredTarget
 ) -> None:
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -193,6 +193,7 @@
         relays: Whether to relay these reads to the followers of this host
             as if it had made them.
         unlimited_size: Whether to request records whatever their total size.
+        is_reader: Whether this host is a reader too, which counts itself.
     """
 
     stream: int
@@ -200,6 +201,7 @@
     from_offsets: dict[str, int | None]
     relays: bool = False
     unlimited_size: bool = False
+    is_reader: bool = False
 
 
 @attrs.define
@@ -207,6 +209,28 @@
     """Close the stream from the followed reader."""
 
 
+@attrs.define
+class CountHosts:
+    """Ask the readers how many hosts follow them; count the own followers.
+
+    Attributes:
+        readers: Control addresses of the other readers.
+    """
+
+    readers: tuple[str, ...]
+
+
+@attrs.define
+class ReportHosts:
+    """Report the number of gate hosts to the followers.
+
+    Attributes:
+        hosts: Number of gate hosts of the fleet.
+    """
+
+    hosts: int
+
+
 @attrs.define
 class SetCallerLimits:
     """Apply limits to subsequent requests of callers."""
@@ -318,6 +342,8 @@
     | CancelStoreRead
     | FollowReader
     | StopFollowing
+    | CountHosts
+    | ReportHosts
     | SetCallerLimits
     | ReadHostList
     | AppendRecord
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -444,6 +444,35 @@
     readers: tuple[str, ...]
 
 
+@attrs.define
+class HostsCounted:
+    """The readers were asked how many hosts follow them.
+
+    Attributes:
+        now_us: Monotonic time.
+        hosts_by_reader: Count of each reader, itself included, by control
+            address; None for one that can't be reached.
+    """
+
+    now_us: int
+    hosts_by_reader: dict[str, int | None]
+
+
+@attrs.define
+class HostsReported:
+    """The followed reader reported the number of gate hosts.
+
+    Attributes:
+        now_us: Monotonic time.
+        stream: Number of the stream.
+        hosts: Number of gate hosts of the fleet.
+    """
+
+    now_us: int
+    stream: int
+    hosts: int
+
+
 Event = (
     CallArrived
     | AttemptAnswered
@@ -466,4 +495,6 @@
     | ReaderConnected
     | ReaderDisconnected
     | ReadersChanged
+    | HostsCounted
+    | HostsReported
 )
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -348,6 +348,11 @@
     relays = follow.is_reader and address in _lower_readers(state)
     state.emit(
         effects.FollowReader(
-            follow.stream_number, address, offsets, relays, unlimited_size
+            follow.stream_number,
+            address,
+            offsets,
+            relays,
+            unlimited_size,
+            follow.is_reader,
         )
     )
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -143,7 +143,7 @@
     for service in state.services.values():
         policy = state.configuration.policy(service.name)
         targets_per_s = policy.probes_per_s * len(service.targets)
-        per_s += targets_per_s * fleet.share(policy)
+        per_s += targets_per_s * fleet.share(state, policy)
     return per_s
 
 
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import following
 from fireflyspindle.core import hedging
+from fireflyspindle.core import host_count
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
 from fireflyspindle.core import membership
@@ -32,6 +33,7 @@
     if state.settings.store is not None:
         readiness.start(state)
         store_reads.start(state)
+        host_count.start(state)
         return _take_outbox(state)
     recovery.start(state)
     membership.start(state)
@@ -118,6 +120,11 @@
             following.on_reader_disconnected(state, event)
         case events.ReadersChanged():
             store_reads.on_readers_changed(state, event)
+            host_count.schedule(state)
+        case events.HostsCounted():
+            host_count.on_counted(state, event)
+        case events.HostsReported():
+            host_count.on_reported(state, event)
         case _:
             pass
 
@@ -168,6 +175,8 @@
             readiness.accept_callers(state, timed_out=True)
         case timers.FollowCheckDue():
             store_reads.on_follow_check_due(state)
+        case timers.HostCountDue():
+            host_count.on_due(state)
         case _:
             pass
 
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -1,5 +1,6 @@
 """Retries: whether a call may be sent again."""
 
+from fireflyspindle.core import fleet
 from fireflyspindle.core import placement
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_selection
@@ -38,7 +39,8 @@
 ) -> bool:
     """Charges one send to the budget; False if that is exhausted."""
     if service.resend_budget is not None:
-        return service.resend_budget.spend(state.now_us)
+        slack = fleet.resend_slack(state, service)
+        return service.resend_budget.spend(state.now_us, slack)
     return service.retry_budget.spend()
 
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -422,6 +422,7 @@
         accepting_callers: Whether a host that is configured by the store
             accepts callers.
         following: State of following another host's reads of the store.
+        host_counts: Counts of the gate hosts by the readers.
         rule_table: Published rules in force.
         service_settings: Published settings of services by name.
         registered_targets: Targets that registered themselves, by id.
@@ -470,6 +471,9 @@
     following: store_state.FollowState = attrs.field(
         factory=store_state.FollowState
     )
+    host_counts: store_state.HostCounts = attrs.field(
+        factory=store_state.HostCounts
+    )
     rule_table: published.RuleTable = attrs.field(factory=published.RuleTable)
     service_settings: dict[str, published.ServiceSettings] = attrs.field(
         factory=dict
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -1,5 +1,6 @@
 """State of a gate host that reads the platform's store."""
 
+import collections
 import enum
 
 import attrs
@@ -133,6 +134,75 @@
     failure_reported_us: int | None = None
 
 
+@attrs.define
+class RecentMaximum:
+    """The largest value of a recent period; the latest one always counts.
+
+    Attributes:
+        period_us: Length of the period.
+    """
+
+    period_us: int
+    # Time and value, by descending value; a value that a later one reaches is
+    # removed.
+    _values: collections.deque[tuple[int, int]] = attrs.field(
+        factory=collections.deque
+    )
+
+    def add(self, now_us: int, value: int) -> None:
+        """Adds a value."""
+        while self._values and self._values[-1][1] <= value:
+            self._values.pop()
+        self._values.append((now_us, value))
+
+    def largest(self, now_us: int) -> int | None:
+        """Returns the largest value, or None before the first one."""
+        while (
+            len(self._values) > 1
+            and self._values[0][0] < now_us - self.period_us
+        ):
+            self._values.popleft()
+        return self._values[0][1] if self._values else None
+
+
+@attrs.define(frozen=True)
+class ReaderCount:
+    """A reader's count of the hosts that follow it, and of itself.
+
+    Attributes:
+        hosts: The count.
+        counted_us: Time of the count.
+    """
+
+    hosts: int
+    counted_us: int
+
+
+# Time for which a larger count of the gate hosts is used.
+HOST_COUNT_PERIOD_US = 60_000_000
+
+
+@attrs.define
+class HostCounts:
+    """Counts of the gate hosts of the fleet.
+
+    Attributes:
+        started_us: Time at which this host started.
+        by_reader: On a reader, the latest count of each reader by address.
+        scheduled: Whether the next count is scheduled.
+        recent: The largest recent count of all hosts.
+        logged: The count in the latest log line.
+    """
+
+    started_us: int = 0
+    by_reader: dict[str, ReaderCount] = attrs.field(factory=dict)
+    scheduled: bool = False
+    recent: RecentMaximum = attrs.field(
+        factory=lambda: RecentMaximum(HOST_COUNT_PERIOD_US)
+    )
+    logged: int = 0
+
+
 @attrs.define
 class RegisteredTarget:
     """State of one registered target.
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -68,6 +68,11 @@
     """A check whether the followed host still sends is due."""
 
 
+@attrs.define
+class HostCountDue:
+    """A count of the gate hosts by a reader is due."""
+
+
 @attrs.define
 class DrainGraceExpired:
     """The load balancer has had time to stop using this gate host."""
@@ -114,6 +119,7 @@
     | ReregistrationGraceExpired
     | AcceptTimeout
     | FollowCheckDue
+    | HostCountDue
     | DrainGraceExpired
     | DrainDeadline
     | GossipRoundDue
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -13,6 +13,7 @@
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import fleet
 from fireflyspindle.core import placement
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
@@ -68,7 +69,10 @@
         self._log = log
         self.settings = settings
         self._store_sync = store_sync.StoreSync(
-            self, settings.store_address, settings.failure_domain
+            self,
+            settings.store_address,
+            settings.failure_domain,
+            settings.control_address,
         )
         self._runners: list[web.AppRunner] = []
 
@@ -159,6 +163,7 @@
             self.state.rule_table.version or 0
         )
         self.metrics.gauges["followers"] = self._store_sync.feed.followers
+        self.metrics.gauges["gate_hosts"] = fleet.size(self.state) or 0
         self.metrics.gauges["probe_budget_per_s"] = (
             placement.probe_budget_per_s(self.state)
         )
@@ -173,6 +178,8 @@
                 | effects.CancelStoreRead()
                 | effects.FollowReader()
                 | effects.StopFollowing()
+                | effects.CountHosts()
+                | effects.ReportHosts()
             ):
                 self._store_sync.execute_effect(effect)
             case effects.SetCallerLimits(limits):
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -27,6 +27,7 @@
         shell: Shell that the events are submitted to.
         store_address: Address of the store, "ip:port".
         failure_domain: Failure domain of this host.
+        control_address: Address at which other hosts follow this one.
 
     Attributes:
         feed: Relays the reads of this host to the hosts that follow it.
@@ -34,12 +35,17 @@
     """
 
     def __init__(
-        self, shell: data_path.Shell, store_address: str, failure_domain: str
+        self,
+        shell: data_path.Shell,
+        store_address: str,
+        failure_domain: str,
+        control_address: str,
     ) -> None:
         sources = tuple(source.value for source in store_state.Source)
         self.feed = store_feed.Feed(failure_domain, sources, shell.now_us)
         self.decoder = store_decoder.Decoder()
         self._shell = shell
+        self._control_address = control_address
         self._store = store_client.StoreClient(store_address)
         self._feed_client = store_feed.FeedClient()
         self._read_tasks: dict[str, asyncio.Task[None]] = {}
@@ -50,7 +56,9 @@
         effect: effects.ReadStore
         | effects.CancelStoreRead
         | effects.FollowReader
-        | effects.StopFollowing,
+        | effects.StopFollowing
+        | effects.CountHosts
+        | effects.ReportHosts,
     ) -> None:
         """Executes one effect."""
         match effect:
@@ -66,6 +74,10 @@
                 )
             case effects.StopFollowing():
                 self._cancel_follow()
+            case effects.CountHosts(readers):
+                self._shell.spawn(self._count_hosts(readers))
+            case effects.ReportHosts(hosts):
+                self.feed.gate_hosts = hosts
 
     async def close(self) -> None:
         """Closes every connection to the store and to readers."""
@@ -108,7 +120,10 @@
         reason = "the stream ended"
         try:
             async for item in self._feed_client.follow(
-                effect.address, effect.from_offsets, effect.unlimited_size
+                effect.address,
+                effect.from_offsets,
+                effect.unlimited_size,
+                effect.is_reader,
             ):
                 self._on_stream_item(effect, item)
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -125,6 +140,12 @@
         item: store_feed.StreamStarted | store_feed.RelayedOutcome,
     ) -> None:
         stream = followed.stream
+        if item.gate_hosts is not None:
+            self._shell.submit(
+                events.HostsReported(
+                    self._shell.now_us(), stream, item.gate_hosts
+                )
+            )
         match item:
             case store_feed.StreamStarted(failure_domain):
                 self._shell.submit(
@@ -146,6 +167,16 @@
                     self.feed.add_records(name, outcome)
                 self._shell.submit(self._decode(source, outcome, relayed))
 
+    async def _count_hosts(self, readers: tuple[str, ...]) -> None:
+        counts = await asyncio.gather(
+            *map(self._feed_client.count_hosts, readers)
+        )
+        hosts_by_reader = dict(zip(readers, counts, strict=True))
+        hosts_by_reader[self._control_address] = self.feed.count_hosts()
+        self._shell.submit(
+            events.HostsCounted(self._shell.now_us(), hosts_by_reader)
+        )
+
     def _decode(
         self,
         source: store_state.Source,
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -8,6 +8,8 @@
 
 from fireflyspindle import testing
 from fireflyspindle.core import events
+from fireflyspindle.core import fleet as fleet_lib
+from fireflyspindle.core import host_count
 from fireflyspindle.platform import host as host_lib
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.testing import platform_documents
@@ -88,6 +90,16 @@
         assert await gauge(follower, "probe_budget_per_s") > 0.0
 
 
+async def test_all_hosts_know_the_number_of_gate_hosts(monkeypatch):
+    monkeypatch.setattr(host_count, "FIRST_COUNT_US", 0)
+    monkeypatch.setattr(host_count, "COUNT_INTERVAL_US", 100_000)
+    monkeypatch.setattr(fleet_lib, "JOIN_TIME_US", 0)
+    async with fleet() as (_, *hosts):
+        for host in hosts:
+            while await gauge(host, "gate_hosts") != 2.0:
+                await asyncio.sleep(0.05)
+
+
 async def test_follower_reads_the_store_after_its_reader_stopped():
     async with fleet() as (store, reader, follower):
         reader.request_stop()
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -162,6 +162,51 @@
     assert served.feed.followers == 0
 
 
+async def test_readers_are_not_counted_as_followers_of_a_reader(served):
+    assert await served.client.count_hosts(served.address) == 1
+    host = await served.follow()
+    reader = served.client.follow(served.address, {}, is_reader=True)
+    await anext(reader)
+    assert await served.client.count_hosts(served.address) == 2
+    assert served.feed.followers == 2
+    await host.aclose()
+    while await served.client.count_hosts(served.address) == 2:
+        await asyncio.sleep(0.01)
+    assert served.feed.count_hosts() == 1
+    await reader.aclose()
+
+
+async def test_reader_that_is_down_has_no_followers(served):
+    assert await served.client.count_hosts(testing.free_address()) == 0
+
+
+@pytest.mark.parametrize("status", [200, 404])
+async def test_reader_without_a_count_is_unknown(status):
+    async def respond(_request):
+        return web.json_response({}, status=status)
+
+    app = web.Application()
+    app.add_routes([web.get(store_feed.HOST_COUNT_PATH, respond)])
+    server = testing.Server(app)
+    client = store_feed.FeedClient()
+    assert await client.count_hosts(await server.start()) is None
+    await client.close()
+    await server.close()
+
+
+async def test_number_of_gate_hosts_is_sent_when_it_changes(served):
+    served.feed.gate_hosts = 14
+    lines = served.client.follow(served.address, {SOURCE: None})
+    assert await anext(lines) == store_feed.StreamStarted("a", 14)
+    received = []
+    for gate_hosts in (14, 17, 17):
+        served.feed.gate_hosts = gate_hosts
+        served.feed.record_read(SOURCE, batch(next_offset=1, is_snapshot=True))
+        received.append((await anext(lines)).gate_hosts)
+    assert received == [None, 17, None]
+    await lines.aclose()
+
+
 async def test_closed_feed_ends_its_streams(served):
     lines = await served.follow()
     served.feed.close()
