Bound what a reader relays by the number of its followers

What callers would have seen: changes that arrive late on fleets of more than some 120 gate hosts. A reader's links were reckoned for 40 followers, of whom each gets up to 8 KiB a read: half a second on a link of 5 Mbit/s. With more followers the link is busy for longer than followers wait for a line, and they leave the reader.

Found by looking for other numbers that stand for the size of a fleet.

Evidence: test_lines_to_many_followers_do_not_fill_the_link_of_a_reader failed before, with 640,000 bytes to 80 followers where 312,500 take half a second.

Why this works: the bound is now on what a read sends to all followers; each line gets its part, and at most 8 KiB as before. What does not fit is read from the store, as large records are.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -25,9 +25,11 @@
 # Hosts of the same or a neighbouring failure domain connect within a few
 # milliseconds.
 CONNECT_TIMEOUT_S = 0.5
-# Largest total size of the records in a line. A reader sends to 40 hosts; on a
-# link of 5 Mbit/s, lines of this size occupy it for half a second.
+# Largest total size of the records in a line.
 MAX_RELAYED_BYTES = 8_192
+# Largest total size of the records that a read sends to all followers: half a
+# second on a link of 5 Mbit/s.
+MAX_FAN_OUT_BYTES = 312_500
 # Longest line: some thousands of target entries, or a large configuration.
 MAX_LINE_BYTES = 8 * 1024 * 1024
 # Time for the response to a host count; a reader counts every 2 s.
@@ -210,15 +212,13 @@
                     status=400,
                 )
             offsets[name] = int(text) if text else None
-        limit_bytes = MAX_RELAYED_BYTES
-        if "unlimited" in request.query:
-            limit_bytes = MAX_LINE_BYTES // 2
+        unlimited = "unlimited" in request.query
         response = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
         await response.prepare(request)
         stream = _Stream(request, "reader" in request.query)
         self._streams.add(stream)
         try:
-            await self._write_lines(response, offsets, limit_bytes)
+            await self._write_lines(response, offsets, unlimited)
         except ConnectionError:
             # The follower disconnected; it logs the reason itself.
             pass
@@ -230,7 +230,7 @@
         self,
         response: web.StreamResponse,
         offsets: dict[str, int | None],
-        limit_bytes: int,
+        unlimited: bool,
     ) -> None:
         gate_hosts = self.gate_hosts
         first_line = {
@@ -245,7 +245,9 @@
                 if written[name] == source.reads:
                     continue
                 written[name] = source.reads
-                line = self._outcome_line(name, offsets, limit_bytes)
+                line = self._outcome_line(
+                    name, offsets, self._limit_bytes(unlimited)
+                )
                 if line is None:
                     continue
                 if gate_hosts != self.gate_hosts:
@@ -253,6 +255,13 @@
                 await response.write(_encode_line(line))
             await changed.wait()
 
+    def _limit_bytes(self, unlimited: bool) -> int:
+        """Returns the largest total size of the records in a line."""
+        if unlimited:
+            return MAX_LINE_BYTES // 2
+        fan_out_bytes = MAX_FAN_OUT_BYTES // max(1, self.followers)
+        return min(MAX_RELAYED_BYTES, fan_out_bytes)
+
     def _outcome_line(
         self, name: str, offsets: dict[str, int | None], limit_bytes: int
     ) -> dict[str, Any] | None:
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -235,6 +235,23 @@
     await lines.aclose()
 
 
+async def test_lines_to_many_followers_do_not_fill_the_link_of_a_reader(served):
+    link_bytes_per_s = 5_000_000 / 8
+    served.feed.record_read(SOURCE, batch(next_offset=1, is_snapshot=True))
+    streams = [await served.follow(1) for _ in range(80)]
+    for lines in streams:
+        await anext(lines)
+    for offset, size_bytes in ((1, 8_000), (2, 3_000)):
+        record = ("i-1", b"x" * size_bytes, offset)
+        served.feed.record_read(SOURCE, batch(record, next_offset=offset + 1))
+        outcomes = [(await anext(lines)).outcome for lines in streams]
+        relayed_bytes = sum(outcome.value_bytes for outcome in outcomes)
+        assert relayed_bytes <= link_bytes_per_s / 2
+    assert relayed_bytes
+    for lines in streams:
+        await lines.aclose()
+
+
 async def test_unlimited_follower_receives_records_of_any_total_size(served):
     rows = [(f"i-{n}", b"x" * 800, n) for n in range(1_000)]
     served.feed.record_read(
