Start a gate host of the soak once, even when two faults end it

Cause: two overlapping faults, a kill and a planned stop, each ended a gate host and each started it again. The second start replaced the first process in the record, so that nobody ended the first one. It outlived the run and asked the address of its reader for the feed, which by then may be a server of another run.

Evidence: test_gate_host_ended_by_two_faults_starts_once failed before.

Why this works: a start waits for the one before it and does nothing while the process runs. Faults that are still running at the end are cancelled before the processes are ended, so that none starts another one.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -360,6 +360,9 @@
             pathlib.Path(name).write_bytes(gate.log.read_bytes())
 
     async def _stop(self) -> None:
+        for task in self._fault_tasks:
+            task.cancel()
+        await asyncio.gather(*self._fault_tasks, return_exceptions=True)
         for gate in self._gates:
             gate.send_signal(signal.SIGCONT)
             gate.send_signal(signal.SIGKILL)
--- a/src/fireflyspindle/bench/soak_gates.py
+++ b/src/fireflyspindle/bench/soak_gates.py
@@ -59,9 +59,18 @@
     control_proxy: tcp_proxy.TcpProxy
     log: pathlib.Path
     process: asyncio.subprocess.Process | None = None
+    _starting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def start(self) -> None:
-        """Starts the process."""
+        """Starts the process, unless it is running.
+
+        Two overlapping faults may both have ended it and start it again.
+        """
+        async with self._starting:
+            if self.process is None or self.process.returncode is not None:
+                await self._start()
+
+    async def _start(self) -> None:
         self.observation.starts += 1
         self.observation.newest_served = 0
         with self.log.open("ab") as log:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,10 @@
 from fireflyspindle.bench import soak
 from fireflyspindle.bench import soak_callers
 from fireflyspindle.bench import soak_checks
+from fireflyspindle.bench import soak_gates
 from fireflyspindle.platform import header_profile
 from fireflyspindle.testing import platform_server
+from fireflyspindle.testing import tcp_proxy
 
 # Seeds that have failed, with the cause.
 REGRESSIONS: dict[int, str] = {
@@ -149,3 +151,29 @@
         {"q": result}, {"q": runs}, stops, fault_spans
     )
     assert len(actual) == violations
+
+
+async def test_gate_host_ended_by_two_faults_starts_once(tmp_path, monkeypatch):
+    class Running:
+        returncode = None
+
+    async def create(*_args, **_kwargs):
+        await asyncio.sleep(0)
+        created.append(Running())
+        return created[-1]
+
+    created = []
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", create)
+    gate = soak_gates.Gate(
+        name="gate-0",
+        settings=tmp_path / "settings",
+        observation=soak_checks.GateObservation("g"),
+        control_proxy=tcp_proxy.TcpProxy("127.0.0.1:1"),
+        log=tmp_path / "log",
+    )
+    await asyncio.gather(gate.start(), gate.start())
+    assert len(created) == 1
+    assert gate.observation.starts == 1
+    created[0].returncode = -9
+    await gate.start()
+    assert len(created) == 2
