Let no reader wait for another one to find the store

What callers would have seen: an older configuration for up to 7.5 s after an outage of the store in which the reader with the lowest address is down, or where the readers' lists differ.

Cause: a reader that is not the first one paused for 4.5 to 7.5 s as soon as another reader reported failed reads, like any follower. Two readers whose first one is down follow each other in an outage, so each left it to the other to find out when the store was back.

Evidence: test_readers_do_not_wait_for_each_other_in_an_outage failed before, with pauses of up to 7.0 s where 1.8 s are left.

Why this works: only hosts that are no readers make the long pause, and a reader retries every 1.05 to 1.75 s. The reports that followers rest on thus come from hosts that don't rest on others.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -100,13 +100,14 @@
     """Whether a reader that reports failed reads will tell when they succeed.
 
     The report of a reader that was lost since counts for a while, in which
-    another reader may report.
+    another reader may report. A reader does not count on others, which may
+    count on it.
     """
-    reported_us = state.following.failure_reported_us
-    return (
-        reported_us is not None
-        and state.now_us < reported_us + FAILURE_REPORT_TIMEOUT_US
-    )
+    follow = state.following
+    reported_us = follow.failure_reported_us
+    if follow.is_reader or reported_us is None:
+        return False
+    return state.now_us < reported_us + FAILURE_REPORT_TIMEOUT_US
 
 
 def on_reader_connected(
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -258,9 +258,7 @@
     pause_us = min(MAX_BACKOFF_US, pause_us)
     jitter = 1 + BACKOFF_JITTER * (state.random.random() - 0.5)
     reads.retry_us = state.now_us + int(pause_us * jitter)
-    if following.reader_detects_recovery(
-        state
-    ) and not following.is_primary_reader(state):
+    if following.reader_detects_recovery(state):
         pause_us = FOLLOWER_BACKOFF_US
     delay_us = int(pause_us * jitter)
     _log_retry(state, source, reason, f"in {delay_us // 1000} ms")
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -524,6 +524,17 @@
     assert reads.scheduled_us <= host.now_us
 
 
+# No reader may leave it to another one to detect that the store is back: the
+# reader with the lowest address may be down.
+@pytest.mark.parametrize("source", store_state.Source)
+def test_readers_do_not_wait_for_each_other_in_an_outage(source):
+    host = second_reader()
+    host.relay_reads(configured=published_host.document())
+    host.fail_reads_for(20_000_000, source)
+    delays_us = [read.delay_us for read in host.own_reads()]
+    assert max(delays_us) <= RECOVERY_LIMIT_US - READ_TIMEOUT_US
+
+
 def test_lines_tell_when_omitted_records_are_read():
     host = follower_in_an_outage(store_state.Source.CONFIGURATION)
     delay_ms = max(read.delay_us for read in host.own_reads()) // 1000
