Let the soak publish large configurations and hold hosts to the stated bound

Why the soak missed that a configuration was late after an outage: its configurations had 3 routes, which readers always relay; and after a fault it allowed 5.5 s, the time after which the bounds hold again plus the bound itself. The users' bound is the later of the two, 3 s after the fault or 2 s after the write.

Their sizes are drawn apart from the faults, so that a seed has the faults that it had. The test of the check moves from 5.0 and 6.0 s to 3.4 and 3.6 s, which is stricter.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -33,6 +33,8 @@
 STOP_LIMIT_S = 6.0
 START_TIMEOUT_S = 10.0
 FAULT_SPACING_S = 0.7
+# Routes of a configuration that is too large for readers to relay.
+LARGE_CONFIGURATION_ROUTES = 100
 PROXY_FAULTS = [
     fault for fault in tcp_proxy.Fault if fault is not tcp_proxy.Fault.NONE
 ]
@@ -86,6 +88,7 @@
     ) -> None:
         self.report = Report(seed)
         self._random = random.Random(seed)
+        self._size_random = random.Random(seed)
         self._seconds = seconds
         self._host_count = hosts
         self._server_count = servers
@@ -136,7 +139,8 @@
         await self.callers.wait_served(START_TIMEOUT_S)
 
     def _configure(self) -> None:
-        document = soak_callers.document(self._version)
+        extra_routes = self._size_random.choice([0, LARGE_CONFIGURATION_ROUTES])
+        document = soak_callers.document(self._version, extra_routes)
         self._store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
         self._configuration_check.on_written(self._version)
 
--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -28,9 +28,18 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-def document(version: int) -> dict[str, Any]:
-    """Returns a configuration; each version has a separate route."""
+def document(version: int, extra_routes: int = 0) -> dict[str, Any]:
+    """Returns a configuration; each version has a separate route.
+
+    Args:
+        version: Version of the configuration.
+        extra_routes: Number of further routes, which get no requests.
+    """
     routes = {
+        f"extra-{number}": (f"/extra-{number}/", "idempotent")
+        for number in range(extra_routes)
+    }
+    routes |= {
         "read": (REPEATABLE_PREFIX, "idempotent"),
         "book": (AT_MOST_ONCE_PREFIX, "non_idempotent"),
         "version": (f"/version-{version}/", "idempotent"),
--- a/src/fireflyspindle/bench/soak_checks.py
+++ b/src/fireflyspindle/bench/soak_checks.py
@@ -14,7 +14,7 @@
 # delays of the soak itself.
 APPLY_LIMIT_S = 2.0
 MARGIN_S = 0.5
-# Time without a fault after which the limits hold (`contact-ms`).
+# Time after a fault from which the limits hold again (`contact-ms`).
 FAULT_FREE_S = 3.0
 POLL_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
@@ -109,10 +109,10 @@
                 f"configuration: {observed} after serving version {newest}"
             )
         last_fault_s = max(gate.last_fault_s, self._last_store_fault_s())
-        due_s = self._written_s[newest] + APPLY_LIMIT_S + MARGIN_S
-        if sent_s > max(
-            due_s, last_fault_s + FAULT_FREE_S + APPLY_LIMIT_S + MARGIN_S
-        ):
+        due_s = max(
+            self._written_s[newest] + APPLY_LIMIT_S, last_fault_s + FAULT_FREE_S
+        )
+        if sent_s > due_s + MARGIN_S:
             late_s = sent_s - self._written_s[newest]
             self.violations.append(
                 f"configuration: {observed} {late_s:.2f} s after version"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,20 +15,33 @@
 from fireflyspindle.testing import platform_server
 from fireflyspindle.testing import tcp_proxy
 
-# Seeds that have failed, with the cause.
+# Seeds that have failed in short runs, with the cause.
 REGRESSIONS: dict[int, str] = {
     501: "gate hosts that followed each other confirmed stale reads in a cycle",
 }
+# The same for longer runs of more gate hosts.
+LONG_REGRESSIONS: dict[int, str] = {
+    9: "readers waited for each other to detect that the store was back",
+}
 
 
-@pytest.mark.parametrize("seed", [7, *REGRESSIONS])
-async def test_short_run_has_no_violations(seed):
-    report = await soak.Soak(seed, 5.0, hosts=2, servers=4).run()
+def check_report(report):
+    """Checks that a run had faults and no violation."""
     assert report.violations == []
     assert report.served > 0
     assert report.faults
 
 
+@pytest.mark.parametrize("seed", [7, *REGRESSIONS])
+async def test_short_run_has_no_violations(seed):
+    check_report(await soak.Soak(seed, 5.0, hosts=2, servers=4).run())
+
+
+@pytest.mark.parametrize("seed", LONG_REGRESSIONS)
+async def test_longer_run_has_no_violations(seed):
+    check_report(await soak.Soak(seed, 15.0, hosts=6, servers=6).run())
+
+
 @pytest.fixture
 def callers():
     """Callers that have sent no request."""
@@ -121,9 +134,9 @@
         configuration_check._last_store_fault_s = lambda: fault_s
     else:
         gate.last_fault_s = fault_s
-    configuration_check.check_response(gate, 2, 2, 404, fault_s + 5.0)
+    configuration_check.check_response(gate, 2, 2, 404, fault_s + 3.4)
     assert configuration_check.violations == []
-    configuration_check.check_response(gate, 2, 2, 404, fault_s + 6.0)
+    configuration_check.check_response(gate, 2, 2, 404, fault_s + 3.6)
     assert len(configuration_check.violations) == 1
 
 
