Report no count of the gate hosts before every reader was reached

What targets would have seen: a reader that starts while it is cut off from the other readers counts itself and its followers only, and each of them takes a share for that count.

Evidence: test_reader_that_reached_no_other_reader_knows_no_count failed before.

Why this works: until a minute after its start, a reader whose count lacks another reader's reports none, and the hosts divide by the largest fleet. A reader that refuses the connection runs no process and counts as reached; after the minute one that never answered is taken for gone, as one that fell silent is.

--- a/src/fireflyspindle/core/host_count.py
+++ b/src/fireflyspindle/core/host_count.py
@@ -62,6 +62,10 @@
         for reader, count in counts.by_reader.items()
         if reader in event.hosts_by_reader and count.counted_us >= oldest_us
     }
+    all_counted = len(counts.by_reader) == len(event.hosts_by_reader)
+    if not all_counted and counts.started_us > oldest_us:
+        # A reader that has not been reached yet may have followers.
+        return
     hosts = sum(count.hosts for count in counts.by_reader.values())
     state.emit(effects.ReportHosts(hosts))
     _record(state, hosts)
--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -148,6 +148,25 @@
     assert reports == [5 + 6 + 4, 8 + 0 + 4, 9 + 2]
 
 
+# A reader that is cut off since its start would take the whole budget.
+def test_reader_that_reached_no_other_reader_knows_no_count(
+    make_published_host,
+):
+    host = make_published_host(
+        is_reader=True,
+        control_address="10.0.0.1:1",
+        other_reader_addresses=("10.0.0.2:1", "10.0.0.3:1"),
+    )
+    counts = {"10.0.0.1:1": 1, "10.0.0.2:1": 6, "10.0.0.3:1": None}
+    wait(host, fleet.JOIN_TIME_US)
+    host.feed(events.HostsCounted, counts)
+    assert fleet.size(host.state) is None
+    assert host.effects_of(effects.ReportHosts) == []
+    wait(host, host_count.READER_COUNT_RETENTION_US)
+    host.feed(events.HostsCounted, counts)
+    assert fleet.size(host.state) == 7
+
+
 def test_host_that_becomes_a_reader_counts(make_published_host):
     host = make_published_host(other_reader_addresses=("10.0.0.2:1",))
     host.advance(10_000_000)
