--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -17,7 +17,8 @@
             while there are changes.
         reregistration_grace_ms: Grace period after an outage of the store in
             which a target whose entry expired may register again.
-        probes_per_s: Probes of one target per second, over all gate hosts.
+        probes_per_s: Probes per target and second, on average over all
+            targets, by all gate hosts.
         resend_share: Resends (retries and hedges) as a share of the requests,
             over all gate hosts.
         resend_slack: Resends allowed in addition to that share, over all
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -22,7 +22,8 @@
         retry_budget_ratio: Most additional sends, as a share of the requests.
         retry_slack: Additional sends that are allowed beyond that share.
         budget_window_s: Length of the window in which these two hold.
-        probes_per_s: Most probes of one target per second, over all hosts.
+        probes_per_s: Most probes per target and second, on average over all
+            targets, by all hosts.
     """
 
     drain_ms: float = 2_000
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -12,7 +12,7 @@
 
 # Time for a response beyond the wait of a long poll. A slow store takes 0.4 s.
 # All bounds must hold again 3 s after the store has recovered (`contact-ms`),
-# and a pause of 0.9 s follows a read that timed out.
+# and a pause of up to 1.75 s follows a read that timed out.
 RESPONSE_TIMEOUT_S = 1.2
 # Largest total size of the records of one read, in kilobytes as the store
 # counts them.
