Keep a count of the gate hosts for a minute after a smaller one

What targets would have seen: probes over the budget while hosts are cut off from the readers. Readers report the number only when it changes, and its age was reckoned from the report; a number that had held for a minute was dropped at the first smaller one.

Why this works: a number's age is reckoned from the report that replaced it.

--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -137,21 +137,25 @@
 
 @attrs.define
 class RecentMaximum:
-    """The largest value of a recent period; the latest one always counts.
+    """The largest value of a recent period.
+
+    A value holds from the time at which it is added to the next one.
 
     Attributes:
         period_us: Length of the period.
     """
 
     period_us: int
-    # Time and value, by descending value; a value that a later one reaches is
-    # removed.
+    # Values by descending size, with the time at which each was replaced; the
+    # last one holds now. A value that a later one reaches is removed.
     _values: collections.deque[tuple[int, int]] = attrs.field(
         factory=collections.deque
     )
 
     def add(self, now_us: int, value: int) -> None:
-        """Adds a value."""
+        """Adds a value, which replaces the latest one."""
+        if self._values:
+            self._values[-1] = (now_us, self._values[-1][1])
         while self._values and self._values[-1][1] <= value:
             self._values.pop()
         self._values.append((now_us, value))
