Split the client of the store's feed from the feed

adapters/store_feed.py had grown to 430 lines with two jobs. The client and what it yields are in adapters/store_feed_client.py now; code moved unchanged.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -10,11 +10,10 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 import json
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 import attrs
 
@@ -22,9 +21,6 @@
 
 PATH = "/store-feed"
 HOST_COUNT_PATH = "/hosts"
-# Hosts of the same or a neighbouring failure domain connect within a few
-# milliseconds.
-CONNECT_TIMEOUT_S = 0.5
 # Largest total size of the records in a line.
 MAX_RELAYED_BYTES = 8_192
 # Largest total size of the records that a read sends to all followers: half a
@@ -32,45 +28,10 @@
 MAX_FAN_OUT_BYTES = 312_500
 # Longest line: some thousands of target entries, or a large configuration.
 MAX_LINE_BYTES = 8 * 1024 * 1024
-# Time for the response to a host count; a reader counts every 2 s.
-COUNT_TIMEOUT_S = 1.0
 
 _JSON_LINES = "application/x-ndjson"
 
 
-@attrs.define(frozen=True)
-class StreamStarted:
-    """The followed host has identified itself.
-
-    Attributes:
-        failure_domain: Failure domain of the followed host.
-        gate_hosts: Number of gate hosts of the fleet; None if unknown.
-    """
-
-    failure_domain: str
-    gate_hosts: int | None = None
-
-
-@attrs.define(frozen=True)
-class RelayedOutcome:
-    """The outcome of a read, as sent by the followed host.
-
-    Attributes:
-        source: Name of the source.
-        age_ms: Time since the read ended.
-        outcome: Records that were not sent before, or the failure.
-        own: Whether the followed host made the read itself.
-        gate_hosts: Number of gate hosts of the fleet; None if it has not
-            changed or is unknown.
-    """
-
-    source: str
-    age_ms: int
-    outcome: store_records.Batch | store_records.ReadFailed
-    own: bool
-    gate_hosts: int | None = None
-
-
 @attrs.define
 class _Source:
     latest: store_records.LatestRecords = attrs.field(
@@ -251,7 +212,8 @@
                 if line is None:
                     continue
                 if gate_hosts != self.gate_hosts:
-                    gate_hosts = line["gate-hosts"] = self.gate_hosts
+                    gate_hosts = self.gate_hosts
+                    line["gate-hosts"] = gate_hosts
                 await response.write(_encode_line(line))
             await changed.wait()
 
@@ -259,7 +221,7 @@
         """Returns the largest total size of the records in a line."""
         if unlimited:
             return MAX_LINE_BYTES // 2
-        fan_out_bytes = MAX_FAN_OUT_BYTES // max(1, self.followers)
+        fan_out_bytes = MAX_FAN_OUT_BYTES // max(1, len(self._streams))
         return min(MAX_RELAYED_BYTES, fan_out_bytes)
 
     def _outcome_line(
@@ -297,133 +259,3 @@
 
 def _encode_line(content: dict[str, Any]) -> bytes:
     return json.dumps(content, separators=(",", ":")).encode() + b"\n"
-
-
-class FeedClient:
-    """Receives the streams of other gate hosts."""
-
-    def __init__(self) -> None:
-        self._session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-        )
-
-    async def follow(
-        self,
-        address: str,
-        offsets: dict[str, int | None],
-        unlimited: bool = False,
-        is_reader: bool = False,
-    ) -> AsyncIterator[StreamStarted | RelayedOutcome]:
-        """Yields the lines of a host's stream until it ends.
-
-        Args:
-            address: Control address of the host, "ip:port".
-            offsets: First unread offset of each source; None for a full
-                snapshot.
-            unlimited: Whether to receive records of any total size.
-            is_reader: Whether the follower is a reader too.
-
-        Raises:
-            aiohttp.ClientError: The host is unreachable or rejects the request.
-            OSError: The connection failed.
-            ValueError: A line is invalid.
-        """
-        query = {
-            name: str(offset)
-            for name, offset in offsets.items()
-            if offset is not None
-        }
-        if unlimited:
-            query["unlimited"] = "yes"
-        if is_reader:
-            query["reader"] = "yes"
-        # No time limit between lines: the reducer detects a silent host, since
-        # it knows how often a line is due.
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        )
-        async with self._session.get(
-            f"http://{address}{PATH}",
-            params=query,
-            timeout=timeout,
-            read_bufsize=MAX_LINE_BYTES,
-            raise_for_status=True,
-        ) as response:
-            async for line in response.content:
-                yield _decode_line(line)
-
-    async def count_hosts(self, address: str) -> int | None:
-        """Returns how many gate hosts a reader counts.
-
-        Returns:
-            The number of its followers and itself; 0 if no process listens at
-            the address, None if there is no valid response in time.
-        """
-        timeout = aiohttp.ClientTimeout(total=COUNT_TIMEOUT_S)
-        try:
-            async with self._session.get(
-                f"http://{address}{HOST_COUNT_PATH}",
-                timeout=timeout,
-                raise_for_status=True,
-            ) as response:
-                return int((await response.json())["hosts"])
-        except aiohttp.ClientConnectorError as error:
-            refused = isinstance(error.os_error, ConnectionRefusedError)
-            return 0 if refused else None
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TypeError,
-            KeyError,
-            ValueError,
-        ):
-            return None
-
-    async def close(self) -> None:
-        """Closes every connection."""
-        await self._session.close()
-
-
-def _decode_line(line: bytes) -> StreamStarted | RelayedOutcome:
-    """Decodes one line.
-
-    Raises:
-        ValueError: The line is invalid.
-    """
-    try:
-        content = json.loads(line)
-        if "failure-domain" in content:
-            return StreamStarted(
-                str(content["failure-domain"]), _decode_gate_hosts(content)
-            )
-        outcome: store_records.Batch | store_records.ReadFailed
-        if "failed" in content:
-            outcome = store_records.ReadFailed(str(content["failed"]))
-        else:
-            outcome = store_records.Batch(
-                [_decode_record(row) for row in content["records"]],
-                int(content["next-offset"]),
-                bool(content["whole"]),
-                int(content["from-offset"]),
-            )
-        return RelayedOutcome(
-            str(content["source"]),
-            int(content["age-ms"]),
-            outcome,
-            bool(content["own"]),
-            _decode_gate_hosts(content),
-        )
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"line {line[:100]!r} can't be read") from error
-
-
-def _decode_gate_hosts(content: dict[str, Any]) -> int | None:
-    gate_hosts = content.get("gate-hosts")
-    return None if gate_hosts is None else int(gate_hosts)
-
-
-def _decode_record(row: list[Any]) -> store_records.Record:
-    key, text, offset = row
-    value = None if text is None else text.encode("latin-1")
-    return store_records.Record(str(key), value, int(offset))
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -6,6 +6,7 @@
 
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import store_feed
+from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -47,7 +48,7 @@
         self._shell = shell
         self._control_address = control_address
         self._store = store_client.StoreClient(store_address)
-        self._feed_client = store_feed.FeedClient()
+        self._feed_client = store_feed_client.FeedClient()
         self._read_tasks: dict[str, asyncio.Task[None]] = {}
         self._follow_task: asyncio.Task[None] | None = None
 
@@ -137,7 +138,8 @@
     def _on_stream_item(
         self,
         followed: effects.FollowReader,
-        item: store_feed.StreamStarted | store_feed.RelayedOutcome,
+        item: store_feed_client.StreamStarted
+        | store_feed_client.RelayedOutcome,
     ) -> None:
         stream = followed.stream
         if item.gate_hosts is not None:
@@ -147,13 +149,13 @@
                 )
             )
         match item:
-            case store_feed.StreamStarted(failure_domain):
+            case store_feed_client.StreamStarted(failure_domain):
                 self._shell.submit(
                     events.ReaderConnected(
                         self._shell.now_us(), stream, failure_domain
                     )
                 )
-            case store_feed.RelayedOutcome(name, age_ms, outcome, own):
+            case store_feed_client.RelayedOutcome(name, age_ms, outcome, own):
                 from_offset = 0
                 if isinstance(outcome, store_records.Batch):
                     from_offset = outcome.from_offset
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -9,6 +9,7 @@
 
 from fireflyspindle import testing
 from fireflyspindle.adapters import store_feed
+from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
 
 SOURCE = "targets"
@@ -30,7 +31,7 @@
     def __init__(self):
         self.now_us = 5_000_000
         self.feed = store_feed.Feed("a", (SOURCE,), lambda: self.now_us)
-        self.client = store_feed.FeedClient()
+        self.client = store_feed_client.FeedClient()
         app = web.Application()
         app.add_routes(self.feed.routes())
         self.server = testing.Server(app)
@@ -39,7 +40,7 @@
     async def follow(self, offset=None):
         """Returns the stream of a follower, after its first line."""
         lines = self.client.follow(self.address, {SOURCE: offset})
-        assert await anext(lines) == store_feed.StreamStarted("a")
+        assert await anext(lines) == store_feed_client.StreamStarted("a")
         return lines
 
 
@@ -188,7 +189,7 @@
     app = web.Application()
     app.add_routes([web.get(store_feed.HOST_COUNT_PATH, respond)])
     server = testing.Server(app)
-    client = store_feed.FeedClient()
+    client = store_feed_client.FeedClient()
     assert await client.count_hosts(await server.start()) is None
     await client.close()
     await server.close()
@@ -197,7 +198,7 @@
 async def test_number_of_gate_hosts_is_sent_when_it_changes(served):
     served.feed.gate_hosts = 14
     lines = served.client.follow(served.address, {SOURCE: None})
-    assert await anext(lines) == store_feed.StreamStarted("a", 14)
+    assert await anext(lines) == store_feed_client.StreamStarted("a", 14)
     received = []
     for gate_hosts in (14, 17, 17):
         served.feed.gate_hosts = gate_hosts
@@ -258,7 +259,7 @@
         SOURCE, batch(*rows, next_offset=1_000, is_snapshot=True)
     )
     lines = served.client.follow(served.address, {SOURCE: None}, unlimited=True)
-    assert await anext(lines) == store_feed.StreamStarted("a")
+    assert await anext(lines) == store_feed_client.StreamStarted("a")
     assert len((await anext(lines)).outcome.records) == 1_000
     await lines.aclose()
 
@@ -292,7 +293,7 @@
     app = web.Application()
     app.add_routes([web.get(store_feed.PATH, respond)])
     server = testing.Server(app)
-    client = store_feed.FeedClient()
+    client = store_feed_client.FeedClient()
     with pytest.raises(ValueError, match=r"can't be read|Expecting value"):
         async for _ in client.follow(await server.start(), {SOURCE: None}):
             pass
