Log a reader that can't be counted, and refill probe tokens less often

Operators saw nothing when a reader stopped to tell how many hosts follow it, and the number of gate hosts rested on its last count. `count_lost` and `count_regained` say so, once for each change.

Tokens are now refilled every 10 ms at most.

Evidence: test_reader_that_does_not_answer_the_count_is_logged_once.

--- a/src/fireflyspindle/core/budgets.py
+++ b/src/fireflyspindle/core/budgets.py
@@ -66,13 +66,13 @@
             now_us: Monotonic time.
             slack: Extra attempts granted in addition to the share.
         """
-        if slack + self.earned(now_us) < 1.0:
+        if slack + self.balance(now_us) < 1.0:
             return False
         self._bucket(now_us)[2] += 1
         return True
 
-    def earned(self, now_us: int) -> float:
-        """Returns the share of the requests, less the extra attempts."""
+    def balance(self, now_us: int) -> float:
+        """Returns the share of the requests less the extra attempts."""
         bucket_number = now_us // BUCKET_US
         window_buckets = self.window_us // BUCKET_US
         while (
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -308,7 +308,7 @@
         gate_hosts_max=max(
             1,
             service_settings.connection_limit // CONNECTIONS_PER_TARGET,
-            fleet.counted_hosts(state) or 1,
+            fleet.counted_hosts(state) or 0,
         ),
     )
 
--- a/src/fireflyspindle/core/host_count.py
+++ b/src/fireflyspindle/core/host_count.py
@@ -51,11 +51,15 @@
 def on_counted(state: state_lib.GateState, event: events.HostsCounted) -> None:
     """Adds up the counts of the readers and reports the sum."""
     counts = state.host_counts
+    unanswered = set()
     for reader, hosts in event.hosts_by_reader.items():
-        if hosts is not None:
+        if hosts is None:
+            unanswered.add(reader)
+        else:
             counts.by_reader[reader] = store_state.ReaderCount(
                 hosts, state.now_us
             )
+    _log_unanswered(state, unanswered)
     oldest_us = state.now_us - READER_COUNT_RETENTION_US
     counts.by_reader = {
         reader: count
@@ -71,6 +75,24 @@
     _record(state, hosts)
 
 
+def _log_unanswered(state: state_lib.GateState, unanswered: set[str]) -> None:
+    counts = state.host_counts
+    for reader in sorted(unanswered - counts.unanswered):
+        latest = counts.by_reader.get(reader)
+        used = "the number of gate hosts is unknown"
+        if latest is not None:
+            used = f"its latest count of {latest.hosts} gate hosts is used"
+        detail = (
+            f"the reader {reader} does not tell how many hosts follow it;"
+            f" {used} for up to {READER_COUNT_RETENTION_US // 1_000_000} s"
+        )
+        state.emit(effects.WriteLogLine("warning", "count_lost", detail))
+    for reader in sorted(counts.unanswered - unanswered):
+        detail = f"the reader {reader} tells again how many hosts follow it"
+        state.emit(effects.WriteLogLine("info", "count_regained", detail))
+    counts.unanswered = unanswered
+
+
 def on_reported(
     state: state_lib.GateState, event: events.HostsReported
 ) -> None:
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -30,6 +30,9 @@
 FRESH_REPORT_US = 30_000
 # Burst of the probe budget, as the time in which it accrues.
 PROBE_BURST_S = 1.0
+# Minimum time between two refills of the probe tokens; a refill looks at every
+# service.
+PROBE_REFILL_INTERVAL_US = 10_000
 
 
 def place(
@@ -149,12 +152,14 @@
 
 def _take_probe_token(state: state_lib.GateState) -> bool:
     """Takes one token from this gate host's share of the probe budget."""
-    per_s = probe_budget_per_s(state)
-    earned = (state.now_us - state.probe_tokens_refilled_us) / 1e6 * per_s
-    state.probe_tokens = min(
-        max(1.0, per_s * PROBE_BURST_S), state.probe_tokens + earned
-    )
-    state.probe_tokens_refilled_us = state.now_us
+    elapsed_us = state.now_us - state.probe_tokens_refilled_us
+    if elapsed_us >= PROBE_REFILL_INTERVAL_US:
+        per_s = probe_budget_per_s(state)
+        state.probe_tokens = min(
+            max(1.0, per_s * PROBE_BURST_S),
+            state.probe_tokens + elapsed_us / 1e6 * per_s,
+        )
+        state.probe_tokens_refilled_us = state.now_us
     if state.probe_tokens < 1.0:
         return False
     state.probe_tokens -= 1.0
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -194,6 +194,7 @@
     Attributes:
         started_us: Time at which this host started.
         by_reader: On a reader, the latest count of each reader by address.
+        unanswered: Readers that did not answer the latest count.
         scheduled: Whether the next count is scheduled.
         recent: The largest recent count of all hosts.
         logged: The count in the latest log line.
@@ -201,6 +202,7 @@
 
     started_us: int = 0
     by_reader: dict[str, ReaderCount] = attrs.field(factory=dict)
+    unanswered: set[str] = attrs.field(factory=set)
     scheduled: bool = False
     recent: RecentMaximum = attrs.field(
         factory=lambda: RecentMaximum(HOST_COUNT_PERIOD_US)
--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -162,6 +162,27 @@
     assert reports == [5 + 6 + 4, 8 + 0 + 4, 9 + 2]
 
 
+def test_reader_that_does_not_answer_the_count_is_logged_once(
+    make_published_host,
+):
+    other = "10.0.0.2:1"
+    host = make_published_host(
+        is_reader=True,
+        control_address="10.0.0.1:1",
+        other_reader_addresses=(other,),
+    )
+    for hosts in (None, 6, None, None, 7):
+        host.feed(events.HostsCounted, {"10.0.0.1:1": 5, other: hosts})
+    lines = [
+        (line.code, line.detail)
+        for line in host.effects_of(effects.WriteLogLine)
+        if line.code in {"count_lost", "count_regained"}
+    ]
+    assert [code for code, _ in lines] == ["count_lost", "count_regained"] * 2
+    assert "unknown" in lines[0][1]
+    assert "latest count of 6 gate hosts" in lines[2][1]
+
+
 # A reader that is cut off since its start would take the whole budget.
 def test_reader_that_reached_no_other_reader_knows_no_count(
     make_published_host,
