Read and log the limit that a target states on its requests

Each change of a target's limit writes `target_limit` with the limit, the kind of answer, this host's part and the number of hosts that it rests on, and the gauge `rate_limited_targets` counts such targets. The limit is read from every answer: executed, declined, and of probes, whose unhealthy answers counted as none. An answer without the header ends it only if it is of a kind that stated it and was asked for later. Nothing acts on the limit yet.

--- a/src/fireflyspindle/adapters/probe_client.py
+++ b/src/fireflyspindle/adapters/probe_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 
 import attrs
 
@@ -61,7 +62,7 @@
     async def probe(
         self, effect: effects.ProbeTarget
     ) -> events.LoadReport | None:
-        """Returns the load that the target reports, or None on failure."""
+        """Returns what the target reports, or None without a response."""
         if self._now_us() > effect.not_after_us:
             return None
         try:
@@ -69,9 +70,13 @@
                 response = await self._send(effect)
         except (TimeoutError, OSError):
             return None
-        if response is None or response.message.code != 200:
+        if response is None:
             return None
-        return self._header_profile.parse_load_report(response.message.headers)
+        report = self._header_profile.parse_load_report(
+            response.message.headers
+        )
+        report.healthy = response.message.code == HTTPStatus.OK
+        return report
 
     async def _send(
         self, effect: effects.ProbeTarget
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -15,6 +15,7 @@
 from fireflyspindle.core import refusals
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
@@ -117,6 +118,24 @@
     service = state.services.get(call.service)
     if service is not None:
         ejection.on_answered(state, attempt, service, event)
+        _update_limit(state, service, attempt, event)
+
+
+def _update_limit(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+) -> None:
+    answer = (
+        targets.AnswerKind.DECLINED
+        if event.not_run
+        else targets.AnswerKind.EXECUTED
+    )
+    header = event.report.rate_limit if event.report is not None else None
+    target_limits.on_answer(
+        state, service, attempt.target, header, answer, attempt.started_us
+    )
 
 
 def _update_incarnation(
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -36,6 +36,8 @@
         slots: Requests that the target runs concurrently, if stated.
         slowdown: Current service time at the target, relative to its usual
             one, if stated.
+        rate_limit: Limit on the requests that the target takes, if stated.
+        healthy: Whether the target answered a probe with success.
     """
 
     in_flight: int | None = None
@@ -43,6 +45,19 @@
     incarnation: str = ""
     slots: int | None = None
     slowdown: float | None = None
+    rate_limit: "RateLimitHeader | None" = None
+    healthy: bool = True
+
+
+@attrs.define(frozen=True)
+class RateLimitHeader:
+    """A target's limit on the requests from all gate hosts together.
+
+    Attributes:
+        requests_per_s: Requests per second; None if the value is invalid.
+    """
+
+    requests_per_s: float | None
 
 
 @attrs.define
--- a/src/fireflyspindle/core/probes.py
+++ b/src/fireflyspindle/core/probes.py
@@ -24,7 +24,7 @@
     target.load.probed_us = state.now_us
     state.last_probe_id += 1
     state.probes[state.last_probe_id] = state_lib.Probe(
-        service.name, target.spec.key, call_id
+        service.name, target.spec.key, state.now_us, call_id
     )
     service_settings = state.service_settings.get(service.name)
     if service_settings is not None:
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probes
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 
 SECOND_US = 1_000_000
@@ -113,6 +114,17 @@
     target = service.targets.get(probe.target) if service else None
     if service is None or target is None:
         return
+    if report is not None:
+        target_limits.on_answer(
+            state,
+            service,
+            target,
+            report.rate_limit,
+            targets.AnswerKind.PROBE,
+            probe.sent_us,
+        )
+        if not report.healthy:
+            report = None
     if service.probes_before_send:
         if report is None:
             forecast.on_probe_timeout(state, target)
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -239,11 +239,13 @@
     Attributes:
         service: Name of the service.
         target: Key of the target.
+        sent_us: Time of sending.
         call_id: Number of the call whose probe round sent it, or 0.
     """
 
     service: str
     target: str
+    sent_us: int
     call_id: int = 0
 
 
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -1,5 +1,7 @@
 """State that a gate host keeps for each target."""
 
+import enum
+
 import attrs
 
 from fireflyspindle.core import forecast_state
@@ -40,6 +42,37 @@
     returned_us: int = 0
 
 
+class AnswerKind(enum.Enum):
+    """Kind of an answer of a target.
+
+    Attributes:
+        EXECUTED: An answer to a request that the target ran.
+        DECLINED: An answer to a request that the target did not run.
+        PROBE: An answer to a load probe.
+    """
+
+    EXECUTED = "executed"
+    DECLINED = "declined"
+    PROBE = "probe"
+
+
+@attrs.define
+class RateLimit:
+    """A target's limit on the requests from all gate hosts together.
+
+    Attributes:
+        requests_per_s: The limit.
+        stated_us: Time at which the target first stated a limit.
+        stated_by: Kinds of the answers that stated it.
+        logged_us: Time of the latest log line about it.
+    """
+
+    requests_per_s: float
+    stated_us: int
+    stated_by: set[AnswerKind] = attrs.field(factory=set)
+    logged_us: int = 0
+
+
 @attrs.define
 class Target:
     """State of one target at this gate host.
@@ -57,6 +90,7 @@
         max_connections: Maximum connections that this gate host opens to it.
         load: Estimate of its load.
         reported_load: Load and slowdown that it last reported.
+        rate_limit: Limit on its requests; None while it states none.
     """
 
     spec: records.TargetSpec
@@ -72,6 +106,7 @@
     health: Health = attrs.field(factory=Health)
     slow_start_from_us: int = 0
     slow_start_until_us: int = 0
+    rate_limit: RateLimit | None = None
 
 
 def on_attempt_started(target: Target, now_us: int) -> None:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -1,8 +1,10 @@
 """Names of the headers between callers, gate hosts and targets."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
+import re
 
 import attrs
+import multidict
 
 from fireflyspindle.core import events
 
@@ -18,6 +20,7 @@
 RETRY_AFTER = "Retry-After"
 
 IN_FLIGHT = "Fireflyspindle-In-Flight"
+RATE_LIMIT = "Fireflyspindle-Rate-Limit"
 LEAVING = "Fireflyspindle-Leaving"
 INCARNATION = "Fireflyspindle-Incarnation"
 NOT_RUN = "Fireflyspindle-Not-Run"
@@ -26,8 +29,11 @@
 OWN_PREFIX = b"fireflyspindle-"
 
 MAX_DIGITS = 9
+MAX_RATE_LIMIT_CHARACTERS = 20
 MAX_INCARNATION_CHARACTERS = 100
 
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+
 # Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1), and
 # those that frame the body or address the next hop, which each hop sets itself.
 HOP_BY_HOP = frozenset(
@@ -47,7 +53,10 @@
 )
 
 
-def parse_load_report(fields: Mapping[str, str]) -> events.LoadReport:
+HeaderFields = multidict.MultiMapping[str]
+
+
+def parse_load_report(fields: HeaderFields) -> events.LoadReport:
     """Parses the load report in the headers of an answer to a call or probe."""
     text = fields.get(IN_FLIGHT, "")
     valid = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
@@ -55,9 +64,36 @@
         in_flight=int(text) if valid else None,
         leaving=LEAVING in fields,
         incarnation=fields.get(INCARNATION, "")[:MAX_INCARNATION_CHARACTERS],
+        rate_limit=parse_rate_limit(fields.getall(RATE_LIMIT, ())),
     )
 
 
+def parse_rate_limit(
+    texts: Sequence[str],
+) -> events.RateLimitHeader | None:
+    """Parses a limit on requests per second.
+
+    Args:
+        texts: Values of the header, several if it is repeated.
+
+    Returns:
+        The limit, the lowest of several; None without the header. A value that
+        is not a decimal number of 0 or more is invalid.
+    """
+    if not texts:
+        return None
+    values = [_decimal(text) for text in texts]
+    valid = [value for value in values if value is not None]
+    return events.RateLimitHeader(min(valid, default=None))
+
+
+def _decimal(text: str) -> float | None:
+    text = text.strip()
+    if len(text) > MAX_RATE_LIMIT_CHARACTERS or not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
+
+
 @attrs.define(frozen=True)
 class HeaderProfile:
     """Headers between callers, gate hosts and targets, and their semantics.
@@ -103,7 +139,7 @@
     requires_id_echo: bool = False
     buffers_unsized_bodies: bool = False
     fractional_retry_after: bool = False
-    parse_load_report: Callable[[Mapping[str, str]], events.LoadReport] = (
+    parse_load_report: Callable[[HeaderFields], events.LoadReport] = (
         parse_load_report
     )
 
--- a/src/fireflyspindle/platform/header_profile.py
+++ b/src/fireflyspindle/platform/header_profile.py
@@ -1,7 +1,5 @@
 """The platform's headers between clients, gate hosts and servers."""
 
-from collections.abc import Mapping
-
 from fireflyspindle import headers
 from fireflyspindle.core import events
 
@@ -13,6 +11,7 @@
 INSTANCE_ID = _PREFIX + "Instance-Id"
 SERVER_LOAD = _PREFIX + "Server-Load"
 SERVER_SIGNATURE = _PREFIX + "Server-Signature"
+SERVER_LIMIT = "Server-Limit"
 
 # The load fields are running, waiting and slots; a fourth, the slowdown, is
 # optional.
@@ -22,10 +21,15 @@
 MAX_LOAD_VALUE = 1_000_000
 
 
-def parse_load_report(response_headers: Mapping[str, str]) -> events.LoadReport:
+def parse_load_report(
+    response_headers: headers.HeaderFields,
+) -> events.LoadReport:
     """Parses the load report of a server, ignoring malformed values."""
     report = events.LoadReport(
-        incarnation=response_headers.get(INSTANCE_ID, "")[:100]
+        incarnation=response_headers.get(INSTANCE_ID, "")[:100],
+        rate_limit=headers.parse_rate_limit(
+            response_headers.getall(SERVER_LIMIT, ())
+        ),
     )
     fields = response_headers.get(SERVER_LOAD, "").split(",")
     values = [_load_value(field) for field in fields]
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -167,6 +167,11 @@
         self.metrics.gauges["probe_budget_per_s"] = (
             placement.probe_budget_per_s(self.state)
         )
+        self.metrics.gauges["rate_limited_targets"] = sum(
+            target.rate_limit is not None
+            for service in self.state.services.values()
+            for target in service.targets.values()
+        )
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
