--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -1,11 +1,15 @@
 """Limits that targets state on the requests from all gate hosts together."""
 
+import bisect
+
 import multidict
 import pytest
 
 from fireflyspindle import headers
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import fleet as fleet_lib
+from fireflyspindle.core import published
 from fireflyspindle.core import targets
 from fireflyspindle.platform import header_profile
 import published_driver as published_host
@@ -146,3 +150,120 @@
     host.answer(1, 1, report=report(limit_per_s=4.5))
     host.register(published_host.entry(0, started_ms=2_000))
     assert host.service().targets["i-0"].rate_limit is None
+
+
+def fleet_of(make_published_host, hosts, counted=None):
+    """Returns gate hosts of which each has seen the limit of target i-0."""
+    fleet = []
+    for seed in range(hosts):
+        host = make_published_host(targets=2, seed=seed)
+        settings = published.ServiceSettings("s", "/health", 1_100)
+        document = published_host.document(version=2)
+        host.configure(
+            published_host.with_fields(document, services=(settings,))
+        )
+        if counted is not None:
+            stream = host.state.following.stream_number
+            host.feed(events.HostsReported, stream, counted)
+            host.advance(fleet_lib.JOIN_TIME_US)
+        fleet.append(host)
+    return fleet
+
+
+def learn_limit(host, limit_per_s):
+    """Runs calls until i-0 has stated its limit; returns their number."""
+    calls = 0
+    while host.service().targets["i-0"].rate_limit is None:
+        calls += 1
+        serve(host, calls, limit_per_s)
+    return calls
+
+
+def serve(host, call_id, limit_per_s, in_flight=0):
+    """Runs one call; returns the time of its send to i-0, or None.
+
+    Target i-0 states its limit with each answer.
+    """
+    loads = {
+        "10.0.0.0:80": report(limit_per_s),
+        "10.0.0.1:80": report(in_flight=in_flight),
+    }
+    host.call_arrives(call_id)
+    while host.state.probes:
+        host.answer_probes(loads)
+    sent_us = None
+    for attempt in [e for e in host.sent if e.call_id == call_id]:
+        limited = attempt.target == "10.0.0.0:80"
+        sent_us = host.now_us if limited else sent_us
+        host.answer(
+            call_id,
+            attempt.attempt,
+            report=report(limit_per_s if limited else None),
+        )
+    host.finish(call_id)
+    return sent_us
+
+
+def most_in_window(times_us, window_us=4_000_000):
+    """Returns the most times in any window."""
+    times_us = sorted(times_us)
+    return max(
+        (
+            bisect.bisect_right(times_us, start_us + window_us) - index
+            for index, start_us in enumerate(times_us)
+        ),
+        default=0,
+    )
+
+
+# A share of one request for each host adds up to a burst of the whole fleet.
+@pytest.mark.parametrize(
+    ("hosts", "counted", "calls", "spacing_us"),
+    [(2, 2, 200, 50_000), (14, 14, 120, 100_000), (129, 129, 40, 250_000)],
+)
+@pytest.mark.parametrize("limit_per_s", [0.5, 4.5, 20.0])
+def test_fleet_keeps_the_limit_that_a_target_states(
+    make_published_host, hosts, counted, calls, spacing_us, limit_per_s
+):
+    fleet = fleet_of(make_published_host, hosts, counted)
+    sent_us = []
+    for host in fleet:
+        first_id = 1 + learn_limit(host, limit_per_s)
+        start_us = host.now_us
+        for call_id in range(first_id, first_id + calls):
+            host.advance(spacing_us)
+            # The other target is full half of the time.
+            at_us = serve(host, call_id, limit_per_s, 4 * (call_id % 2))
+            if at_us is not None:
+                sent_us.append(at_us - start_us)
+    assert most_in_window(sent_us) <= 1.5 * 4 * limit_per_s + 5
+    duration_s = calls * spacing_us / 1e6
+    assert len(sent_us) >= min(0.4 * limit_per_s * duration_s, 10)
+
+
+def test_host_without_a_count_takes_the_share_of_the_largest_fleet(
+    make_published_host,
+):
+    (host,) = fleet_of(make_published_host, 1)
+    first_id = 1 + learn_limit(host, 20.0)
+    sent = 0
+    for call_id in range(first_id, first_id + 100):
+        host.advance(100_000)
+        sent += serve(host, call_id, 20.0) is not None
+    largest_fleet = host.state.configuration.policy("s").gate_hosts_max
+    assert sent <= 1 + 10 * 20.0 / largest_fleet
+
+
+# A call that no target may take would wait until its deadline.
+def test_call_is_refused_at_once_when_all_targets_are_at_their_limits(
+    make_published_host,
+):
+    host = make_published_host(targets=1)
+    serve(host, 1, 0.1)
+    host.advance(100_000)
+    host.call_arrives(2, deadline_ms=800)
+    answer = host.gate_answer(2)
+    assert (answer.status, answer.outcome) == (503, effects.Outcome.NOT_RUN)
+    assert answer.error == "target_limits"
+    assert answer.retry_after_ms > 1_000
+    assert [e.call_id for e in host.sent] == [1]
