Keep the sends of the fleet within the limit that a target states

What targets saw: a target that takes 4.5 requests a second from all hosts got 67 in 4 s from 14 hosts that it had told; 32 are allowed.

Cause: a bound of the whole fleet that no part of the routing knew.

Each host accrues permits at its share of 0.7 of the limit, the share being that of all budgets (core/fleet.py): that of the largest fleet while the host knows no count. Every send takes a permit, also those of retries, hedges, trial calls and calls that waited; targets without one are left out of choices and probes. A call that no target may take is refused at once, with the time to the next permit as Retry-After.

Why this works: a permit is lost after half a second, so that hosts can't save them up. A bucket of one request for each host would allow 129 hosts 129 requests at once.

--- a/src/fireflyspindle/core/admission.py
+++ b/src/fireflyspindle/core/admission.py
@@ -6,6 +6,7 @@
 from fireflyspindle.core import limits
 from fireflyspindle.core import placement
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import timers
 
 
@@ -13,7 +14,9 @@
     """Sends, queues or refuses a call that has just arrived."""
     service = state.services.get(call.service)
     if service is None:
-        _refuse_no_target(state, call)
+        answers.fail_call(
+            state, call, 503, "no_target", "no target is available"
+        )
         return
     exceeded = limits.check(state, call)
     if exceeded is not None:
@@ -84,10 +87,10 @@
         return
     if placement.place(state, service, call):
         return
-    if service.in_flight and _has_available_target(service):
+    if service.in_flight and _has_available_target(state, service):
         _enqueue(state, service, call)
         return
-    _refuse_no_target(state, call)
+    placement.refuse_no_target(state, service, call)
 
 
 def _enqueue(
@@ -155,17 +158,17 @@
     return state.now_us + wait_us + service.fast_latency_us > call.deadline_us
 
 
-def _has_available_target(service: state_lib.ServiceState) -> bool:
+def _has_available_target(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> bool:
     return any(
-        not target.leaving and not target.ejected
+        not target.leaving
+        and not target.ejected
+        and target_limits.may_send_soon(state, service, target)
         for target in service.targets.values()
     )
 
 
-def _refuse_no_target(state: state_lib.GateState, call: state_lib.Call) -> None:
-    answers.fail_call(state, call, 503, "no_target", "no target is available")
-
-
 def _refuse_full(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import hedging
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 
 SERVER_ERROR_STATUS = 500
@@ -40,6 +41,7 @@
             state, service, target
         )
     capacity.on_attempt_begun(service, call)
+    target_limits.on_sent(state, service, target)
     call.attempts[attempt.number] = attempt
     _record_step(state, call, attempt)
     call.last_target = target.spec.address
--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import forecast
 from fireflyspindle.core import placement
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
@@ -188,6 +189,9 @@
         return
     service.dispatch_timer_armed = False
     dispatch(state, service)
+    if target_limits.are_reached(state, service):
+        for call_id in list(service.waiting_calls):
+            placement.refuse_no_target(state, service, state.calls[call_id])
     if not service.waiting_calls:
         return
     call = _next_call(state, service)
--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -15,6 +15,7 @@
 from fireflyspindle.core import leaving
 from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 
 TARGET_SMOOTHING = 1 / 8
@@ -93,19 +94,25 @@
         wait_us = 0 if call.repeatable else NON_REPEATABLE_TRIAL_DELAY_US
         if target.leaving or target.in_flight:
             continue
+        if not target_limits.may_send(state, service, target):
+            continue
         if state.now_us >= target.health.ejected_until_us + wait_us:
             return target
     return None
 
 
 def fallback_target(
-    service: state_lib.ServiceState, call: state_lib.Call
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
 ) -> targets.Target | None:
     """Returns the least loaded ejected target that the call has not tried."""
     untried = [
         target
         for key, target in service.ejected.items()
-        if not target.leaving and key not in call.tried_targets
+        if not target.leaving
+        and key not in call.tried_targets
+        and target_limits.may_send(state, service, target)
     ]
     return min(untried, key=lambda target: target.in_flight, default=None)
 
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -15,6 +15,7 @@
 from fireflyspindle.core import forecast
 from fireflyspindle.core import probes
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
@@ -78,7 +79,7 @@
     return (
         ejection.trial_target(state, service, call)
         or target_selection.choose(state, service, call)
-        or ejection.fallback_target(service, call)
+        or ejection.fallback_target(state, service, call)
     )
 
 
@@ -215,9 +216,7 @@
     if _send_or_wait(state, service, call):
         dispatch_queue.dispatch(state, service)
     elif not call.attempts:
-        answers.fail_call(
-            state, call, 503, "no_target", "no target is available"
-        )
+        refuse_no_target(state, service, call)
 
 
 def _send_or_wait(
@@ -236,14 +235,38 @@
         return _send(state, call, target)
     if call.attempts:
         return False
-    if _target_may_become_available(state, service, call):
+    if target_may_become_available(state, service, call):
         dispatch_queue.enqueue(state, service, call)
         return True
     service.waiting_calls.pop(call.call_id, None)
     return _send(state, call, choose_target(state, service, call))
 
 
-def _target_may_become_available(
+def refuse_no_target(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    """Refuses a call that can't be sent to any target."""
+    service.waiting_calls.pop(call.call_id, None)
+    if not target_limits.are_reached(state, service):
+        answers.fail_call(
+            state, call, 503, "no_target", "no target is available"
+        )
+        return
+    wait_ms = target_limits.shortest_wait_us(state, service) // 1000
+    answers.fail_call(
+        state,
+        call,
+        answers.failure_status(call),
+        "target_limits",
+        f"the targets of service {service.name} take no more requests of this"
+        f" gate host for {wait_ms} ms because of their limits",
+        answers.jittered_retry_after_ms(state, wait_ms),
+    )
+
+
+def target_may_become_available(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     call: state_lib.Call,
@@ -254,5 +277,6 @@
         and not target.ejected
         and target.spec.key not in call.tried_targets
         and state.now_us >= target.reported_load.unresponsive_until_us
+        and target_limits.may_send_soon(state, service, target)
         for target in service.targets.values()
     )
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -78,5 +78,5 @@
     call: state_lib.Call,
 ) -> bool:
     if service.probes_before_send:
-        return target_selection.has_untried(service, call)
+        return target_selection.has_untried(state, service, call)
     return target_selection.choose(state, service, call) is not None
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -282,6 +282,7 @@
         targets: Targets by key.
         candidates: Targets that every choice considers.
         sampled_targets: Targets of a large service that choices only sample.
+        limited_targets: Sampled targets that limit their requests.
         load: Estimates of load over all targets.
         hedge_budget: Budget of hedges.
         probes_sent_us: Times of its latest probes.
@@ -314,6 +315,7 @@
     targets: dict[str, targets_lib.Target] = attrs.field(factory=dict)
     candidates: list[targets_lib.Target] = attrs.field(factory=list)
     sampled_targets: list[targets_lib.Target] = attrs.field(factory=list)
+    limited_targets: list[targets_lib.Target] = attrs.field(factory=list)
     load: load_lib.ServiceLoad = attrs.field(factory=load_lib.ServiceLoad)
     ejected: dict[str, targets_lib.Target] = attrs.field(factory=dict)
     queue: queueing.FairQueue = attrs.field(factory=queueing.FairQueue)
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 
 MAX_CANDIDATES = 16
@@ -45,6 +46,8 @@
             continue
         if target.in_flight >= target.max_connections:
             continue
+        if not target_limits.may_send(state, service, target):
+            continue
         if target.slow_start_until_us and not slow_start.may_choose(
             state, target
         ):
@@ -57,12 +60,17 @@
     return best or slow_start_target
 
 
-def has_untried(service: state_lib.ServiceState, call: state_lib.Call) -> bool:
-    """Whether there is a target that a call has not been sent to."""
+def has_untried(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> bool:
+    """Whether there is a target that a call may still be sent to."""
     return any(
         not target.leaving
         and not target.ejected
         and target.spec.key not in call.tried_targets
+        and target_limits.may_send_soon(state, service, target)
         for target in service.targets.values()
     )
 
@@ -91,6 +99,7 @@
         and not target.ejected
         and target.spec.key not in call.tried_targets
         and target.in_flight < target.max_connections
+        and target_limits.may_send(state, service, target)
     ]
     ranked.sort(key=lambda pair: pair[0])
     return ranked
@@ -131,6 +140,16 @@
     if len(service.candidates) == len(service.targets):
         return service.candidates
     sampled = state.random.sample(service.sampled_targets, SAMPLED_CANDIDATES)
+    if not service.limited_targets:
+        return service.candidates + sampled
+    # A host that has a permit of a limited target considers it: the others may
+    # have none.
+    sampled_keys = {target.spec.key for target in sampled}
+    sampled += [
+        target
+        for target in service.limited_targets
+        if target.spec.key not in sampled_keys
+    ]
     return service.candidates + sampled
 
 
@@ -150,9 +169,10 @@
         ranked.sort(key=lambda target: _rendezvous_hash(state, target))
         service.sampled_targets = ranked[MAX_CANDIDATES:]
         service.candidates = ranked[:MAX_CANDIDATES]
-        return
-    service.sampled_targets = []
-    service.candidates = ranked
+    else:
+        service.sampled_targets = []
+        service.candidates = ranked
+    target_limits.refresh_limited(service)
 
 
 def _rendezvous_hash(
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -63,12 +63,17 @@
     Attributes:
         requests_per_s: The limit.
         stated_us: Time at which the target first stated a limit.
+        permits: Requests that this gate host may send; the fraction is what has
+            accrued of the next one.
+        refilled_us: Time up to which the permits have accrued.
         stated_by: Kinds of the answers that stated it.
         logged_us: Time of the latest log line about it.
     """
 
     requests_per_s: float
     stated_us: int
+    permits: float
+    refilled_us: int
     stated_by: set[AnswerKind] = attrs.field(factory=set)
     logged_us: int = 0
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import fleet as fleet_lib
 from fireflyspindle.core import published
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 from fireflyspindle.platform import header_profile
 import published_driver as published_host
@@ -137,11 +138,60 @@
 ):
     host = make_published_host(targets=1)
     for call_id in range(1, 31):
+        limit_per_s = 10_000.0 + call_id
+        serve(host, call_id, limit_per_s, duration_us=100_000)
+    assert 3 <= len(limit_lines(host)) <= 4
+
+
+# The end of a limit of 0 shows only in the answer to a request.
+def test_target_that_takes_no_requests_gets_one_now_and_then(
+    make_published_host,
+):
+    host = make_published_host(targets=1)
+    host.feed(events.HostsReported, host.state.following.stream_number, 1)
+    host.advance(fleet_lib.JOIN_TIME_US)
+    host.arrive_and_send(1)
+    host.answer(1, 1, report=report(limit_per_s=0.0))
+    host.finish(1)
+    for call_id in range(2, 62):
+        host.advance(500_000)
         host.arrive_and_send(call_id)
-        host.answer(call_id, 1, report=report(limit_per_s=100.0 + call_id))
+        for attempt in host.sent:
+            if attempt.call_id == call_id:
+                host.answer(call_id, 1, report=report(limit_per_s=0.0))
         host.finish(call_id)
+    assert 2 <= len(host.sent) - 1 <= 4
+
+
+def test_waiting_calls_are_refused_once_limits_are_reached(
+    make_published_host,
+):
+    host = make_published_host(targets=1)
+    full = {"10.0.0.0:80": report(in_flight=4)}
+    host.call_arrives(1, deadline_ms=5_000)
+    published_host.answer_probes(host, full, 60_000)
+    assert host.service().waiting_calls
+    limited = {"10.0.0.0:80": report(limit_per_s=0.1, in_flight=4)}
+    published_host.answer_probes(host, limited, 60_000)
+    assert host.gate_answer(1).error == "target_limits"
+
+
+def test_limited_target_gets_no_probes_that_no_call_can_follow(
+    make_published_host,
+):
+    host = make_published_host(targets=2)
+    host.arrive_and_send(1)
+    host.answer(1, 1, report=report(limit_per_s=0.1))
+    host.finish(1)
+    limited = host.sent[0].target
+    probes = len(host.effects_of(effects.ProbeTarget))
+    for call_id in range(2, 12):
         host.advance(100_000)
-    assert 3 <= len(limit_lines(host)) <= 4
+        host.arrive_and_send(call_id)
+    probed = {e.target for e in host.effects_of(effects.ProbeTarget)[probes:]}
+    assert probed
+    assert limited not in probed
+    assert limited not in {e.target for e in host.sent[1:]}
 
 
 def test_new_incarnation_has_no_limit(make_published_host):
@@ -179,28 +229,34 @@
     return calls
 
 
-def serve(host, call_id, limit_per_s, in_flight=0):
-    """Runs one call; returns the time of its send to i-0, or None.
+def serve(host, call_id, limit_per_s, in_flight=0, duration_us=20_000):
+    """Runs one call for a period; returns the times of its sends to i-0.
 
-    Target i-0 states its limit with each answer.
+    Target i-0 states its limit with each answer, after 10 ms. The other target
+    has `in_flight` requests of other hosts.
     """
     loads = {
         "10.0.0.0:80": report(limit_per_s),
         "10.0.0.1:80": report(in_flight=in_flight),
     }
+    end_us = host.now_us + duration_us
+    sent_us = []
+    known = len(host.effects)
     host.call_arrives(call_id)
-    while host.state.probes:
+    while host.now_us < end_us:
         host.answer_probes(loads)
-    sent_us = None
-    for attempt in [e for e in host.sent if e.call_id == call_id]:
-        limited = attempt.target == "10.0.0.0:80"
-        sent_us = host.now_us if limited else sent_us
-        host.answer(
-            call_id,
-            attempt.attempt,
-            report=report(limit_per_s if limited else None),
-        )
-    host.finish(call_id)
+        new = host.effects[known:]
+        known += len(new)
+        host.advance(10_000)
+        for attempt in new:
+            if not isinstance(attempt, effects.SendToTarget):
+                continue
+            limited = attempt.target == "10.0.0.0:80"
+            if limited:
+                sent_us.append(host.now_us)
+            answer = report(limit_per_s if limited else None)
+            host.answer(attempt.call_id, attempt.attempt, report=answer)
+            host.finish(attempt.call_id)
     return sent_us
 
 
@@ -219,7 +275,7 @@
 # A share of one request for each host adds up to a burst of the whole fleet.
 @pytest.mark.parametrize(
     ("hosts", "counted", "calls", "spacing_us"),
-    [(2, 2, 200, 50_000), (14, 14, 120, 100_000), (129, 129, 40, 250_000)],
+    [(2, 2, 200, 50_000), (14, 14, 120, 100_000), (129, 129, 24, 250_000)],
 )
 @pytest.mark.parametrize("limit_per_s", [0.5, 4.5, 20.0])
 def test_fleet_keeps_the_limit_that_a_target_states(
@@ -231,11 +287,14 @@
         first_id = 1 + learn_limit(host, limit_per_s)
         start_us = host.now_us
         for call_id in range(first_id, first_id + calls):
-            host.advance(spacing_us)
             # The other target is full half of the time.
-            at_us = serve(host, call_id, limit_per_s, 4 * (call_id % 2))
-            if at_us is not None:
-                sent_us.append(at_us - start_us)
+            in_flight = 4 * (call_id % 2)
+            sent_us += [
+                at_us - start_us
+                for at_us in serve(
+                    host, call_id, limit_per_s, in_flight, spacing_us
+                )
+            ]
     assert most_in_window(sent_us) <= 1.5 * 4 * limit_per_s + 5
     duration_s = calls * spacing_us / 1e6
     assert len(sent_us) >= min(0.4 * limit_per_s * duration_s, 10)
@@ -248,19 +307,54 @@
     first_id = 1 + learn_limit(host, 20.0)
     sent = 0
     for call_id in range(first_id, first_id + 100):
-        host.advance(100_000)
-        sent += serve(host, call_id, 20.0) is not None
+        sent += len(serve(host, call_id, 20.0, duration_us=100_000))
     largest_fleet = host.state.configuration.policy("s").gate_hosts_max
     assert sent <= 1 + 10 * 20.0 / largest_fleet
 
 
+# Hosts of a large fleet have a permit every few minutes each.
+def test_fleet_of_1000_hosts_keeps_the_limit_that_a_target_states(
+    make_published_host,
+):
+    limit_per_s, hosts = 4.5, 1_000
+    host = make_published_host(targets=1)
+    host.feed(events.HostsReported, host.state.following.stream_number, hosts)
+    host.advance(fleet_lib.JOIN_TIME_US)
+    service = host.service()
+    header = events.RateLimitHeader(limit_per_s)
+    limited = []
+    for number in range(hosts):
+        target = targets.Target(service.targets["i-0"].spec)
+        target_limits.on_answer(
+            host.state,
+            service,
+            target,
+            header,
+            targets.AnswerKind.EXECUTED,
+            host.now_us,
+        )
+        limited.append((number * 250, target))
+    sent_us = []
+    start_us = host.now_us
+    for step in range(48):
+        for offset_us, target in limited:
+            at_us = start_us + step * 250_000 + offset_us
+            host.state.now_us = at_us
+            if target_limits.may_send(host.state, service, target):
+                target_limits.on_sent(host.state, service, target)
+                sent_us.append(at_us)
+    assert most_in_window(sent_us) <= 1.5 * 4 * limit_per_s + 5
+    assert len(sent_us) >= 0.5 * limit_per_s * 12
+
+
 # A call that no target may take would wait until its deadline.
 def test_call_is_refused_at_once_when_all_targets_are_at_their_limits(
     make_published_host,
 ):
     host = make_published_host(targets=1)
-    serve(host, 1, 0.1)
-    host.advance(100_000)
+    host.arrive_and_send(1)
+    host.answer(1, 1, report=report(limit_per_s=0.1))
+    host.finish(1)
     host.call_arrives(2, deadline_ms=800)
     answer = host.gate_answer(2)
     assert (answer.status, answer.outcome) == (503, effects.Outcome.NOT_RUN)
