Use the whole limit of a target where its requests hardly vary

Cause: hosts used 0.7 of every limit, which only far more hosts than permits need; and calls waited for a permit that others took, up to 0.6 of their time.

The used part now follows from the limit and the number of hosts, so that the mean stays 4.5 standard deviations below what a target tolerates: all of it for 14 hosts at 4.5 a second, 0.65 to 0.75 for 129. As many calls wait as there are permits soon, for 100 ms at most, the most urgent first.

Evidence: test_calls_beyond_the_limits_of_all_targets_are_refused_soon failed before, with a wait of 380 ms.

--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -36,6 +36,8 @@
 # Maximum wait, as a share of the time from arrival to the deadline. After that
 # an answer in time is unlikely, and a caller that is refused early can retry.
 MAX_WAIT_SHARE = 0.6
+# Maximum wait while all targets of a service have limits.
+MAX_WAIT_FOR_LIMITS_US = 100_000
 # Calls of a service that may wait at one gate host; the same as the default of
 # `records.Policy.max_queued_calls`.
 MAX_WAITING_CALLS = 200
@@ -47,6 +49,11 @@
     call: state_lib.Call,
 ) -> None:
     """Queues a call, or refuses it if it can't be answered in time."""
+    if call.call_id not in service.waiting_calls:
+        limit = target_limits.max_waiting_calls(state, service)
+        if limit is not None and len(service.waiting_calls) >= limit:
+            placement.refuse_no_target(state, service, call)
+            return
     expired = state.now_us >= _wait_end_us(service, call)
     if expired or len(service.waiting_calls) >= MAX_WAITING_CALLS:
         _refuse(state, service, call)
@@ -172,14 +179,34 @@
 ) -> state_lib.Call:
     """Returns the waiting call to send next."""
     waiting = [state.calls[call_id] for call_id in service.waiting_calls]
-    return max(
-        waiting,
-        key=lambda call: (
-            not is_late(state, service, call),
-            -call.priority,
-            call.arrived_us,
-        ),
+    return max(waiting, key=lambda call: _precedence(state, service, call))
+
+
+def _precedence(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> tuple[bool, int, int]:
+    """Returns the sort key of a waiting call; the highest is sent next."""
+    late = is_late(state, service, call)
+    return not late, -call.priority, call.arrived_us
+
+
+def _refuse_beyond_limits(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> None:
+    """Refuses the waiting calls that the limits of targets leave out."""
+    limit = target_limits.max_waiting_calls(state, service)
+    if limit is None:
+        return
+    waiting = [state.calls[call_id] for call_id in service.waiting_calls]
+    waiting.sort(
+        key=lambda call: _precedence(state, service, call), reverse=True
     )
+    oldest_us = state.now_us - MAX_WAIT_FOR_LIMITS_US
+    for index, call in enumerate(waiting):
+        if index >= limit or call.arrived_us < oldest_us:
+            placement.refuse_no_target(state, service, call)
 
 
 def on_dispatch_due(state: state_lib.GateState, service_name: str) -> None:
@@ -189,9 +216,7 @@
         return
     service.dispatch_timer_armed = False
     dispatch(state, service)
-    if target_limits.are_reached(state, service):
-        for call_id in list(service.waiting_calls):
-            placement.refuse_no_target(state, service, state.calls[call_id])
+    _refuse_beyond_limits(state, service)
     if not service.waiting_calls:
         return
     call = _next_call(state, service)
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -247,9 +247,9 @@
     service: state_lib.ServiceState,
     call: state_lib.Call,
 ) -> None:
-    """Refuses a call that can't be sent to any target."""
+    """Refuses a call that no target is available for."""
     service.waiting_calls.pop(call.call_id, None)
-    if not target_limits.are_reached(state, service):
+    if target_limits.max_waiting_calls(state, service) is None:
         answers.fail_call(
             state, call, 503, "no_target", "no target is available"
         )
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -14,10 +14,18 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 
-# Part of the limit that is used. Hosts may disagree on their number, and late
-# requests add to those after them.
-LIMIT_FRACTION = 0.7
 PERMIT_LIFETIME_US = 500_000
+# A target tolerates `TOLERANCE_FACTOR` times its limit and `TOLERANCE_REQUESTS`
+# more in any window of this length.
+TOLERANCE_WINDOW_S = 4.0
+TOLERANCE_FACTOR = 1.5
+TOLERANCE_REQUESTS = 5.0
+# Standard deviations of the requests in a window by which the mean stays below
+# what targets tolerate.
+TOLERANCE_DEVIATIONS = 4.5
+# Steps in which the used part of a limit is reduced, down to the smallest part.
+FRACTION_STEP = 0.05
+MIN_FRACTION = 0.5
 # Time for which a call waits for a permit instead of being refused.
 MAX_PERMIT_WAIT_US = 50_000
 # Rate at which all hosts together send requests to a target that takes none, so
@@ -81,6 +89,7 @@
         return
     _refill(state, service, limit)
     limit.requests_per_s = header.requests_per_s
+    limit.divided_by = 0
     if state.now_us >= limit.logged_us + LOG_INTERVAL_US:
         _log_limit(state, service, target, limit, answer)
 
@@ -129,16 +138,22 @@
     return math.ceil(missing / _permits_per_us(state, service, limit))
 
 
-def are_reached(
+def max_waiting_calls(
     state: state_lib.GateState, service: state_lib.ServiceState
-) -> bool:
-    """Whether limits keep calls of this host from every target of a service."""
+) -> int | None:
+    """Returns how many calls may wait for targets that all have limits.
+
+    More calls than there are permits soon would wait in vain.
+
+    Returns:
+        The number; None while some target has no limit.
+    """
     present = [
         target for target in service.targets.values() if not target.leaving
     ]
-    return bool(present) and not any(
-        may_send_soon(state, service, target) for target in present
-    )
+    if not present or any(target.rate_limit is None for target in present):
+        return None
+    return sum(may_send_soon(state, service, target) for target in present)
 
 
 def shortest_wait_us(
@@ -184,8 +199,39 @@
     limit: targets.RateLimit,
 ) -> float:
     policy = state.configuration.policy(service.name)
-    per_s = max(MIN_REQUESTS_PER_S, LIMIT_FRACTION * limit.requests_per_s)
-    return per_s * fleet.share(state, policy) / 1e6
+    hosts = round(1 / fleet.share(state, policy))
+    if hosts != limit.divided_by:
+        fraction = used_fraction(limit.requests_per_s, hosts)
+        per_s = max(MIN_REQUESTS_PER_S, fraction * limit.requests_per_s)
+        limit.permits_per_us = per_s / hosts / 1e6
+        limit.divided_by = hosts
+    return limit.permits_per_us
+
+
+def used_fraction(requests_per_s: float, hosts: int) -> float:
+    """Returns the part of a limit that the gate hosts use together.
+
+    Hosts have their permits at random times. With several permits for each
+    host in a window their sum hardly varies, and the whole limit is used. With
+    fewer permits than hosts it varies, and the mean has to be lower.
+
+    Args:
+        requests_per_s: The limit.
+        hosts: Number of gate hosts.
+    """
+    window_s = TOLERANCE_WINDOW_S + PERMIT_LIFETIME_US / 1e6
+    tolerated = TOLERANCE_REQUESTS + (
+        TOLERANCE_FACTOR * TOLERANCE_WINDOW_S * requests_per_s
+    )
+    fraction = 1.0
+    while fraction > MIN_FRACTION:
+        mean = fraction * requests_per_s * window_s
+        remainder = mean / hosts % 1.0
+        deviation = math.sqrt(hosts * remainder * (1.0 - remainder))
+        if mean + TOLERANCE_DEVIATIONS * deviation <= tolerated:
+            break
+        fraction -= FRACTION_STEP
+    return fraction
 
 
 def _log_limit(
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -66,6 +66,9 @@
         permits: Requests that this gate host may send; the fraction is what has
             accrued of the next one.
         refilled_us: Time up to which the permits have accrued.
+        permits_per_us: Rate at which they accrue.
+        divided_by: Number of gate hosts on which that rate rests; 0 before it
+            has been computed.
         stated_by: Kinds of the answers that stated it.
         logged_us: Time of the latest log line about it.
     """
@@ -74,6 +77,8 @@
     stated_us: int
     permits: float
     refilled_us: int
+    permits_per_us: float = 0.0
+    divided_by: int = 0
     stated_by: set[AnswerKind] = attrs.field(factory=set)
     logged_us: int = 0
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -361,3 +361,31 @@
     assert answer.error == "target_limits"
     assert answer.retry_after_ms > 1_000
     assert [e.call_id for e in host.sent] == [1]
+
+
+# Calls that waited for permits were refused after 0.6 of their time.
+def test_calls_beyond_the_limits_of_all_targets_are_refused_soon(
+    make_published_host,
+):
+    host = make_published_host(targets=6)
+    host.feed(events.HostsReported, host.state.following.stream_number, 2)
+    host.advance(fleet_lib.JOIN_TIME_US)
+    loads = {f"10.0.0.{number}:80": report(5.0) for number in range(6)}
+    arrived_us, refused_us = {}, {}
+    known = len(host.effects)
+    for call_id in range(1, 401):
+        arrived_us[call_id] = host.now_us
+        host.call_arrives(call_id, deadline_ms=800)
+        host.advance(5_000)
+        host.answer_probes(loads)
+        new = host.effects[known:]
+        known += len(new)
+        for effect in new:
+            if isinstance(effect, effects.SendToTarget):
+                host.answer(effect.call_id, effect.attempt, report=report(5.0))
+                host.finish(effect.call_id)
+            elif isinstance(effect, effects.AnswerCaller):
+                refused_us[effect.call_id] = host.now_us
+    waits_us = [refused_us[call] - arrived_us[call] for call in refused_us]
+    assert len(waits_us) > 200
+    assert max(waits_us) <= 200_000
