Log when a gate host reaches no target

A host that is configured by the store records the targets that failed since the last answer of any, for each service and for all. Four of them without an answer for 100 ms write `targets_lost`; three answers in a row to checks, each on a connection of its own, write `targets_regained`. Checks take probe tokens. The value `targets_reachable` is 0 meanwhile. Nothing acts on it yet.

--- a/src/fireflyspindle/adapters/probe_client.py
+++ b/src/fireflyspindle/adapters/probe_client.py
@@ -81,7 +81,7 @@
     async def _send(
         self, effect: effects.ProbeTarget
     ) -> target_connection.Response | None:
-        connection = await self._connect(effect.target)
+        connection = await self._connect(effect)
         pooled = False
         try:
             if self._now_us() > effect.not_after_us:
@@ -98,9 +98,14 @@
             if not pooled:
                 connection.abort()
 
-    async def _connect(self, target: str) -> target_connection.TargetConnection:
+    async def _connect(
+        self, effect: effects.ProbeTarget
+    ) -> target_connection.TargetConnection:
+        target = effect.target
         if self._pool is not None:
-            idle = self._pool.take_idle(target, repeatable=True)
+            idle = None
+            if not effect.new_connection:
+                idle = self._pool.take_idle(target, repeatable=True)
             return idle or await self._pool.connect(target)
         loop = asyncio.get_running_loop()
         host, _, port = target.rpartition(":")
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
 from fireflyspindle.core import leaving
+from fireflyspindle.core import reachability
 from fireflyspindle.core import refusals
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
@@ -118,6 +119,7 @@
     service = state.services.get(call.service)
     if service is not None:
         ejection.on_answered(state, attempt, service, event)
+        reachability.on_answered(state, service)
         _update_limit(state, service, attempt, event)
 
 
@@ -242,6 +244,9 @@
     service = state.services.get(call.service)
     if service is not None:
         ejection.on_failed(state, attempt, service, event)
+        reachability.on_attempt_failed(
+            state, service, attempt.target, event.reason
+        )
     call.may_have_run = call.may_have_run or event.sent
     if not event.sent:
         call.unreached_attempts += 1
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -273,12 +273,14 @@
         path: Path of its load endpoint.
         not_after_us: Monotonic time after which the probe must not be sent;
             the shell then reports it as failed.
+        new_connection: Whether the probe needs a connection of its own.
     """
 
     probe_id: int
     target: str
     path: str
     not_after_us: int
+    new_connection: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -117,7 +117,7 @@
         state.last_probe_round_id, round_index, set()
     )
     for target in candidates:
-        if _take_probe_token(state):
+        if take_probe_token(state):
             probe_round.pending_probes.add(
                 probes.send_probe(
                     state, service, target, PROBE_TIMEOUT_US, call.call_id
@@ -151,7 +151,7 @@
     return per_s
 
 
-def _take_probe_token(state: state_lib.GateState) -> bool:
+def take_probe_token(state: state_lib.GateState) -> bool:
     """Takes one token from this gate host's share of the probe budget."""
     elapsed_us = state.now_us - state.probe_tokens_refilled_us
     if elapsed_us >= PROBE_REFILL_INTERVAL_US:
--- a/src/fireflyspindle/core/probes.py
+++ b/src/fireflyspindle/core/probes.py
@@ -11,6 +11,8 @@
     target: targets.Target,
     max_delay_us: int,
     call_id: int = 0,
+    *,
+    checks_reachability: bool = False,
 ) -> int:
     """Sends a load probe to a target; returns the number of the probe.
 
@@ -20,11 +22,17 @@
         target: The target.
         max_delay_us: Maximum delay before the probe is sent.
         call_id: Number of the call that waits for the load, or 0.
+        checks_reachability: Whether the probe checks that the target is
+            reachable, on a new connection.
     """
     target.load.probed_us = state.now_us
     state.last_probe_id += 1
     state.probes[state.last_probe_id] = state_lib.Probe(
-        service.name, target.spec.key, state.now_us, call_id
+        service.name,
+        target.spec.key,
+        state.now_us,
+        call_id,
+        checks_reachability,
     )
     service_settings = state.service_settings.get(service.name)
     if service_settings is not None:
@@ -37,6 +45,7 @@
             target.spec.address,
             path,
             state.now_us + max_delay_us,
+            new_connection=checks_reachability,
         )
     )
     return state.last_probe_id
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -13,6 +13,7 @@
 from fireflyspindle.core import placement
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probes
+from fireflyspindle.core import reachability
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
@@ -114,6 +115,9 @@
     target = service.targets.get(probe.target) if service else None
     if service is None or target is None:
         return
+    reachability.on_probe_ended(
+        state, service, target, probe, answered=report is not None
+    )
     if report is not None:
         target_limits.on_answer(
             state,
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -18,6 +18,7 @@
 from fireflyspindle.core import placement
 from fireflyspindle.core import probe_slots
 from fireflyspindle.core import probing
+from fireflyspindle.core import reachability
 from fireflyspindle.core import readiness
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_writer
@@ -163,6 +164,8 @@
             dispatch_queue.on_dispatch_due(state, service)
         case timers.DispatchWaitExpired(call_id):
             dispatch_queue.on_wait_expired(state, call_id)
+        case timers.ReachabilityCheckDue():
+            reachability.on_check_due(state)
         case _:
             _fire_store(state, timer)
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -16,6 +16,7 @@
 from fireflyspindle.core import members
 from fireflyspindle.core import published
 from fireflyspindle.core import queueing
+from fireflyspindle.core import reachability_state
 from fireflyspindle.core import recent_records as recent_records_lib
 from fireflyspindle.core import records
 from fireflyspindle.core import recovery_state
@@ -241,12 +242,14 @@
         target: Key of the target.
         sent_us: Time of sending.
         call_id: Number of the call whose probe round sent it, or 0.
+        checks_reachability: Whether it checks that the target is reachable.
     """
 
     service: str
     target: str
     sent_us: int
     call_id: int = 0
+    checks_reachability: bool = False
 
 
 @attrs.define
@@ -293,6 +296,7 @@
         dispatch_timer_armed: Whether a check for free slots is scheduled.
         resend_budget: Budget of attempts beyond the first of a request; None
             where the budgets of retries and hedges apply.
+        reachability: Whether this gate host reaches any of its targets.
         ejected: Ejected targets by key.
         retry_budget: Budget of retries.
         queue: Calls queued by admission, as the limits on attempts in flight
@@ -341,6 +345,9 @@
     waiting_calls: dict[int, None] = attrs.field(factory=dict)
     dispatch_timer_armed: bool = False
     resend_budget: budgets.WindowBudget | None = None
+    reachability: reachability_state.Reachability = attrs.field(
+        factory=reachability_state.Reachability
+    )
 
 
 @attrs.define
@@ -433,6 +440,8 @@
         last_probe_round_id: Number of the latest probe round.
         probe_tokens: Tokens of the probe rate limit, one per probe.
         probe_tokens_refilled_us: Time of their last refill.
+        reachability: Whether this gate host reaches any target.
+        reachability_check_scheduled: Whether the next check is scheduled.
     """
 
     settings: CoreSettings
@@ -488,6 +497,10 @@
     last_probe_round_id: int = 0
     probe_tokens: float = 0.0
     probe_tokens_refilled_us: int = 0
+    reachability: reachability_state.Reachability = attrs.field(
+        factory=reachability_state.Reachability
+    )
+    reachability_check_scheduled: bool = False
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -73,6 +73,11 @@
     """A count of the gate hosts by a reader is due."""
 
 
+@attrs.define
+class ReachabilityCheckDue:
+    """A check whether targets are reachable is due."""
+
+
 @attrs.define
 class DrainGraceExpired:
     """The load balancer has had time to stop using this gate host."""
@@ -120,6 +125,7 @@
     | AcceptTimeout
     | FollowCheckDue
     | HostCountDue
+    | ReachabilityCheckDue
     | DrainGraceExpired
     | DrainDeadline
     | GossipRoundDue
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -167,6 +167,9 @@
         self.metrics.gauges["probe_budget_per_s"] = (
             placement.probe_budget_per_s(self.state)
         )
+        self.metrics.gauges["targets_reachable"] = float(
+            not self.state.reachability.lost
+        )
         self.metrics.gauges["rate_limited_targets"] = sum(
             target.rate_limit is not None
             for service in self.state.services.values()
