--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,154 @@
+"""Runs several gate hosts on the platform, some cut off from all servers."""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from fireflyspindle import testing
+from fireflyspindle.platform import host as host_lib
+from fireflyspindle.platform import settings as settings_lib
+from fireflyspindle.testing import platform_documents
+from fireflyspindle.testing import store as store_lib
+import platform_driver
+import wire
+
+READERS = 3
+
+
+@attrs.define
+class Fleet:
+    """Gate hosts with a store and scripted servers."""
+
+    hosts: list[host_lib.PlatformHost]
+    servers: list[testing.ScriptedTarget]
+    server_addresses: set[str]
+
+    def cut_off(self, host, how):
+        """Cuts a host off from all servers; returns a function that ends it.
+
+        Args:
+            host: The host.
+            how: "refuse" or "hang", for new connections. Open ones are closed.
+        """
+        client = host.data_path.client
+        connect, take_idle = client.connect, client.take_idle
+
+        async def fail_to_connect(target):
+            if target not in self.server_addresses:
+                return await connect(target)
+            if how == "refuse":
+                raise ConnectionRefusedError
+            await asyncio.sleep(platform_driver.WAIT_S)
+            raise TimeoutError
+
+        def take_none(target, repeatable):
+            if target in self.server_addresses:
+                return None
+            return take_idle(target, repeatable)
+
+        client.connect, client.take_idle = fail_to_connect, take_none
+
+        def heal():
+            client.connect, client.take_idle = connect, take_idle
+
+        return heal
+
+    async def send(self, host, request):
+        """Sends a request to a host on a new connection."""
+        caller = await testing.connect(host.data_path.server.address)
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(request)
+        caller.close()
+        return response
+
+
+def _settings(number, addresses, readers, store_address):
+    control, relay = addresses
+    relay_port = int(relay.rpartition(":")[2])
+    raw = {
+        "self": {
+            "node-name": f"edge-{number}",
+            "zone": "a",
+            "ip-address": "127.0.0.1",
+        },
+        "network": {
+            "internal-ports": [relay_port, relay_port],
+            "seed-nodes": readers,
+            "listen-addrs": {
+                "front": "127.0.0.1:0",
+                "ready-addr": "127.0.0.1:0",
+                "control-addr": control,
+            },
+        },
+        "platform": {"platform": {"address": store_address}},
+        "terms": {
+            "contract-params": {
+                "retry-budget-ratio": 0.2,
+                "retry-slack": 62,
+                "probes-per-s": 60,
+            }
+        },
+    }
+    return settings_lib.parse(raw).unwrap()
+
+
+@contextlib.asynccontextmanager
+async def running(hosts, servers, work=None):
+    """Runs gate hosts, of which the first three read the store for all.
+
+    Args:
+        hosts: Number of gate hosts.
+        servers: Number of servers.
+        work: Writes the answers of servers to requests.
+    """
+    store = testing.StandInStore()
+    store_server = testing.Server(store.application())
+    store_address = await store_server.start()
+    store.write(
+        store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(1)
+    )
+    targets = [
+        testing.ScriptedTarget(
+            platform_driver.server_behaviour(work, f"i-{number}")
+        )
+        for number in range(servers)
+    ]
+    server_addresses = [await target.start() for target in targets]
+    for number, address in enumerate(server_addresses):
+        entry = platform_documents.target_entry(address)
+        store.write(store_lib.TARGETS_TOPIC, f"i-{number}", entry)
+    addresses = [
+        (testing.free_address(), testing.free_address()) for _ in range(hosts)
+    ]
+    readers = [control for control, _ in addresses[:READERS]]
+    fleet = Fleet(
+        [
+            host_lib.PlatformHost(
+                _settings(number, pair, readers, store_address)
+            )
+            for number, pair in enumerate(addresses)
+        ],
+        targets,
+        set(server_addresses),
+    )
+    for host in fleet.hosts:
+        await host.start()
+    await wire.until(
+        lambda: all(
+            len(host.state.registered_targets) == servers
+            and host.state.rule_table.version is not None
+            for host in fleet.hosts
+        )
+    )
+    try:
+        yield fleet
+    finally:
+        for host in fleet.hosts:
+            host.request_stop()
+            host.request_stop()
+        for host in fleet.hosts:
+            await host.wait_closed()
+        for target in targets:
+            await target.close()
+        await store_server.close()
