--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -183,6 +183,7 @@
         stage_started_s: Event loop time at which the current stage started:
             waiting for a request, or lingering after the last response.
         pending: Requests that are served or wait for earlier responses.
+        relays: Whether the caller is a gate host that relays calls.
     """
 
     def __init__(
@@ -190,8 +191,10 @@
         server: Server,
         loop: asyncio.AbstractEventLoop,
         buffer: bytearray,
+        relays: bool = False,
     ) -> None:
         super().__init__(loop, buffer)
+        self.relays = relays
         self._parser = http.HttpRequestParser(
             self,
             loop,
--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -75,6 +75,14 @@
         """
         await self.server.start(address, accepting)
 
+    async def start_relays(self, address: str, accepting: bool = True) -> None:
+        """Opens the address at which other gate hosts relay calls.
+
+        Raises:
+            OSError: The address can't be opened.
+        """
+        await self.server.start_relays(address, accepting)
+
     async def wait_idle(self) -> None:
         """Waits until no body is being buffered and no call is in flight.
 
@@ -120,6 +128,8 @@
             self._shell.metrics.event_counts[
                 "hedge" if effect.hedge else "retry"
             ] += 1
+        if effect.relayed:
+            self._shell.metrics.event_counts["relay"] += 1
         exchange = self.exchanges[effect.call_id]
         # A published rule overrides what the request's method implies.
         exchange.repeatable = effect.repeatable
@@ -135,16 +145,24 @@
         response = attempt.response
         assert response is not None
         response_headers = response.message.headers
-        self._shell.submit(
-            events.AttemptAnswered(
-                now_us=self._shell.now_us(),
-                call_id=attempt.exchange.call_id,
-                attempt=attempt.number,
-                status=response.message.code,
-                not_run=self._header_profile.not_run in response_headers,
-                report=self._header_profile.parse_load_report(response_headers),
-            )
+        event = events.AttemptAnswered(
+            now_us=self._shell.now_us(),
+            call_id=attempt.exchange.call_id,
+            attempt=attempt.number,
+            status=response.message.code,
         )
+        if attempt.relayed:
+            outcome = response_headers.get(headers.RELAY_OUTCOME)
+            event.not_carried = outcome == headers.NOT_CARRIED
+            event.not_run = (
+                event.not_carried or outcome == effects.Outcome.NOT_RUN.value
+            )
+        else:
+            event.not_run = self._header_profile.not_run in response_headers
+            event.report = self._header_profile.parse_load_report(
+                response_headers
+            )
+        self._shell.submit(event)
 
     def on_failed(
         self, attempt: target_client.Attempt, reason: events.FailureReason
@@ -223,6 +241,7 @@
         )
         notable = effect.steps.kept and (
             effect.past_soft_deadline
+            or effect.relayed
             or effect.attempts != 1
             or effect.outcome is not effects.Outcome.COMPLETE
         )
--- a/src/fireflyspindle/adapters/exchange.py
+++ b/src/fireflyspindle/adapters/exchange.py
@@ -40,6 +40,7 @@
         header_profile: Header names used by callers and targets.
         attempts: Attempts by number.
         too_large: Whether a streamed body exceeded its limit.
+        relayed: Whether another gate host relayed the call.
     """
 
     call_id: int
@@ -54,6 +55,7 @@
     body_prefix: bytes = b""
     attempts: "dict[int, target_client.Attempt]" = attrs.field(factory=dict)
     too_large: bool = False
+    relayed: bool = False
 
     @property
     def declares_body(self) -> bool:
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -82,6 +82,7 @@
         # Keeps request ids unique when a host restarts with the same host id.
         self._request_id_prefix = f"{host_id}-{time.time_ns() // 1_000_000:x}"
         self._server: asyncio.Server | None = None
+        self._relay_server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     async def start(self, address: str, accepting: bool = True) -> None:
@@ -95,6 +96,24 @@
         Raises:
             OSError: The address can't be opened.
         """
+        self._server = await self._listen(address, accepting, relays=False)
+        self._close_overdue()
+
+    async def start_relays(self, address: str, accepting: bool = True) -> None:
+        """Opens the address at which other gate hosts relay calls.
+
+        Args:
+            address: "ip:port".
+            accepting: Whether to accept connections at once.
+
+        Raises:
+            OSError: The address can't be opened.
+        """
+        self._relay_server = await self._listen(address, accepting, relays=True)
+
+    async def _listen(
+        self, address: str, accepting: bool, *, relays: bool
+    ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         listening_socket = socket.create_server(
@@ -104,19 +123,21 @@
         )
         listening_socket.setblocking(False)
         buffer = bytearray(shared_buffer.RECEIVE_BUFFER_BYTES)
-        self._server = await loop.create_server(
-            lambda: Connection(self, loop, buffer),
+        return await loop.create_server(
+            lambda: Connection(self, loop, buffer, relays),
             sock=listening_socket,
             backlog=BACKLOG,
             start_serving=accepting,
         )
-        self._close_overdue()
 
     async def accept(self) -> None:
         """Accepts waiting and further connections."""
         assert self._server is not None
-        if not self.stopping:
-            await self._server.start_serving()
+        if self.stopping:
+            return
+        await self._server.start_serving()
+        if self._relay_server is not None:
+            await self._relay_server.start_serving()
 
     @property
     def address(self) -> str:
@@ -139,6 +160,8 @@
         self.stopping = True
         if self._server is not None:
             self._server.close()
+        if self._relay_server is not None:
+            self._relay_server.close()
 
     def close_idle(self) -> None:
         """Closes the connections that have no request in progress."""
@@ -200,6 +223,7 @@
             case result.Err(refusal):
                 self._refuse(pending, refusal)
             case result.Ok(event):
+                event.relayed = pending.connection.relays
                 self._read_body(pending, message, payload, event)
 
     def _read_body(
@@ -283,6 +307,7 @@
             body_limit_bytes=self.body_limits.forwarded_bytes,
             caller=pending,
             header_profile=self._header_profile,
+            relayed=event.relayed,
         )
         pending.exchange = exchange
         self._shell.open_call(exchange, event)
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -38,6 +38,8 @@
         "retry_after_ms": None,
     }
     lines = [_OUTCOME_LINES[effects.Outcome.NOT_RUN], _CLOSE]
+    if pending.connection.relays:
+        lines.append(_relay_outcome_line(headers.NOT_CARRIED))
     pending.write(_local_response(refusal.status, lines, body, head_only=False))
     pending.finish(False)
 
@@ -55,7 +57,7 @@
         status, error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large"
         detail = f"the body exceeds {exchange.body_limit_bytes} bytes"
     keep_alive = caller.may_keep_alive
-    lines = _header_lines(exchange, effect.outcome)
+    lines = _header_lines(exchange, effect.outcome, effect.not_carried)
     lines += _connection_lines(exchange.message, keep_alive)
     if effect.retry_after_ms is not None:
         lines.append(
@@ -97,16 +99,25 @@
 
 
 def _header_lines(
-    exchange: exchange_lib.Exchange, outcome: effects.Outcome
+    exchange: exchange_lib.Exchange,
+    outcome: effects.Outcome,
+    not_carried: bool = False,
 ) -> list[bytes]:
     """Returns the header lines of every response of an exchange."""
     header_profile = exchange.header_profile
     lines = [f"{header_profile.request_id}: {exchange.request_id}\r\n".encode()]
     if header_profile.outcome:
         lines.append(_OUTCOME_LINES[outcome])
+    if exchange.relayed:
+        value = headers.NOT_CARRIED if not_carried else outcome.value
+        lines.append(_relay_outcome_line(value))
     return lines
 
 
+def _relay_outcome_line(value: str) -> bytes:
+    return f"{headers.RELAY_OUTCOME}: {value}\r\n".encode()
+
+
 def _connection_lines(
     message: http.RawRequestMessage, keep_alive: bool
 ) -> list[bytes]:
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -12,15 +12,23 @@
 import asyncio
 from collections.abc import Callable
 import json
+import random
 from typing import Any
 
 from aiohttp import web
 import attrs
 
 from fireflyspindle.adapters import store_records
+from fireflyspindle.core import events
 
 PATH = "/store-feed"
 HOST_COUNT_PATH = "/hosts"
+HELPERS_PATH = "/helpers"
+# Most helpers that one response lists, chosen at random: many hosts may ask at
+# the same time, and narrow links carry the responses.
+MAX_LISTED_HELPERS = 8
+# Time for which a host that asked because it is cut off is not listed.
+CUT_OFF_US = 2_500_000
 # Largest total size of the records in a line.
 MAX_RELAYED_BYTES = 8_192
 # Largest total size of the records that a read sends to all followers: half a
@@ -50,10 +58,12 @@
     Attributes:
         request: The follower's request.
         is_reader: Whether the follower is a reader too.
+        helper: Where the follower takes calls of other gate hosts, if it does.
     """
 
     request: web.Request
     is_reader: bool
+    helper: events.HelperAddress | None
 
     @property
     def connected(self) -> bool:
@@ -72,6 +82,8 @@
         failure_domain: Failure domain of this host.
         sources: Names of the sources.
         now_us: Clock that also advances while the host is suspended.
+        relay_address: Address at which this host takes calls of other gate
+            hosts; empty if it takes none.
 
     Attributes:
         gate_hosts: Number of gate hosts of the fleet, reported to the
@@ -83,8 +95,11 @@
         failure_domain: str,
         sources: tuple[str, ...],
         now_us: Callable[[], int],
+        relay_address: str = "",
     ) -> None:
         self.gate_hosts: int | None = None
+        self._relay_address = relay_address
+        self._cut_off_until_us: dict[str, int] = {}
         self._streams: set[_Stream] = set()
         self._now_us = now_us
         self._failure_domain = failure_domain
@@ -97,6 +112,7 @@
         return [
             web.get(PATH, self._on_follow),
             web.get(HOST_COUNT_PATH, self._on_count),
+            web.get(HELPERS_PATH, self._on_list_helpers),
         ]
 
     @property
@@ -113,6 +129,41 @@
             stream.connected for stream in self._streams if not stream.is_reader
         )
 
+    def list_helpers(self, cut_off: str = "") -> list[events.HelperAddress]:
+        """Returns some hosts that may carry calls for others.
+
+        Each gate host but the readers follows exactly one reader, and each
+        reader lists itself.
+
+        Args:
+            cut_off: Address at which the asking host would take calls, if it
+                can't carry any; otherwise empty.
+        """
+        now_us = self._now_us()
+        if cut_off:
+            self._cut_off_until_us[cut_off] = now_us + CUT_OFF_US
+        self._cut_off_until_us = {
+            address: until_us
+            for address, until_us in self._cut_off_until_us.items()
+            if until_us > now_us
+        }
+        known = {
+            stream.helper
+            for stream in self._streams
+            if stream.connected and not stream.is_reader
+        }
+        if self._relay_address:
+            known.add(
+                events.HelperAddress(self._relay_address, self._failure_domain)
+            )
+        listed = [
+            helper
+            for helper in known
+            if helper is not None
+            and helper.address not in self._cut_off_until_us
+        ]
+        return random.sample(listed, min(MAX_LISTED_HELPERS, len(listed)))
+
     def record_read(
         self,
         name: str,
@@ -159,6 +210,17 @@
     async def _on_count(self, _request: web.Request) -> web.Response:
         return web.json_response({"hosts": self.count_hosts()})
 
+    async def _on_list_helpers(self, request: web.Request) -> web.Response:
+        helpers = self.list_helpers(request.query.get("cut-off", "")[:100])
+        return web.json_response(
+            {
+                "helpers": [
+                    [helper.address, helper.failure_domain]
+                    for helper in helpers
+                ]
+            }
+        )
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -176,7 +238,9 @@
         unlimited = "unlimited" in request.query
         response = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
         await response.prepare(request)
-        stream = _Stream(request, "reader" in request.query)
+        stream = _Stream(
+            request, "reader" in request.query, _helper_of(request)
+        )
         self._streams.add(stream)
         try:
             await self._write_lines(response, offsets, unlimited)
@@ -250,6 +314,15 @@
         }
 
 
+def _helper_of(request: web.Request) -> events.HelperAddress | None:
+    """Returns where a follower takes calls of other gate hosts, if stated."""
+    address = request.query.get("relay", "")[:100]
+    if not address:
+        return None
+    failure_domain = request.query.get("failure-domain", "")[:100]
+    return events.HelperAddress(address, failure_domain)
+
+
 def _encode_record(record: store_records.Record) -> list[Any]:
     # Latin-1 maps each byte to one character, which JSON can represent.
     value = record.value
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -9,12 +9,15 @@
 
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_records
+from fireflyspindle.core import events
 
 # Hosts of the same or a neighbouring failure domain connect within a few
 # milliseconds.
 CONNECT_TIMEOUT_S = 0.5
 # Time for the response to a host count; a reader counts every 2 s.
 COUNT_TIMEOUT_S = 1.0
+# Time for the list of helpers, for which calls wait.
+HELPERS_TIMEOUT_S = 0.5
 
 
 @attrs.define(frozen=True)
@@ -51,9 +54,14 @@
 
 
 class FeedClient:
-    """Receives the streams of other gate hosts."""
+    """Receives the streams of other gate hosts.
 
-    def __init__(self) -> None:
+    Args:
+        helper: Where this host takes calls of other gate hosts, if it does.
+    """
+
+    def __init__(self, helper: events.HelperAddress | None = None) -> None:
+        self._helper = helper
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -89,6 +97,9 @@
             query["unlimited"] = "yes"
         if is_reader:
             query["reader"] = "yes"
+        if self._helper is not None:
+            query["relay"] = self._helper.address
+            query["failure-domain"] = self._helper.failure_domain
         # No time limit between lines: the reducer detects a silent host, since
         # it knows how often a line is due.
         timeout = aiohttp.ClientTimeout(
@@ -131,6 +142,43 @@
         ):
             return None
 
+    async def list_helpers(
+        self, address: str, cut_off: bool
+    ) -> list[events.HelperAddress] | None:
+        """Returns some hosts that may carry calls, as a reader knows them.
+
+        Args:
+            address: Control address of the reader.
+            cut_off: Whether this host can't carry calls itself.
+
+        Returns:
+            The hosts; None if there is no valid response in time.
+        """
+        query = {}
+        if cut_off and self._helper is not None:
+            query["cut-off"] = self._helper.address
+        timeout = aiohttp.ClientTimeout(total=HELPERS_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                f"http://{address}{store_feed.HELPERS_PATH}",
+                params=query,
+                timeout=timeout,
+                raise_for_status=True,
+            ) as response:
+                rows = (await response.json())["helpers"]
+                return [
+                    events.HelperAddress(str(helper), str(failure_domain))
+                    for helper, failure_domain in rows
+                ]
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TypeError,
+            KeyError,
+            ValueError,
+        ):
+            return None
+
     async def close(self) -> None:
         """Closes every connection."""
         await self._session.close()
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -61,6 +61,7 @@
         number: Number of the attempt within the call.
         target: Address of the target.
         incarnation: Incarnation that the request is addressed to, or "".
+        relayed: Whether the target is a gate host that carries the call.
         sent: Whether a byte of the request may have been sent.
         ended: Whether its end has been reported.
         response: The response, once its head has arrived.
@@ -76,6 +77,7 @@
     _client: "TargetClient"
     _timeout_us: int
     _started_us: int
+    relayed: bool = False
     sent: bool = False
     ended: bool = False
     response: target_connection.Response | None = None
@@ -91,9 +93,13 @@
 
     def begin(self) -> None:
         """Sends the request on an idle connection or a new one."""
-        connection = self._client.take_idle(
-            self.target, self.exchange.repeatable
-        )
+        connection = None
+        # A gate host may close an idle connection as it stops. A request that
+        # may run once is not put at that risk.
+        if self.exchange.repeatable or not self.relayed:
+            connection = self._client.take_idle(
+                self.target, self.exchange.repeatable
+            )
         if connection is None:
             self._spawn(self._connect())
             return
@@ -251,6 +257,7 @@
             self,
             effect.timeout_us,
             self.now_us(),
+            effect.relayed,
         )
         exchange.attempts[effect.attempt] = attempt
         attempt.begin()
--- a/src/fireflyspindle/core/admission.py
+++ b/src/fireflyspindle/core/admission.py
@@ -5,6 +5,7 @@
 from fireflyspindle.core import dispatch_queue
 from fireflyspindle.core import limits
 from fireflyspindle.core import placement
+from fireflyspindle.core import reachability
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import timers
@@ -87,6 +88,9 @@
         return
     if placement.place(state, service, call):
         return
+    if reachability.is_lost(state, service):
+        placement.refuse_no_target(state, service, call)
+        return
     if service.in_flight and _has_available_target(state, service):
         _enqueue(state, service, call)
         return
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -36,6 +36,7 @@
                 if refusal.status == 503
                 else None
             ),
+            not_carried=event.relayed,
         )
     )
     state.emit(
@@ -59,6 +60,8 @@
     error: str,
     detail: str,
     retry_after_ms: int | None = None,
+    *,
+    not_carried: bool = False,
 ) -> None:
     """Answers the caller with an error and the outcome of its request."""
     outcome = effects.Outcome.NOT_RUN
@@ -74,6 +77,7 @@
             error=error,
             detail=detail,
             retry_after_ms=max(_min_retry_after_ms(state), retry_after_ms or 0),
+            not_carried=not_carried,
         ),
     )
 
@@ -134,6 +138,7 @@
             target_us=call.target_us,
             attempts=call.sent_attempts,
             route=call.route,
+            relayed=call.relayed or bool(call.relays),
             past_soft_deadline=call.soft_deadline_us is not None
             and state.now_us > call.soft_deadline_us,
             steps=call.steps,
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -23,43 +23,88 @@
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
+    service = state.services[call.service]
+    attempt = _add(state, service, call, target)
+    if call.route:
+        attempt.expected_slowdown = forecast.expected_slowdown(
+            state, service, target
+        )
+        attempt.near_capacity = forecast.is_near_capacity(
+            state, service, target
+        )
+    target_limits.on_sent(state, service, target)
+    _record_step(state, call, attempt)
+    _send(state, call, attempt)
+    hedging.schedule(state, call)
+
+
+def begin_relay(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+    helper: targets.Target,
+) -> None:
+    """Sends a call to a gate host that carries it.
+
+    Raises:
+        AssertionError: A non-repeatable request would be sent although it
+            may have run or may still run.
+    """
+    attempt = _add(state, service, call, helper)
+    attempt.relayed = True
+    call.record_step(
+        state.now_us,
+        "relayed",
+        helper.spec.key,
+        attempt=attempt.number,
+        own_in_flight=helper.in_flight - 1,
+        helpers=len(state.helpers.by_address),
+    )
+    _send(state, call, attempt)
+
+
+def _add(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+    target: targets.Target,
+) -> state_lib.Attempt:
+    """Adds an attempt to a call and counts it at its target."""
     may_run = call.may_have_run or any(
         not attempt.declined for attempt in call.attempts.values()
     )
     assert call.repeatable or not may_run
     call.sent_attempts += 1
     call.probe_round = None
-    service = state.services[call.service]
     attempt = state_lib.Attempt(
         call.sent_attempts, target, state.now_us, service
     )
-    if call.route:
-        attempt.expected_slowdown = forecast.expected_slowdown(
-            state, service, target
-        )
-        attempt.near_capacity = forecast.is_near_capacity(
-            state, service, target
-        )
     capacity.on_attempt_begun(service, call)
-    target_limits.on_sent(state, service, target)
     call.attempts[attempt.number] = attempt
-    _record_step(state, call, attempt)
     call.last_target = target.spec.address
     call.tried_targets.add(target.spec.key)
     targets.on_attempt_started(target, state.now_us)
     load_lib.on_attempt_started(target.load, state.now_us)
+    return attempt
+
+
+def _send(
+    state: state_lib.GateState,
+    call: state_lib.Call,
+    attempt: state_lib.Attempt,
+) -> None:
     state.emit(
         effects.SendToTarget(
             call_id=call.call_id,
             attempt=attempt.number,
-            target=target.spec.address,
+            target=attempt.target.spec.address,
             timeout_us=call.deadline_us - state.now_us,
             hedge=len(call.attempts) > 1,
-            incarnation=discovery.incarnation_of(target),
+            incarnation=discovery.incarnation_of(attempt.target),
             repeatable=call.repeatable,
+            relayed=attempt.relayed,
         )
     )
-    hedging.schedule(state, call)
 
 
 def _record_step(
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -12,8 +12,10 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import hedging
 from fireflyspindle.core import leaving
+from fireflyspindle.core import placement
 from fireflyspindle.core import reachability
 from fireflyspindle.core import refusals
+from fireflyspindle.core import relays
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
@@ -55,11 +57,14 @@
         soft_deadline_us=destination.soft_deadline_us,
         max_attempts=destination.max_attempts,
         priority=destination.priority,
+        relayed=event.relayed,
     )
     state.calls[call.call_id] = call
     state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
-    retries.on_arrived(state, service)
-    hedging.on_arrived(state, service)
+    if not call.relayed:
+        # The host that relayed the call has credited its own budgets.
+        retries.on_arrived(state, service)
+        hedging.on_arrived(state, service)
     claims.admit_call(state, call, event)
 
 
@@ -76,8 +81,9 @@
     if call is None or event.attempt not in call.attempts:
         return
     attempt = call.attempts[event.attempt]
-    _update_target(state, call, attempt, event)
-    attempts.record_answer(state, call, attempt, event)
+    if not attempt.relayed:
+        _update_target(state, call, attempt, event)
+        attempts.record_answer(state, call, attempt, event)
     attempt.declined = event.not_run
     call.record_step(
         state.now_us,
@@ -97,7 +103,11 @@
     if event.not_run and call.route:
         _retry_not_run(state, call, attempt, event)
         return
-    if _is_retriable(call, event) and _replace_attempt(state, call, attempt):
+    if (
+        not attempt.relayed
+        and _is_retriable(call, event)
+        and _replace_attempt(state, call, attempt)
+    ):
         call.may_have_run = call.may_have_run or not event.not_run
         return
     call.phase = state_lib.CallPhase.FORWARDING
@@ -174,9 +184,15 @@
 ) -> None:
     """Retries a call that the target did not run, or gives up on it."""
     attempts.cancel(state, call, attempt)
+    if event.not_carried:
+        relays.on_not_carried(state, attempt.target.spec.address)
     if call.attempts or call.probe_round is not None:
         return
-    if retries.retry(state, call, reached_target=True):
+    if attempt.relayed:
+        # The helper has retried the call at other targets itself.
+        if event.not_carried and _place_again(state, call):
+            return
+    elif retries.retry(state, call, reached_target=True):
         return
     answers.fail_call(
         state,
@@ -242,7 +258,10 @@
     )
     attempts.release(state, call, attempt)
     service = state.services.get(call.service)
-    if service is not None:
+    if attempt.relayed:
+        if event.reason is not events.FailureReason.CANCELLED:
+            relays.on_not_carried(state, attempt.target.spec.address)
+    elif service is not None:
         ejection.on_failed(state, attempt, service, event)
         reachability.on_attempt_failed(
             state, service, attempt.target, event.reason
@@ -252,7 +271,7 @@
         call.unreached_attempts += 1
     match call.phase:
         case state_lib.CallPhase.WAITING:
-            _retry_failed(state, call, event)
+            _retry_failed(state, call, attempt, event)
         case state_lib.CallPhase.FORWARDING:
             call.phase = state_lib.CallPhase.ANSWERED
             call.outcome = effects.Outcome.UNKNOWN
@@ -264,13 +283,19 @@
 def _retry_failed(
     state: state_lib.GateState,
     call: state_lib.Call,
+    attempt: state_lib.Attempt,
     event: events.AttemptFailed,
 ) -> None:
     if call.attempts or call.probe_round is not None:
         return
-    may_rerun = call.repeatable or not event.sent
-    if may_rerun and retries.retry(state, call, reached_target=event.sent):
-        return
+    if attempt.relayed:
+        if not event.sent and _place_again(state, call):
+            return
+    elif call.repeatable or not event.sent:
+        if retries.retry(state, call, reached_target=event.sent):
+            return
+        if not call.may_have_run and _relay(state, call):
+            return
     answers.fail_call(
         state,
         call,
@@ -280,6 +305,22 @@
     )
 
 
+def _place_again(state: state_lib.GateState, call: state_lib.Call) -> bool:
+    """Sends a call that no helper has carried to another one or a target."""
+    service = state.services.get(call.service)
+    if service is None or state.now_us >= call.deadline_us:
+        return False
+    return placement.place(state, service, call)
+
+
+def _relay(state: state_lib.GateState, call: state_lib.Call) -> bool:
+    """Relays a call that reached no target."""
+    service = state.services.get(call.service)
+    if service is None or state.now_us >= call.deadline_us:
+        return False
+    return relays.relay(state, service, call)
+
+
 def on_caller_left(
     state: state_lib.GateState, event: events.CallerDisconnected
 ) -> None:
--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -13,6 +13,8 @@
 from fireflyspindle.core import attempts
 from fireflyspindle.core import forecast
 from fireflyspindle.core import placement
+from fireflyspindle.core import reachability
+from fireflyspindle.core import relays
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_selection
@@ -215,6 +217,8 @@
     if service is None:
         return
     service.dispatch_timer_armed = False
+    if reachability.is_lost(state, service):
+        relays.relay_waiting(state, service)
     dispatch(state, service)
     _refuse_beyond_limits(state, service)
     if not service.waiting_calls:
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -29,6 +29,7 @@
         incarnation: Incarnation of the target that must receive the request,
             or an empty string for any.
         repeatable: Whether the request may run more than once.
+        relayed: Whether the target is a gate host that carries the call.
     """
 
     call_id: int
@@ -38,6 +39,7 @@
     hedge: bool = False
     incarnation: str = ""
     repeatable: bool = True
+    relayed: bool = False
 
 
 @attrs.define
@@ -83,6 +85,8 @@
         detail: Human-readable explanation.
         retry_after_ms: Time after which the caller may retry, or None.
         recorded_status: HTTP status of the earlier request's answer, or 0.
+        not_carried: Whether this host could not carry a relayed call, unlike
+            one whose targets declined it.
     """
 
     call_id: int
@@ -92,6 +96,7 @@
     detail: str
     retry_after_ms: int | None = None
     recorded_status: int = 0
+    not_carried: bool = False
 
 
 @attrs.define
@@ -109,6 +114,7 @@
         attempts: Number of attempts sent.
         route: Name of the published rule that matched it, or "".
         past_soft_deadline: Whether it ended after its soft deadline.
+        relayed: Whether it was relayed to or by another gate host.
         steps: Decisions made for it; recorded for published rules only.
     """
 
@@ -122,6 +128,7 @@
     attempts: int
     route: str = ""
     past_soft_deadline: bool = False
+    relayed: bool = False
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
 
 
@@ -231,6 +238,19 @@
     hosts: int
 
 
+@attrs.define
+class ListHelpers:
+    """Ask the readers which gate hosts may carry calls for this one.
+
+    Attributes:
+        readers: Control addresses of the other readers.
+        cut_off: Whether this host can't carry calls itself.
+    """
+
+    readers: tuple[str, ...]
+    cut_off: bool
+
+
 @attrs.define
 class SetCallerLimits:
     """Apply limits to subsequent requests of callers."""
@@ -346,6 +366,7 @@
     | StopFollowing
     | CountHosts
     | ReportHosts
+    | ListHelpers
     | SetCallerLimits
     | ReadHostList
     | AppendRecord
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -82,6 +82,7 @@
             host, if stated.
         host: Requested host name, in lower case.
         request_id: Id of the request, for targets and log lines.
+        relayed: Whether another gate host relayed the call.
     """
 
     now_us: int
@@ -99,6 +100,7 @@
     other_copies: bool | None = None
     host: str = ""
     request_id: str = ""
+    relayed: bool = False
 
 
 @attrs.define
@@ -112,6 +114,8 @@
         status: HTTP status of the answer.
         not_run: Whether the target states that it did not run the request.
         report: Load report on the answer, if any.
+        not_carried: Whether a helper states that it could not carry the call,
+            unlike one whose targets declined it.
     """
 
     now_us: int
@@ -120,6 +124,7 @@
     status: int
     not_run: bool = False
     report: LoadReport | None = None
+    not_carried: bool = False
 
 
 @attrs.define
@@ -473,6 +478,34 @@
     hosts_by_reader: dict[str, int | None]
 
 
+@attrs.define(frozen=True)
+class HelperAddress:
+    """Where a gate host takes the calls of other gate hosts.
+
+    Attributes:
+        address: "ip:port".
+        failure_domain: Failure domain that it runs in.
+    """
+
+    address: str
+    failure_domain: str
+
+
+@attrs.define
+class HelpersListed:
+    """The readers listed gate hosts that may carry calls for this one.
+
+    Attributes:
+        now_us: Monotonic time.
+        helpers: The hosts.
+        complete: Whether every reader that can be reached has answered.
+    """
+
+    now_us: int
+    helpers: tuple[HelperAddress, ...]
+    complete: bool = True
+
+
 @attrs.define
 class HostsReported:
     """The followed reader reported the number of gate hosts.
@@ -512,4 +545,5 @@
     | ReadersChanged
     | HostsCounted
     | HostsReported
+    | HelpersListed
 )
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -13,7 +13,10 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import fleet
 from fireflyspindle.core import forecast
+from fireflyspindle.core import helper_list
 from fireflyspindle.core import probes
+from fireflyspindle.core import reachability
+from fireflyspindle.core import relays
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_selection
@@ -46,6 +49,11 @@
     Returns:
         False when there is no target.
     """
+    if reachability.is_lost(state, service):
+        if call.relayed or relays.relay(state, service, call):
+            return not call.relayed
+        if helper_list.is_known(state):
+            return False
     if not service.probes_before_send:
         target = choose_target(state, service, call)
         return _send(state, call, target)
@@ -209,6 +217,10 @@
     if service is None or call.phase is not state_lib.CallPhase.WAITING:
         answers.finish_if_done(state, call)
         return
+    if reachability.is_lost(state, service) and helper_list.is_known(state):
+        if not place(state, service, call) and not call.attempts:
+            refuse_no_target(state, service, call)
+        return
     if ended_round.index < MAX_ROUNDS:
         if dispatch_queue.find_available_target(state, service, call) is None:
             if probe_targets(state, service, call, ended_round.index + 1):
@@ -249,6 +261,17 @@
 ) -> None:
     """Refuses a call that no target is available for."""
     service.waiting_calls.pop(call.call_id, None)
+    if reachability.is_lost(state, service):
+        answers.fail_call(
+            state,
+            call,
+            answers.failure_status(call),
+            "targets_unreachable",
+            f"this gate host reaches no target of service {service.name}, and"
+            " no other one carries the call",
+            not_carried=call.relayed,
+        )
+        return
     if target_limits.max_waiting_calls(state, service) is None:
         answers.fail_call(
             state, call, 503, "no_target", "no target is available"
--- a/src/fireflyspindle/core/reachability.py
+++ b/src/fireflyspindle/core/reachability.py
@@ -10,6 +10,7 @@
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import helper_list
 from fireflyspindle.core import placement
 from fireflyspindle.core import probes
 from fireflyspindle.core import reachability_state
@@ -127,6 +128,7 @@
     if len(group.failed_targets) < needed:
         return
     group.lost_us = state.now_us
+    group.silent_us = group.answered_us
     group.check_answers = 0
     silent_ms = (state.now_us - group.answered_us) // 1000
     detail = (
@@ -136,6 +138,7 @@
     )
     state.emit(effects.WriteLogLine("warning", "targets_lost", detail))
     _schedule_check(state)
+    helper_list.on_path_lost(state)
 
 
 def _regain(
@@ -148,10 +151,22 @@
     lost_ms = (state.now_us - group.lost_us) // 1000
     detail = f"{name} are reachable again after {lost_ms} ms"
     state.emit(effects.WriteLogLine("info", "targets_regained", detail))
-    group.lost_us = None
-    group.check_answers = 0
     for service in services:
+        _forget_failures(service, group.silent_us)
         service.reachability = reachability_state.Reachability(state.now_us)
+    group.lost_us = None
+    group.check_answers = 0
+
+
+def _forget_failures(service: state_lib.ServiceState, since_us: int) -> None:
+    """Resets what failures since a time tell about single targets."""
+    for target in service.targets.values():
+        target.reported_load.unresponsive_until_us = 0
+        target.reported_load.missed_probes = 0
+        if target.ejected and target.health.ejected_us >= since_us:
+            target.ejected = False
+            target.health = targets.Health()
+            del service.ejected[target.spec.key]
 
 
 def on_check_due(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import following
 from fireflyspindle.core import hedging
+from fireflyspindle.core import helper_list
 from fireflyspindle.core import host_count
 from fireflyspindle.core import host_list
 from fireflyspindle.core import log
@@ -21,6 +22,7 @@
 from fireflyspindle.core import reachability
 from fireflyspindle.core import readiness
 from fireflyspindle.core import recovery
+from fireflyspindle.core import relays
 from fireflyspindle.core import snapshot_writer
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
@@ -122,10 +124,18 @@
         case events.ReadersChanged():
             store_reads.on_readers_changed(state, event)
             host_count.schedule(state)
+        case _:
+            _apply_fleet(state, event)
+
+
+def _apply_fleet(state: state_lib.GateState, event: events.Event) -> None:
+    match event:
         case events.HostsCounted():
             host_count.on_counted(state, event)
         case events.HostsReported():
             host_count.on_reported(state, event)
+        case events.HelpersListed():
+            relays.on_helpers_listed(state, event)
         case _:
             pass
 
@@ -166,6 +176,8 @@
             dispatch_queue.on_wait_expired(state, call_id)
         case timers.ReachabilityCheckDue():
             reachability.on_check_due(state)
+        case timers.HelperListDue():
+            helper_list.on_due(state)
         case _:
             _fire_store(state, timer)
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import forecast_state
+from fireflyspindle.core import helpers as helpers_lib
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import members
@@ -78,6 +79,7 @@
         expected_slowdown: Expected processing time, relative to the usual time.
         near_capacity: Whether the target's slots were nearly all in use.
         declined: Whether the target stated that it did not run the request.
+        relayed: Whether the target is a gate host that carries the call.
     """
 
     number: int
@@ -87,6 +89,7 @@
     expected_slowdown: float = 1.0
     near_capacity: bool = False
     declined: bool = False
+    relayed: bool = False
 
 
 @attrs.define
@@ -124,6 +127,8 @@
         unreached_attempts: Attempts that never reached their target.
         probe_round: Probe round in progress before its next attempt, if any.
         steps: Decisions made for it.
+        relayed: Whether another gate host relayed it to this one.
+        relays: Attempts by other gate hosts.
     """
 
     call_id: int
@@ -153,6 +158,8 @@
     unreached_attempts: int = 0
     probe_round: "ProbeRound | None" = None
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
+    relayed: bool = False
+    relays: int = 0
 
     def record_step(
         self,
@@ -442,6 +449,7 @@
         probe_tokens_refilled_us: Time of their last refill.
         reachability: Whether this gate host reaches any target.
         reachability_check_scheduled: Whether the next check is scheduled.
+        helpers: Gate hosts that may carry calls for this one.
     """
 
     settings: CoreSettings
@@ -501,6 +509,7 @@
         factory=reachability_state.Reachability
     )
     reachability_check_scheduled: bool = False
+    helpers: helpers_lib.Helpers = attrs.field(factory=helpers_lib.Helpers)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -29,6 +29,8 @@
         is_reader: Whether this host reads the store for others.
         other_reader_addresses: Control addresses of the other readers.
         long_poll_wait_ms: Maximum time that a read long-polls the store.
+        relay_address: Address on which this host takes calls that other gate
+            hosts relay; empty if it takes none.
     """
 
     min_read_interval_ms: int = 1_000
@@ -42,6 +44,7 @@
     is_reader: bool = False
     other_reader_addresses: tuple[str, ...] = ()
     long_poll_wait_ms: int = 800
+    relay_address: str = ""
 
 
 class Source(enum.Enum):
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -78,6 +78,11 @@
     """A check whether targets are reachable is due."""
 
 
+@attrs.define
+class HelperListDue:
+    """The next request for the list of helpers is due."""
+
+
 @attrs.define
 class DrainGraceExpired:
     """The load balancer has had time to stop using this gate host."""
@@ -126,6 +131,7 @@
     | FollowCheckDue
     | HostCountDue
     | ReachabilityCheckDue
+    | HelperListDue
     | DrainGraceExpired
     | DrainDeadline
     | GossipRoundDue
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -25,6 +25,11 @@
 INCARNATION = "Fireflyspindle-Incarnation"
 NOT_RUN = "Fireflyspindle-Not-Run"
 
+# Outcome of a call that another gate host relayed; between gate hosts only.
+RELAY_OUTCOME = "Fireflyspindle-Relay-Outcome"
+# Value that states that the gate host could not carry the call.
+NOT_CARRIED = "not-carried"
+
 # Prefix of the headers defined by the gate, in lower case.
 OWN_PREFIX = b"fireflyspindle-"
 
@@ -41,6 +46,7 @@
         b"connection",
         b"content-length",
         b"expect",
+        b"fireflyspindle-relay-outcome",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -73,6 +73,7 @@
             settings.store_address,
             settings.failure_domain,
             settings.control_address,
+            settings.relay_address,
         )
         self._runners: list[web.AppRunner] = []
 
@@ -98,6 +99,10 @@
         await self.data_path.start(
             self.settings.callers_address, accepting=False
         )
+        if self.settings.relay_address:
+            await self.data_path.start_relays(
+                self.settings.relay_address, accepting=False
+            )
         await self._serve(
             self.settings.readiness_address,
             [
@@ -188,6 +193,7 @@
                 | effects.StopFollowing()
                 | effects.CountHosts()
                 | effects.ReportHosts()
+                | effects.ListHelpers()
             ):
                 self._store_sync.execute_effect(effect)
             case effects.SetCallerLimits(limits):
@@ -227,5 +233,6 @@
             is_reader=settings.is_reader,
             other_reader_addresses=settings.other_reader_addresses,
             long_poll_wait_ms=int(apply_bound_ms * READ_WAIT_FRACTION),
+            relay_address=settings.relay_address,
         ),
     )
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -9,6 +9,7 @@
 
 # Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = "FIREFLYSPINDLE_BOOT"
+MAX_PORT = 65_536
 
 
 @attrs.define(frozen=True)
@@ -50,6 +51,8 @@
             where the host's role has none.
         reader_addresses: Control addresses of the hosts that read the store for
             the others; may be out of date.
+        relay_address: Address on which this host takes calls of other hosts;
+            empty where the platform gives no port for it.
         first_start: Whether the whole system starts for the first time.
         bounds: Bounds that the platform requires.
     """
@@ -61,6 +64,7 @@
     store_address: str
     control_address: str = ""
     reader_addresses: tuple[str, ...] = ()
+    relay_address: str = ""
     first_start: bool = False
     bounds: Bounds = Bounds()
 
@@ -111,6 +115,7 @@
         store_address=required_text("platform", "platform", "address"),
         control_address=_control_address(raw, errors),
         reader_addresses=_readers(raw, errors),
+        relay_address=_relay_address(raw, errors),
         first_start=_lookup(raw, ("self", "bootstrap")) is True,
         bounds=_bounds(raw, errors),
     )
@@ -128,6 +133,25 @@
     return value
 
 
+def _relay_address(raw: dict[str, Any], errors: list[str]) -> str:
+    """Returns the address of the first port for use between hosts."""
+    path = ("network", "internal-ports")
+    value = _lookup(raw, path)
+    if value is None:
+        return ""
+    if (
+        not isinstance(value, list)
+        or not value
+        or not isinstance(value[0], int)
+        or not 0 < value[0] < MAX_PORT
+    ):
+        errors.append(f"{'.'.join(path)}: found {value!r}; give port numbers")
+        return ""
+    callers_address = _lookup(raw, ("network", "listen-addrs", "front"))
+    host = str(callers_address).rpartition(":")[0]
+    return f"{host}:{value[0]}"
+
+
 def _readers(raw: dict[str, Any], errors: list[str]) -> tuple[str, ...]:
     # The platform lists readers as seed nodes, which a new host may ask first.
     value = _lookup(raw, ("network", "seed-nodes"))
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -29,6 +29,8 @@
         store_address: Address of the store, "ip:port".
         failure_domain: Failure domain of this host.
         control_address: Address at which other hosts follow this one.
+        relay_address: Address at which this host takes calls of other gate
+            hosts; empty if it takes none.
 
     Attributes:
         feed: Relays the reads of this host to the hosts that follow it.
@@ -41,14 +43,21 @@
         store_address: str,
         failure_domain: str,
         control_address: str,
+        relay_address: str = "",
     ) -> None:
         sources = tuple(source.value for source in store_state.Source)
-        self.feed = store_feed.Feed(failure_domain, sources, shell.now_us)
+        self.feed = store_feed.Feed(
+            failure_domain, sources, shell.now_us, relay_address
+        )
         self.decoder = store_decoder.Decoder()
         self._shell = shell
         self._control_address = control_address
         self._store = store_client.StoreClient(store_address)
-        self._feed_client = store_feed_client.FeedClient()
+        helper = None
+        if relay_address:
+            helper = events.HelperAddress(relay_address, failure_domain)
+        self._relay_address = relay_address
+        self._feed_client = store_feed_client.FeedClient(helper)
         self._read_tasks: dict[str, asyncio.Task[None]] = {}
         self._follow_task: asyncio.Task[None] | None = None
 
@@ -59,7 +68,8 @@
         | effects.FollowReader
         | effects.StopFollowing
         | effects.CountHosts
-        | effects.ReportHosts,
+        | effects.ReportHosts
+        | effects.ListHelpers,
     ) -> None:
         """Executes one effect."""
         match effect:
@@ -79,6 +89,8 @@
                 self._shell.spawn(self._count_hosts(readers))
             case effects.ReportHosts(hosts):
                 self.feed.gate_hosts = hosts
+            case effects.ListHelpers():
+                self._shell.spawn(self._list_helpers(effect))
 
     async def close(self) -> None:
         """Closes every connection to the store and to readers."""
@@ -179,6 +191,31 @@
             events.HostsCounted(self._shell.now_us(), hosts_by_reader)
         )
 
+    async def _list_helpers(self, effect: effects.ListHelpers) -> None:
+        """Submits the helpers that each reader lists, as soon as it does."""
+        cut_off = self._relay_address if effect.cut_off else ""
+        found = set(self.feed.list_helpers(cut_off))
+        requests = [
+            self._feed_client.list_helpers(reader, effect.cut_off)
+            for reader in effect.readers
+        ]
+        answered = not requests
+        for request in asyncio.as_completed(requests):
+            helpers = await request
+            if helpers is not None:
+                answered = True
+                found.update(helpers)
+                self._submit_helpers(found, complete=False)
+        if answered:
+            self._submit_helpers(found, complete=True)
+
+    def _submit_helpers(
+        self, found: set[events.HelperAddress], *, complete: bool
+    ) -> None:
+        self._shell.submit(
+            events.HelpersListed(self._shell.now_us(), tuple(found), complete)
+        )
+
     def _decode(
         self,
         source: store_state.Source,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -65,18 +65,17 @@
 
 def _settings(number, addresses, readers, store_address):
     control, relay = addresses
-    relay_port = int(relay.rpartition(":")[2])
+    relay_ip, _, relay_port = relay.rpartition(":")
     raw = {
         "self": {
             "node-name": f"edge-{number}",
             "zone": "a",
-            "ip-address": "127.0.0.1",
         },
         "network": {
-            "internal-ports": [relay_port, relay_port],
+            "internal-ports": [int(relay_port), int(relay_port)],
             "seed-nodes": readers,
             "listen-addrs": {
-                "front": "127.0.0.1:0",
+                "front": f"{relay_ip}:0",
                 "ready-addr": "127.0.0.1:0",
                 "control-addr": control,
             },
--- a/tests/published_driver.py
+++ b/tests/published_driver.py
@@ -158,6 +158,33 @@
         attempts = [e for e in self.sent if e.call_id == call_id]
         return attempts[-1] if attempts else None
 
+    def fail_probes(self):
+        """Lets every probe in flight end without an answer."""
+        for probe_id in list(self.state.probes):
+            self.feed(events.ProbeEnded, probe_id, None)
+
+    def fail_attempts(self, reason, sent=False):
+        """Lets every attempt in flight fail."""
+        for call in list(self.state.calls.values()):
+            for number in list(call.attempts):
+                self.fail(call.call_id, number, reason, sent)
+
+    def lose_targets(self, calls=6, reason=None):
+        """Runs calls while no target can be reached.
+
+        Args:
+            calls: Number of calls.
+            reason: How attempts fail; None if they get no answer.
+        """
+        first_id = 10_000 + len(self.effects)
+        for call_id in range(first_id, first_id + calls):
+            self.call_arrives(call_id)
+            for _ in range(12):
+                self.advance(10_000)
+                if reason is not None:
+                    self.fail_attempts(reason)
+            self.fail_probes()
+
     def service(self, name="s"):
         """Returns the state of a service."""
         return self.state.services[name]
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -256,3 +256,22 @@
         slots,
         slowdown,
     )
+
+
+@pytest.mark.parametrize(
+    ("ports", "address"),
+    [([7620, 7635], "10.1.0.15:7620"), (None, "")],
+)
+def test_first_internal_port_takes_relayed_calls(ports, address):
+    network = dict(SETTINGS["network"])
+    if ports is not None:
+        network["internal-ports"] = ports
+    settings = settings_lib.parse({**SETTINGS, "network": network})
+    assert settings.unwrap().relay_address == address
+
+
+@pytest.mark.parametrize("ports", [[], "7620", ["a"], [0, 5], [70_000]])
+def test_invalid_internal_ports_are_an_error(ports):
+    network = {**SETTINGS["network"], "internal-ports": ports}
+    (error,) = settings_lib.parse({**SETTINGS, "network": network}).unwrap_err()
+    assert "network.internal-ports" in error
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -17,37 +17,6 @@
     ]
 
 
-def fail_probes(host):
-    """Lets every probe in flight end without an answer."""
-    for probe_id in list(host.state.probes):
-        host.feed(events.ProbeEnded, probe_id, None)
-
-
-def cut_off(host, calls=6, reason=None):
-    """Runs calls on a host that reaches no target.
-
-    Args:
-        host: The host.
-        calls: Number of calls.
-        reason: How attempts fail; None if they get no answer.
-    """
-    first_id = 10_000 + len(host.effects)
-    for call_id in range(first_id, first_id + calls):
-        host.call_arrives(call_id)
-        for _ in range(12):
-            host.advance(10_000)
-            if reason is not None:
-                fail_attempts(host, reason)
-        fail_probes(host)
-
-
-def fail_attempts(host, reason, sent=False):
-    """Lets every attempt in flight fail."""
-    for call in list(host.state.calls.values()):
-        for number in list(call.attempts):
-            host.fail(call.call_id, number, reason, sent)
-
-
 @pytest.mark.parametrize(
     "reason",
     [
@@ -61,7 +30,7 @@
     host = make_published_host(targets=6)
     host.arrive_and_send(1)
     host.answer(1, 1)
-    cut_off(host, reason=reason)
+    host.lose_targets(reason=reason)
     assert host.state.reachability.lost
     assert log_codes(host) == ["targets_lost"]
 
@@ -89,7 +58,7 @@
 
 def test_cut_ends_after_answers_on_new_connections(make_published_host):
     host = make_published_host(targets=6)
-    cut_off(host)
+    host.lose_targets()
     lost_us = host.state.reachability.lost_us
     assert lost_us is not None
     for answered in (True, True, False, True, True):
@@ -120,7 +89,7 @@
 ):
     host = make_published_host(targets=6)
     host.arrive_and_send(1)
-    cut_off(host)
+    host.lose_targets()
     host.answer(1, 1)
     assert host.state.reachability.lost
 
@@ -145,7 +114,7 @@
         host.call_arrives(call_id + 1, path="/t/x")
         for _ in range(6):
             host.advance(10_000)
-        fail_probes(host)
+        host.fail_probes()
     assert not host.state.reachability.lost
     assert host.service("t").reachability.lost
     assert not host.service("s").reachability.lost
@@ -155,6 +124,6 @@
     make_published_host,
 ):
     host = make_published_host(targets=1)
-    cut_off(host, 20, events.FailureReason.REFUSED)
+    host.lose_targets(20, events.FailureReason.REFUSED)
     assert not host.state.reachability.lost
     assert log_codes(host) == []
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -11,6 +11,7 @@
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
+from fireflyspindle.core import events
 
 SOURCE = "targets"
 
@@ -317,3 +318,64 @@
     latest.apply(batch(*rows, next_offset=count))
     assert latest.since(count) == batch(next_offset=count, from_offset=count)
     assert latest.since(5).is_snapshot
+
+
+async def test_helpers_are_listed_without_those_that_are_cut_off(served):
+    served.feed = store_feed.Feed(
+        "a", (SOURCE,), lambda: served.now_us, "10.0.0.1:7620"
+    )
+    app = web.Application()
+    app.add_routes(served.feed.routes())
+    server = testing.Server(app)
+    address = await server.start()
+    own = events.HelperAddress("10.0.0.1:7620", "a")
+    hosts = [
+        events.HelperAddress(f"10.0.0.{number}:7620", "b")
+        for number in range(2, 5)
+    ]
+    clients = [store_feed_client.FeedClient(host) for host in hosts]
+    streams = []
+    for client in clients:
+        lines = client.follow(address, {SOURCE: None})
+        await anext(lines)
+        streams.append(lines)
+
+    async def listed(client, cut_off):
+        helpers = await client.list_helpers(address, cut_off)
+        return {helper.address for helper in helpers}
+
+    everyone = {host.address for host in [own, *hosts]}
+    assert await listed(clients[0], False) == everyone
+    cut_off = everyone - {hosts[0].address}
+    assert await listed(clients[0], True) == cut_off
+    assert await listed(clients[1], False) == cut_off
+    served.now_us += store_feed.CUT_OFF_US
+    assert await listed(clients[1], False) == everyone
+    for lines, client in zip(streams, clients, strict=True):
+        await lines.aclose()
+        await client.close()
+    served.feed.close()
+    await server.close()
+
+
+async def test_list_of_helpers_of_an_unreachable_reader_is_unknown(served):
+    address = testing.free_address()
+    assert await served.client.list_helpers(address, False) is None
+
+
+# Many cut off hosts may ask a reader with a narrow link at the same time.
+async def test_list_of_helpers_is_short(served):
+    clients = [
+        store_feed_client.FeedClient(
+            events.HelperAddress(f"10.0.0.{number}:7620", "b")
+        )
+        for number in range(2 * store_feed.MAX_LISTED_HELPERS)
+    ]
+    streams = [client.follow(served.address, {}) for client in clients]
+    for lines in streams:
+        await anext(lines)
+    helpers = await served.client.list_helpers(served.address, False)
+    assert len(helpers) == store_feed.MAX_LISTED_HELPERS
+    for lines, client in zip(streams, clients, strict=True):
+        await lines.aclose()
+        await client.close()
--- a/tests/test_targets_unreachable.py
+++ b/tests/test_targets_unreachable.py
@@ -7,6 +7,7 @@
 from fireflyspindle.platform import header_profile
 import platform_driver
 import platform_fleet
+import wire
 
 # Time from the start of a cut after which calls must be served.
 CONTACT_S = 3.0
@@ -58,3 +59,64 @@
             if request.first_line.startswith(b"POST ")
         ]
         assert len(runs) == len(set(runs))
+
+
+async def test_hosts_use_their_own_way_again_after_the_cut():
+    async with platform_fleet.running(hosts=4, servers=5) as fleet:
+        await serve_calls(fleet, fleet.hosts, 20, "before")
+        host = fleet.hosts[3]
+        heal = fleet.cut_off(host, "refuse")
+        await serve_calls(fleet, [host], 30, "cut")
+        assert host.state.reachability.lost
+        heal()
+        await wire.until(lambda: not host.state.reachability.lost)
+        relays = host.metrics.event_counts["relay"]
+        assert relays
+        assert served(await serve_calls(fleet, [host], 30, "after")) == 30
+        assert host.metrics.event_counts["relay"] == relays
+
+
+async def test_requests_are_refused_at_once_when_every_host_is_cut_off():
+    async with platform_fleet.running(hosts=4, servers=5) as fleet:
+        await serve_calls(fleet, fleet.hosts, 20, "before")
+        for host in fleet.hosts:
+            fleet.cut_off(host, "hang")
+        await serve_calls(fleet, fleet.hosts, int(CONTACT_S / 0.02), "early")
+        started_s = asyncio.get_running_loop().time()
+        (response,) = await serve_calls(fleet, [fleet.hosts[3]], 1, "late")
+        assert asyncio.get_running_loop().time() - started_s < 0.3
+        assert response.first_line.split()[1] == b"503"
+        assert not served([response])
+
+
+# A helper dies between the request and its answer.
+async def test_request_that_a_helper_lost_is_not_run_again():
+    async def hold(request, writer):
+        if request.values(header_profile.REQUEST_ID) == [b"q1"]:
+            arrived.set()
+            await asyncio.sleep(platform_driver.WAIT_S)
+        writer.write(platform_driver.answer(request))
+
+    arrived = asyncio.Event()
+    async with platform_fleet.running(4, 5, hold) as fleet:
+        host = fleet.hosts[3]
+        fleet.cut_off(host, "refuse")
+        await serve_calls(fleet, [host], 30, "early")
+        assert host.state.reachability.lost
+        request = platform_driver.request(
+            platform_driver.STRICT, method="POST", name="q1"
+        )
+        sent = asyncio.create_task(fleet.send(host, request))
+        await asyncio.wait_for(arrived.wait(), platform_driver.WAIT_S)
+        for helper in fleet.hosts[:3]:
+            for connection in list(helper.data_path.server.connections):
+                connection.abort()
+        response = await sent
+        assert response.first_line.split()[1] == b"502"
+        runs = [
+            request
+            for target in fleet.servers
+            for request in target.requests
+            if request.values(header_profile.REQUEST_ID) == [b"q1"]
+        ]
+        assert len(runs) == 1
