Let the servers of the soak state limits on their requests

One server after the other states a limit of 0.5 to 20 requests a second for 6 s; its arrivals in any 4 s are checked from 3 s on, unless a gate host restarts, pauses or the server's links are harmed meanwhile.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -33,6 +33,9 @@
 STOP_LIMIT_S = 6.0
 START_TIMEOUT_S = 10.0
 FAULT_SPACING_S = 0.7
+# Limits that servers state, in requests per second, and for how long.
+SERVER_LIMITS_PER_S = (0.5, 2.0, 5.0, 20.0)
+SERVER_LIMIT_S = 6.0
 # Routes of a configuration that is too large for readers to relay.
 LARGE_CONFIGURATION_ROUTES = 100
 PROXY_FAULTS = [
@@ -89,6 +92,7 @@
         self.report = Report(seed)
         self._random = random.Random(seed)
         self._size_random = random.Random(seed)
+        self._limit_random = random.Random(seed)
         self._seconds = seconds
         self._host_count = hosts
         self._server_count = servers
@@ -164,6 +168,7 @@
 
     async def _run_faults(self) -> None:
         caller_task = asyncio.create_task(self.callers.run())
+        limit_task = asyncio.create_task(self._limit_servers())
         poll_tasks = [
             asyncio.create_task(
                 self._configuration_check.poll(gate.observation)
@@ -175,6 +180,8 @@
             await self._inject_fault()
             pause_s = FAULT_SPACING_S * self._random.random() * 2
             await asyncio.sleep(pause_s)
+        limit_task.cancel()
+        await asyncio.gather(limit_task, return_exceptions=True)
         await asyncio.gather(*self._fault_tasks)
         await asyncio.sleep(RECOVERY_S)
         before = self.callers.counts()
@@ -314,6 +321,34 @@
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
         server.failing = False
 
+    async def _limit_servers(self) -> None:
+        """Lets one server after the other state a limit on its requests."""
+        while True:
+            server = self._limit_random.choice(self._servers)
+            limit_per_s = self._limit_random.choice(SERVER_LIMITS_PER_S)
+            start_s = self._now_s()
+            starts = [gate.observation.starts for gate in self._gates]
+            server.stand_in.limit_per_s = limit_per_s
+            try:
+                await asyncio.sleep(SERVER_LIMIT_S)
+            finally:
+                server.stand_in.limit_per_s = None
+            restarted = starts != [
+                gate.observation.starts for gate in self._gates
+            ]
+            last_fault_s = max(self._last_pause_s, server.last_fault_s)
+            if restarted or last_fault_s >= start_s:
+                continue
+            most = soak_checks.most_arrivals(
+                server.stand_in.arrivals_s, start_s, self._now_s()
+            )
+            if most > soak_checks.allowed_arrivals(limit_per_s):
+                self.report.violations.append(
+                    f"limit: {server.stand_in.server_id} received {most}"
+                    f" requests in {soak_checks.LIMIT_WINDOW_S:g} s, with a"
+                    f" limit of {limit_per_s:g} per second"
+                )
+
     async def _replace(self) -> None:
         """Replaces a server: drains it, or removes it without notice."""
         server = self._servers.pop(self._random.randrange(len(self._servers)))
--- a/src/fireflyspindle/bench/soak_checks.py
+++ b/src/fireflyspindle/bench/soak_checks.py
@@ -1,6 +1,7 @@
 """Soak checks of configuration updates and of planned stops."""
 
 import asyncio
+import bisect
 from collections.abc import Callable
 import itertools
 
@@ -17,6 +18,14 @@
 # Time after a fault from which the limits hold again (`contact-ms`).
 FAULT_FREE_S = 3.0
 POLL_INTERVAL_S = 0.1
+# Window in which a server that states a limit gets at most `LIMIT_FACTOR` times
+# what it allows, and `LIMIT_SLACK` requests; the time after the first statement
+# from which that holds; and the time after which a gate host must know it.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5.0
+LIMIT_FROM_S = 3.0
+LIMIT_KNOWN_S = 0.5
 PROBE_TIMEOUT_S = 1.0
 
 
@@ -138,6 +147,32 @@
         return int(response.first_line.split()[1])
 
 
+def allowed_arrivals(limit_per_s: float) -> float:
+    """Returns the most requests in a window to a server with a limit."""
+    return LIMIT_FACTOR * LIMIT_WINDOW_S * limit_per_s + LIMIT_SLACK
+
+
+def most_arrivals(arrivals_s: list[float], start_s: float, end_s: float) -> int:
+    """Returns the most arrivals in any window that the limit holds for.
+
+    Args:
+        arrivals_s: Times of arrival, in ascending order.
+        start_s: Time from which the server stated the limit.
+        end_s: Time until which it did.
+    """
+    counted = [
+        at_s for at_s in arrivals_s if start_s + LIMIT_KNOWN_S <= at_s <= end_s
+    ]
+    return max(
+        (
+            index + 1 - bisect.bisect_left(counted, at_s - LIMIT_WINDOW_S)
+            for index, at_s in enumerate(counted)
+            if at_s >= start_s + LIMIT_FROM_S
+        ),
+        default=0,
+    )
+
+
 @attrs.define(frozen=True)
 class Span:
     """The duration of a fault or a planned stop.
--- a/src/fireflyspindle/testing/platform_server.py
+++ b/src/fireflyspindle/testing/platform_server.py
@@ -24,6 +24,7 @@
         slots: Requests that run at once; as many more may wait.
         service_time_s: Time that a request takes to run.
         failing: Whether requests get status 500 after they have run.
+        limit_per_s: Limit on requests that it states with its answers, or None.
         runs: Number of runs by request id.
         arrivals_s: Loop time at which each request arrived.
     """
@@ -35,6 +36,7 @@
         self.slots = slots
         self.service_time_s = service_time_s
         self.failing = False
+        self.limit_per_s: float | None = None
         self.runs: collections.Counter[str] = collections.Counter()
         self.arrivals_s: list[float] = []
         self._in_flight = 0
@@ -56,12 +58,17 @@
         running = self._in_flight - waiting
         return f"{running},{waiting},{self.slots},100"
 
+    def _limit_header(self) -> dict[str, str]:
+        if self.limit_per_s is None:
+            return {}
+        return {header_profile.SERVER_LIMIT: str(self.limit_per_s)}
+
     async def _on_health(self, _request: web.Request) -> web.Response:
         state_headers = {
             header_profile.INSTANCE_ID: self.server_id,
             header_profile.SERVER_LOAD: self._load_header(),
         }
-        return web.Response(headers=state_headers)
+        return web.Response(headers=state_headers | self._limit_header())
 
     async def _on_request(self, request: web.Request) -> web.Response:
         self.arrivals_s.append(asyncio.get_running_loop().time())
@@ -76,9 +83,8 @@
             return web.Response(status=421, headers=id_header | state_headers)
         await request.read()
         if self._in_flight >= 2 * self.slots:
-            return web.Response(
-                status=503, headers=id_header | NOT_EXECUTED_HEADERS
-            )
+            state_headers = NOT_EXECUTED_HEADERS | self._limit_header()
+            return web.Response(status=503, headers=id_header | state_headers)
         self._in_flight += 1
         try:
             async with self._slot_semaphore:
@@ -93,6 +99,6 @@
         status = 500 if self.failing else 200
         return web.Response(
             status=status,
-            headers=id_header | state_headers,
+            headers=id_header | state_headers | self._limit_header(),
             body=response_body(request_id),
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -190,3 +190,24 @@
     created[0].returncode = -9
     await gate.start()
     assert len(created) == 2
+
+
+@pytest.mark.parametrize(
+    ("arrivals_s", "most"),
+    [
+        ([], 0),
+        # Before every gate host knows the limit.
+        ([10.1, 10.2, 10.3, 13.5], 1),
+        ([10.6, 12.0, 12.9], 0),
+        ([10.6, 12.0, 13.1], 3),
+        ([10.6, 12.0, 14.7, 15.9], 3),
+        ([13.5, 20.5], 1),
+    ],
+)
+def test_arrivals_at_a_server_with_a_limit_are_counted(arrivals_s, most):
+    assert soak_checks.most_arrivals(arrivals_s, 10.0, 20.0) == most
+
+
+@pytest.mark.parametrize(("limit_per_s", "allowed"), [(4.5, 32.0), (0.0, 5.0)])
+def test_allowed_arrivals_follow_from_the_limit(limit_per_s, allowed):
+    assert soak_checks.allowed_arrivals(limit_per_s) == allowed
