Do not relay a streamed call again, and explain relays by lost targets

It is refused as not run now, as after a target's refusal.

explain shows targets_lost and targets_regained with the steps of a call.

Evidence: test_streamed_call_that_a_helper_did_not_carry_is_refused failed before.

--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -136,6 +136,8 @@
         if names_target or line.fields.get("code") in (
             "store_lost",
             "store_regained",
+            "targets_lost",
+            "targets_regained",
         ):
             yield line
 
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -190,8 +190,9 @@
         return
     if attempt.relayed:
         # The helper has retried the call at other targets itself.
-        if event.not_carried and _place_again(state, call):
-            return
+        if event.not_carried and call.resendable:
+            if _place_again(state, call):
+                return
     elif retries.retry(state, call, reached_target=True):
         return
     answers.fail_call(
--- a/src/fireflyspindle/core/helper_list.py
+++ b/src/fireflyspindle/core/helper_list.py
@@ -6,7 +6,7 @@
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
-from fireflyspindle.core import helpers as helpers_lib
+from fireflyspindle.core import helper_state
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import timers
 
@@ -70,7 +70,7 @@
         if address.address != settings.relay_address:
             helpers.by_address[address.address] = previous.get(
                 address.address
-            ) or helpers_lib.new_helper(address)
+            ) or helper_state.new_helper(address)
     if event.complete and not is_known(state):
         count = len(helpers.by_address)
         detail = f"{count} gate hosts were listed that may carry calls"
--- a/src/fireflyspindle/core/relays.py
+++ b/src/fireflyspindle/core/relays.py
@@ -8,7 +8,7 @@
 from fireflyspindle.core import attempts
 from fireflyspindle.core import events
 from fireflyspindle.core import helper_list
-from fireflyspindle.core import helpers as helpers_lib
+from fireflyspindle.core import helper_state
 from fireflyspindle.core import state as state_lib
 
 # Helpers that a call is sent to, one after the other, until one carries it.
@@ -44,7 +44,7 @@
 
 def _choose_helper(
     state: state_lib.GateState, call: state_lib.Call
-) -> helpers_lib.Helper | None:
+) -> helper_state.Helper | None:
     """Returns the less busy of two random helpers, or None."""
     available = [
         helper
@@ -59,7 +59,7 @@
     return min(compared, key=lambda helper: _load(state, helper))
 
 
-def _load(state: state_lib.GateState, helper: helpers_lib.Helper) -> float:
+def _load(state: state_lib.GateState, helper: helper_state.Helper) -> float:
     load = float(helper.target.in_flight)
     if helper.address.failure_domain != state.settings.failure_domain:
         load += OTHER_DOMAIN_PENALTY
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -11,7 +11,7 @@
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
 from fireflyspindle.core import forecast_state
-from fireflyspindle.core import helpers as helpers_lib
+from fireflyspindle.core import helper_state
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import members
@@ -509,7 +509,7 @@
         factory=reachability_state.Reachability
     )
     reachability_check_scheduled: bool = False
-    helpers: helpers_lib.Helpers = attrs.field(factory=helpers_lib.Helpers)
+    helpers: helper_state.Helpers = attrs.field(factory=helper_state.Helpers)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -114,6 +114,17 @@
     assert first.target in again
 
 
+# Its body has been forwarded already.
+def test_streamed_call_that_a_helper_did_not_carry_is_refused(
+    make_published_host,
+):
+    host = cut_off_host(make_published_host)
+    relay(host, 1, resendable=False)
+    host.answer(1, 1, 503, not_run=True, not_carried=True)
+    assert host.gate_answer(1).status == 503
+    assert len(sends_of(host, 1)) == 1
+
+
 def test_call_is_refused_when_no_helper_carries_it(make_published_host):
     host = cut_off_host(make_published_host, helpers=6)
     relay(host, 1)
