Log an invalid limit once a minute, and fetch from readers in one place

A target that states an invalid limit with each answer wrote a line for each. The two requests to readers share their code; placement's order at a host that reaches no target reads line by line.

Evidence: test_invalid_limit_changes_nothing_and_is_logged expects one line for two answers.

--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -18,6 +18,14 @@
 COUNT_TIMEOUT_S = 1.0
 # Time for the list of helpers, for which calls wait.
 HELPERS_TIMEOUT_S = 0.5
+# A failed request, or a response with other content than expected.
+_FETCH_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    TypeError,
+    KeyError,
+    ValueError,
+)
 
 
 @attrs.define(frozen=True)
@@ -122,24 +130,15 @@
             The number of its followers and itself; 0 if no process listens at
             the address, None if there is no valid response in time.
         """
-        timeout = aiohttp.ClientTimeout(total=COUNT_TIMEOUT_S)
         try:
-            async with self._session.get(
-                f"http://{address}{store_feed.HOST_COUNT_PATH}",
-                timeout=timeout,
-                raise_for_status=True,
-            ) as response:
-                return int((await response.json())["hosts"])
+            content = await self._fetch(
+                address, store_feed.HOST_COUNT_PATH, {}, COUNT_TIMEOUT_S
+            )
+            return int(content["hosts"])
         except aiohttp.ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
             return 0 if refused else None
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TypeError,
-            KeyError,
-            ValueError,
-        ):
+        except _FETCH_ERRORS:
             return None
 
     async def list_helpers(
@@ -157,28 +156,36 @@
         query = {}
         if cut_off and self._helper is not None:
             query["cut-off"] = self._helper.address
-        timeout = aiohttp.ClientTimeout(total=HELPERS_TIMEOUT_S)
         try:
-            async with self._session.get(
-                f"http://{address}{store_feed.HELPERS_PATH}",
-                params=query,
-                timeout=timeout,
-                raise_for_status=True,
-            ) as response:
-                rows = (await response.json())["helpers"]
-                return [
-                    events.HelperAddress(str(helper), str(failure_domain))
-                    for helper, failure_domain in rows
-                ]
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TypeError,
-            KeyError,
-            ValueError,
-        ):
+            content = await self._fetch(
+                address, store_feed.HELPERS_PATH, query, HELPERS_TIMEOUT_S
+            )
+            return [
+                events.HelperAddress(str(helper), str(failure_domain))
+                for helper, failure_domain in content["helpers"]
+            ]
+        except _FETCH_ERRORS:
             return None
 
+    async def _fetch(
+        self, address: str, path: str, query: dict[str, str], timeout_s: float
+    ) -> Any:
+        """Returns the JSON document at a path of a reader.
+
+        Raises:
+            aiohttp.ClientError: The reader is unreachable or rejects the
+                request.
+            OSError: The connection failed, or there is no response in time.
+            ValueError: The response is not JSON.
+        """
+        async with self._session.get(
+            f"http://{address}{path}",
+            params=query,
+            timeout=aiohttp.ClientTimeout(total=timeout_s),
+            raise_for_status=True,
+        ) as response:
+            return await response.json()
+
     async def close(self) -> None:
         """Closes every connection."""
         await self._session.close()
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -50,8 +50,10 @@
         False when there is no target.
     """
     if reachability.is_lost(state, service):
-        if call.relayed or relays.relay(state, service, call):
-            return not call.relayed
+        if call.relayed:
+            return False
+        if relays.relay(state, service, call):
+            return True
         if helper_list.is_known(state):
             return False
     if not service.probes_before_send:
--- a/src/fireflyspindle/core/reachability.py
+++ b/src/fireflyspindle/core/reachability.py
@@ -1,9 +1,9 @@
 """Detects that this gate host reaches no target, of one service or of all.
 
-Used by gate hosts that are configured by the platform's store. One target that
-fails may be down. When several fail and none answers in between,
-the path from this host is more likely to be broken than each of them. Checks,
-each on a new connection, then find out when targets are reachable again.
+One target that fails may be down. When several fail and none answers in
+between, the path from this host is more likely to be broken than each of them.
+Checks, each on a new connection, then find out when targets are reachable
+again. Only gate hosts that are configured by the platform's store use this.
 """
 
 from collections.abc import Iterator
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -35,6 +35,8 @@
 # Rate at which all hosts together send requests to a target that takes none, so
 # that they notice when it takes some again.
 MIN_REQUESTS_PER_S = 0.1
+# Minimum time between two log lines about the invalid limit of one target.
+INVALID_LOG_INTERVAL_US = 60_000_000
 # Minimum time between two log lines about the changing limit of one target.
 LOG_INTERVAL_US = 1_000_000
 
@@ -73,7 +75,8 @@
             _log(state, service, target, "no longer limits its requests")
         return
     if header.requests_per_s is None:
-        if limit is None or answer not in limit.stated_by:
+        if state.now_us >= target.invalid_limit_us + INVALID_LOG_INTERVAL_US:
+            target.invalid_limit_us = state.now_us
             detail = f"{_name(service, target)} states an invalid limit"
             state.emit(effects.WriteLogLine("warning", "target_limit", detail))
         return
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -103,6 +103,7 @@
         load: Estimate of its load.
         reported_load: Load and slowdown that it last reported.
         rate_limit: Limit on its requests; None while it states none.
+        invalid_limit_us: Time of the latest log line about an invalid limit.
     """
 
     spec: records.TargetSpec
@@ -119,6 +120,7 @@
     slow_start_from_us: int = 0
     slow_start_until_us: int = 0
     rate_limit: RateLimit | None = None
+    invalid_limit_us: int = load_lib.NEVER_US
 
 
 def on_attempt_started(target: Target, now_us: int) -> None:
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -125,7 +125,11 @@
     host.answer(1, 1, report=invalid)
     target = host.service().targets["i-0"]
     assert target.rate_limit is None
-    assert "invalid" in limit_lines(host)[-1]
+    host.finish(1)
+    host.arrive_and_send(4)
+    host.answer(4, 1, report=invalid)
+    host.finish(4)
+    assert ["invalid" in line for line in limit_lines(host)] == [True]
     host.arrive_and_send(2)
     host.answer(2, 1, report=report(limit_per_s=100.0))
     host.arrive_and_send(3)
