--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -29,7 +29,8 @@
 
         Args:
             host: The host.
-            how: "refuse" or "hang", for new connections. Open ones are closed.
+            how: "refuse" or "hang" for new connections, with open ones closed;
+                or "live" for new ones that are refused while open ones live on.
         """
         client = host.data_path.client
         connect, take_idle = client.connect, client.take_idle
@@ -37,13 +38,13 @@
         async def fail_to_connect(target):
             if target not in self.server_addresses:
                 return await connect(target)
-            if how == "refuse":
+            if how != "hang":
                 raise ConnectionRefusedError
             await asyncio.sleep(platform_driver.WAIT_S)
             raise TimeoutError
 
         def take_none(target, repeatable):
-            if target in self.server_addresses:
+            if how != "live" and target in self.server_addresses:
                 return None
             return take_idle(target, repeatable)
 
--- a/tests/test_targets_unreachable.py
+++ b/tests/test_targets_unreachable.py
@@ -40,7 +40,7 @@
     )
 
 
-@pytest.mark.parametrize("how", ["refuse", "hang"])
+@pytest.mark.parametrize("how", ["refuse", "hang", "live"])
 async def test_callers_of_hosts_that_reach_no_server_are_served(how):
     async with platform_fleet.running(hosts=6, servers=5) as fleet:
         await serve_calls(fleet, fleet.hosts, 30, "before")
