Probe targets whose limits leave room for it

What callers would have seen: targets that state a limit far above their load would have got calls unprobed, and a quarter of them works several times as long for half a second at a time.

Probes were left out for every target with a limit, so that they can't pass it. Now a probe takes a permit, and is sent only if it leaves one for the call after it: low limits leave no room for probes, high ones do, and calls and probes together keep to the limit.

Evidence: test_target_with_a_high_limit_is_probed failed before (1 probe of at least 20); test_fleet_counts_probes_towards_the_limit adds up both for 14 hosts.

--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -122,7 +122,7 @@
         for _, target in target_selection.rank_targets(
             state, service, call, optimistic=True
         )
-        if target.rate_limit is None
+        if target_limits.may_probe(state, service, target)
         and not forecast.has_recent_report(state, target, FRESH_REPORT_US)
         and state.now_us >= target.reported_load.unresponsive_until_us
     ][:PROBES_PER_ROUND]
--- a/src/fireflyspindle/core/probes.py
+++ b/src/fireflyspindle/core/probes.py
@@ -2,6 +2,7 @@
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
 
 
@@ -26,6 +27,7 @@
             reachable, on a new connection.
     """
     target.load.probed_us = state.now_us
+    target_limits.on_sent(state, service, target)
     state.last_probe_id += 1
     state.probes[state.last_probe_id] = state_lib.Probe(
         service.name,
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -1,7 +1,7 @@
 """Limits that targets state on the requests from all gate hosts together.
 
 Each gate host accrues permits at its share of the limit, one for each request.
-Targets with a limit are not probed, since probes may count as requests there. A
+A probe takes a permit too, since it may count as a request at the target. A
 permit is lost when it is not used within `PERMIT_LIFETIME_US`. If hosts saved
 up their permits, each of a large fleet would hold one after a quiet time, and
 all of them could be used at once.
@@ -124,6 +124,19 @@
     return limit.permits >= 1.0
 
 
+def may_probe(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> bool:
+    """Whether a probe of a target leaves a permit for the call after it."""
+    limit = target.rate_limit
+    if limit is None:
+        return True
+    _refill(state, service, limit)
+    return limit.permits >= 2.0
+
+
 def may_send_soon(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
@@ -195,7 +208,7 @@
     service: state_lib.ServiceState,
     target: targets.Target,
 ) -> None:
-    """Takes a permit for a request that is sent to a target."""
+    """Takes a permit for a request or probe that is sent to a target."""
     limit = target.rate_limit
     if limit is not None:
         _refill(state, service, limit)
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -180,7 +180,40 @@
     assert host.gate_answer(1).error == "target_limits"
 
 
+# A target that states a high limit all the time would get calls unprobed.
+def test_target_with_a_high_limit_is_probed(make_published_host):
+    host = make_published_host(targets=2)
+    for call_id in range(1, 41):
+        serve(host, call_id, 10_000.0, duration_us=100_000)
+    probed = [e.target for e in host.effects_of(effects.ProbeTarget)]
+    assert probed.count("10.0.0.0:80") >= 20
+
+
 # Probes may count as requests at a target with a limit.
+@pytest.mark.parametrize("limit_per_s", [50.0, 500.0])
+def test_fleet_counts_probes_towards_the_limit(
+    make_published_host, limit_per_s
+):
+    fleet = fleet_of(make_published_host, 14, 14)
+    times_us = []
+    for host in fleet:
+        first_id = 1 + learn_limit(host, limit_per_s)
+        start_us, known = host.now_us, len(host.effects)
+        for call_id in range(first_id, first_id + 300):
+            at_us = host.now_us - start_us
+            serve(host, call_id, limit_per_s, 0, 20_000)
+            for effect in host.effects[known:]:
+                if (
+                    isinstance(
+                        effect, effects.SendToTarget | effects.ProbeTarget
+                    )
+                    and effect.target == "10.0.0.0:80"
+                ):
+                    times_us.append(at_us)
+            known = len(host.effects)
+    assert most_in_window(times_us) <= 1.5 * 4 * limit_per_s + 5
+
+
 @pytest.mark.parametrize("limit_per_s", [0.1, 50.0])
 def test_limited_target_gets_no_probes(make_published_host, limit_per_s):
     host = make_published_host(targets=2)
