Do not count an attempt as load of its own target

Cause: since relays share the code that adds an attempt, the attempt was counted at its target before the target's load was judged, so that each target looked fuller by one and saturated too early.

Evidence: test_attempt_does_not_count_itself_as_load_of_its_target failed before.

--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -24,14 +24,13 @@
             may have run or may still run.
     """
     service = state.services[call.service]
-    attempt = _add(state, service, call, target)
+    expected_slowdown, near_capacity = 1.0, False
     if call.route:
-        attempt.expected_slowdown = forecast.expected_slowdown(
-            state, service, target
-        )
-        attempt.near_capacity = forecast.is_near_capacity(
-            state, service, target
-        )
+        expected_slowdown = forecast.expected_slowdown(state, service, target)
+        near_capacity = forecast.is_near_capacity(state, service, target)
+    attempt = _add(state, service, call, target)
+    attempt.expected_slowdown = expected_slowdown
+    attempt.near_capacity = near_capacity
     target_limits.on_sent(state, service, target)
     _record_step(state, call, attempt)
     _send(state, call, attempt)
@@ -119,7 +118,7 @@
         attempt.target.spec.key,
         address=attempt.target.spec.address,
         attempt=attempt.number,
-        own_in_flight=attempt.target.in_flight,
+        own_in_flight=attempt.target.in_flight - 1,
         others=report.others_in_flight,
         pace=round(attempt.expected_slowdown, 2),
         stated_ms_ago=(state.now_us - report.reported_us) // 1000,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -316,3 +316,19 @@
     host = make_published_host(targets=2, rules=[rule])
     sent = host.arrive_and_send(1, repeatable=not repeatable)
     assert sent.repeatable is repeatable
+
+
+# Counted twice, an attempt would make targets look slower as they fill.
+def test_attempt_does_not_count_itself_as_load_of_its_target(
+    make_published_host,
+):
+    host = make_published_host(targets=1)
+    for call_id in range(1, 5):
+        host.arrive_and_send(call_id)
+    attempts = [host.state.calls[n].attempts[1] for n in range(1, 5)]
+    assert [attempt.near_capacity for attempt in attempts] == [
+        False,
+        False,
+        False,
+        True,
+    ]
