Send a call to an idle target that no report covers

What callers saw: a repeatable call whose first attempt failed within milliseconds was answered 502 "no_room" 1.5 s later, or sent late, while the second of two targets was idle. It was seen on hosts that had just started.

Cause: a host that has just started takes a small share of the probes, so the second target is not asked. The queue then waits for a recent report. (1) The report of the target that the call had been sent to already counted as a sign that reports come in, for 250 ms. (2) By then the call was late, and a late call was only ever sent to a target with a recent report. No event could end the wait but its time limit. The steps of the call show it: one probe of two, "waits", then a round without a token every 30 ms until 60% of the time had passed.

Ruled out: the end of the wait (0.6 of 2.5 s, as designed), the expected processing time, a target without a report taken as full.

Change: only targets that the call may still be sent to count as a source of reports. A late call goes to an unreported target with an expected free slot when the probe budget is exhausted and no reported target has one. Under overload the average load of the service shows no free slot, and the call waits as before.

Evidence: test_retry_does_not_wait_for_reports_of_the_target_that_failed and test_late_call_is_sent_to_an_unreported_target_while_others_are_full failed before, each with work of 60 ms and of 870 ms.

--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -98,17 +98,16 @@
     if service.waiting_calls and is_late(state, service, call):
         if not is_late(state, service, _next_call(state, service)):
             return None
-        return _find_slow_target(state, service, call)
+        return _find_target_for_late_call(state, service, call)
+    ranked = target_selection.rank_targets(state, service, call)
     # Without probes, idle targets never report. A recent report is then
-    # required only while answers bring some: fewer calls are late if they wait
-    # for the targets that reported.
+    # required only while answers of targets that the call may be sent to bring
+    # some: fewer calls are late if they wait for the targets that reported.
     report_required = state.probe_tokens >= 1.0 or any(
         forecast.has_recent_report(state, target, RECENT_REPORT_US)
-        for target in service.candidates
+        for _, target in ranked
     )
-    for expected_us, target in target_selection.rank_targets(
-        state, service, call
-    ):
+    for expected_us, target in ranked:
         if expected_us >= forecast.UNRESPONSIVE_ANSWER_US:
             return None
         recently_reported = forecast.has_recent_report(
@@ -130,23 +129,29 @@
     return None
 
 
-def _find_slow_target(
+def _find_target_for_late_call(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     call: state_lib.Call,
 ) -> targets.Target | None:
-    """Returns the slowest free target that can answer before the deadline."""
+    """Returns the slowest reported target that can answer by the deadline.
+
+    If there is none and the probe budget is exhausted, returns the fastest
+    target without a recent report: waiting for one would gain nothing.
+    """
     left_us = call.deadline_us - state.now_us
+    unreported: targets.Target | None = None
     for expected_us, target in reversed(
         target_selection.rank_targets(state, service, call)
     ):
         if expected_us * SLOW_TARGET_MARGIN > left_us:
             continue
-        if not forecast.has_recent_report(state, target, RECENT_REPORT_US):
+        if not forecast.has_free_slot(state, service, target):
             continue
-        if forecast.has_free_slot(state, service, target):
+        if forecast.has_recent_report(state, target, RECENT_REPORT_US):
             return target
-    return None
+        unreported = target
+    return unreported if state.probe_tokens < 1.0 else None
 
 
 def is_late(
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -2,7 +2,10 @@
 
 import collections
 
+import pytest
+
 from fireflyspindle.core import effects
+from fireflyspindle.core import events
 import published_driver as published_host
 
 
@@ -238,3 +241,93 @@
     assert len(host.sent) == 1
     host.advance(260_000)
     assert 2 in host.state.calls or host.gate_answer(2) is not None
+
+
+# Milliseconds of usual work, latency objective and time-out of a route.
+SHORT_WORK = (60, 200, 1_200)
+LONG_WORK = (870, 2_000, 10_000)
+
+
+def _host_without_probes(make_published_host, work, targets):
+    """Returns a gate host that can send one probe only, and its service."""
+    work_ms, objective_ms, timeout_ms = work
+    rule = published_host.rule(
+        timeout_ms=timeout_ms, latency_objective_ms=objective_ms, max_attempts=3
+    )
+    host = make_published_host(
+        targets=targets, rules=[rule], probes_per_s=0.001
+    )
+    host.service().averages.processing_time_us = work_ms * 1_000.0
+    host.state.probe_tokens = 1.0
+    return host, host.service()
+
+
+@pytest.mark.parametrize("work", [SHORT_WORK, LONG_WORK])
+def test_retry_does_not_wait_for_reports_of_the_target_that_failed(
+    make_published_host, work
+):
+    host, _ = _host_without_probes(make_published_host, work, targets=2)
+    first = host.arrive_and_send(1)
+    host.advance(1_000)
+    host.fail(1, 1, events.FailureReason.TRUNCATED, True)
+    assert [e.attempt for e in host.sent] == [1, 2]
+    assert host.sent[1].target != first.target
+
+
+@pytest.mark.parametrize("work", [SHORT_WORK, LONG_WORK])
+def test_first_calls_are_sent_at_once_without_probes(make_published_host, work):
+    host, _ = _host_without_probes(make_published_host, work, targets=2)
+    host.state.probe_tokens = 0.0
+    for call_id in range(1, 5):
+        host.call_arrives(call_id)
+    assert [e.call_id for e in host.sent] == [1, 2, 3, 4]
+
+
+@pytest.mark.parametrize("work", [SHORT_WORK, LONG_WORK])
+def test_waiting_call_reaches_a_target_that_is_no_longer_full(
+    make_published_host, work
+):
+    """The only target reported no free slot, and no probe can ask again."""
+    host, _ = _host_without_probes(make_published_host, work, targets=1)
+    host.call_arrives(1)
+    host.answer_probes({"10.0.0.0:80": published_host.load(in_flight=4)})
+    assert host.sent == []
+    host.advance(host.state.calls[1].deadline_us - host.now_us)
+    assert [e.call_id for e in host.sent] == [1]
+
+
+@pytest.mark.parametrize("work", [SHORT_WORK, LONG_WORK])
+def test_late_call_is_sent_to_an_unreported_target_while_others_are_full(
+    make_published_host, work
+):
+    """One target reports full again and again; the other just came back."""
+    host, service = _host_without_probes(make_published_host, work, targets=2)
+    full, returned = (service.targets[key] for key in ("i-0", "i-1"))
+    full.in_flight = 4
+    host.state.probe_tokens = 0.0
+    full.reported_load.reported_us = host.now_us
+    host.call_arrives(1)
+    assert host.sent == []
+    end_us = host.state.calls[1].deadline_us
+    while host.now_us < end_us:
+        full.reported_load.reported_us = host.now_us
+        host.advance(50_000)
+    assert [e.target for e in host.sent] == [returned.spec.address]
+
+
+def test_late_call_is_not_sent_to_an_unreported_target_under_overload(
+    make_published_host,
+):
+    host, service = _host_without_probes(make_published_host, SHORT_WORK, 2)
+    full = service.targets["i-0"]
+    full.in_flight = 4
+    service.averages.others_in_flight = 3.5
+    host.state.probe_tokens = 0.0
+    full.reported_load.reported_us = host.now_us
+    host.call_arrives(1)
+    end_us = host.state.calls[1].deadline_us
+    while host.now_us < end_us:
+        full.reported_load.reported_us = host.now_us
+        host.advance(50_000)
+    assert host.sent == []
+    assert host.gate_answer(1).status == 503
