Keep low request limits of targets in every window of a large fleet

Cause: the used part of a limit came from a mean plus 4.5 standard deviations, as if requests in a window were normally distributed. With a mean of one or two the upper tail of their binomial distribution is much heavier: at 0.5 a second and 311 hosts 8 are tolerated, the mean was 1.8.

Change: the used part is the largest whose exact binomial tail stays below 2e-6 for one window, down to a quarter of the limit.

--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -21,12 +21,11 @@
 TOLERANCE_WINDOW_S = 4.0
 TOLERANCE_FACTOR = 1.5
 TOLERANCE_REQUESTS = 5.0
-# Standard deviations of the requests in a window by which the mean stays below
-# what targets tolerate.
-TOLERANCE_DEVIATIONS = 4.5
+# Maximum probability that a window has more requests than a target tolerates.
+MAX_EXCESS_PROBABILITY = 2e-6
 # Steps in which the used part of a limit is reduced, down to the smallest part.
 FRACTION_STEP = 0.05
-MIN_FRACTION = 0.5
+MIN_FRACTION = 0.25
 # Time for which a call waits for a permit instead of being refused.
 MAX_PERMIT_WAIT_US = 50_000
 # Time after the latest statement of a limit after which a call is sent to the
@@ -247,9 +246,9 @@
 def used_fraction(requests_per_s: float, hosts: int) -> float:
     """Returns the part of a limit that the gate hosts use together.
 
-    Hosts have their permits at random times. With several permits for each
-    host in a window their sum hardly varies, and the whole limit is used. With
-    fewer permits than hosts it varies, and the mean has to be lower.
+    Each host has a permit at regular intervals, starting at a random time. In a
+    window, each host has either the integer part of the mean or one more, so
+    that the sum follows a binomial distribution.
 
     Args:
         requests_per_s: The limit.
@@ -261,15 +260,40 @@
     )
     fraction = 1.0
     while fraction > MIN_FRACTION:
-        mean = fraction * requests_per_s * window_s
-        remainder = mean / hosts % 1.0
-        deviation = math.sqrt(hosts * remainder * (1.0 - remainder))
-        if mean + TOLERANCE_DEVIATIONS * deviation <= tolerated:
+        mean_per_host = fraction * requests_per_s * window_s / hosts
+        certain = math.floor(mean_per_host)
+        excess_probability = _binomial_tail(
+            math.floor(tolerated) - certain * hosts,
+            hosts,
+            mean_per_host - certain,
+        )
+        if excess_probability <= MAX_EXCESS_PROBABILITY:
             break
         fraction -= FRACTION_STEP
     return fraction
 
 
+def _binomial_tail(successes: int, trials: int, probability: float) -> float:
+    """Returns the probability of more than a number of successes."""
+    if successes < 0:
+        return 1.0
+    if successes >= trials or not probability:
+        return 0.0
+    term = math.exp(
+        math.lgamma(trials + 1)
+        - math.lgamma(successes + 2)
+        - math.lgamma(trials - successes)
+        + (successes + 1) * math.log(probability)
+        + (trials - successes - 1) * math.log1p(-probability)
+    )
+    odds = probability / (1 - probability)
+    total = 0.0
+    for count in range(successes + 1, trials + 1):
+        total += term
+        term *= (trials - count) / (count + 1) * odds
+    return total
+
+
 def _log_limit(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -1,6 +1,7 @@
 """Limits that targets state on the requests from all gate hosts together."""
 
 import bisect
+import heapq
 
 import multidict
 import pytest
@@ -414,6 +415,54 @@
     assert len(sent_us) >= 0.5 * limit_per_s * 12
 
 
+def _times_at_full_demand(host, limit_per_s, hosts, duration_us):
+    """Returns when a fleet sends if each host uses each permit at once."""
+    service = host.service()
+    start_us = host.state.now_us
+    due = []
+    for number in range(hosts):
+        target = targets.Target(service.targets["i-0"].spec)
+        target_limits.on_answer(
+            host.state,
+            service,
+            target,
+            events.RateLimitHeader(limit_per_s),
+            targets.AnswerKind.EXECUTED,
+            start_us,
+        )
+        wait_us = target_limits.wait_us(host.state, service, target)
+        heapq.heappush(due, (start_us + wait_us, number, target))
+    sent_us = []
+    while due[0][0] < start_us + duration_us:
+        at_us, number, target = heapq.heappop(due)
+        host.state.now_us = at_us
+        if target_limits.may_send(host.state, service, target):
+            target_limits.on_sent(host.state, service, target)
+            sent_us.append(at_us)
+        wait_us = target_limits.wait_us(host.state, service, target)
+        heapq.heappush(due, (at_us + max(1, wait_us), number, target))
+    return sent_us
+
+
+@pytest.mark.parametrize("limit_per_s", [0.5, 1.0, 2.0, 4.5])
+@pytest.mark.parametrize("hosts", [129, 311])
+def test_fleet_with_few_permits_keeps_the_limit_in_every_window(
+    make_published_host, hosts, limit_per_s
+):
+    host = make_published_host(targets=1)
+    stream = host.state.following.stream_number
+    host.feed(events.HostsReported, stream, hosts)
+    host.advance(fleet_lib.JOIN_TIME_US)
+    most, sent = 0, 0
+    for seed in range(300):
+        host.state.random.seed(seed)
+        sent_us = _times_at_full_demand(host, limit_per_s, hosts, 40_000_000)
+        most = max(most, most_in_window(sent_us))
+        sent += len(sent_us)
+    assert most <= 1.5 * 4 * limit_per_s + 5
+    assert sent >= 300 * 0.3 * limit_per_s * 40
+
+
 # A call that no target may take would wait until its deadline.
 def test_call_is_refused_at_once_when_all_targets_are_at_their_limits(
     make_published_host,
