Compress the records that readers relay to their followers

Cause: a reader leaves out the records of a read when their size, times its followers, would fill a link of 5 Mbit/s for half a second: 3 KB with 104 followers, some 12 entries of targets. Each step of a larger release was then read from the store by each of 311 hosts.

Change: records are compressed once for all followers that ask for it, and the limit follows the rate of the reader's own link, which the settings state. Lines keep their limit of 8 KiB for the narrow links of followers. Followers of an older build get plain records; an older reader ignores the request.

Lines that can't be decompressed, or that would grow beyond the longest line, end the stream.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -4,16 +4,19 @@
 identifies the sender. Each further line is the outcome of a read of one
 source: the records that the follower lacks, often none, or why the read
 failed. A line also has the number of gate hosts when it is new to the follower.
-Records whose total size is too large for the hosts' narrow links are
-omitted: the line has the offset after them, and the follower reads them from
-the store.
+Records are compressed for followers that ask for it: entries of targets, and
+routes, resemble each other. Records whose total size is too large for the
+hosts' narrow links are omitted: the line has the offset after them, and the
+follower reads them from the store.
 """
 
 import asyncio
+import base64
 from collections.abc import Callable
 import json
 import random
 from typing import Any
+import zlib
 
 from aiohttp import web
 import attrs
@@ -29,19 +32,41 @@
 MAX_LISTED_HELPERS = 8
 # Time for which a host that asked because it is cut off is not listed.
 CUT_OFF_US = 2_500_000
-# Largest total size of the records in a line.
+# Largest size of the records in a line, as sent.
 MAX_RELAYED_BYTES = 8_192
-# Largest total size of the records that a read sends to all followers: half a
-# second on a link of 5 Mbit/s.
-MAX_FAN_OUT_BYTES = 312_500
+# Longest time for which the records of one read, sent to all followers, may
+# fill the link of this host.
+MAX_FAN_OUT_S = 0.5
+# Rate of that link if the settings don't state it.
+DEFAULT_LINK_MBPS = 5.0
 # Longest line: some thousands of target entries, or a large configuration.
 MAX_LINE_BYTES = 8 * 1024 * 1024
 
 _JSON_LINES = "application/x-ndjson"
 
 
+@attrs.define(frozen=True)
+class _EncodedBatch:
+    """A batch and the member of a line that holds its records."""
+
+    batch: store_records.Batch
+    member: bytes
+
+
 @attrs.define
 class _Source:
+    """The reads of one source.
+
+    Attributes:
+        latest: The latest records.
+        reads: Number of reads recorded.
+        ended_us: Time at which the latest read ended.
+        failed: Why the latest read failed, if it did.
+        own: Whether this host made the latest read.
+        encoded: Batches as sent to the followers since the latest change, by
+            first offset and whether they are compressed.
+    """
+
     latest: store_records.LatestRecords = attrs.field(
         factory=store_records.LatestRecords
     )
@@ -49,6 +74,25 @@
     ended_us: int = 0
     failed: store_records.ReadFailed | None = None
     own: bool = True
+    encoded: dict[tuple[int | None, bool], _EncodedBatch] = attrs.field(
+        factory=dict
+    )
+
+    def apply(self, batch: store_records.Batch) -> bool:
+        """Applies a read; see `LatestRecords.apply`."""
+        self.encoded.clear()
+        return self.latest.apply(batch)
+
+    def since(self, offset: int | None, deflate: bool) -> _EncodedBatch | None:
+        """Returns the records from an offset on, encoded once for all."""
+        key = (offset, deflate)
+        if key not in self.encoded:
+            batch = self.latest.since(offset)
+            if batch is None:
+                return None
+            member = _encode_records(batch.records, deflate)
+            self.encoded[key] = _EncodedBatch(batch, member)
+        return self.encoded[key]
 
 
 @attrs.define(eq=False)
@@ -58,11 +102,15 @@
     Attributes:
         request: The follower's request.
         is_reader: Whether the follower is a reader too.
+        unlimited: Whether the follower takes records of any size.
+        deflate: Whether the follower takes compressed records.
         helper: Where the follower takes calls of other gate hosts, if it does.
     """
 
     request: web.Request
     is_reader: bool
+    unlimited: bool
+    deflate: bool
     helper: events.HelperAddress | None
 
     @property
@@ -84,6 +132,7 @@
         now_us: Clock that also advances while the host is suspended.
         relay_address: Address at which this host takes calls of other gate
             hosts; empty if it takes none.
+        link_mbps: Rate of this host's link, in Mbit/s.
 
     Attributes:
         gate_hosts: Number of gate hosts of the fleet, reported to the
@@ -96,8 +145,10 @@
         sources: tuple[str, ...],
         now_us: Callable[[], int],
         relay_address: str = "",
+        link_mbps: float = DEFAULT_LINK_MBPS,
     ) -> None:
         self.gate_hosts: int | None = None
+        self._fan_out_bytes = int(link_mbps * 1e6 / 8 * MAX_FAN_OUT_S)
         self._relay_address = relay_address
         self._cut_off_until_us: dict[str, int] = {}
         self._streams: set[_Stream] = set()
@@ -185,7 +236,7 @@
         failed: store_records.ReadFailed | None = None
         match outcome:
             case store_records.Batch():
-                if not source.latest.apply(outcome):
+                if not source.apply(outcome):
                     return
             case store_records.ReadFailed():
                 failed = outcome
@@ -200,7 +251,7 @@
 
     def add_records(self, name: str, batch: store_records.Batch) -> None:
         """Adds another host's records without reporting them as a read."""
-        self._sources[name].latest.apply(batch)
+        self._sources[name].apply(batch)
 
     def close(self) -> None:
         """Ends all streams."""
@@ -235,15 +286,18 @@
                     status=400,
                 )
             offsets[name] = int(text) if text else None
-        unlimited = "unlimited" in request.query
         response = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
         await response.prepare(request)
         stream = _Stream(
-            request, "reader" in request.query, _helper_of(request)
+            request,
+            is_reader="reader" in request.query,
+            unlimited="unlimited" in request.query,
+            deflate="deflate" in request.query,
+            helper=_helper_of(request),
         )
         self._streams.add(stream)
         try:
-            await self._write_lines(response, offsets, unlimited)
+            await self._write_lines(response, offsets, stream)
         except ConnectionError:
             # The follower disconnected; it logs the reason itself.
             pass
@@ -255,7 +309,7 @@
         self,
         response: web.StreamResponse,
         offsets: dict[str, int | None],
-        unlimited: bool,
+        stream: _Stream,
     ) -> None:
         gate_hosts = self.gate_hosts
         first_line = {
@@ -270,48 +324,51 @@
                 if written[name] == source.reads:
                     continue
                 written[name] = source.reads
-                line = self._outcome_line(
-                    name, offsets, self._limit_bytes(unlimited)
-                )
+                line = self._outcome_line(name, offsets, stream)
                 if line is None:
                     continue
+                fields, records = line
                 if gate_hosts != self.gate_hosts:
                     gate_hosts = self.gate_hosts
-                    line["gate-hosts"] = gate_hosts
-                await response.write(_encode_line(line))
+                    fields["gate-hosts"] = gate_hosts
+                await response.write(_encode_line(fields, records))
             await changed.wait()
 
-    def _limit_bytes(self, unlimited: bool) -> int:
-        """Returns the largest total size of the records in a line."""
-        if unlimited:
+    def _limit_bytes(self, stream: _Stream) -> int:
+        """Returns the largest size of the records in a line, as sent."""
+        if stream.unlimited:
             return MAX_LINE_BYTES // 2
-        fan_out_bytes = MAX_FAN_OUT_BYTES // max(1, len(self._streams))
+        fan_out_bytes = self._fan_out_bytes // max(1, len(self._streams))
         return min(MAX_RELAYED_BYTES, fan_out_bytes)
 
     def _outcome_line(
-        self, name: str, offsets: dict[str, int | None], limit_bytes: int
-    ) -> dict[str, Any] | None:
-        """Returns the line for the latest read and advances the offset."""
+        self, name: str, offsets: dict[str, int | None], stream: _Stream
+    ) -> tuple[dict[str, Any], bytes] | None:
+        """Returns the line for the latest read and advances the offset.
+
+        Returns:
+            The fields of the line and the member with its records; None if
+            there is nothing to send.
+        """
         source = self._sources[name]
         age_ms = (self._now_us() - source.ended_us) // 1000
         fields = {"source": name, "age-ms": age_ms, "own": source.own}
         if source.failed is not None:
-            return {**fields, "failed": source.failed.reason}
-        batch = source.latest.since(offsets[name])
-        if batch is None:
+            return {**fields, "failed": source.failed.reason}, b""
+        encoded = source.since(offsets[name], stream.deflate)
+        if encoded is None:
             return None
-        if batch.value_bytes > limit_bytes:
+        batch, records = encoded.batch, encoded.member
+        if batch.records and len(records) > self._limit_bytes(stream):
             # The offset tells the follower that records were omitted.
             next_offset = batch.next_offset
             batch = store_records.Batch([], next_offset, False, next_offset)
+            records = _encode_records([], deflate=False)
         offsets[name] = batch.next_offset
-        return {
-            **fields,
-            "from-offset": batch.from_offset,
-            "next-offset": batch.next_offset,
-            "whole": batch.is_snapshot,
-            "records": [_encode_record(record) for record in batch.records],
-        }
+        fields["from-offset"] = batch.from_offset
+        fields["next-offset"] = batch.next_offset
+        fields["whole"] = batch.is_snapshot
+        return fields, records
 
 
 def _helper_of(request: web.Request) -> events.HelperAddress | None:
@@ -330,5 +387,22 @@
     return [record.key, text, record.offset]
 
 
-def _encode_line(content: dict[str, Any]) -> bytes:
-    return json.dumps(content, separators=(",", ":")).encode() + b"\n"
+def _encode_records(
+    records: list[store_records.Record], deflate: bool
+) -> bytes:
+    """Returns the member of a line that holds records."""
+    rows = [_encode_record(record) for record in records]
+    text = json.dumps(rows, separators=(",", ":")).encode()
+    if deflate:
+        compressed = base64.b85encode(zlib.compress(text))
+        if len(compressed) < len(text):
+            return b'"deflated":"' + compressed + b'"'
+    return b'"records":' + text
+
+
+def _encode_line(content: dict[str, Any], member: bytes = b"") -> bytes:
+    """Encodes a line, with one more member that is encoded already."""
+    line = json.dumps(content, separators=(",", ":")).encode()
+    if member:
+        line = line[:-1] + b"," + member + b"}"
+    return line + b"\n"
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -1,8 +1,10 @@
 """Receives the reads of the platform's store that a gate host relays."""
 
+import base64
 from collections.abc import AsyncIterator
 import json
 from typing import Any
+import zlib
 
 import aiohttp
 import attrs
@@ -101,6 +103,7 @@
             for name, offset in offsets.items()
             if offset is not None
         }
+        query["deflate"] = "yes"
         if unlimited:
             query["unlimited"] = "yes"
         if is_reader:
@@ -208,7 +211,7 @@
             outcome = store_records.ReadFailed(str(content["failed"]))
         else:
             outcome = store_records.Batch(
-                [_decode_record(row) for row in content["records"]],
+                [_decode_record(row) for row in _decode_rows(content)],
                 int(content["next-offset"]),
                 bool(content["whole"]),
                 int(content["from-offset"]),
@@ -229,6 +232,29 @@
     return None if gate_hosts is None else int(gate_hosts)
 
 
+def _decode_rows(content: dict[str, Any]) -> list[list[Any]]:
+    """Returns the rows of the records in a line.
+
+    Raises:
+        KeyError: There are none.
+        ValueError: They can't be decompressed.
+    """
+    rows: list[list[Any]]
+    if "deflated" not in content:
+        rows = content["records"]
+        return rows
+    decompressor = zlib.decompressobj()
+    try:
+        compressed = base64.b85decode(content["deflated"])
+        text = decompressor.decompress(compressed, store_feed.MAX_LINE_BYTES)
+        if not decompressor.eof:
+            raise ValueError("too large or incomplete")
+        rows = json.loads(text)
+    except (ValueError, zlib.error) as error:
+        raise ValueError(f"records can't be read: {error}") from error
+    return rows
+
+
 def _decode_record(row: list[Any]) -> store_records.Record:
     key, text, offset = row
     value = None if text is None else text.encode("latin-1")
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -74,6 +74,7 @@
             settings.failure_domain,
             settings.control_address,
             settings.relay_address,
+            settings.link_mbps,
         )
         self._runners: list[web.AppRunner] = []
 
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -7,6 +7,8 @@
 import attrs
 import result
 
+from fireflyspindle.adapters import store_feed
+
 # Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = "FIREFLYSPINDLE_BOOT"
 MAX_PORT = 65_536
@@ -53,6 +55,7 @@
             the others; may be out of date.
         relay_address: Address on which this host takes calls of other hosts;
             empty where the platform gives no port for it.
+        link_mbps: Rate of this host's network link, in Mbit/s.
         first_start: Whether the whole system starts for the first time.
         bounds: Bounds that the platform requires.
     """
@@ -65,6 +68,7 @@
     control_address: str = ""
     reader_addresses: tuple[str, ...] = ()
     relay_address: str = ""
+    link_mbps: float = store_feed.DEFAULT_LINK_MBPS
     first_start: bool = False
     bounds: Bounds = Bounds()
 
@@ -116,6 +120,7 @@
         control_address=_control_address(raw, errors),
         reader_addresses=_readers(raw, errors),
         relay_address=_relay_address(raw, errors),
+        link_mbps=_link_mbps(raw, errors),
         first_start=_lookup(raw, ("self", "bootstrap")) is True,
         bounds=_bounds(raw, errors),
     )
@@ -152,6 +157,20 @@
     return f"{host}:{value[0]}"
 
 
+def _link_mbps(raw: dict[str, Any], errors: list[str]) -> float:
+    path = ("self", "limits", "link-mbps")
+    value = _lookup(raw, path)
+    if value is None:
+        return store_feed.DEFAULT_LINK_MBPS
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        errors.append(f"{'.'.join(path)}: found {value!r}; give a number")
+    elif not value > 0:
+        errors.append(f"{'.'.join(path)}: found {value}; give more than 0")
+    else:
+        return float(value)
+    return store_feed.DEFAULT_LINK_MBPS
+
+
 def _readers(raw: dict[str, Any], errors: list[str]) -> tuple[str, ...]:
     # The platform lists readers as seed nodes, which a new host may ask first.
     value = _lookup(raw, ("network", "seed-nodes"))
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -31,6 +31,7 @@
         control_address: Address at which other hosts follow this one.
         relay_address: Address at which this host takes calls of other gate
             hosts; empty if it takes none.
+        link_mbps: Rate of this host's link, in Mbit/s.
 
     Attributes:
         feed: Relays the reads of this host to the hosts that follow it.
@@ -44,10 +45,11 @@
         failure_domain: str,
         control_address: str,
         relay_address: str = "",
+        link_mbps: float = store_feed.DEFAULT_LINK_MBPS,
     ) -> None:
         sources = tuple(source.value for source in store_state.Source)
         self.feed = store_feed.Feed(
-            failure_domain, sources, shell.now_us, relay_address
+            failure_domain, sources, shell.now_us, relay_address, link_mbps
         )
         self.decoder = store_decoder.Decoder()
         self._shell = shell
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -270,6 +270,23 @@
     assert settings.unwrap().relay_address == address
 
 
+@pytest.mark.parametrize(
+    ("limits", "link_mbps"),
+    [({}, 5.0), ({"link-mbps": 1_000}, 1_000.0), ({"link-mbps": 2.5}, 2.5)],
+)
+def test_rate_of_the_link_is_read(limits, link_mbps):
+    raw = {**SETTINGS, "self": {**SETTINGS["self"], "limits": limits}}
+    assert settings_lib.parse(raw).unwrap().link_mbps == link_mbps
+
+
+@pytest.mark.parametrize("rate", [0, -1, "fast", True])
+def test_invalid_rate_of_the_link_is_an_error(rate):
+    limits = {"link-mbps": rate}
+    raw = {**SETTINGS, "self": {**SETTINGS["self"], "limits": limits}}
+    (error,) = settings_lib.parse(raw).unwrap_err()
+    assert "self.limits.link-mbps" in error
+
+
 @pytest.mark.parametrize("ports", [[], "7620", ["a"], [0, 5], [70_000]])
 def test_invalid_internal_ports_are_an_error(ports):
     network = {**SETTINGS["network"], "internal-ports": ports}
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -1,6 +1,11 @@
 """Relaying one gate host's reads of the store to its followers."""
 
 import asyncio
+import base64
+import json
+import random
+import string
+import zlib
 
 import aiohttp
 from aiohttp import web
@@ -12,6 +17,7 @@
 from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import events
+from fireflyspindle.testing import platform_documents
 
 SOURCE = "targets"
 
@@ -26,6 +32,27 @@
     )
 
 
+def incompressible(size_bytes, seed=0):
+    """Returns characters that hardly compress."""
+    characters = string.ascii_letters + string.digits + "+/"
+    text = "".join(random.Random(seed).choices(characters, k=size_bytes))
+    return text.encode()
+
+
+def target_entry(number):
+    """Returns the entry of a target as it stands in the store."""
+    address = f"10.{number % 5}.{number % 97}.{number % 251}:{20_000 + number}"
+    return json.dumps(platform_documents.target_entry(address)).encode()
+
+
+def deflated_line(compressed):
+    """Returns a line with compressed records."""
+    text = base64.b85encode(compressed).decode()
+    fields = {"source": SOURCE, "age-ms": 0, "own": True, "deflated": text}
+    fields |= {"from-offset": 0, "next-offset": 1, "whole": True}
+    return json.dumps(fields).encode() + b"\n"
+
+
 class ServedFeed:
     """A feed on an HTTP server, with a client."""
 
@@ -218,7 +245,7 @@
 
 async def test_records_of_large_total_size_are_omitted(served):
     """A reader's link of 5 Mbit/s can't send them to 40 hosts in time."""
-    rows = [(f"i-{n}", b"x" * 800, n) for n in range(1_000)]
+    rows = [(f"i-{n}", incompressible(800, n), n) for n in range(1_000)]
     served.feed.record_read(
         SOURCE, batch(*rows, next_offset=1_000, is_snapshot=True)
     )
@@ -244,7 +271,7 @@
     for lines in streams:
         await anext(lines)
     for offset, size_bytes in ((1, 8_000), (2, 3_000)):
-        record = ("i-1", b"x" * size_bytes, offset)
+        record = ("i-1", incompressible(size_bytes), offset)
         served.feed.record_read(SOURCE, batch(record, next_offset=offset + 1))
         outcomes = [(await anext(lines)).outcome for lines in streams]
         relayed_bytes = sum(outcome.value_bytes for outcome in outcomes)
@@ -254,6 +281,54 @@
         await lines.aclose()
 
 
+async def test_target_entries_are_compressed_for_many_followers(served):
+    """A step of a release: 30 targets start, and 30 others leave."""
+    served.feed.record_read(SOURCE, batch(next_offset=1, is_snapshot=True))
+    streams = [await served.follow(1) for _ in range(100)]
+    for lines in streams:
+        await anext(lines)
+    rows = [(f"i-{n:08x}", target_entry(n), n) for n in range(1, 61)]
+    served.feed.record_read(SOURCE, batch(*rows, next_offset=61))
+    for lines in streams:
+        outcome = (await anext(lines)).outcome
+        assert [r.value for r in outcome.records] == [row[1] for row in rows]
+        await lines.aclose()
+
+
+async def test_fan_out_follows_the_rate_of_the_link(served):
+    fast = store_feed.Feed("a", (SOURCE,), lambda: 5_000_000, link_mbps=50.0)
+    app = web.Application()
+    app.add_routes(fast.routes())
+    server = testing.Server(app)
+    served.feed.close()
+    served.address = await server.start()
+    fast.record_read(SOURCE, batch(next_offset=1, is_snapshot=True))
+    streams = [await served.follow(1) for _ in range(100)]
+    for lines in streams:
+        await anext(lines)
+    record = ("i-1", incompressible(4_000), 1)
+    fast.record_read(SOURCE, batch(record, next_offset=2))
+    for lines in streams:
+        assert (await anext(lines)).outcome.value_bytes == 4_000
+        await lines.aclose()
+    fast.close()
+    await server.close()
+
+
+async def test_follower_of_an_older_build_receives_plain_records(served):
+    rows = [(f"i-{n}", target_entry(n), n) for n in range(4)]
+    served.feed.record_read(
+        SOURCE, batch(*rows, next_offset=4, is_snapshot=True)
+    )
+    async with aiohttp.ClientSession() as session:
+        url = f"http://{served.address}{store_feed.PATH}"
+        async with session.get(url) as response:
+            await response.content.readline()
+            line = json.loads(await response.content.readline())
+    assert [row[0] for row in line["records"]] == [row[0] for row in rows]
+    assert "deflated" not in line
+
+
 async def test_unlimited_follower_receives_records_of_any_total_size(served):
     rows = [(f"i-{n}", b"x" * 800, n) for n in range(1_000)]
     served.feed.record_read(
@@ -285,7 +360,19 @@
 
 
 @pytest.mark.parametrize(
-    "line", [b"spoilt\n", b"[]\n", b'{"source":"targets"}\n', b"3\n"]
+    "line",
+    [
+        b"spoilt\n",
+        b"[]\n",
+        b'{"source":"targets"}\n',
+        b"3\n",
+        deflated_line(b"[]"),
+        deflated_line(zlib.compress(b"[]")[:-1]),
+        deflated_line(zlib.compress(b"[3]")),
+        deflated_line(zlib.compress(b" " * store_feed.MAX_LINE_BYTES + b"[]")),
+        b'{"source":"targets","age-ms":0,"own":true,"next-offset":1,"whole":true'
+        b',"from-offset":0,"deflated":"\xc2\xa7"}\n',
+    ],
 )
 async def test_invalid_line_ends_the_stream(line):
     async def respond(_request):
