Compute the used part of a limit once for each limit and fleet size

What callers would see: when the count of gate hosts changes, a host computes the used part for every target with a limit at once. At 1,000 hosts that took 5.5 ms for six limits, and some hundred targets would hold up calls for that long each.

Cause: the binomial tail was summed up to the number of hosts, for each target.

Change: the sum ends when its terms are negligible, and results are kept by limit and number of hosts.

--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -7,6 +7,7 @@
 all of them could be used at once.
 """
 
+import functools
 import math
 
 from fireflyspindle.core import effects
@@ -23,6 +24,8 @@
 TOLERANCE_REQUESTS = 5.0
 # Maximum probability that a window has more requests than a target tolerates.
 MAX_EXCESS_PROBABILITY = 2e-6
+# Share of that probability below which further terms of its sum are left out.
+NEGLIGIBLE_SHARE = 1e-9
 # Steps in which the used part of a limit is reduced, down to the smallest part.
 FRACTION_STEP = 0.05
 MIN_FRACTION = 0.25
@@ -243,6 +246,7 @@
     return limit.permits_per_us
 
 
+@functools.lru_cache(maxsize=1_000)
 def used_fraction(requests_per_s: float, hosts: int) -> float:
     """Returns the part of a limit that the gate hosts use together.
 
@@ -290,6 +294,8 @@
     total = 0.0
     for count in range(successes + 1, trials + 1):
         total += term
+        if term < NEGLIGIBLE_SHARE * total:
+            break
         term *= (trials - count) / (count + 1) * odds
     return total
 
