Heed what targets state in their answers: leaving, and pauses

Targets that never report `draining` went on getting calls until their entries were gone, and paused ones as if they had only declined.

Change: the platform's header profile decodes both for every answer; the core keeps them for one start of a target (core/target_statements.py). They share that module since they share what they rest on: the start, which entries that lapse and return do not change. Every path that sends or probes asks `may_send`, `may_probe` or `may_send_soon`, which now cover pauses. A pause does not count towards ejection. When all targets are limited or paused, calls, waiting ones too, are refused at once with the shortest wait, spread.

Found on the way: a late 421 of a previous start under the same id marked the new start as leaving, for good; it now concerns the start that was asked.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -157,6 +157,9 @@
             event.not_run = (
                 event.not_carried or outcome == effects.Outcome.NOT_RUN.value
             )
+            event.leaving_start = responses.parse_leaving_start(
+                response_headers.get(headers.RELAY_LEAVING, "")
+            )
         else:
             event.not_run = self._header_profile.not_run in response_headers
             event.report = self._header_profile.parse_load_report(
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -14,7 +14,9 @@
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import message_heads
 from fireflyspindle.adapters import target_client
+from fireflyspindle.adapters import target_connection
 from fireflyspindle.core import effects
+from fireflyspindle.core import events
 from fireflyspindle.core import refusals
 
 _OUTCOME_LINES = {
@@ -25,6 +27,8 @@
 _KEEP_ALIVE = b"Connection: keep-alive\r\n"
 
 DISCARD_LIMIT_S = 5.0
+# Digits of a wall-clock time in milliseconds.
+MAX_TIME_DIGITS = 15
 
 
 def refuse(
@@ -114,6 +118,15 @@
     return lines
 
 
+def parse_leaving_start(text: str) -> events.TargetStart | None:
+    """Parses the start of a target that says that it is leaving."""
+    started_ms, _, target_id = text.partition(" ")
+    valid = started_ms.isascii() and started_ms.isdecimal()
+    if not valid or len(started_ms) > MAX_TIME_DIGITS or not target_id:
+        return None
+    return events.TargetStart(target_id, int(started_ms))
+
+
 def _relay_outcome_line(value: str) -> bytes:
     return f"{headers.RELAY_OUTCOME}: {value}\r\n".encode()
 
@@ -163,6 +176,7 @@
             delimited or self._chunked
         )
         lines = _header_lines(self.exchange, outcome)
+        lines += self._leaving_lines(response)
         lines += _connection_lines(message, self._keep_alive)
         head = message_heads.response_head(
             response.message,
@@ -176,6 +190,24 @@
             self._finish()
         return complete
 
+    def _leaving_lines(
+        self, response: target_connection.Response
+    ) -> list[bytes]:
+        """Returns the line that tells another gate host who is leaving.
+
+        That host passes on the answer, and then has to leave out the target.
+        """
+        attempt = self.attempt
+        if not self.exchange.relayed or not attempt.incarnation:
+            return []
+        report = self.exchange.header_profile.parse_load_report(
+            response.message.headers
+        )
+        if not report.leaving:
+            return []
+        start = f"{attempt.target_started_ms} {attempt.incarnation}"
+        return [f"{headers.RELAY_LEAVING}: {start}\r\n".encode()]
+
     def _has_body(self) -> bool:
         response = self.attempt.response
         assert response is not None
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -62,6 +62,7 @@
         target: Address of the target.
         incarnation: Incarnation that the request is addressed to, or "".
         relayed: Whether the target is a gate host that carries the call.
+        target_started_ms: Wall-clock time of the target's start, if known.
         sent: Whether a byte of the request may have been sent.
         ended: Whether its end has been reported.
         response: The response, once its head has arrived.
@@ -78,6 +79,7 @@
     _timeout_us: int
     _started_us: int
     relayed: bool = False
+    target_started_ms: int = 0
     sent: bool = False
     ended: bool = False
     response: target_connection.Response | None = None
@@ -258,6 +260,7 @@
             effect.timeout_us,
             self.now_us(),
             effect.relayed,
+            effect.target_started_ms,
         )
         exchange.attempts[effect.attempt] = attempt
         attempt.begin()
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -1,7 +1,6 @@
 """Attempts: sending a call's request to a target, and how that ends."""
 
 from fireflyspindle.core import capacity
-from fireflyspindle.core import discovery
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import forecast
@@ -9,6 +8,7 @@
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
+from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 
 SERVER_ERROR_STATUS = 500
@@ -92,6 +92,7 @@
     call: state_lib.Call,
     attempt: state_lib.Attempt,
 ) -> None:
+    start = target_statements.start_of(attempt.target)
     state.emit(
         effects.SendToTarget(
             call_id=call.call_id,
@@ -99,9 +100,10 @@
             target=attempt.target.spec.address,
             timeout_us=call.deadline_us - state.now_us,
             hedge=len(call.attempts) > 1,
-            incarnation=discovery.incarnation_of(attempt.target),
+            incarnation=start.target_id if start is not None else "",
             repeatable=call.repeatable,
             relayed=attempt.relayed,
+            target_started_ms=start.started_ms if start is not None else 0,
         )
     )
 
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -19,6 +19,7 @@
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
+from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
@@ -81,7 +82,10 @@
     if call is None or event.attempt not in call.attempts:
         return
     attempt = call.attempts[event.attempt]
-    if not attempt.relayed:
+    if attempt.relayed:
+        if event.leaving_start is not None:
+            target_statements.on_leaving(state, event.leaving_start)
+    else:
         _update_target(state, call, attempt, event)
         attempts.record_answer(state, call, attempt, event)
     attempt.declined = event.not_run
@@ -128,11 +132,30 @@
     _update_incarnation(state, attempt.target, event)
     service = state.services.get(call.service)
     if service is not None:
-        ejection.on_answered(state, attempt, service, event)
+        if not _update_statements(state, service, attempt, event):
+            ejection.on_answered(state, attempt, service, event)
         reachability.on_answered(state, service)
         _update_limit(state, service, attempt, event)
 
 
+def _update_statements(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    attempt: state_lib.Attempt,
+    event: events.AttemptAnswered,
+) -> bool:
+    """Handles what the target states; returns whether it asks for a pause."""
+    if event.report is None or event.status == discovery.MISDIRECTED_STATUS:
+        return False
+    return target_statements.on_answer(
+        state,
+        service,
+        attempt.target,
+        event.report,
+        declined=event.status in target_statements.PAUSE_STATUSES,
+    )
+
+
 def _update_limit(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -5,7 +5,6 @@
 that answers with another id is not the registered one.
 """
 
-import attrs
 import result
 
 from fireflyspindle.core import budgets
@@ -19,6 +18,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
+from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 
@@ -29,25 +29,6 @@
 MISDIRECTED_STATUS = 421
 
 
-@attrs.define(frozen=True)
-class DiscoveredTarget(records.TargetSpec):
-    """A target as described by its own entry in the store.
-
-    Attributes:
-        incarnation: Id of the target.
-        started_ms: Wall-clock time of its start; a target may restart under the
-            same id.
-    """
-
-    incarnation: str = ""
-    started_ms: int = 0
-
-    @property
-    def key(self) -> str:
-        """The id, because another target may reuse an address."""
-        return self.incarnation
-
-
 def on_configuration_read(
     state: state_lib.GateState, event: events.ConfigurationRead
 ) -> None:
@@ -139,13 +120,13 @@
     if registered is None or registered.entry.started_ms != entry.started_ms:
         _discard_previous_start(state, entry)
         registered = store_state.RegisteredTarget(entry)
+        registered.leaving = registered.start in state.leaving_starts
         state.registered_targets[entry.target_id] = registered
     registered.entry = entry
     registered.expired = False
     registered.warmup_until_us = state.now_us + entry.warmup_left_ms * 1000
-    if entry.draining and not registered.leaving:
-        registered.leaving = True
-        _log_target_left(state, registered, "it is draining")
+    if entry.draining:
+        target_statements.mark_leaving(state, registered, "it is draining")
 
 
 def _discard_previous_start(
@@ -172,7 +153,9 @@
         return
     del state.registered_targets[target_id]
     if not registered.leaving:
-        _log_target_left(state, registered, "its entry was removed")
+        target_statements.log_target_left(
+            state, registered, "its entry was removed"
+        )
 
 
 def _reregistration_deadline_us(state: state_lib.GateState) -> int:
@@ -201,11 +184,13 @@
 
 def on_misdirected(state: state_lib.GateState, target: targets.Target) -> None:
     """Stops calls to a target whose address another target has taken over."""
-    registered = state.registered_targets.get(target.spec.key)
     target.leaving = True
-    if registered is not None and not registered.leaving:
+    registered = state.registered_targets.get(target.spec.key)
+    if registered is None or registered.leaving:
+        return
+    if registered.start == target_statements.start_of(target):
         registered.leaving = True
-        _log_target_left(
+        target_statements.log_target_left(
             state, registered, "another target answers at its address"
         )
 
@@ -220,25 +205,6 @@
         on_misdirected(state, target)
 
 
-def incarnation_of(target: targets.Target) -> str:
-    """Returns the id of a discovered target, or an empty string."""
-    spec = target.spec
-    return spec.incarnation if isinstance(spec, DiscoveredTarget) else ""
-
-
-def _log_target_left(
-    state: state_lib.GateState,
-    registered: store_state.RegisteredTarget,
-    reason: str,
-) -> None:
-    entry = registered.entry
-    detail = (
-        f"{entry.service}: target {entry.target_id} at {entry.address} gets no"
-        f" new calls: {reason}"
-    )
-    state.emit(effects.WriteLogLine("info", "target_left", detail))
-
-
 def refresh_services(state: state_lib.GateState) -> None:
     """Updates services from the entries, the configuration and the fleet."""
     registered_by_service: dict[
@@ -284,8 +250,8 @@
 
 def _target_spec(
     entry: events.TargetRegistration, connection_limit: int
-) -> DiscoveredTarget:
-    return DiscoveredTarget(
+) -> targets.DiscoveredTarget:
+    return targets.DiscoveredTarget(
         address=entry.address,
         failure_domain=entry.failure_domain,
         slots=entry.slots,
@@ -336,5 +302,5 @@
     target = service.targets.get(registered.entry.target_id)
     if target is None:
         return
-    target.leaving = target.leaving or registered.leaving
+    target_statements.restore(state, registered, target)
     target.slow_start_until_us = registered.warmup_until_us
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -30,6 +30,7 @@
             or an empty string for any.
         repeatable: Whether the request may run more than once.
         relayed: Whether the target is a gate host that carries the call.
+        target_started_ms: Wall-clock time of the target's start, if known.
     """
 
     call_id: int
@@ -40,6 +41,7 @@
     incarnation: str = ""
     repeatable: bool = True
     relayed: bool = False
+    target_started_ms: int = 0
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -37,6 +37,9 @@
         slowdown: Current service time at the target, relative to its usual
             one, if stated.
         rate_limit: Limit on the requests that the target takes, if stated.
+        retry_after_s: Time for which the target wants no further requests of
+            this host, if stated.
+        invalid_headers: Names of headers whose values were ignored.
         healthy: Whether the target answered a probe with success.
     """
 
@@ -46,6 +49,8 @@
     slots: int | None = None
     slowdown: float | None = None
     rate_limit: "RateLimitHeader | None" = None
+    retry_after_s: float | None = None
+    invalid_headers: tuple[str, ...] = ()
     healthy: bool = True
 
 
@@ -60,6 +65,20 @@
     requests_per_s: float | None
 
 
+@attrs.define(frozen=True)
+class TargetStart:
+    """One start of a target that registered itself.
+
+    Attributes:
+        target_id: Id of the target.
+        started_ms: Wall-clock time of its start; a target may restart under the
+            same id.
+    """
+
+    target_id: str
+    started_ms: int
+
+
 @attrs.define
 class CallArrived:
     """The headers of a caller's request have arrived.
@@ -116,6 +135,8 @@
         report: Load report on the answer, if any.
         not_carried: Whether a helper states that it could not carry the call,
             unlike one whose targets declined it.
+        leaving_start: Start of the target that answered through a helper, if it
+            says that it is leaving.
     """
 
     now_us: int
@@ -125,6 +146,7 @@
     not_run: bool = False
     report: LoadReport | None = None
     not_carried: bool = False
+    leaving_start: TargetStart | None = None
 
 
 @attrs.define
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -290,7 +290,7 @@
         answers.failure_status(call),
         "target_limits",
         f"the targets of service {service.name} take no more requests of this"
-        f" gate host for {wait_ms} ms because of their limits",
+        f" gate host for {wait_ms} ms because of their limits or pauses",
         answers.jittered_retry_after_ms(state, wait_ms),
     )
 
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -16,6 +16,7 @@
 from fireflyspindle.core import reachability
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
+from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 
 SECOND_US = 1_000_000
@@ -67,7 +68,9 @@
     most_overdue: targets.Target | None = None
     max_overdue_us = 0
     for target in service.candidates:
-        if target.leaving:
+        if target.leaving or not target_limits.may_probe(
+            state, service, target
+        ):
             continue
         last_us = max(target.load.reported_us, target.load.probed_us)
         interval_us = (
@@ -127,6 +130,9 @@
             targets.AnswerKind.PROBE,
             probe.sent_us,
         )
+        target_statements.on_answer(
+            state, service, target, report, declined=not report.healthy
+        )
         if not report.healthy:
             report = None
     if service.probes_before_send:
--- a/src/fireflyspindle/core/reachability.py
+++ b/src/fireflyspindle/core/reachability.py
@@ -195,7 +195,11 @@
     state: state_lib.GateState, service: state_lib.ServiceState | None
 ) -> None:
     """Checks a random target of a service, or of all services."""
-    present = list(_present_targets(state, service))
+    present = [
+        pair
+        for pair in _present_targets(state, service)
+        if state.now_us >= pair[1].paused_until_us
+    ]
     unlimited = [pair for pair in present if pair[1].rate_limit is None]
     present = unlimited or present
     if not present or not placement.take_probe_token(state):
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
 from fireflyspindle.core import effects
+from fireflyspindle.core import events
 from fireflyspindle.core import forecast_state
 from fireflyspindle.core import helper_state
 from fireflyspindle.core import incarnations
@@ -444,6 +445,9 @@
         rule_table: Published rules in force.
         service_settings: Published settings of services by name.
         registered_targets: Targets that registered themselves, by id.
+        leaving_starts: Starts of targets that are leaving, oldest first; kept
+            after their entries are removed.
+        pauses_us: Ends of the pauses that targets asked for, by start.
         last_probe_round_id: Number of the latest probe round.
         probe_tokens: Tokens of the probe rate limit, one per probe.
         probe_tokens_refilled_us: Time of their last refill.
@@ -502,6 +506,8 @@
     registered_targets: dict[str, store_state.RegisteredTarget] = attrs.field(
         factory=dict
     )
+    leaving_starts: dict[events.TargetStart, None] = attrs.field(factory=dict)
+    pauses_us: dict[events.TargetStart, int] = attrs.field(factory=dict)
     last_probe_round_id: int = 0
     probe_tokens: float = 0.0
     probe_tokens_refilled_us: int = 0
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -228,3 +228,8 @@
     leaving: bool = False
     warmup_until_us: int = 0
     expired: bool = False
+
+    @property
+    def start(self) -> events.TargetStart:
+        """The start of the target that the entry describes."""
+        return events.TargetStart(self.entry.target_id, self.entry.started_ms)
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -119,6 +119,8 @@
     target: targets.Target,
 ) -> bool:
     """Whether this gate host may send a request to a target now."""
+    if state.now_us < target.paused_until_us:
+        return False
     limit = target.rate_limit
     if limit is None:
         return True
@@ -132,6 +134,8 @@
     target: targets.Target,
 ) -> bool:
     """Whether a probe of a target leaves a permit for the call after it."""
+    if state.now_us < target.paused_until_us:
+        return False
     limit = target.rate_limit
     if limit is None:
         return True
@@ -154,11 +158,16 @@
     target: targets.Target,
 ) -> int:
     """Returns the time until this host may send a request to a target."""
+    pause_us = max(0, target.paused_until_us - state.now_us)
     limit = target.rate_limit
-    if limit is None or may_send(state, service, target):
-        return 0
+    if limit is None:
+        return pause_us
+    _refill(state, service, limit)
     missing = 1.0 - limit.permits
-    return math.ceil(missing / _permits_per_us(state, service, limit))
+    if missing <= 0:
+        return pause_us
+    permit_us = math.ceil(missing / _permits_per_us(state, service, limit))
+    return max(pause_us, permit_us)
 
 
 def unheard_target(
@@ -179,17 +188,20 @@
 def max_waiting_calls(
     state: state_lib.GateState, service: state_lib.ServiceState
 ) -> int | None:
-    """Returns how many calls may wait for targets that all have limits.
+    """Returns how many calls may wait for targets that are limited or paused.
 
     More calls than there are permits soon would wait in vain.
 
     Returns:
-        The number; None while some target has no limit.
+        The number; None while some target is neither limited nor paused.
     """
     present = [
         target for target in service.targets.values() if not target.leaving
     ]
-    if not present or any(target.rate_limit is None for target in present):
+    if not present or any(
+        target.rate_limit is None and state.now_us >= target.paused_until_us
+        for target in present
+    ):
         return None
     return sum(may_send_soon(state, service, target) for target in present)
 
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -42,6 +42,25 @@
     returned_us: int = 0
 
 
+@attrs.define(frozen=True)
+class DiscoveredTarget(records.TargetSpec):
+    """A target as described by its own entry in the store.
+
+    Attributes:
+        incarnation: Id of the target.
+        started_ms: Wall-clock time of its start; a target may restart under the
+            same id.
+    """
+
+    incarnation: str = ""
+    started_ms: int = 0
+
+    @property
+    def key(self) -> str:
+        """The id, because another target may reuse an address."""
+        return self.incarnation
+
+
 class AnswerKind(enum.Enum):
     """Kind of an answer of a target.
 
@@ -104,6 +123,8 @@
         reported_load: Load and slowdown that it last reported.
         rate_limit: Limit on its requests; None while it states none.
         invalid_limit_us: Time of the latest log line about an invalid limit.
+        paused_until_us: End of the pause that it asked for.
+        invalid_header_us: Time of the latest log line about invalid headers.
     """
 
     spec: records.TargetSpec
@@ -121,6 +142,8 @@
     slow_start_until_us: int = 0
     rate_limit: RateLimit | None = None
     invalid_limit_us: int = load_lib.NEVER_US
+    paused_until_us: int = 0
+    invalid_header_us: int = load_lib.NEVER_US
 
 
 def on_attempt_started(target: Target, now_us: int) -> None:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -29,12 +29,15 @@
 RELAY_OUTCOME = "Fireflyspindle-Relay-Outcome"
 # Value that states that the gate host could not carry the call.
 NOT_CARRIED = "not-carried"
+# Start of the target that answered a relayed call, if it says that it is
+# leaving: the time of the start in milliseconds, a space and the target's id.
+RELAY_LEAVING = "Fireflyspindle-Relay-Leaving"
 
 # Prefix of the headers defined by the gate, in lower case.
 OWN_PREFIX = b"fireflyspindle-"
 
 MAX_DIGITS = 9
-MAX_RATE_LIMIT_CHARACTERS = 20
+MAX_DECIMAL_CHARACTERS = 20
 MAX_INCARNATION_CHARACTERS = 100
 
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
@@ -46,6 +49,7 @@
         b"connection",
         b"content-length",
         b"expect",
+        b"fireflyspindle-relay-leaving",
         b"fireflyspindle-relay-outcome",
         b"keep-alive",
         b"proxy-authenticate",
@@ -88,14 +92,15 @@
     """
     if not texts:
         return None
-    values = [_decimal(text) for text in texts]
+    values = [parse_decimal(text) for text in texts]
     valid = [value for value in values if value is not None]
     return events.RateLimitHeader(min(valid, default=None))
 
 
-def _decimal(text: str) -> float | None:
+def parse_decimal(text: str) -> float | None:
+    """Parses a decimal number of 0 or more; None if it is invalid."""
     text = text.strip()
-    if len(text) > MAX_RATE_LIMIT_CHARACTERS or not _DECIMAL.fullmatch(text):
+    if len(text) > MAX_DECIMAL_CHARACTERS or not _DECIMAL.fullmatch(text):
         return None
     return float(text)
 
--- a/src/fireflyspindle/platform/header_profile.py
+++ b/src/fireflyspindle/platform/header_profile.py
@@ -12,6 +12,7 @@
 SERVER_LOAD = _PREFIX + "Server-Load"
 SERVER_SIGNATURE = _PREFIX + "Server-Signature"
 SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
 
 # The load fields are running, waiting and slots; a fourth, the slowdown, is
 # optional.
@@ -31,6 +32,8 @@
             response_headers.getall(SERVER_LIMIT, ())
         ),
     )
+    _parse_leaving(response_headers, report)
+    _parse_retry_after(response_headers, report)
     fields = response_headers.get(SERVER_LOAD, "").split(",")
     values = [_load_value(field) for field in fields]
     if len(values) < REQUIRED_LOAD_FIELDS or None in values:
@@ -43,6 +46,31 @@
     return report
 
 
+def _parse_leaving(
+    response_headers: headers.HeaderFields, report: events.LoadReport
+) -> None:
+    """Parses whether the server is leaving; one "1" of several suffices."""
+    texts = [
+        text.strip() for text in response_headers.getall(SERVER_LEAVING, ())
+    ]
+    report.leaving = "1" in texts
+    if any(text not in ("0", "1") for text in texts):
+        report.invalid_headers += (SERVER_LEAVING,)
+
+
+def _parse_retry_after(
+    response_headers: headers.HeaderFields, report: events.LoadReport
+) -> None:
+    """Parses a time in seconds, the longest of several; dates are invalid."""
+    texts = response_headers.getall(headers.RETRY_AFTER, ())
+    values = [headers.parse_decimal(text) for text in texts]
+    report.retry_after_s = max(
+        (value for value in values if value is not None), default=None
+    )
+    if None in values:
+        report.invalid_headers += (headers.RETRY_AFTER,)
+
+
 def _load_value(text: str) -> int | None:
     text = text.strip()
     if not text.isascii() or not text.isdecimal() or len(text) > 7:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -181,6 +181,11 @@
             for service in self.state.services.values()
             for target in service.targets.values()
         )
+        self.metrics.gauges["paused_targets"] = sum(
+            target.paused_until_us > self.state.now_us
+            for service in self.state.services.values()
+            for target in service.targets.values()
+        )
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
--- a/tests/test_targets_unreachable.py
+++ b/tests/test_targets_unreachable.py
@@ -89,6 +89,31 @@
         assert not served([response])
 
 
+# The host that relays passes on the answer, so it is bound by it too.
+async def test_host_that_relays_leaves_out_a_target_that_is_leaving():
+    async def say_leaving(request, writer):
+        await asyncio.sleep(0.05)
+        line = f"{header_profile.SERVER_LEAVING}: 1"
+        writer.write(platform_driver.answer(request, b"ok", line))
+
+    async with platform_fleet.running(4, 5, say_leaving) as fleet:
+        host = fleet.hosts[3]
+        fleet.cut_off(host, "refuse")
+        responses = await serve_calls(fleet, [host], 60, "cut")
+        assert served(responses)
+        relayed = [
+            response.values("Fireflyspindle-Relay-Leaving")
+            for response in responses
+        ]
+        assert not any(relayed)
+        left = [
+            target_id
+            for target_id, registered in host.state.registered_targets.items()
+            if registered.leaving
+        ]
+        assert left
+
+
 # A helper dies between the request and its answer.
 async def test_request_that_a_helper_lost_is_not_run_again():
     async def hold(request, writer):
