Do not send a call past its deadline after the host was frozen

What callers saw: a host that was frozen for seconds and woke sent work that nobody waited for any more: a call in a probe round, or one whose connection was being opened, reached a target seconds after its deadline, with 1 ms as the time left. One that may run once was run after its caller had given up, and perhaps asked again. The users tell of a contract offer that stalled and then arrived a second time.

Cause: after a freeze the event loop hands over sockets before timers, so the end of a probe was handled before the timer of the call's deadline. Placement takes for granted that this timer has fired, and asks for no time left; timers that were due earlier came first too. A connection that was established meanwhile was used at once.

Class: a decision that rests on a timer having fired. The others compare times themselves and were right.

Change: before an event, if any timer is overdue, calls whose deadline has passed and that no target holds end as not run. An attempt checks its time again once it is connected. Answers that are ready are delivered late, as before.

--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -125,6 +125,11 @@
         if self.ended:
             self._client.keep(connection)
             return
+        if self._left_us() <= 0:
+            # The host was frozen while it connected.
+            self._client.keep(connection)
+            self.on_failed(events.FailureReason.CANCELLED)
+            return
         exchange = self.exchange
         body = exchange.body
         self.connection = connection
@@ -142,8 +147,7 @@
 
     def _request_head(self, length: int | None) -> bytes:
         header_profile = self.exchange.header_profile
-        waited_us = self._client.now_us() - self._started_us
-        timeout_ms = max(1, (self._timeout_us - waited_us) // 1000)
+        timeout_ms = max(1, self._left_us() // 1000)
         gateway_lines = (
             f"{header_profile.request_id}: {self.request_id}\r\n"
             f"{header_profile.deadline_ms}: {timeout_ms}\r\n"
@@ -161,6 +165,10 @@
             header_profile,
         )
 
+    def _left_us(self) -> int:
+        """Returns the time left until the deadline of the call."""
+        return self._timeout_us - (self._client.now_us() - self._started_us)
+
     async def _upload(self, connection: Connection) -> None:
         chunked = self.exchange.content_length is None
         try:
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -362,6 +362,25 @@
     answers.finish_if_done(state, call)
 
 
+def expire_unsent(state: state_lib.GateState) -> None:
+    """Ends the calls whose deadline has passed and that no target holds.
+
+    After this host was frozen, the first events are handled before the timers
+    of the deadlines, and timers that are due earlier before these. They must
+    not send a call that nobody waits for any more. A call that a target holds
+    is left alone: its answer may have arrived meanwhile.
+    """
+    expired = [
+        call_id
+        for call_id, call in state.calls.items()
+        if call.deadline_us <= state.now_us
+        and call.phase is state_lib.CallPhase.WAITING
+        and not call.attempts
+    ]
+    for call_id in expired:
+        on_deadline(state, call_id)
+
+
 def on_deadline(state: state_lib.GateState, call_id: int) -> None:
     """Ends a call whose deadline has passed.
 
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -55,6 +55,9 @@
     decrease. The same events with the same seed give the same effects.
     """
     state.now_us = event.now_us
+    next_at_us = state.timers.next_at_us()
+    if next_at_us is not None and next_at_us <= state.now_us:
+        calls.expire_unsent(state)
     _apply(state, event)
     if state.services_with_capacity:
         admission.send_queued(state)
