Accept and answer the connections that wait when a host stops listening

What callers saw: during a planned stop under load, connections that were established but not yet accepted were reset, though their requests had arrived.

Cause: closing the listening socket resets what waits in its queue. The event loop accepts once a turn, so a busy host always has some there.

Change: before the address closes, the waiting connections are accepted, and the process does not exit before their requests have been read. They are answered: with the target's answer, or with a 503 that the request has not run.

--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -1,6 +1,7 @@
 """The server for callers' connections."""
 
 import asyncio
+from collections.abc import Callable
 import itertools
 import socket
 import time
@@ -27,6 +28,8 @@
 # Most connections that wait to be accepted; holds a burst of one or two
 # seconds.
 BACKLOG = 1_024
+# Time in which the request of a connection that was accepted last is read.
+LAST_READ_S = 0.05
 
 Connection = caller_connection.CallerConnection
 PendingRequest = caller_connection.PendingRequest
@@ -81,6 +84,8 @@
         self._call_ids = itertools.count(1)
         # Keeps request ids unique when a host restarts with the same host id.
         self._request_id_prefix = f"{host_id}-{time.time_ns() // 1_000_000:x}"
+        self._listening: list[tuple[socket.socket, bool]] = []
+        self._last_accepts: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._relay_server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -122,14 +127,19 @@
             backlog=BACKLOG,
         )
         listening_socket.setblocking(False)
-        buffer = bytearray(shared_buffer.RECEIVE_BUFFER_BYTES)
+        self._listening.append((listening_socket, relays))
         return await loop.create_server(
-            lambda: Connection(self, loop, buffer, relays),
+            self._connection_factory(relays),
             sock=listening_socket,
             backlog=BACKLOG,
             start_serving=accepting,
         )
 
+    def _connection_factory(self, relays: bool) -> Callable[[], Connection]:
+        loop = asyncio.get_running_loop()
+        buffer = bytearray(shared_buffer.RECEIVE_BUFFER_BYTES)
+        return lambda: Connection(self, loop, buffer, relays)
+
     async def accept(self) -> None:
         """Accepts waiting and further connections."""
         assert self._server is not None
@@ -148,8 +158,8 @@
 
     @property
     def receiving(self) -> bool:
-        """Whether a body is being buffered before its call is opened."""
-        return any(
+        """Whether requests are being read whose calls are not open yet."""
+        return bool(self._last_accepts) or any(
             pending.reading_body
             for connection in self.connections
             for pending in connection.pending
@@ -158,11 +168,40 @@
     def stop_listening(self) -> None:
         """Stops accepting; each connection closes after its next response."""
         self.stopping = True
+        self._accept_waiting()
         if self._server is not None:
             self._server.close()
         if self._relay_server is not None:
             self._relay_server.close()
 
+    def _accept_waiting(self) -> None:
+        """Accepts the connections that would be reset with their addresses."""
+        for listening_socket, relays in self._listening:
+            factory = self._connection_factory(relays)
+            while True:
+                try:
+                    accepted, _ = listening_socket.accept()
+                except OSError:
+                    break
+                accepted.setblocking(False)
+                task = asyncio.get_running_loop().create_task(
+                    self._read_last(factory, accepted)
+                )
+                self._last_accepts.add(task)
+                task.add_done_callback(self._last_accepts.discard)
+        self._listening.clear()
+
+    async def _read_last(
+        self, factory: Callable[[], Connection], accepted: socket.socket
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(factory, accepted)
+        except OSError:
+            accepted.close()
+            return
+        await asyncio.sleep(LAST_READ_S)
+
     def close_idle(self) -> None:
         """Closes the connections that have no request in progress."""
         for connection in list(self.connections):
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import attrs
 import logbook
@@ -401,3 +402,32 @@
             # The next sweep, within a second, closes the connection.
             assert await caller.ask(b"") is None
         caller.close()
+
+
+async def test_connections_that_wait_to_be_accepted_are_served_at_a_stop():
+    """Callers connect and send a request just before the address closes.
+
+    They are answered, if only with the promise that the request has not run.
+    """
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        ip, _, port = platform.host.data_path.server.address.rpartition(":")
+        callers = []
+        for number in range(20):
+            caller = socket.create_connection((ip, int(port)))
+            caller.sendall(platform_driver.request(name=f"q{number}"))
+            callers.append(caller)
+        # No turn of the event loop lies between the connections and the stop.
+        platform.host.request_stop()
+        platform.host.request_stop()
+        statuses = []
+        for caller in callers:
+            caller.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=caller)
+            async with asyncio.timeout(platform_driver.WAIT_S):
+                statuses.append((await reader.read(12))[9:])
+            writer.close()
+        assert set(statuses) <= {b"200", b"503"}
+        assert len(platform.requests) == statuses.count(b"200")
+    assert len(statuses) == 20
