--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -431,3 +431,43 @@
         assert set(statuses) <= {b"200", b"503"}
         assert len(platform.requests) == statuses.count(b"200")
     assert len(statuses) == 20
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "limit_s"),
+    [(1_200, 0.5), (3_000, 0.9)],
+    ids=["short work", "long work"],
+)
+async def test_request_whose_connection_hangs_is_sent_elsewhere_in_time(
+    deadline_ms, limit_s
+):
+    """The first packet of the connection was lost."""
+    async with platform_driver.running(
+        platform_driver.server_behaviour(),
+        platform_driver.server_behaviour(instance="i-1"),
+    ) as platform:
+        client = platform.host.data_path.client
+        connect, connecting = client.connect, []
+        # Each probe and request opens its own connection.
+        client.take_idle = lambda _target, repeatable: None
+
+        async def hang_first_of_requests(target):
+            probing = asyncio.current_task().get_coro().__name__ == "_probe"
+            if not probing:
+                connecting.append(target)
+                if len(connecting) == 1:
+                    await asyncio.sleep(platform_driver.WAIT_S)
+            return await connect(target)
+
+        client.connect = hang_first_of_requests
+        request = wire.request(
+            "POST",
+            platform_driver.STRICT + "1",
+            f"{header_profile.REQUEST_ID}: q1",
+            f"{header_profile.DEADLINE_MS}: {deadline_ms}",
+        )
+        async with asyncio.timeout(limit_s):
+            response = await platform.send_request(request)
+        assert response.first_line.split()[1] == b"200"
+        assert len(connecting) == 2
+        assert len(platform.requests) == 1
