--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -368,7 +368,8 @@
     After this host was frozen, the first events are handled before the timers
     of the deadlines, and timers that are due earlier before these. They must
     not send a call that nobody waits for any more. A call that a target holds
-    is left alone: its answer may have arrived meanwhile.
+    is left alone: its answer may have arrived meanwhile. So is a keyed call:
+    its claim expires by its own rules, and tells whether the call was run.
     """
     expired = [
         call_id
@@ -376,6 +377,7 @@
         if call.deadline_us <= state.now_us
         and call.phase is state_lib.CallPhase.WAITING
         and not call.attempts
+        and call.claim is None
     ]
     for call_id in expired:
         on_deadline(state, call_id)
