Tell a host that starts during an outage what its reader knows

Cause: while reads fail, a reader sends its followers why they fail and nothing else. That suits a follower that has the records, not one that has none.

Change: a follower that lacks records gets those of the latest successful read, with their age, before the line that says that reads fail. Records that are too large are asked for in full, as before.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -3,7 +3,10 @@
 Each follower gets one streaming HTTP response of JSON lines. The first line
 identifies the sender. Each further line is the outcome of a read of one
 source: the records that the follower lacks, often none, or why the read
-failed. A line also has the number of gate hosts when it is new to the follower.
+failed. While reads fail, a new follower first gets the records of the latest
+successful read, so that a host can start during an outage. A line also has the
+number of gate hosts when it is new to the follower.
+
 Records are compressed for followers that ask for it: entries of targets, and
 routes, resemble each other. Records whose total size is too large for the
 hosts' narrow links are omitted: the line has the offset after them, and the
@@ -12,7 +15,7 @@
 
 import asyncio
 import base64
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import json
 import random
 from typing import Any
@@ -61,6 +64,7 @@
         latest: The latest records.
         reads: Number of reads recorded.
         ended_us: Time at which the latest read ended.
+        succeeded_us: Time at which the latest successful read ended.
         failed: Why the latest read failed, if it did.
         own: Whether this host made the latest read.
         encoded: Batches as sent to the followers since the latest change, by
@@ -72,6 +76,7 @@
     )
     reads: int = 0
     ended_us: int = 0
+    succeeded_us: int = 0
     failed: store_records.ReadFailed | None = None
     own: bool = True
     encoded: dict[tuple[int | None, bool], _EncodedBatch] = attrs.field(
@@ -83,6 +88,11 @@
         self.encoded.clear()
         return self.latest.apply(batch)
 
+    def lacks_records(self, offset: int | None) -> bool:
+        """Whether a follower lacks records that have been read."""
+        next_offset = self.latest.next_offset
+        return next_offset is not None and (offset or 0) < next_offset
+
     def since(self, offset: int | None, deflate: bool) -> _EncodedBatch | None:
         """Returns the records from an offset on, encoded once for all."""
         key = (offset, deflate)
@@ -247,6 +257,8 @@
         source.ended_us = ended_us
         source.failed = failed
         source.own = own
+        if failed is None:
+            source.succeeded_us = ended_us
         self._notify()
 
     def add_records(self, name: str, batch: store_records.Batch) -> None:
@@ -324,14 +336,11 @@
                 if written[name] == source.reads:
                     continue
                 written[name] = source.reads
-                line = self._outcome_line(name, offsets, stream)
-                if line is None:
-                    continue
-                fields, records = line
-                if gate_hosts != self.gate_hosts:
-                    gate_hosts = self.gate_hosts
-                    fields["gate-hosts"] = gate_hosts
-                await response.write(_encode_line(fields, records))
+                for fields, records in self._lines(name, offsets, stream):
+                    if gate_hosts != self.gate_hosts:
+                        gate_hosts = self.gate_hosts
+                        fields["gate-hosts"] = gate_hosts
+                    await response.write(_encode_line(fields, records))
             await changed.wait()
 
     def _limit_bytes(self, stream: _Stream) -> int:
@@ -341,20 +350,44 @@
         fan_out_bytes = self._fan_out_bytes // max(1, len(self._streams))
         return min(MAX_RELAYED_BYTES, fan_out_bytes)
 
-    def _outcome_line(
+    def _lines(
+        self, name: str, offsets: dict[str, int | None], stream: _Stream
+    ) -> Iterator[tuple[dict[str, Any], bytes]]:
+        """Yields the lines about the latest read and advances the offset.
+
+        Each consists of its fields and of the member with its records.
+        """
+        source = self._sources[name]
+        if source.failed is None:
+            line = self._records_line(name, offsets, stream)
+            if line is not None:
+                yield line
+            return
+        if source.lacks_records(offsets[name]):
+            line = self._records_line(name, offsets, stream)
+            if line is not None:
+                yield line
+        fields = self._line_fields(name, source.ended_us)
+        yield {**fields, "failed": source.failed.reason}, b""
+
+    def _line_fields(self, name: str, read_ended_us: int) -> dict[str, Any]:
+        age_ms = (self._now_us() - read_ended_us) // 1000
+        return {
+            "source": name,
+            "age-ms": age_ms,
+            "own": self._sources[name].own,
+        }
+
+    def _records_line(
         self, name: str, offsets: dict[str, int | None], stream: _Stream
     ) -> tuple[dict[str, Any], bytes] | None:
-        """Returns the line for the latest read and advances the offset.
+        """Returns the line with the records that a follower lacks.
 
         Returns:
-            The fields of the line and the member with its records; None if
-            there is nothing to send.
+            The line; None before the first successful read.
         """
         source = self._sources[name]
-        age_ms = (self._now_us() - source.ended_us) // 1000
-        fields = {"source": name, "age-ms": age_ms, "own": source.own}
-        if source.failed is not None:
-            return {**fields, "failed": source.failed.reason}, b""
+        fields = self._line_fields(name, source.succeeded_us)
         encoded = source.since(offsets[name], stream.deflate)
         if encoded is None:
             return None
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import random
 
 import aiohttp
 import attrs
+import pytest
 
 from fireflyspindle import testing
 from fireflyspindle.core import events
@@ -18,6 +20,9 @@
 import platform_driver
 import wire
 
+# Time within which a host that starts during an outage knows the targets.
+START_LIMIT_S = 1.0
+
 
 async def gauge(host, name):
     """Returns the value of a metric of a host."""
@@ -126,6 +131,42 @@
         await wire.until(lambda: follower.state.rule_table.version == 2)
 
 
+@pytest.mark.parametrize("targets", [1, 400], ids=["few", "omitted"])
+async def test_host_that_starts_during_an_outage_serves_callers(targets):
+    async with fleet() as (store, reader, follower):
+        behaviour = platform_driver.server_behaviour()
+        server = testing.ScriptedTarget(behaviour)
+        address = await server.start()
+        for number in range(targets):
+            entry = platform_documents.target_entry(
+                address if number == 0 else f"127.0.0.1:{number}",
+                "ready" if number == 0 else "draining",
+            )
+            key = f"{random.Random(number).getrandbits(256):x}"
+            store.write(
+                store_lib.TARGETS_TOPIC, key if number else "i-0", entry
+            )
+        await wire.until(
+            lambda: len(reader.state.registered_targets) == targets
+        )
+        store.refuse_status = 503
+        await asyncio.sleep(1.0)
+        host = host_lib.PlatformHost(
+            attrs.evolve(follower.settings, host_id="edge-new")
+        )
+        await host.start()
+        async with asyncio.timeout(START_LIMIT_S):
+            await wire.until(lambda: "i-0" in host.state.registered_targets)
+        caller = await testing.connect(host.data_path.server.address)
+        response = await caller.ask(platform_driver.request())
+        caller.close()
+        assert response.first_line.split()[1] == b"200"
+        host.request_stop()
+        host.request_stop()
+        await host.wait_closed()
+        await server.close()
+
+
 async def test_changed_list_of_readers_is_applied_at_run_time():
     async with fleet() as (_, reader, follower):
         new_settings = attrs.evolve(
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -166,6 +166,34 @@
     await lines.aclose()
 
 
+async def test_new_follower_gets_known_records_while_reads_fail(served):
+    served.feed.record_read(
+        SOURCE, batch(("i-1", b"a", 4), next_offset=5, is_snapshot=True)
+    )
+    served.now_us += 3_000_000
+    failed = store_records.ReadFailed("HTTP 503")
+    served.feed.record_read(SOURCE, failed)
+    lines = await served.follow()
+    first, second = await anext(lines), await anext(lines)
+    assert [r.key for r in first.outcome.records] == ["i-1"]
+    assert first.age_ms >= 3_000
+    assert second.outcome == failed
+    served.feed.record_read(SOURCE, failed)
+    assert (await anext(lines)).outcome == failed
+    await lines.aclose()
+
+
+async def test_follower_that_lacks_nothing_gets_failed_reads_only(served):
+    served.feed.record_read(
+        SOURCE, batch(("i-1", b"a", 4), next_offset=5, is_snapshot=True)
+    )
+    failed = store_records.ReadFailed("HTTP 503")
+    served.feed.record_read(SOURCE, failed)
+    lines = await served.follow(5)
+    assert (await anext(lines)).outcome == failed
+    await lines.aclose()
+
+
 async def test_nothing_is_sent_before_the_first_read(served):
     lines = await served.follow()
     served.feed.add_records(SOURCE, batch(next_offset=9, is_snapshot=True))
