Give no place among the candidates to targets that are leaving

What callers would see: at a service with more than 20 targets most of which are being replaced, a host has 16 candidates and a few drawn ones, chosen without regard to their leaving. When these are leaving, calls wait and are refused while the others are idle.

Change: candidates are picked among the targets that stay, again when one is marked as leaving by its entry or its own word, and when a new incarnation at an address ends the mark.

Evidence: test_leaving_targets_take_no_place_among_the_candidates failed before; test_new_incarnation_is_a_candidate_at_once guards the way back.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -302,5 +302,5 @@
     target = service.targets.get(registered.entry.target_id)
     if target is None:
         return
-    target_statements.restore(state, registered, target)
+    target_statements.restore(state, service, registered, target)
     target.slow_start_until_us = registered.warmup_until_us
--- a/src/fireflyspindle/core/leaving.py
+++ b/src/fireflyspindle/core/leaving.py
@@ -9,6 +9,7 @@
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import slow_start
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 
 MAX_ADDRESSES = 10_000
@@ -151,6 +152,7 @@
     history.leaving = False
     for service, target in _targets_at(state, address):
         target.leaving = False
+        target_selection.refresh_candidates(state, service)
         slow_start.begin(state, service, target)
 
 
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -137,7 +137,7 @@
 def _candidates(
     state: state_lib.GateState, service: state_lib.ServiceState
 ) -> list[targets.Target]:
-    if len(service.candidates) == len(service.targets):
+    if not service.sampled_targets:
         return service.candidates
     sampled = state.random.sample(service.sampled_targets, SAMPLED_CANDIDATES)
     if not service.limited_targets:
@@ -156,7 +156,10 @@
 def refresh_candidates(
     state: state_lib.GateState, service: state_lib.ServiceState
 ) -> None:
-    """Picks the candidates of a service after its targets have changed."""
+    """Picks the candidates of a service after its targets have changed.
+
+    A target that is leaving is no candidate.
+    """
     policy = state.configuration.policy(service.name)
     domain = state.settings.failure_domain
     for target in service.targets.values():
@@ -164,7 +167,9 @@
         target.max_connections = max(1, limit - RESERVED_PROBE_CONNECTIONS)
         same_domain = target.spec.failure_domain == domain
         target.domain_penalty = 0.0 if same_domain else OTHER_DOMAIN_PENALTY
-    ranked = list(service.targets.values())
+    ranked = [
+        target for target in service.targets.values() if not target.leaving
+    ]
     if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
         ranked.sort(key=lambda target: _rendezvous_hash(state, target))
         service.sampled_targets = ranked[MAX_CANDIDATES:]
--- a/src/fireflyspindle/core/target_statements.py
+++ b/src/fireflyspindle/core/target_statements.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
+from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 
 # Statuses with which a target turns a request away for a while.
@@ -68,8 +69,9 @@
     mark_leaving(state, registered, "it says that it is leaving")
     service = state.services.get(registered.entry.service)
     target = service.targets.get(start.target_id) if service else None
-    if target is not None:
+    if service is not None and target is not None and not target.leaving:
         target.leaving = True
+        target_selection.refresh_candidates(state, service)
 
 
 def mark_leaving(
@@ -110,11 +112,14 @@
 
 def restore(
     state: state_lib.GateState,
+    service: state_lib.ServiceState,
     registered: store_state.RegisteredTarget,
     target: targets.Target,
 ) -> None:
     """Applies what a start has stated to the state of its target."""
-    target.leaving = target.leaving or registered.leaving
+    if registered.leaving and not target.leaving:
+        target.leaving = True
+        target_selection.refresh_candidates(state, service)
     target.paused_until_us = max(
         target.paused_until_us, state.pauses_us.get(registered.start, 0)
     )
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -48,6 +48,26 @@
     assert usable_ids(host) == ["i-1"]
 
 
+def test_leaving_targets_take_no_place_among_the_candidates(
+    make_published_host,
+):
+    """All but two targets of a large service are being replaced."""
+    host = make_published_host(targets=60)
+    host.register(
+        *(
+            published_host.entry(number, draining=True, sequence=2)
+            for number in range(2, 60)
+        )
+    )
+    for call_id in range(1, 11):
+        attempt = host.arrive_and_send(call_id)
+        assert attempt is not None
+        assert attempt.target in ("10.0.0.0:80", "10.0.0.1:80")
+        host.answer(call_id, attempt.attempt, report=published_host.load())
+        host.finish(call_id)
+        host.advance(50_000)
+
+
 def test_empty_read_processes_no_target(make_published_host, monkeypatch):
     """Empty reads come about once per second, also with a thousand targets."""
     host = make_published_host(targets=2)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -155,3 +155,24 @@
     assert leaving.is_leaving(uninformed_host.state, A)
     answer_with_report(uninformed_host, "b")
     assert not leaving.is_leaving(uninformed_host.state, A)
+
+
+def test_new_incarnation_is_a_candidate_at_once(make_host):
+    host = make_host(targets=2)
+    address = host.addresses[0]
+    report = events.LoadReport(incarnation="a", leaving=True)
+    leaving.on_report(host.state, address, report)
+    host.publish(
+        "service",
+        "s",
+        {
+            "targets": [
+                {"address": each, "connection_limit": 60_000}
+                for each in host.addresses
+            ]
+        },
+    )
+    report = events.LoadReport(incarnation="b")
+    leaving.on_report(host.state, address, report)
+    candidates = host.state.services["s"].candidates
+    assert address in [target.spec.address for target in candidates]
