--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -14,16 +14,14 @@
 """
 
 import asyncio
-import base64
 from collections.abc import Callable, Iterator
-import json
 import random
 from typing import Any
-import zlib
 
 from aiohttp import web
 import attrs
 
+from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import events
 
@@ -42,8 +40,6 @@
 MAX_FAN_OUT_S = 0.5
 # Rate of that link if the settings don't state it.
 DEFAULT_LINK_MBPS = 5.0
-# Longest line: some thousands of target entries, or a large configuration.
-MAX_LINE_BYTES = 8 * 1024 * 1024
 
 _JSON_LINES = "application/x-ndjson"
 
@@ -100,7 +96,7 @@
             batch = self.latest.since(offset)
             if batch is None:
                 return None
-            member = _encode_records(batch.records, deflate)
+            member = feed_lines.encode_records(batch.records, deflate)
             self.encoded[key] = _EncodedBatch(batch, member)
         return self.encoded[key]
 
@@ -328,7 +324,7 @@
             "failure-domain": self._failure_domain,
             "gate-hosts": gate_hosts,
         }
-        await response.write(_encode_line(first_line))
+        await response.write(feed_lines.encode_line(first_line))
         written = dict.fromkeys(self._sources, 0)
         while not self._closed:
             changed = self._changed
@@ -340,13 +336,15 @@
                     if gate_hosts != self.gate_hosts:
                         gate_hosts = self.gate_hosts
                         fields["gate-hosts"] = gate_hosts
-                    await response.write(_encode_line(fields, records))
+                    await response.write(
+                        feed_lines.encode_line(fields, records)
+                    )
             await changed.wait()
 
     def _limit_bytes(self, stream: _Stream) -> int:
         """Returns the largest size of the records in a line, as sent."""
         if stream.unlimited:
-            return MAX_LINE_BYTES // 2
+            return feed_lines.MAX_LINE_BYTES // 2
         fan_out_bytes = self._fan_out_bytes // max(1, len(self._streams))
         return min(MAX_RELAYED_BYTES, fan_out_bytes)
 
@@ -396,7 +394,7 @@
             # The offset tells the follower that records were omitted.
             next_offset = batch.next_offset
             batch = store_records.Batch([], next_offset, False, next_offset)
-            records = _encode_records([], deflate=False)
+            records = feed_lines.encode_records([], deflate=False)
         offsets[name] = batch.next_offset
         fields["from-offset"] = batch.from_offset
         fields["next-offset"] = batch.next_offset
@@ -411,31 +409,3 @@
         return None
     failure_domain = request.query.get("failure-domain", "")[:100]
     return events.HelperAddress(address, failure_domain)
-
-
-def _encode_record(record: store_records.Record) -> list[Any]:
-    # Latin-1 maps each byte to one character, which JSON can represent.
-    value = record.value
-    text = None if value is None else value.decode("latin-1")
-    return [record.key, text, record.offset]
-
-
-def _encode_records(
-    records: list[store_records.Record], deflate: bool
-) -> bytes:
-    """Returns the member of a line that holds records."""
-    rows = [_encode_record(record) for record in records]
-    text = json.dumps(rows, separators=(",", ":")).encode()
-    if deflate:
-        compressed = base64.b85encode(zlib.compress(text))
-        if len(compressed) < len(text):
-            return b'"deflated":"' + compressed + b'"'
-    return b'"records":' + text
-
-
-def _encode_line(content: dict[str, Any], member: bytes = b"") -> bytes:
-    """Encodes a line, with one more member that is encoded already."""
-    line = json.dumps(content, separators=(",", ":")).encode()
-    if member:
-        line = line[:-1] + b"," + member + b"}"
-    return line + b"\n"
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -1,16 +1,12 @@
 """Receives the reads of the platform's store that a gate host relays."""
 
-import base64
 from collections.abc import AsyncIterator
-import json
 from typing import Any
-import zlib
 
 import aiohttp
-import attrs
 
+from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import store_feed
-from fireflyspindle.adapters import store_records
 from fireflyspindle.core import events
 
 # Hosts of the same or a neighbouring failure domain connect within a few
@@ -30,39 +26,6 @@
 )
 
 
-@attrs.define(frozen=True)
-class StreamStarted:
-    """The followed host has identified itself.
-
-    Attributes:
-        failure_domain: Failure domain of the followed host.
-        gate_hosts: Number of gate hosts of the fleet; None if unknown.
-    """
-
-    failure_domain: str
-    gate_hosts: int | None = None
-
-
-@attrs.define(frozen=True)
-class RelayedOutcome:
-    """The outcome of a read, as sent by the followed host.
-
-    Attributes:
-        source: Name of the source.
-        age_ms: Time since the read ended.
-        outcome: Records that were not sent before, or the failure.
-        own: Whether the followed host made the read itself.
-        gate_hosts: Number of gate hosts of the fleet; None if it has not
-            changed or is unknown.
-    """
-
-    source: str
-    age_ms: int
-    outcome: store_records.Batch | store_records.ReadFailed
-    own: bool
-    gate_hosts: int | None = None
-
-
 class FeedClient:
     """Receives the streams of other gate hosts.
 
@@ -83,7 +46,7 @@
         offsets: dict[str, int | None],
         unlimited: bool = False,
         is_reader: bool = False,
-    ) -> AsyncIterator[StreamStarted | RelayedOutcome]:
+    ) -> AsyncIterator[feed_lines.StreamStarted | feed_lines.RelayedOutcome]:
         """Yields the lines of a host's stream until it ends.
 
         Args:
@@ -120,11 +83,11 @@
             f"http://{address}{store_feed.PATH}",
             params=query,
             timeout=timeout,
-            read_bufsize=store_feed.MAX_LINE_BYTES,
+            read_bufsize=feed_lines.MAX_LINE_BYTES,
             raise_for_status=True,
         ) as response:
             async for line in response.content:
-                yield _decode_line(line)
+                yield feed_lines.decode_line(line)
 
     async def count_hosts(self, address: str) -> int | None:
         """Returns how many gate hosts a reader counts.
@@ -192,70 +155,3 @@
     async def close(self) -> None:
         """Closes every connection."""
         await self._session.close()
-
-
-def _decode_line(line: bytes) -> StreamStarted | RelayedOutcome:
-    """Decodes one line.
-
-    Raises:
-        ValueError: The line is invalid.
-    """
-    try:
-        content = json.loads(line)
-        if "failure-domain" in content:
-            return StreamStarted(
-                str(content["failure-domain"]), _decode_gate_hosts(content)
-            )
-        outcome: store_records.Batch | store_records.ReadFailed
-        if "failed" in content:
-            outcome = store_records.ReadFailed(str(content["failed"]))
-        else:
-            outcome = store_records.Batch(
-                [_decode_record(row) for row in _decode_rows(content)],
-                int(content["next-offset"]),
-                bool(content["whole"]),
-                int(content["from-offset"]),
-            )
-        return RelayedOutcome(
-            str(content["source"]),
-            int(content["age-ms"]),
-            outcome,
-            bool(content["own"]),
-            _decode_gate_hosts(content),
-        )
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"line {line[:100]!r} can't be read") from error
-
-
-def _decode_gate_hosts(content: dict[str, Any]) -> int | None:
-    gate_hosts = content.get("gate-hosts")
-    return None if gate_hosts is None else int(gate_hosts)
-
-
-def _decode_rows(content: dict[str, Any]) -> list[list[Any]]:
-    """Returns the rows of the records in a line.
-
-    Raises:
-        KeyError: There are none.
-        ValueError: They can't be decompressed.
-    """
-    rows: list[list[Any]]
-    if "deflated" not in content:
-        rows = content["records"]
-        return rows
-    decompressor = zlib.decompressobj()
-    try:
-        compressed = base64.b85decode(content["deflated"])
-        text = decompressor.decompress(compressed, store_feed.MAX_LINE_BYTES)
-        if not decompressor.eof:
-            raise ValueError("too large or incomplete")
-        rows = json.loads(text)
-    except (ValueError, zlib.error) as error:
-        raise ValueError(f"records can't be read: {error}") from error
-    return rows
-
-
-def _decode_record(row: list[Any]) -> store_records.Record:
-    key, text, offset = row
-    value = None if text is None else text.encode("latin-1")
-    return store_records.Record(str(key), value, int(offset))
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -4,6 +4,7 @@
 from fireflyspindle.core import calls
 from fireflyspindle.core import claim_reads
 from fireflyspindle.core import claims
+from fireflyspindle.core import deadlines
 from fireflyspindle.core import discovery
 from fireflyspindle.core import dispatch_queue
 from fireflyspindle.core import drain
@@ -57,7 +58,7 @@
     state.now_us = event.now_us
     next_at_us = state.timers.next_at_us()
     if next_at_us is not None and next_at_us <= state.now_us:
-        calls.expire_unsent(state)
+        deadlines.expire_unsent(state)
     _apply(state, event)
     if state.services_with_capacity:
         admission.send_queued(state)
@@ -148,7 +149,7 @@
     while (timer := state.timers.pop_due(state.now_us)) is not None:
         match timer:
             case timers.CallDeadline(call_id):
-                calls.on_deadline(state, call_id)
+                deadlines.on_deadline(state, call_id)
             case timers.HedgeDue(call_id):
                 hedging.on_due(state, call_id)
             case timers.QueueWaitExpired(call_id):
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from fireflyspindle.adapters import data_path
+from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
@@ -152,8 +153,7 @@
     def _on_stream_item(
         self,
         followed: effects.FollowReader,
-        item: store_feed_client.StreamStarted
-        | store_feed_client.RelayedOutcome,
+        item: feed_lines.StreamStarted | feed_lines.RelayedOutcome,
     ) -> None:
         stream = followed.stream
         if item.gate_hosts is not None:
@@ -163,13 +163,13 @@
                 )
             )
         match item:
-            case store_feed_client.StreamStarted(failure_domain):
+            case feed_lines.StreamStarted(failure_domain):
                 self._shell.submit(
                     events.ReaderConnected(
                         self._shell.now_us(), stream, failure_domain
                     )
                 )
-            case store_feed_client.RelayedOutcome(name, age_ms, outcome, own):
+            case feed_lines.RelayedOutcome(name, age_ms, outcome, own):
                 from_offset = 0
                 if isinstance(outcome, store_records.Batch):
                     from_offset = outcome.from_offset
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fireflyspindle.core import calls
+from fireflyspindle.core import deadlines
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 
@@ -32,7 +32,7 @@
 def test_non_repeatable_request_may_overrun_for_a_limited_time(make_host):
     host = make_host()
     host.call_arrives(1, repeatable=False, deadline_ms=100)
-    host.advance(100_000 + calls.OVERRUN_LIMIT_US - 1_000)
+    host.advance(100_000 + deadlines.OVERRUN_LIMIT_US - 1_000)
     assert count_cancelled(host) == 0
     host.advance(2_000)
     assert count_cancelled(host) == 1
--- a/tests/test_older_builds.py
+++ b/tests/test_older_builds.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
@@ -36,7 +37,7 @@
     items = [item async for item in client.follow(address, {})]
     await client.close()
     server.close()
-    assert items[0] == store_feed_client.StreamStarted("a")
+    assert items[0] == feed_lines.StreamStarted("a")
     outcomes = [(item.source, item.outcome) for item in items[1:]]
     omitted = store_records.Batch([], 109, False, 109)
     changes = recorder.batch("targets", 6, 3)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -13,6 +13,7 @@
 import pytest_asyncio
 
 from fireflyspindle import testing
+from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
@@ -68,7 +69,7 @@
     async def follow(self, offset=None):
         """Returns the stream of a follower, after its first line."""
         lines = self.client.follow(self.address, {SOURCE: offset})
-        assert await anext(lines) == store_feed_client.StreamStarted("a")
+        assert await anext(lines) == feed_lines.StreamStarted("a")
         return lines
 
 
@@ -254,7 +255,7 @@
 async def test_number_of_gate_hosts_is_sent_when_it_changes(served):
     served.feed.gate_hosts = 14
     lines = served.client.follow(served.address, {SOURCE: None})
-    assert await anext(lines) == store_feed_client.StreamStarted("a", 14)
+    assert await anext(lines) == feed_lines.StreamStarted("a", 14)
     received = []
     for gate_hosts in (14, 17, 17):
         served.feed.gate_hosts = gate_hosts
@@ -363,7 +364,7 @@
         SOURCE, batch(*rows, next_offset=1_000, is_snapshot=True)
     )
     lines = served.client.follow(served.address, {SOURCE: None}, unlimited=True)
-    assert await anext(lines) == store_feed_client.StreamStarted("a")
+    assert await anext(lines) == feed_lines.StreamStarted("a")
     assert len((await anext(lines)).outcome.records) == 1_000
     await lines.aclose()
 
@@ -397,7 +398,7 @@
         deflated_line(b"[]"),
         deflated_line(zlib.compress(b"[]")[:-1]),
         deflated_line(zlib.compress(b"[3]")),
-        deflated_line(zlib.compress(b" " * store_feed.MAX_LINE_BYTES + b"[]")),
+        deflated_line(zlib.compress(b" " * feed_lines.MAX_LINE_BYTES + b"[]")),
         b'{"source":"targets","age-ms":0,"own":true,"next-offset":1,"whole":true'
         b',"from-offset":0,"deflated":"\xc2\xa7"}\n',
     ],
