--- a/tests/test_endless_messages.py
+++ b/tests/test_endless_messages.py
@@ -197,3 +197,23 @@
         writer.transport.abort()
         assert peak_bytes < MAX_REQUEST_MEMORY_BYTES
         assert not any(request.whole for request in platform.requests)
+
+
+@pytest.mark.parametrize("kind", ["until close", "chunks"])
+async def test_calls_avoid_a_target_whose_bodies_never_end(kind):
+    closed = asyncio.Event()
+
+    async def answer(request, writer):
+        writer.write(platform_driver.answer(request, b"whole"))
+
+    async with platform_driver.running(
+        platform_driver.server_behaviour(answer),
+        platform_driver.server_behaviour(endless(kind, closed, 0.001), "i-1"),
+    ) as platform:
+        whole = 0
+        for number in range(12):
+            response = await platform.send_request(
+                short_request("GET", platform_driver.IDEMPOTENT, f"q{number}")
+            )
+            whole += response is not None and response.body == b"whole"
+        assert whole >= 9
