Log which request a call was, and whether a target crashed under it

The line of a call has the fingerprint of its request (caller, credentials, method, host name, path and body), target_crashed names the target and the requests in progress, and connections_lost the targets that live on. A target counts as crashed only if it refuses connections after the loss, was not leaving, and other targets answered in between. explain shows these lines for the requests that they name. The tests of the detection are tests/test_crash_detection.py; no decision about a call changes.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -249,20 +249,23 @@
             or effect.outcome is not effects.Outcome.COMPLETE
         )
         if possibly_executed:
-            _log_call(logs.logger.warning, exchange.request_id, effect)
+            _log_call(logs.logger.warning, exchange, effect)
         elif notable:
-            _log_call(logs.logger.info, exchange.request_id, effect)
+            _log_call(logs.logger.info, exchange, effect)
         elif logs.enabled("DEBUG"):
-            _log_call(logs.logger.debug, exchange.request_id, effect)
+            _log_call(logs.logger.debug, exchange, effect)
 
 
 def _log_call(
-    log: Callable[..., None], request_id: str, effect: effects.CallFinished
+    log: Callable[..., None],
+    exchange: exchange_lib.Exchange,
+    effect: effects.CallFinished,
 ) -> None:
     decision_fields = {}
     if effect.steps.kept:
         decision_fields = {
             "route": effect.route,
+            "fingerprint": exchange.fingerprint,
             "late": effect.past_soft_deadline,
             "steps": steps_lib.as_data(effect.steps),
             "steps_left_out": effect.steps.dropped_count,
@@ -270,7 +273,7 @@
     log(
         "call finished",
         code="call",
-        request_id=request_id,
+        request_id=exchange.request_id,
         tenant=effect.tenant,
         traffic_class=effect.traffic_class,
         target=effect.target,
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -16,6 +16,7 @@
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import keyed_requests
+from fireflyspindle.adapters import request_fingerprints
 from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import responses
 from fireflyspindle.adapters import shared_buffer
@@ -335,9 +336,11 @@
             keyed_requests.set_digest(event, message.method, message.path, body)
         if not event.request_id:
             event.request_id = f"{self._request_id_prefix}-{event.call_id}"
+        event.fingerprint = _fingerprint(pending, message, body)
         exchange = exchange_lib.Exchange(
             call_id=event.call_id,
             request_id=event.request_id,
+            fingerprint=event.fingerprint,
             message=message,
             repeatable=event.repeatable,
             body=body,
@@ -372,6 +375,22 @@
         )
 
 
+def _fingerprint(
+    pending: PendingRequest,
+    message: http.RawRequestMessage,
+    body: bytes | None,
+) -> str:
+    """Returns the fingerprint of a request; "" if its body is streamed."""
+    if pending.connection.relays:
+        stated = message.headers.get(headers.RELAY_FINGERPRINT, "")
+        return request_fingerprints.parse(stated)
+    if body is None:
+        return ""
+    return request_fingerprints.compute(
+        message, pending.connection.caller_ip, body
+    )
+
+
 async def _read_up_to(payload: streams.StreamReader, limit_bytes: int) -> bytes:
     """Reads a body to its end, or until it exceeds the limit."""
     body = bytearray()
--- a/src/fireflyspindle/adapters/probe_client.py
+++ b/src/fireflyspindle/adapters/probe_client.py
@@ -61,13 +61,18 @@
 
     async def probe(
         self, effect: effects.ProbeTarget
-    ) -> events.LoadReport | None:
-        """Returns what the target reports, or None without a response."""
+    ) -> events.LoadReport | events.FailureReason | None:
+        """Returns what the target reports, or None without a response.
+
+        If the target refuses the connection, returns that as the reason.
+        """
         if self._now_us() > effect.not_after_us:
             return None
         try:
             async with asyncio.timeout(self._timeout_s):
                 response = await self._send(effect)
+        except ConnectionRefusedError:
+            return events.FailureReason.REFUSED
         except (TimeoutError, OSError):
             return None
         if response is None:
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -156,6 +156,10 @@
             gateway_lines += (
                 f"{header_profile.target_incarnation}: {self.incarnation}\r\n"
             )
+        if self.relayed and self.exchange.fingerprint:
+            gateway_lines += (
+                f"{headers.RELAY_FINGERPRINT}: {self.exchange.fingerprint}\r\n"
+            )
         return message_heads.request_head(
             self.exchange.message,
             self.target,
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -5,6 +5,7 @@
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
 from fireflyspindle.core import claims
+from fireflyspindle.core import crash_detection
 from fireflyspindle.core import destinations
 from fireflyspindle.core import discovery
 from fireflyspindle.core import effects
@@ -56,6 +57,7 @@
         max_attempts=destination.max_attempts,
         priority=destination.priority,
         relayed=event.relayed,
+        fingerprint=event.fingerprint,
     )
     state.calls[call.call_id] = call
     state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
@@ -132,6 +134,7 @@
         if not _update_statements(state, service, attempt, event):
             ejection.on_answered(state, attempt, service, event)
         reachability.on_answered(state, service)
+        crash_detection.on_answered(state, attempt.target, attempt.started_us)
         _update_limit(state, service, attempt, event)
 
 
@@ -284,6 +287,7 @@
             relays.on_not_carried(state, attempt.target.spec.address)
     elif service is not None:
         ejection.on_failed(state, attempt, service, event)
+        crash_detection.on_attempt_failed(state, service, call, attempt, event)
         reachability.on_attempt_failed(
             state, service, attempt.target, event.reason
         )
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -102,6 +102,8 @@
         host: Requested host name, in lower case.
         request_id: Id of the request, for targets and log lines.
         relayed: Whether another gate host relayed the call.
+        fingerprint: Fingerprint of the request, equal for its copies; empty if
+            its body is not buffered completely.
     """
 
     now_us: int
@@ -120,6 +122,7 @@
     host: str = ""
     request_id: str = ""
     relayed: bool = False
+    fingerprint: str = ""
 
 
 @attrs.define
@@ -315,11 +318,13 @@
         now_us: Monotonic time.
         probe_id: Number given by `ProbeTarget`.
         report: The load report, or None if the probe failed.
+        refused: Whether no process listens at the target's address.
     """
 
     now_us: int
     probe_id: int
     report: LoadReport | None
+    refused: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -5,6 +5,7 @@
 its share in any `WINDOW_US`, so the budget holds in any one second.
 """
 
+from fireflyspindle.core import crash_detection
 from fireflyspindle.core import discovery
 from fireflyspindle.core import events
 from fireflyspindle.core import forecast
@@ -104,7 +105,7 @@
     probe = state.probes.pop(event.probe_id, None)
     if probe is None:
         return
-    _update_load(state, probe, event.report)
+    _update_load(state, probe, event)
     if probe.call_id:
         placement.on_probe_ended(state, probe, event)
 
@@ -112,8 +113,9 @@
 def _update_load(
     state: state_lib.GateState,
     probe: state_lib.Probe,
-    report: events.LoadReport | None,
+    event: events.ProbeEnded,
 ) -> None:
+    report = event.report
     service = state.services.get(probe.service)
     target = service.targets.get(probe.target) if service else None
     if service is None or target is None:
@@ -121,7 +123,10 @@
     reachability.on_probe_ended(
         state, service, target, probe, answered=report is not None
     )
+    if event.refused:
+        crash_detection.on_probe_refused(state, target)
     if report is not None:
+        crash_detection.on_answered(state, target, probe.sent_us)
         target_limits.on_answer(
             state,
             service,
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -9,6 +9,7 @@
 from fireflyspindle.core import budgets
 from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
+from fireflyspindle.core import crash_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import forecast_state
@@ -130,6 +131,8 @@
         steps: Decisions made for it.
         relayed: Whether another gate host relayed it to this one.
         relays: Attempts by other gate hosts.
+        fingerprint: Fingerprint of its request, equal for copies of it; empty
+            if unknown.
     """
 
     call_id: int
@@ -161,6 +164,7 @@
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
     relayed: bool = False
     relays: int = 0
+    fingerprint: str = ""
 
     def record_step(
         self,
@@ -454,6 +458,7 @@
         reachability: Whether this gate host reaches any target.
         reachability_check_scheduled: Whether the next check is scheduled.
         helpers: Gate hosts that may carry calls for this one.
+        crashes: What is known of crashes of targets.
     """
 
     settings: CoreSettings
@@ -516,6 +521,9 @@
     )
     reachability_check_scheduled: bool = False
     helpers: helper_state.Helpers = attrs.field(factory=helper_state.Helpers)
+    crashes: crash_state.CrashState = attrs.field(
+        factory=crash_state.CrashState
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -152,5 +152,11 @@
         self.submit(events.TimerFired(self.now_us()))
 
     async def _probe(self, effect: effects.ProbeTarget) -> None:
-        report = await self.probes.probe(effect)
-        self.submit(events.ProbeEnded(self.now_us(), effect.probe_id, report))
+        outcome = await self.probes.probe(effect)
+        ended = events.ProbeEnded(self.now_us(), effect.probe_id, None)
+        match outcome:
+            case events.LoadReport():
+                ended.report = outcome
+            case events.FailureReason.REFUSED:
+                ended.refused = True
+        self.submit(ended)
