--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -21,8 +21,30 @@
     """Gate hosts with a store and scripted servers."""
 
     hosts: list[host_lib.PlatformHost]
-    servers: list[testing.ScriptedTarget]
-    server_addresses: set[str]
+    store: testing.StandInStore
+    work: object = None
+    servers: list[testing.ScriptedTarget] = attrs.field(factory=list)
+    server_addresses: list[str] = attrs.field(factory=list)
+
+    async def start_server(self):
+        """Starts a server, under an id of its own, and registers it."""
+        server_id = f"i-{len(self.servers)}"
+        behaviour = platform_driver.server_behaviour(self.work, server_id)
+        server = testing.ScriptedTarget(behaviour)
+        self.servers.append(server)
+        self.server_addresses.append(await server.start())
+        entry = platform_documents.target_entry(self.server_addresses[-1])
+        self.store.write(store_lib.TARGETS_TOPIC, server_id, entry)
+
+    async def crash_server(self, address):
+        """Ends the server at an address and all of its connections."""
+        number = self.server_addresses.index(address)
+        await self.servers[number].close()
+        return number
+
+    def remove_entry(self, number):
+        """Removes the entry of a server from the store."""
+        self.store.write(store_lib.TARGETS_TOPIC, f"i-{number}", None)
 
     def cut_off(self, host, how):
         """Cuts a host off from all servers; returns a function that ends it.
@@ -108,16 +130,6 @@
     store.write(
         store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(1)
     )
-    targets = [
-        testing.ScriptedTarget(
-            platform_driver.server_behaviour(work, f"i-{number}")
-        )
-        for number in range(servers)
-    ]
-    server_addresses = [await target.start() for target in targets]
-    for number, address in enumerate(server_addresses):
-        entry = platform_documents.target_entry(address)
-        store.write(store_lib.TARGETS_TOPIC, f"i-{number}", entry)
     addresses = [
         (testing.free_address(), testing.free_address()) for _ in range(hosts)
     ]
@@ -129,9 +141,11 @@
             )
             for number, pair in enumerate(addresses)
         ],
-        targets,
-        set(server_addresses),
+        store,
+        work,
     )
+    for _ in range(servers):
+        await fleet.start_server()
     for host in fleet.hosts:
         await host.start()
     await wire.until(
@@ -149,6 +163,6 @@
             host.request_stop()
         for host in fleet.hosts:
             await host.wait_closed()
-        for target in targets:
+        for target in fleet.servers:
             await target.close()
         await store_server.close()
