Refuse a request that was in progress at three targets when these crashed

Cause: nothing outlived a call. Each host took each copy for a new call, resent it to a second target, and no host knew what had happened at another.

Why it works: each crash that crash_detection finds is a record in a topic of the store, keyed by the request's fingerprint and the target's start, and is read by all hosts like the configuration, also by those that start later. With three crashes over all hosts a request is refused, also where a copy waits; with one it is not hedged, with two not resent. An answer to a copy, or of the target, withdraws the evidence, and so does time: five minutes without a copy, an hour after the latest crash.

Tests that changed: probe_client now states a refused connection (was None); test_following feeds the third source in each round and counts three own reads where there were two; the bounds of the other two sources are as before, and crashes must be read within 3 s.

--- a/src/fireflyspindle/adapters/feed_lines.py
+++ b/src/fireflyspindle/adapters/feed_lines.py
@@ -14,6 +14,8 @@
 
 # Longest line: some thousands of target entries, or a large configuration.
 MAX_LINE_BYTES = 8 * 1024 * 1024
+# Sources that every build relays and follows; further ones are named.
+BASIC_SOURCES = ("configuration", "targets")
 
 
 @attrs.define(frozen=True)
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -111,6 +111,7 @@
         unlimited: Whether the follower takes records of any size.
         deflate: Whether the follower takes compressed records.
         helper: Where the follower takes calls of other gate hosts, if it does.
+        sources: Names of the sources that the follower knows.
     """
 
     request: web.Request
@@ -118,6 +119,7 @@
     unlimited: bool
     deflate: bool
     helper: events.HelperAddress | None
+    sources: frozenset[str]
 
     @property
     def connected(self) -> bool:
@@ -302,6 +304,7 @@
             unlimited="unlimited" in request.query,
             deflate="deflate" in request.query,
             helper=_helper_of(request),
+            sources=_sources_of(request),
         )
         self._streams.add(stream)
         try:
@@ -329,7 +332,7 @@
         while not self._closed:
             changed = self._changed
             for name, source in self._sources.items():
-                if written[name] == source.reads:
+                if written[name] == source.reads or name not in stream.sources:
                     continue
                 written[name] = source.reads
                 for fields, records in self._lines(name, offsets, stream):
@@ -402,6 +405,12 @@
         return fields, records
 
 
+def _sources_of(request: web.Request) -> frozenset[str]:
+    """Returns the sources that a follower knows."""
+    further_sources = request.query.get("further-sources", "").split(",")
+    return frozenset([*feed_lines.BASIC_SOURCES, *further_sources])
+
+
 def _helper_of(request: web.Request) -> events.HelperAddress | None:
     """Returns where a follower takes calls of other gate hosts, if stated."""
     address = request.query.get("relay", "")[:100]
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -67,6 +67,9 @@
             if offset is not None
         }
         query["deflate"] = "yes"
+        further_sources = offsets.keys() - feed_lines.BASIC_SOURCES
+        if further_sources:
+            query["further-sources"] = ",".join(sorted(further_sources))
         if unlimited:
             query["unlimited"] = "yes"
         if is_reader:
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -6,6 +6,7 @@
 from fireflyspindle.core import attempts
 from fireflyspindle.core import claims
 from fireflyspindle.core import crash_detection
+from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import destinations
 from fireflyspindle.core import discovery
 from fireflyspindle.core import effects
@@ -65,6 +66,8 @@
         # The host that relayed the call has credited its own budgets.
         retries.on_arrived(state, service)
         hedging.on_arrived(state, service)
+    if crashing_requests.refuse(state, call):
+        return
     claims.admit_call(state, call, event)
 
 
@@ -87,6 +90,7 @@
     else:
         _update_target(state, call, attempt, event)
         attempts.record_answer(state, call, attempt, event)
+    crashing_requests.on_answered(state, call, attempt, event)
     attempt.declined = event.not_run
     call.record_step(
         state.now_us,
--- a/src/fireflyspindle/core/crash_detection.py
+++ b/src/fireflyspindle/core/crash_detection.py
@@ -7,6 +7,7 @@
 """
 
 from fireflyspindle.core import crash_state
+from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import placement
@@ -106,6 +107,8 @@
             if placement.take_probe_token(state):
                 _send_check(state, service, target)
     check.fingerprints.add(call.fingerprint)
+    if check.crashed:
+        crashing_requests.on_crash(state, service.name, start, call.fingerprint)
 
 
 def _send_check(
@@ -150,6 +153,8 @@
         f" lost those of the requests {_names(check)}"
     )
     state.emit(effects.WriteLogLine("warning", "target_crashed", detail))
+    for fingerprint in sorted(check.fingerprints):
+        crashing_requests.on_crash(state, check.service, start, fingerprint)
 
 
 def _log_alive(
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fireflyspindle.core import events
 from fireflyspindle.core import published
 from fireflyspindle.core import steps as steps_lib
 
@@ -185,6 +186,21 @@
     source: str
 
 
+@attrs.define
+class AppendCrashes:
+    """Write records about requests that may crash targets to the store.
+
+    The shell reports `CrashesAppended`.
+
+    Attributes:
+        append_id: Number of the append.
+        records: The records; None removes the record of the key.
+    """
+
+    append_id: int
+    records: dict[events.CrashKey, events.CrashRecord | None]
+
+
 @attrs.define
 class FollowReader:
     """Follow a reader, which relays its reads of the store.
@@ -364,6 +380,7 @@
     | ReadLog
     | ReadStore
     | CancelStoreRead
+    | AppendCrashes
     | FollowReader
     | StopFollowing
     | CountHosts
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -79,6 +79,33 @@
     started_ms: int
 
 
+@attrs.define(frozen=True)
+class CrashKey:
+    """Key of a record about a request that may crash targets.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        start: Target that crashed while the request was in progress; None for
+            the record that the request came again.
+    """
+
+    fingerprint: str
+    start: TargetStart | None = None
+
+
+@attrs.define(frozen=True)
+class CrashRecord:
+    """A crash of a target, or a repetition of a request that caused crashes.
+
+    Attributes:
+        service: Name of the target's service.
+        age_us: Time since then.
+    """
+
+    service: str
+    age_us: int
+
+
 @attrs.define
 class CallArrived:
     """The headers of a caller's request have arrived.
@@ -414,6 +441,42 @@
     relayed: RelayedRead | None = None
 
 
+@attrs.define
+class CrashesRead:
+    """Records about requests that may crash targets were read from the store.
+
+    Attributes:
+        now_us: Monotonic time.
+        records: Newest record of each key that was written.
+        removed: Keys whose records were removed.
+        is_snapshot: Whether the read covers all existing records.
+        next_offset: First offset that has not been read.
+        relayed: Origin of the read if a reader relayed it.
+    """
+
+    now_us: int
+    records: dict[CrashKey, CrashRecord]
+    removed: list[CrashKey]
+    is_snapshot: bool
+    next_offset: int
+    relayed: RelayedRead | None = None
+
+
+@attrs.define
+class CrashesAppended:
+    """An append of `AppendCrashes` ended.
+
+    Attributes:
+        now_us: Monotonic time.
+        append_id: Number of the append.
+        error: Why it failed, or may have failed; empty on success.
+    """
+
+    now_us: int
+    append_id: int
+    error: str = ""
+
+
 @attrs.define
 class StoreHistoryDropped:
     """The platform's store no longer holds the requested records.
@@ -565,6 +628,8 @@
     | StopRequested
     | ConfigurationRead
     | TargetsRead
+    | CrashesRead
+    | CrashesAppended
     | StoreHistoryDropped
     | StoreReadFailed
     | ReaderConnected
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -211,14 +211,14 @@
     follow = state.following
     if not _candidates(state):
         return
-    wait_us = _settings(state).long_poll_wait_ms * 1000
     times_us = [
         follow.stream_started_us + MIN_FOLLOW_US,
         follow.own_reads_allowed_us,
     ]
-    for reads in state.store_reads.values():
+    for source in store_state.FREQUENT_SOURCES:
+        reads = state.store_reads[source]
         if reads.relayed_us is not None:
-            overdue_us = reads.relayed_us + wait_us
+            overdue_us = reads.relayed_us + _settings(state).wait_us(source)
             times_us.append(overdue_us + SILENCE_TIMEOUT_US)
             times_us.append(overdue_us + _own_read_slack_us(state))
     check_times_us = [at_us for at_us in times_us if at_us > state.now_us]
@@ -243,7 +243,7 @@
         _follow_preferred(state)
     elif state.now_us >= follow.stream_started_us + MIN_FOLLOW_US and any(
         _is_overdue(state, source, SILENCE_TIMEOUT_US)
-        for source in store_state.Source
+        for source in store_state.FREQUENT_SOURCES
     ):
         _mark_avoided(state, follow.address)
         _follow_preferred(state)
@@ -286,7 +286,7 @@
     relayed_us = state.store_reads[source].relayed_us
     if relayed_us is None:
         return True
-    wait_us = _settings(state).long_poll_wait_ms * 1000
+    wait_us = _settings(state).wait_us(source)
     return state.now_us >= relayed_us + wait_us + slack_us
 
 
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import placement
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import suspects
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import timers
 
@@ -64,6 +65,8 @@
         return
     if len(call.attempts) != 1 or call.sent_attempts != 1:
         return
+    if not suspects.may_hedge(state, call):
+        return
     service = state.services.get(call.service)
     if service is None:
         return
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -6,6 +6,7 @@
 """
 
 from fireflyspindle.core import crash_detection
+from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import discovery
 from fireflyspindle.core import events
 from fireflyspindle.core import forecast
@@ -110,6 +111,23 @@
         placement.on_probe_ended(state, probe, event)
 
 
+def _update_crashes(
+    state: state_lib.GateState,
+    target: targets.Target,
+    probe: state_lib.Probe,
+    event: events.ProbeEnded,
+) -> None:
+    """Handles what a probe tells about crashes of a target."""
+    if event.refused:
+        crash_detection.on_probe_refused(state, target)
+    if event.report is None:
+        return
+    crash_detection.on_answered(state, target, probe.sent_us)
+    start = target_statements.start_of(target)
+    if start is not None and event.report.incarnation == start.target_id:
+        crashing_requests.on_target_answered(state, start, probe.sent_us)
+
+
 def _update_load(
     state: state_lib.GateState,
     probe: state_lib.Probe,
@@ -123,10 +141,8 @@
     reachability.on_probe_ended(
         state, service, target, probe, answered=report is not None
     )
-    if event.refused:
-        crash_detection.on_probe_refused(state, target)
+    _update_crashes(state, target, probe, event)
     if report is not None:
-        crash_detection.on_answered(state, target, probe.sent_us)
         target_limits.on_answer(
             state,
             service,
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -4,6 +4,8 @@
 from fireflyspindle.core import calls
 from fireflyspindle.core import claim_reads
 from fireflyspindle.core import claims
+from fireflyspindle.core import crash_records
+from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import deadlines
 from fireflyspindle.core import discovery
 from fireflyspindle.core import dispatch_queue
@@ -140,6 +142,10 @@
             host_count.on_reported(state, event)
         case events.HelpersListed():
             relays.on_helpers_listed(state, event)
+        case events.CrashesRead():
+            crashing_requests.on_read(state, event)
+        case events.CrashesAppended():
+            crash_records.on_appended(state, event)
         case _:
             pass
 
@@ -196,6 +202,10 @@
             store_reads.on_follow_check_due(state)
         case timers.HostCountDue():
             host_count.on_due(state)
+        case timers.CrashReportDue():
+            crashing_requests.report(state)
+        case timers.CrashExpiryDue():
+            crashing_requests.on_expiry_due(state)
         case _:
             pass
 
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -3,6 +3,7 @@
 from fireflyspindle.core import fleet
 from fireflyspindle.core import placement
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import suspects
 from fireflyspindle.core import target_selection
 
 # Maximum sends of one call, including those that never reached a target.
@@ -29,7 +30,7 @@
         counted_attempts -= call.unreached_attempts
     if not call.resendable or counted_attempts >= call.max_attempts:
         return False
-    if call.sent_attempts >= MAX_SENDS:
+    if call.sent_attempts >= MAX_SENDS or not suspects.may_resend(state, call):
         return False
     return state.now_us < call.deadline_us
 
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -331,4 +331,4 @@
         return 0
     settings = state.settings.store
     assert settings is not None
-    return settings.long_poll_wait_ms
+    return settings.wait_us(source) // 1000
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -28,7 +28,9 @@
         control_address: Address on which other hosts follow this one.
         is_reader: Whether this host reads the store for others.
         other_reader_addresses: Control addresses of the other readers.
-        long_poll_wait_ms: Maximum time that a read long-polls the store.
+        long_poll_wait_ms: Maximum time that a read of the configuration or the
+            targets long-polls the store.
+        crash_wait_ms: The same for a read of crashes.
         relay_address: Address on which this host takes calls that other gate
             hosts relay; empty if it takes none.
     """
@@ -45,6 +47,13 @@
     other_reader_addresses: tuple[str, ...] = ()
     long_poll_wait_ms: int = 800
     relay_address: str = ""
+    crash_wait_ms: int = 1_500
+
+    def wait_us(self, source: "Source") -> int:
+        """Returns the maximum time that a read of a source waits."""
+        if source is Source.CRASHES:
+            return self.crash_wait_ms * 1000
+        return self.long_poll_wait_ms * 1000
 
 
 class Source(enum.Enum):
@@ -52,6 +61,12 @@
 
     CONFIGURATION = "configuration"
     TARGETS = "targets"
+    CRASHES = "crashes"
+
+
+# Sources by which a silent reader is detected. Readers of older builds relay no
+# others.
+FREQUENT_SOURCES = (Source.CONFIGURATION, Source.TARGETS)
 
 
 @attrs.define
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -83,6 +83,16 @@
     """The next request for the list of helpers is due."""
 
 
+@attrs.define
+class CrashReportDue:
+    """A write of new crashes to the store is due."""
+
+
+@attrs.define
+class CrashExpiryDue:
+    """A removal of crashes that are no longer of use is due."""
+
+
 @attrs.define
 class DrainGraceExpired:
     """The load balancer has had time to stop using this gate host."""
@@ -132,6 +142,8 @@
     | HostCountDue
     | ReachabilityCheckDue
     | HelperListDue
+    | CrashReportDue
+    | CrashExpiryDue
     | DrainGraceExpired
     | DrainDeadline
     | GossipRoundDue
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -19,6 +19,7 @@
 from fireflyspindle.core import readiness
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
+from fireflyspindle.core import suspects
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.platform import store_sync
@@ -30,6 +31,9 @@
 # to detect that the reader is silent and to read the store directly, or to read
 # again for changes that the long poll missed.
 READ_WAIT_FRACTION = 0.4
+# Longest wait of a read of crashes, as a fraction of the time in which all
+# hosts must know of them.
+CRASH_WAIT_FRACTION = 0.5
 # Time for which a stopping host still accepts connections: the load balancer
 # checks readiness once a second and removes a host after two failed checks.
 DRAIN_GRACE_MS = 2_800
@@ -186,6 +190,10 @@
             for service in self.state.services.values()
             for target in service.targets.values()
         )
+        self.metrics.gauges["refused_requests"] = sum(
+            suspects.is_refused(self.state, fingerprint)
+            for fingerprint in self.state.crashes.suspects
+        )
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
@@ -200,6 +208,7 @@
                 | effects.CountHosts()
                 | effects.ReportHosts()
                 | effects.ListHelpers()
+                | effects.AppendCrashes()
             ):
                 self._store_sync.execute_effect(effect)
             case effects.SetCallerLimits(limits):
@@ -240,5 +249,6 @@
             other_reader_addresses=settings.other_reader_addresses,
             long_poll_wait_ms=int(apply_bound_ms * READ_WAIT_FRACTION),
             relay_address=settings.relay_address,
+            crash_wait_ms=int(bounds.contact_ms * CRASH_WAIT_FRACTION),
         ),
     )
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -25,6 +25,7 @@
         retry_budget_ratio: Most additional sends, as a share of the requests.
         retry_slack: Additional sends that are allowed beyond that share.
         budget_window_s: Length of the window in which these two hold.
+        contact_ms: Time within which hosts must know what one of them knows.
         probes_per_s: Most probes per target and second, on average over all
             targets, by all hosts.
     """
@@ -35,6 +36,7 @@
     retry_budget_ratio: float = 0.1
     retry_slack: float = 10
     budget_window_s: float = 10
+    contact_ms: float = 3_000
     probes_per_s: float = 10
 
 
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -31,7 +31,7 @@
 
 
 class StoreClient:
-    """Reads keyed topics of the platform's store.
+    """Reads and appends to keyed topics of the platform's store.
 
     Args:
         address: Address of the store, "ip:port".
@@ -141,6 +141,37 @@
             f"topic {topic} has more than {MAX_LISTING_PAGES} pages"
         )
 
+    async def append(self, topic: str, records: dict[str, bytes | None]) -> str:
+        """Appends records to a keyed topic.
+
+        Without a response the records may have been appended, or may be later.
+
+        Args:
+            topic: Name of the topic.
+            records: Value by key; None removes the key.
+
+        Returns:
+            Why the append failed or may have failed; empty on success.
+        """
+        body = b"".join(
+            _encode_record(key, value) for key, value in records.items()
+        )
+        try:
+            async with self._session.post(
+                self._base_url + "/log-append",
+                params={"topic": topic, "part": "0"},
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=RESPONSE_TIMEOUT_S),
+            ) as response:
+                await response.read()
+                if response.status == 200:
+                    return ""
+                return f"response with status {response.status}"
+        except TimeoutError:
+            return "no response in time"
+        except (aiohttp.ClientError, OSError) as error:
+            return f"{type(error).__name__}: {error}"
+
     async def _get(
         self, path: str, query: dict[str, str], wait_ms: int
     ) -> tuple[int, bytes]:
@@ -200,6 +231,12 @@
     return records
 
 
+def _encode_record(key: str, value: bytes | None) -> bytes:
+    encoded_key = key.encode()
+    content = bytes([len(encoded_key)]) + encoded_key + (value or b"")
+    return len(content).to_bytes(_LENGTH_PREFIX_BYTES) + content
+
+
 def _keepalive_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = address
     sock = socket.socket(family, kind, protocol)
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -1,5 +1,7 @@
 """Decodes outcomes of reads of the store into events."""
 
+import time
+
 import result
 
 from fireflyspindle import logs
@@ -8,6 +10,7 @@
 from fireflyspindle.core import published
 from fireflyspindle.core import store_state
 from fireflyspindle.platform import configuration_document
+from fireflyspindle.platform import crash_records
 from fireflyspindle.platform import target_registrations
 
 CONFIGURATION_KEY = "config"
@@ -45,6 +48,8 @@
                 )
             case store_records.Batch() if source is store_state.Source.TARGETS:
                 return self._targets_read(now_us, outcome, relayed)
+            case store_records.Batch() if source is store_state.Source.CRASHES:
+                return self._crashes_read(now_us, outcome, relayed)
             case store_records.Batch():
                 return self._configuration_read(now_us, outcome, relayed)
 
@@ -101,14 +106,47 @@
             relayed=relayed,
         )
 
+    def _crashes_read(
+        self,
+        now_us: int,
+        batch: store_records.Batch,
+        relayed: events.RelayedRead | None,
+    ) -> events.CrashesRead:
+        wall_ms = time.time_ns() // 1_000_000
+        records: dict[events.CrashKey, events.CrashRecord] = {}
+        removed: set[events.CrashKey] = set()
+        for record in batch.records:
+            key = crash_records.decode_key(record.key)
+            if isinstance(key, result.Err):
+                self._log_undecodable(record, key.err_value)
+                continue
+            if record.value is None:
+                records.pop(key.ok_value, None)
+                removed.add(key.ok_value)
+                continue
+            decoded = crash_records.decode_value(record.value, wall_ms)
+            if isinstance(decoded, result.Err):
+                self._log_undecodable(record, decoded.err_value)
+                continue
+            removed.discard(key.ok_value)
+            records[key.ok_value] = decoded.ok_value
+        return events.CrashesRead(
+            now_us=now_us,
+            records=records,
+            removed=sorted(removed, key=crash_records.encode_key),
+            is_snapshot=batch.is_snapshot,
+            next_offset=batch.next_offset,
+            relayed=relayed,
+        )
+
     def _log_undecodable(
         self, record: store_records.Record, error: str
     ) -> None:
         """Logs a record that can't be decoded, once for each value."""
-        assert record.value is not None
-        if self.undecodable.get(record.key) == record.value:
+        value = record.value or b""
+        if self.undecodable.get(record.key) == value:
             return
-        self.undecodable[record.key] = record.value
+        self.undecodable[record.key] = value
         logs.logger.warning(
             f"entry {record.key!r} can't be decoded and is ignored: {error}",
             code="entry_unreadable",
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -1,6 +1,10 @@
-"""Reads the platform's store, directly or through another gate host."""
+"""Reads the platform's store, directly or through another gate host.
+
+Also writes the records that the gate hosts keep in it.
+"""
 
 import asyncio
+import time
 
 import aiohttp
 
@@ -12,6 +16,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import store_state
+from fireflyspindle.platform import crash_records
 from fireflyspindle.platform import store_client
 from fireflyspindle.platform import store_decoder
 
@@ -19,6 +24,7 @@
 TOPIC_BY_SOURCE = {
     store_state.Source.CONFIGURATION: "keyed.op",
     store_state.Source.TARGETS: "keyed.servers",
+    store_state.Source.CRASHES: crash_records.TOPIC,
 }
 
 
@@ -72,7 +78,8 @@
         | effects.StopFollowing
         | effects.CountHosts
         | effects.ReportHosts
-        | effects.ListHelpers,
+        | effects.ListHelpers
+        | effects.AppendCrashes,
     ) -> None:
         """Executes one effect."""
         match effect:
@@ -94,6 +101,8 @@
                 self.feed.gate_hosts = hosts
             case effects.ListHelpers():
                 self._shell.spawn(self._list_helpers(effect))
+            case effects.AppendCrashes():
+                self._shell.spawn(self._append_crashes(effect))
 
     async def close(self) -> None:
         """Closes every connection to the store and to readers."""
@@ -211,6 +220,24 @@
         if answered:
             self._submit_helpers(found, complete=True)
 
+    async def _append_crashes(self, effect: effects.AppendCrashes) -> None:
+        wall_ms = time.time_ns() // 1_000_000
+        records = {
+            crash_records.encode_key(key): crash_records.encode_value(
+                record, wall_ms
+            )
+            if record is not None
+            else None
+            for key, record in effect.records.items()
+        }
+        self._shell.metrics.event_counts["store_append"] += 1
+        error = await self._store.append(crash_records.TOPIC, records)
+        self._shell.submit(
+            events.CrashesAppended(
+                self._shell.now_us(), effect.append_id, error
+            )
+        )
+
     def _submit_helpers(
         self, found: set[events.HelperAddress], *, complete: bool
     ) -> None:
--- a/src/fireflyspindle/testing/store.py
+++ b/src/fireflyspindle/testing/store.py
@@ -1,11 +1,12 @@
 """A stand-in for the platform's store, with faults.
 
-It holds the keyed topics that gate hosts read and implements the published
-read protocol. The test writes to it directly.
+It holds keyed topics and implements the published protocol for reads and
+appends. The test writes to it directly.
 """
 
 import asyncio
 import base64
+import collections
 import json
 from typing import Any
 
@@ -17,6 +18,7 @@
 
 CONFIGURATION_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
+READ_ONLY_TOPICS = (CONFIGURATION_TOPIC, TARGETS_TOPIC)
 
 
 @attrs.define
@@ -58,7 +60,9 @@
     """
 
     def __init__(self) -> None:
-        self.topics = {CONFIGURATION_TOPIC: Topic(), TARGETS_TOPIC: Topic()}
+        self.topics: collections.defaultdict[str, Topic] = (
+            collections.defaultdict(Topic)
+        )
         self.refuse_status: int | None = None
         self.silent = False
         self.delay_s = 0.0
@@ -72,6 +76,7 @@
             [
                 web.get("/log-read", self._on_read),
                 web.get("/log-newest", self._on_newest),
+                web.post("/log-append", self._on_append),
             ]
         )
         return app
@@ -135,6 +140,20 @@
         }
         return web.json_response(page)
 
+    async def _on_append(self, request: web.Request) -> web.StreamResponse:
+        refusal = await self._apply_faults(request)
+        if refusal is not None:
+            return refusal
+        name = request.query["topic"]
+        if name in READ_ONLY_TOPICS:
+            return web.Response(status=403)
+        offset = self.topics[name].end_offset
+        for key, value in _decode_records(await request.read()):
+            self.write(name, key, value)
+        return web.json_response(
+            {"offset": offset, "end-offset": self.topics[name].end_offset}
+        )
+
     async def _apply_faults(self, request: web.Request) -> web.Response | None:
         self.reads.append((request.path, dict(request.query)))
         if self.delay_s:
@@ -150,3 +169,13 @@
     key, value = record
     content = bytes([len(key)]) + key.encode() + (value or b"")
     return len(content).to_bytes(4) + content
+
+
+def _decode_records(data: bytes) -> list[tuple[str, bytes | None]]:
+    records: list[tuple[str, bytes | None]] = []
+    while data:
+        length = int.from_bytes(data[:4])
+        content, data = data[4 : 4 + length], data[4 + length :]
+        key_end = 1 + content[0]
+        records.append((content[1:key_end].decode(), content[key_end:] or None))
+    return records
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -96,6 +96,35 @@
     assert "believed: s: i-4 is ejected" in output
 
 
+def test_explanation_of_a_request_names_the_crashes_under_its_copies(
+    tmp_path, capsys
+):
+    call = {
+        "time": "2",
+        "code": "call",
+        "request_id": "q1",
+        "route": "r",
+        "fingerprint": "f" * 32,
+        "outcome": "not-run",
+        "total_us": 0,
+        "attempts": 0,
+        "steps": [{"ms": 0.0, "what": "gave_up", "error": "crashes_targets"}],
+    }
+    refused = {
+        "time": "1",
+        "code": "request_refused",
+        "message": f"s: request {'f' * 32} is refused from now on",
+    }
+    other = {**refused, "message": f"s: request {'e' * 32} is refused"}
+    path = tmp_path / "edge.log"
+    path.write_text("\n".join(map(json.dumps, (other, refused, call))))
+    assert explain.explain("q1", path) == 0
+    printed = capsys.readouterr().out
+    assert "error crashes_targets" in printed
+    assert f"believed: s: request {'f' * 32} is refused from now on" in printed
+    assert "e" * 32 not in printed
+
+
 def test_unknown_request_is_reported(monkeypatch, capsys):
     monkeypatch.setattr("sys.stdin", io.StringIO(json.dumps(CALL)))
     assert explain.explain("q2") == 1
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -19,6 +19,9 @@
 # after which a read without a response fails.
 RECOVERY_LIMIT_US = 3_000_000
 READ_TIMEOUT_US = 1_200_000
+# Time limit for a crash of a target to be known to every host.
+CONTACT_US = 3_000_000
+SOURCES = len(store_state.Source)
 
 
 class FollowingHost(published_host.PublishedHost):
@@ -67,8 +70,23 @@
             if line.code == code
         ]
 
-    def relay_reads(self, stream=None, age_us=0, configured=None, entries=()):
-        """Feeds one relayed read of each source."""
+    def relay_reads(
+        self,
+        stream=None,
+        age_us=0,
+        configured=None,
+        entries=(),
+        crashes=True,
+    ):
+        """Feeds one relayed read of each source.
+
+        Args:
+            stream: Number of the stream; the latest by default.
+            age_us: Time since the reads ended.
+            configured: Configuration that was read, if any.
+            entries: Entries of targets that were read.
+            crashes: Whether the reader relays crashes; older ones don't.
+        """
         relayed = events.RelayedRead(stream or self.stream, age_us)
         if configured is not None or entries:
             self.next_offset += 1
@@ -86,6 +104,16 @@
             self.next_offset,
             relayed=relayed,
         )
+        if not crashes:
+            return
+        self.feed(
+            events.CrashesRead,
+            {},
+            [],
+            False,
+            self.next_offset,
+            relayed=relayed,
+        )
 
     def relay_empty_reads_for(self, duration_us):
         """Advances time while the reader relays empty reads."""
@@ -98,7 +126,7 @@
         """Advances time while reads of this host and of its reader fail.
 
         The reads of `retried_source` fail last, so that this source is retried
-        and the other one suspended.
+        and the others are suspended.
         """
         end_us = self.now_us + duration_us
         sources = sorted(
@@ -116,14 +144,29 @@
     def omit_records(self, source, next_offset):
         """Feeds a relayed read whose records the reader left out."""
         relayed = events.RelayedRead(self.stream, 0, from_offset=next_offset)
-        if source is store_state.Source.CONFIGURATION:
-            self.feed(
-                events.ConfigurationRead, None, next_offset, relayed=relayed
-            )
-        else:
-            self.feed(
-                events.TargetsRead, [], [], False, next_offset, relayed=relayed
-            )
+        match source:
+            case store_state.Source.CONFIGURATION:
+                self.feed(
+                    events.ConfigurationRead, None, next_offset, relayed=relayed
+                )
+            case store_state.Source.TARGETS:
+                self.feed(
+                    events.TargetsRead,
+                    [],
+                    [],
+                    False,
+                    next_offset,
+                    relayed=relayed,
+                )
+            case store_state.Source.CRASHES:
+                self.feed(
+                    events.CrashesRead,
+                    {},
+                    [],
+                    False,
+                    next_offset,
+                    relayed=relayed,
+                )
 
     def lose_reader(self, reason="reset"):
         """Ends the stream."""
@@ -146,7 +189,7 @@
     assert list(host.state.registered_targets) == ["i-0"]
 
 
-def test_primary_reader_reads_both_sources_and_follows_no_host():
+def test_primary_reader_reads_all_sources_and_follows_no_host():
     host = FollowingHost(is_reader=True)
     assert [read.source for read in host.own_reads()] == [
         source.value for source in store_state.Source
@@ -170,6 +213,11 @@
     host = FollowingHost(seed)
     host.relay_reads(configured=published_host.document())
     host.advance(CHANGE_LIMIT_US - 400_000)
+    assert {read.source for read in host.own_reads()} == {
+        "configuration",
+        "targets",
+    }
+    host.advance(CONTACT_US - CHANGE_LIMIT_US)
     assert {read.source for read in host.own_reads()} == {
         source.value for source in store_state.Source
     }
@@ -288,13 +336,13 @@
         host.advance(50_000)
     assert host.own_reads() == []
     host.advance(50_000)
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
 
 
 def test_own_read_is_cancelled_when_a_reader_relays_reads():
     host = FollowingHost()
     host.advance(1_600_000)
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
     host.relay_reads()
     assert {
         stop.source for stop in host.effects_of(effects.CancelStoreRead)
@@ -322,7 +370,7 @@
         if len(host.own_reads()) > read_count:
             for read in host.own_reads()[read_count:]:
                 host.feed(events.StoreReadFailed, read.source, "503")
-    assert len(host.own_reads()) <= 2 + 2 * 20_000_000 / 4_500_000
+    assert len(host.own_reads()) <= SOURCES + 2 * 20_000_000 / 4_500_000
     host.relay_reads()
     assert not any(reads.failures for reads in host.state.store_reads.values())
 
@@ -348,7 +396,7 @@
     assert host.address == "10.0.0.9:1"
     host.feed(events.ReadersChanged, True, ("10.0.0.8:1",))
     assert host.address is None
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
 
 
 def test_outage_reported_by_a_reader_keeps_expired_targets_for_a_while():
@@ -377,12 +425,12 @@
     host = second_reader()
     # Hosts that start at the same time may follow it before the first reader
     # runs, so it reads the store itself at first.
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
     host.relay_reads()
     (follow,) = host.effects_of(effects.FollowReader)
     assert (follow.address, follow.relays) == ("10.0.0.1:1", True)
     host.relay_empty_reads_for(10_000_000)
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
 
 
 def test_second_reader_takes_over_before_its_followers_leave():
@@ -398,11 +446,11 @@
 
 def test_second_reader_stops_reading_when_the_first_is_back():
     host = second_reader()
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
     host.relay_reads()
-    assert len(host.effects_of(effects.CancelStoreRead)) == 2
+    assert len(host.effects_of(effects.CancelStoreRead)) == SOURCES
     host.relay_empty_reads_for(5_000_000)
-    assert len(host.own_reads()) == 2
+    assert len(host.own_reads()) == SOURCES
 
 
 def test_reader_refused_by_the_store_does_not_relay_higher_readers():
@@ -443,7 +491,12 @@
         host.register()
         host.advance(READ_WAIT_US)
     assert host.own_reads()
-    assert max(read.wait_ms for read in host.own_reads()) <= 1_000
+    wait_ms = {source.value: 0 for source in store_state.Source}
+    for read in host.own_reads():
+        wait_ms[read.source] = max(wait_ms[read.source], read.wait_ms)
+    assert 0 < wait_ms["configuration"] <= 1_000
+    assert 0 < wait_ms["targets"] <= 1_000
+    assert wait_ms["crashes"] <= CONTACT_US // 2 // 1000
 
 
 def test_callers_are_accepted_after_the_first_reads():
@@ -500,8 +553,12 @@
 def test_records_omitted_after_an_outage_are_not_read_too_late(source, seed):
     host = follower_in_an_outage(source, seed)
     reads = host.state.store_reads[source]
-    assert reads.pending
-    assert reads.scheduled_us > host.now_us
+    if source is store_state.Source.CRASHES:
+        # It is read less often, so that another source failed first.
+        assert reads.suspended
+    else:
+        assert reads.pending
+        assert reads.scheduled_us > host.now_us
     host.omit_records(source, next_offset=5)
     assert reads.scheduled_us == host.now_us
     assert host.own_reads()[-1].source == source.value
@@ -575,3 +632,18 @@
     host.lose_reader()
     host.feed(events.StoreReadFailed, "configuration", "503")
     assert not host.effects_of(effects.FollowReader)[-1].unlimited_size
+
+
+def test_follower_of_an_older_reader_reads_crashes_itself():
+    host = FollowingHost()
+    host.relay_reads(configured=published_host.document(), crashes=False)
+    first = host.stream
+    for _ in range(10):
+        host.advance(READ_WAIT_US)
+        host.relay_reads(crashes=False)
+    assert host.stream == first
+    assert {read.source for read in host.own_reads()} == {"crashes"}
+    host.feed(events.CrashesRead, {}, [], True, 0)
+    host.feed(events.CrashesRead, {}, [], False, 0)
+    assert {read.source for read in host.own_reads()} == {"crashes"}
+    assert host.own_reads()[-1].wait_ms == 1_500
--- a/tests/test_probe_client.py
+++ b/tests/test_probe_client.py
@@ -42,7 +42,8 @@
     assert await client.probe(probe_effect(address)) == report
     await wire.until(lambda: target.closed == 1)
     await target.close()
-    assert await client.probe(probe_effect(address)) is None
+    refused = events.FailureReason.REFUSED
+    assert await client.probe(probe_effect(address)) == refused
     assert [received.first_line for received in target.requests] == [
         b"GET /load HTTP/1.1"
     ]
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -495,3 +495,30 @@
     for lines, client in zip(streams, clients, strict=True):
         await lines.aclose()
         await client.close()
+
+
+async def test_followers_of_older_builds_get_no_sources_that_they_do_not_know():
+    feed = store_feed.Feed("a", ("targets", "crashes"), lambda: 0)
+    app = web.Application()
+    app.add_routes(feed.routes())
+    server = testing.Server(app)
+    address = await server.start()
+    for name in ("crashes", "targets"):
+        feed.record_read(name, batch(("k", b"v", 0), next_offset=1))
+    sources = {}
+    for query, lines in (("", 3), ("?further-sources=crashes", 5)):
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{address}{store_feed.PATH}{query}"
+            async with session.get(url) as response:
+                found = [await response.content.readline() for _ in range(2)]
+                feed.record_read("crashes", batch(next_offset=1))
+                feed.record_read("targets", batch(next_offset=1))
+                async with asyncio.timeout(5.0):
+                    while len(found) < lines:
+                        found.append(await response.content.readline())
+        named = [json.loads(line).get("source") for line in found]
+        sources[query] = set(named) - {None}
+    assert sources[""] == {"targets"}
+    assert sources["?further-sources=crashes"] == {"targets", "crashes"}
+    feed.close()
+    await server.close()
