Heed what the head of an incomplete answer states: leaving, and pauses

Cause: a head was read only once its body was complete, so the statement of an answer that was cut, reset or malformed was lost, and the next call went to the same server.

Why it works: a failed attempt reports the head that arrived, also one that was cancelled between head and body, and probes are content with a head.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -5,6 +5,8 @@
 import time
 from typing import Protocol
 
+from aiohttp import http
+
 from fireflyspindle import headers
 from fireflyspindle import logs
 from fireflyspindle import metrics as metrics_lib
@@ -168,19 +170,24 @@
         self._shell.submit(event)
 
     def on_failed(
-        self, attempt: target_client.Attempt, reason: events.FailureReason
+        self,
+        attempt: target_client.Attempt,
+        reason: events.FailureReason,
+        head: http.RawResponseMessage | None = None,
     ) -> None:
         """Reports the end of an attempt without a complete response."""
         attempt.ended = True
-        self._shell.submit(
-            events.AttemptFailed(
-                now_us=self._shell.now_us(),
-                call_id=attempt.exchange.call_id,
-                attempt=attempt.number,
-                reason=reason,
-                sent=attempt.sent,
-            )
+        event = events.AttemptFailed(
+            now_us=self._shell.now_us(),
+            call_id=attempt.exchange.call_id,
+            attempt=attempt.number,
+            reason=reason,
+            sent=attempt.sent,
         )
+        if head is not None and not attempt.relayed:
+            event.status = head.code
+            event.report = self._header_profile.parse_load_report(head.headers)
+        self._shell.submit(event)
 
     def forward(self, effect: effects.ForwardAnswer) -> None:
         """Forwards a target's response to the caller."""
@@ -219,6 +226,7 @@
         attempt = exchange.attempts[effect.attempt]
         if attempt.ended:
             return
+        head = attempt.connection.head if attempt.connection else None
         if attempt.relaying and exchange.caller is not None:
             exchange.abort_caller()
             if not exchange.repeatable:
@@ -231,7 +239,7 @@
             attempt.abort()
         else:
             self._shell.spawn(responses.discard(attempt))
-        self.on_failed(attempt, events.FailureReason.CANCELLED)
+        self.on_failed(attempt, events.FailureReason.CANCELLED, head)
 
     def finish(self, effect: effects.CallFinished) -> None:
         """Removes a finished call, and records it in metrics and the log."""
--- a/src/fireflyspindle/adapters/probe_client.py
+++ b/src/fireflyspindle/adapters/probe_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+from aiohttp import http
 import attrs
 
 from fireflyspindle import headers
@@ -18,18 +19,27 @@
 
 @attrs.define(eq=False)
 class _ProbeHandler:
-    """Receives the head of the response to a probe."""
+    """Receives the head of the response to a probe.
 
-    response_future: asyncio.Future[target_connection.Response | None]
+    The head of an incomplete response has all that a probe asks for.
+    """
+
+    head_future: asyncio.Future[http.RawResponseMessage | None]
     request_id: str = ""
 
     def on_response(self, response: target_connection.Response) -> None:
-        if not self.response_future.done():
-            self.response_future.set_result(response)
+        self._set_head(response.message)
+
+    def on_failed(
+        self,
+        _reason: events.FailureReason,
+        head: http.RawResponseMessage | None = None,
+    ) -> None:
+        self._set_head(head)
 
-    def on_failed(self, _reason: events.FailureReason) -> None:
-        if not self.response_future.done():
-            self.response_future.set_result(None)
+    def _set_head(self, head: http.RawResponseMessage | None) -> None:
+        if not self.head_future.done():
+            self.head_future.set_result(head)
 
 
 class ProbeClient:
@@ -70,22 +80,20 @@
             return None
         try:
             async with asyncio.timeout(self._timeout_s):
-                response = await self._send(effect)
+                head = await self._send(effect)
         except ConnectionRefusedError:
             return events.FailureReason.REFUSED
         except (TimeoutError, OSError):
             return None
-        if response is None:
+        if head is None:
             return None
-        report = self._header_profile.parse_load_report(
-            response.message.headers
-        )
-        report.healthy = response.message.code == HTTPStatus.OK
+        report = self._header_profile.parse_load_report(head.headers)
+        report.healthy = head.code == HTTPStatus.OK
         return report
 
     async def _send(
         self, effect: effects.ProbeTarget
-    ) -> target_connection.Response | None:
+    ) -> http.RawResponseMessage | None:
         connection = await self._connect(effect)
         pooled = False
         try:
@@ -94,11 +102,11 @@
             handler = _ProbeHandler(asyncio.get_running_loop().create_future())
             close = self._pool is None
             connection.begin(handler, _request(effect, close), "GET")
-            response = await handler.response_future
+            head = await handler.head_future
             if self._pool is not None and connection.release():
                 pooled = True
                 self._pool.keep(connection)
-            return response
+            return head
         finally:
             if not pooled:
                 connection.abort()
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from aiohttp import http
 import attrs
 
 from fireflyspindle import headers
@@ -47,9 +48,12 @@
         """Handles the head of a response, which is in `attempt.response`."""
 
     def on_failed(
-        self, attempt: "Attempt", reason: events.FailureReason
+        self,
+        attempt: "Attempt",
+        reason: events.FailureReason,
+        head: http.RawResponseMessage | None = None,
     ) -> None:
-        """Handles the end of an attempt without a response."""
+        """Handles the end of an attempt without a complete response."""
 
 
 @attrs.define(eq=False)
@@ -200,10 +204,14 @@
         self.response = response
         self._client.listener.on_response(self)
 
-    def on_failed(self, reason: events.FailureReason) -> None:
-        """Handles the loss of the connection before a response."""
+    def on_failed(
+        self,
+        reason: events.FailureReason,
+        head: http.RawResponseMessage | None = None,
+    ) -> None:
+        """Handles the loss of the connection before a complete response."""
         if not self.ended:
-            self._client.listener.on_failed(self, reason)
+            self._client.listener.on_failed(self, reason, head)
 
     def release(self) -> None:
         """Ends the attempt; returns its connection to the pool if reusable."""
--- a/src/fireflyspindle/adapters/target_connection.py
+++ b/src/fireflyspindle/adapters/target_connection.py
@@ -17,6 +17,7 @@
 from fireflyspindle.core import events
 
 READ_BUFFER_BYTES = 64 * 1024
+_HEAD_END = b"\r\n\r\n"
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})\b")
 
 
@@ -45,8 +46,17 @@
     def on_response(self, response: Response) -> None:
         """Handles the response once its head, or all of it, has arrived."""
 
-    def on_failed(self, reason: events.FailureReason) -> None:
-        """Handles the loss of the connection before a response."""
+    def on_failed(
+        self,
+        reason: events.FailureReason,
+        head: http.RawResponseMessage | None = None,
+    ) -> None:
+        """Handles the loss of the connection before a complete response.
+
+        Args:
+            reason: Why there is no complete response.
+            head: Head of the incomplete response, if it arrived.
+        """
 
 
 class TargetConnection(shared_buffer.ReceivingProtocol):
@@ -90,6 +100,11 @@
             and not transport.is_closing()
         )
 
+    @property
+    def head(self) -> http.RawResponseMessage | None:
+        """The head of the response in progress, once it has arrived."""
+        return self._response.message if self._response is not None else None
+
     @property
     def reads_paused(self) -> bool:
         """Whether reading is paused until received data has been consumed."""
@@ -102,7 +117,11 @@
         self._response = None
         self._overhead.start_message()
         self._body_expected = method != "HEAD"
-        self._parser = http.HttpResponseParser(
+        self._parser = self._new_parser()
+        self.transport.write(data)
+
+    def _new_parser(self) -> http.HttpResponseParser:
+        return http.HttpResponseParser(
             self,
             self._loop,
             READ_BUFFER_BYTES,
@@ -111,7 +130,6 @@
             read_until_eof=self._header_profile.buffers_unsized_bodies,
             auto_decompress=False,
         )
-        self.transport.write(data)
 
     def write(self, data: bytes) -> None:
         """Writes a part of the body, unless the connection is closing."""
@@ -155,7 +173,8 @@
         try:
             messages, upgraded, _tail = parser.feed_data(data)
         except http.HttpProcessingError:
-            self._fail(events.FailureReason.MISMATCHED)
+            head = self._head_before_malformed_body(data)
+            self._fail(events.FailureReason.MISMATCHED, head)
             return
         if upgraded:
             self._fail(events.FailureReason.MISMATCHED)
@@ -171,6 +190,27 @@
         if self._overhead.exceeded:
             self._fail(events.FailureReason.MISMATCHED)
 
+    def _head_before_malformed_body(
+        self, data: bytes
+    ) -> http.RawResponseMessage | None:
+        """Returns the valid head of a response that came with its body."""
+        end = data.find(_HEAD_END)
+        if self._handler is None or self._response is not None or end < 0:
+            return None
+        head_bytes = data[: end + len(_HEAD_END)]
+        try:
+            messages, _, _ = self._new_parser().feed_data(head_bytes)
+        except http.HttpProcessingError:
+            return None
+        request_id = self._handler.request_id
+        for message, _ in messages:
+            length = _stated_length(message)
+            if self._is_stale(message, request_id):
+                continue
+            if self._head_failure(message, length, request_id) is None:
+                return message
+        return None
+
     def _on_head(
         self, message: http.RawResponseMessage, payload: streams.StreamReader
     ) -> None:
@@ -256,11 +296,16 @@
             self._reusable = False
         return None
 
-    def _fail(self, reason: events.FailureReason) -> None:
+    def _fail(
+        self,
+        reason: events.FailureReason,
+        head: http.RawResponseMessage | None = None,
+    ) -> None:
         handler, response = self._handler, self._response
         self.abort()
         if handler is not None:
-            handler.on_failed(reason)
+            head = self.head or head
+            handler.on_failed(reason, head)
         elif response is not None and not response.payload.is_eof():
             response.payload.set_exception(
                 aiohttp.ClientPayloadError(reason.value)
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -146,7 +146,7 @@
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     attempt: state_lib.Attempt,
-    event: events.AttemptAnswered,
+    event: events.AttemptAnswered | events.AttemptFailed,
 ) -> bool:
     """Handles what the target states; returns whether it asks for a pause."""
     if event.report is None or event.status == discovery.MISDIRECTED_STATUS:
@@ -290,6 +290,7 @@
         if event.reason is not events.FailureReason.CANCELLED:
             relays.on_not_carried(state, attempt.target.spec.address)
     elif service is not None:
+        _update_statements(state, service, attempt, event)
         ejection.on_failed(state, attempt, service, event)
         crash_detection.on_attempt_failed(state, service, call, attempt, event)
         reachability.on_attempt_failed(
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -198,6 +198,8 @@
         attempt: Number of the attempt within the call.
         reason: Reason of the failure.
         sent: Whether any byte of the request may have left this host.
+        status: HTTP status of an answer whose head arrived; 0 without one.
+        report: What the head of that answer states.
     """
 
     now_us: int
@@ -205,6 +207,8 @@
     attempt: int
     reason: FailureReason
     sent: bool
+    status: int = 0
+    report: LoadReport | None = None
 
 
 @attrs.define
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -91,3 +91,20 @@
             assert b" 50" in response.first_line
             await asyncio.sleep(INTERVAL_S)
     assert len(server.requests_in_pause()) <= MAX_REQUESTS
+
+
+async def test_probe_with_an_incomplete_answer_tells_what_its_head_states():
+    async def behave(request, writer):
+        answered = platform_driver.answer(
+            request, b"busy", *PAUSE_LINES, status="503 Service Unavailable"
+        )
+        writer.write(answered[:-1])
+        await writer.drain()
+        writer.close()
+
+    async with platform_driver.running(behave) as platform:
+        host = platform.host
+        await platform.send_request(platform_driver.request())
+        target = host.state.services["s"].targets["i-0"]
+        assert target.paused_until_us > host.now_us()
+        assert platform.requests == []
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -68,6 +68,18 @@
         host.answer(attempt.call_id, attempt.attempt, leaving_start=start)
         host.finish(attempt.call_id)
         return
+    if answer == "incomplete":
+        reason = events.FailureReason.TRUNCATED
+        host.feed(
+            events.AttemptFailed,
+            attempt.call_id,
+            attempt.attempt,
+            reason,
+            True,
+            status=200,
+            report=stated,
+        )
+        return
     if answer == "caller left":
         host.feed(events.CallerDisconnected, attempt.call_id)
     host.answer(
@@ -81,7 +93,8 @@
 
 
 @pytest.mark.parametrize(
-    "answer", ["executed", "declined", "probe", "caller left", "helper"]
+    "answer",
+    ["executed", "declined", "probe", "caller left", "helper", "incomplete"],
 )
 def test_target_that_says_it_leaves_gets_no_more_requests(
     make_published_host, answer
