Recognize copies of a request that come from other addresses or with another query

Cause: the fingerprint held the caller's network address. Copies come from addresses in all failure domains, so no two of them counted together.

Why it works: what makes a target crash is in the request, not in its address. A second fingerprint leaves out the query; the answers to other queries of a busy path clear it, and the exact one counts there.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -185,7 +185,6 @@
             waiting for a request, or lingering after the last response.
         pending: Requests that are served or wait for earlier responses.
         relays: Whether the caller is a gate host that relays calls.
-        caller_ip: IP address of the caller.
     """
 
     def __init__(
@@ -197,7 +196,6 @@
     ) -> None:
         super().__init__(loop, buffer)
         self.relays = relays
-        self.caller_ip = ""
         self._parser = http.HttpRequestParser(
             self,
             loop,
@@ -221,8 +219,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers with the server."""
         super().connection_made(transport)
-        peer = transport.get_extra_info("peername")
-        self.caller_ip = peer[0] if peer else ""
         self._server.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -273,7 +273,7 @@
     if effect.steps.kept:
         decision_fields = {
             "route": effect.route,
-            "fingerprint": exchange.fingerprint,
+            "fingerprints": list(exchange.fingerprints),
             "late": effect.past_soft_deadline,
             "steps": steps_lib.as_data(effect.steps),
             "steps_left_out": effect.steps.dropped_count,
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -336,11 +336,11 @@
             keyed_requests.set_digest(event, message.method, message.path, body)
         if not event.request_id:
             event.request_id = f"{self._request_id_prefix}-{event.call_id}"
-        event.fingerprint = _fingerprint(pending, message, body)
+        event.fingerprints = _fingerprints(pending, message, body)
         exchange = exchange_lib.Exchange(
             call_id=event.call_id,
             request_id=event.request_id,
-            fingerprint=event.fingerprint,
+            fingerprints=event.fingerprints,
             message=message,
             repeatable=event.repeatable,
             body=body,
@@ -375,20 +375,18 @@
         )
 
 
-def _fingerprint(
+def _fingerprints(
     pending: PendingRequest,
     message: http.RawRequestMessage,
     body: bytes | None,
-) -> str:
-    """Returns the fingerprint of a request; "" if its body is streamed."""
+) -> tuple[str, ...]:
+    """Returns the fingerprints of a request; none if its body is streamed."""
     if pending.connection.relays:
-        stated = message.headers.get(headers.RELAY_FINGERPRINT, "")
+        stated = message.headers.get(headers.RELAY_FINGERPRINTS, "")
         return request_fingerprints.parse(stated)
     if body is None:
-        return ""
-    return request_fingerprints.compute(
-        message, pending.connection.caller_ip, body
-    )
+        return ()
+    return request_fingerprints.compute(message, body)
 
 
 async def _read_up_to(payload: streams.StreamReader, limit_bytes: int) -> bytes:
--- a/src/fireflyspindle/core/crash_detection.py
+++ b/src/fireflyspindle/core/crash_detection.py
@@ -41,7 +41,7 @@
             # After its deadline, an attempt may fail because this host was
             # frozen.
             in_time = state.now_us < call.deadline_us
-            if event.sent and call.fingerprint and in_time:
+            if event.sent and call.fingerprints and in_time:
                 _on_lost(state, service, attempt.target, start, call)
 
 
@@ -106,9 +106,10 @@
         if state.now_us >= target.paused_until_us:
             if placement.take_probe_token(state):
                 _send_check(state, service, target)
-    check.fingerprints.add(call.fingerprint)
+    check.fingerprints.update(call.fingerprints)
     if check.crashed:
-        crashing_requests.on_crash(state, service.name, start, call.fingerprint)
+        for fingerprint in call.fingerprints:
+            crashing_requests.on_crash(state, service.name, start, fingerprint)
 
 
 def _send_check(
--- a/src/fireflyspindle/core/crashing_requests.py
+++ b/src/fireflyspindle/core/crashing_requests.py
@@ -92,14 +92,15 @@
     Returns:
         Whether the call was refused.
     """
-    suspect = state.crashes.suspects.get(call.fingerprint)
-    if suspect is None or not suspects.is_refused(state, call.fingerprint):
+    fingerprint = suspects.refused_fingerprint(state, call)
+    if fingerprint is None:
         return False
+    suspect = state.crashes.suspects[fingerprint]
     service = state.services.get(call.service)
     if service is not None:
         service.waiting_calls.pop(call.call_id, None)
     suspect.refused += 1
-    _record_repeat(state, call.fingerprint, suspect)
+    _record_repeat(state, fingerprint, suspect)
     latest_s = (state.now_us - suspect.crashed_us) / 1e6
     lifetime_s = UNUSED_LIFETIME_US // 1_000_000
     answers.fail_call(
@@ -149,9 +150,10 @@
         and event.status < HTTPStatus.INTERNAL_SERVER_ERROR
         and event.status not in _NOT_RUN_STATUSES
     )
-    if ran and call.fingerprint in state.crashes.suspects:
-        _forget(state, call.fingerprint, "a target ran it to an answer")
-        crash_records.flush(state)
+    for fingerprint in call.fingerprints:
+        if ran and fingerprint in state.crashes.suspects:
+            _forget(state, fingerprint, "a target ran it to an answer")
+    crash_records.flush(state)
 
 
 def on_target_answered(
@@ -265,7 +267,7 @@
     state.emit(effects.WriteLogLine("warning", "request_refused", detail))
     for call in list(state.calls.values()):
         waiting = call.phase is state_lib.CallPhase.WAITING
-        if waiting and not call.attempts and call.fingerprint == fingerprint:
+        if waiting and not call.attempts:
             refuse(state, call)
 
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -131,8 +131,7 @@
         steps: Decisions made for it.
         relayed: Whether another gate host relayed it to this one.
         relays: Attempts by other gate hosts.
-        fingerprint: Fingerprint of its request, equal for copies of it; empty
-            if unknown.
+        fingerprints: Fingerprints of its request, equal for copies of it.
     """
 
     call_id: int
@@ -164,7 +163,7 @@
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
     relayed: bool = False
     relays: int = 0
-    fingerprint: str = ""
+    fingerprints: tuple[str, ...] = ()
 
     def record_step(
         self,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,6 +2,11 @@
 
 import asyncio
 
+import pytest
+
+from fireflyspindle import headers
+from fireflyspindle.adapters import request_fingerprints
+from fireflyspindle.testing import raw
 import platform_driver
 import platform_fleet
 
@@ -27,7 +32,7 @@
 
     async def work(self, request, writer):
         """Answers a request, or crashes under it."""
-        if b" " + CRASHING_PATH.encode() + b" " not in request.first_line:
+        if CRASHING_PATH.encode() not in request.first_line:
             writer.write(platform_driver.answer(request))
             return
         now_s = asyncio.get_running_loop().time()
@@ -56,28 +61,78 @@
         return [at_s for at_s in self.arrivals_s if at_s > end_s]
 
 
-async def send_copies(fleet, copies, prefix):
+async def send_copy(host, number, varying):
+    """Sends a copy of the crashing request to a host."""
+    path = CRASHING_PATH
+    if varying == "query":
+        path += f"?page={number}"
+    caller_ip = "127.0.0.1"
+    if varying == "address":
+        caller_ip = f"127.0.0.{2 + number % 200}"
+    ip, _, port = host.data_path.server.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(
+        ip, int(port), local_addr=(caller_ip, 0)
+    )
+    caller = raw.RawCaller(reader, writer)
+    async with asyncio.timeout(platform_driver.WAIT_S):
+        response = await caller.ask(
+            platform_driver.request(path, name=f"copy{number}")
+        )
+    caller.close()
+    return response
+
+
+async def send_copies(fleet, copies, varying):
     """Sends copies of the crashing request to all hosts in turn."""
     tasks = []
     for number in range(copies):
-        request = platform_driver.request(
-            CRASHING_PATH, name=f"{prefix}{number}"
-        )
         host = fleet.hosts[number % len(fleet.hosts)]
-        tasks.append(asyncio.create_task(fleet.send(host, request)))
+        copy = send_copy(host, number, varying)
+        tasks.append(asyncio.create_task(copy))
         await asyncio.sleep(INTERVAL_S)
     return await asyncio.gather(*tasks)
 
 
-async def test_no_host_sends_on_a_request_that_crashed_three_targets():
+@pytest.mark.parametrize("varying", ["id", "address", "query"])
+async def test_no_host_sends_on_a_request_that_crashed_three_targets(varying):
     servers = CrashingServers()
     async with platform_fleet.running(
         hosts=4, servers=8, work=servers.work
     ) as fleet:
         servers.fleet = fleet
         copies = int((CONTACT_S + 3.0) / INTERVAL_S)
-        responses = await send_copies(fleet, copies, "copy")
+        responses = await send_copies(fleet, copies, varying)
         assert len(servers.crashes_s) >= MIN_CRASHES
         assert len(servers.late_sends()) <= MAX_LATE_SENDS
         refused = responses[-10:]
         assert all(b" 503 " in each.first_line for each in refused)
+
+
+async def test_helper_knows_the_fingerprints_of_a_relayed_call(monkeypatch):
+    stated = []
+    parse = request_fingerprints.parse
+
+    def record(text):
+        stated.append(parse(text))
+        return stated[-1]
+
+    monkeypatch.setattr(request_fingerprints, "parse", record)
+    async with platform_fleet.running(hosts=4, servers=5) as fleet:
+        host = fleet.hosts[0]
+        fleet.cut_off(host, "refuse")
+        path = platform_driver.IDEMPOTENT + "1"
+        for number in range(100):
+            request = platform_driver.request(path, name=f"q{number}")
+            await fleet.send(host, request)
+            if host.metrics.event_counts["relay"]:
+                break
+            await asyncio.sleep(0.02)
+        received = [
+            request for server in fleet.servers for request in server.requests
+        ]
+    assert stated
+    assert all(len(fingerprints) == 1 for fingerprints in stated)
+    assert received
+    assert not any(
+        request.values(headers.RELAY_FINGERPRINTS) for request in received
+    )
