Split evidence from refusals, and look up crashed targets by a set

No change of behaviour but one of cost: each answer compared its target with every suspected request, which are up to 10,000; now with a set of the targets that crashed.

--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -6,6 +6,7 @@
 from fireflyspindle.core import attempts
 from fireflyspindle.core import claims
 from fireflyspindle.core import crash_detection
+from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import destinations
 from fireflyspindle.core import discovery
@@ -90,7 +91,7 @@
     else:
         _update_target(state, call, attempt, event)
         attempts.record_answer(state, call, attempt, event)
-    crashing_requests.on_answered(state, call, attempt, event)
+    crash_evidence.on_answered(state, call, attempt, event)
     attempt.declined = event.not_run
     call.record_step(
         state.now_us,
--- a/src/fireflyspindle/core/crash_detection.py
+++ b/src/fireflyspindle/core/crash_detection.py
@@ -6,8 +6,8 @@
 the network.
 """
 
+from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import crash_state
-from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import placement
@@ -109,7 +109,7 @@
     check.fingerprints.update(call.fingerprints)
     if check.crashed:
         for fingerprint in call.fingerprints:
-            crashing_requests.on_crash(state, service.name, start, fingerprint)
+            crash_evidence.on_crash(state, service.name, start, fingerprint)
 
 
 def _send_check(
@@ -155,7 +155,7 @@
     )
     state.emit(effects.WriteLogLine("warning", "target_crashed", detail))
     for fingerprint in sorted(check.fingerprints):
-        crashing_requests.on_crash(state, check.service, start, fingerprint)
+        crash_evidence.on_crash(state, check.service, start, fingerprint)
 
 
 def _log_alive(
--- a/src/fireflyspindle/core/crash_state.py
+++ b/src/fireflyspindle/core/crash_state.py
@@ -76,6 +76,8 @@
     Attributes:
         checks: Lost connections whose reason is being found out, by target.
         suspects: Requests that may have caused crashes, by fingerprint.
+        crashed_starts: Targets that crashed, and possibly some whose crash is
+            no longer evidence.
         unsent: Records to be written to the store, by key; None removes the
             record.
         in_flight: Records that are being written.
@@ -89,6 +91,7 @@
         factory=dict
     )
     suspects: dict[str, Suspect] = attrs.field(factory=dict)
+    crashed_starts: set[events.TargetStart] = attrs.field(factory=set)
     unsent: dict[events.CrashKey, events.CrashRecord | None] = attrs.field(
         factory=dict
     )
--- a/src/fireflyspindle/core/probing.py
+++ b/src/fireflyspindle/core/probing.py
@@ -6,7 +6,7 @@
 """
 
 from fireflyspindle.core import crash_detection
-from fireflyspindle.core import crashing_requests
+from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import discovery
 from fireflyspindle.core import events
 from fireflyspindle.core import forecast
@@ -125,7 +125,7 @@
     crash_detection.on_answered(state, target, probe.sent_us)
     start = target_statements.start_of(target)
     if start is not None and event.report.incarnation == start.target_id:
-        crashing_requests.on_target_answered(state, start, probe.sent_us)
+        crash_evidence.on_target_answered(state, start, probe.sent_us)
 
 
 def _update_load(
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -4,8 +4,8 @@
 from fireflyspindle.core import calls
 from fireflyspindle.core import claim_reads
 from fireflyspindle.core import claims
+from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import crash_records
-from fireflyspindle.core import crashing_requests
 from fireflyspindle.core import deadlines
 from fireflyspindle.core import discovery
 from fireflyspindle.core import dispatch_queue
@@ -143,7 +143,7 @@
         case events.HelpersListed():
             relays.on_helpers_listed(state, event)
         case events.CrashesRead():
-            crashing_requests.on_read(state, event)
+            crash_evidence.on_read(state, event)
         case events.CrashesAppended():
             crash_records.on_appended(state, event)
         case _:
@@ -203,9 +203,9 @@
         case timers.HostCountDue():
             host_count.on_due(state)
         case timers.CrashReportDue():
-            crashing_requests.report(state)
+            crash_evidence.report(state)
         case timers.CrashExpiryDue():
-            crashing_requests.on_expiry_due(state)
+            crash_evidence.on_expiry_due(state)
         case _:
             pass
 
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -3,7 +3,7 @@
 import pytest
 
 import crash_fleet
-from fireflyspindle.core import crashing_requests
+from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 import published_driver as published_host
@@ -80,7 +80,7 @@
     fleet = make_fleet()
     start = events.TargetStart("i-0", 1_000)
     for host in fleet.hosts:
-        crashing_requests.on_crash(host.state, "s", start, FINGERPRINT)
+        crash_evidence.on_crash(host.state, "s", start, FINGERPRINT)
     fleet.share()
     assert len(fleet.records) == 1
     assert fleet.answer_to(fleet.hosts[0]) is None
@@ -137,10 +137,10 @@
     alive = min(fleet.crashed)
     start = events.TargetStart(alive, 1_000)
     host = fleet.hosts[3]
-    crashing_requests.on_target_answered(host.state, start, host.now_us)
+    crash_evidence.on_target_answered(host.state, start, host.now_us)
     assert fleet.answer_to(host) is not None
     later_us = host.now_us + 2_000_000
-    crashing_requests.on_target_answered(host.state, start, later_us)
+    crash_evidence.on_target_answered(host.state, start, later_us)
     host.feed(events.TimerFired)
     fleet.share()
     for each in fleet.hosts:
@@ -232,7 +232,7 @@
     fleet = make_fleet(repeatable=True)
     host = fleet.hosts[0]
     start = events.TargetStart("i-0", 1_000)
-    crashing_requests.on_crash(host.state, "s", start, FINGERPRINT)
+    crash_evidence.on_crash(host.state, "s", start, FINGERPRINT)
     host.arrive_and_send(1, fingerprints=(FINGERPRINT,), deadline_ms=700)
     for _ in range(60):
         host.advance(10_000)
