--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -269,6 +269,12 @@
         f" {len(service.waiting_calls)} calls are waiting,"
         f" {left_ms} ms to the deadline"
     )
+    paused = target_limits.paused_targets(state, service)
+    if paused:
+        detail += (
+            f"; {paused} of {len(service.targets)} targets take none of this"
+            " gate host because of their pauses"
+        )
     wait_ms = int(forecast.processing_time_us(service, call)) // 1000
     answers.fail_call(
         state,
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -206,6 +206,16 @@
     return sum(may_send_soon(state, service, target) for target in present)
 
 
+def paused_targets(
+    state: state_lib.GateState, service: state_lib.ServiceState
+) -> int:
+    """Returns how many targets take no requests because of a pause."""
+    return sum(
+        not target.leaving and state.now_us < target.paused_until_us
+        for target in service.targets.values()
+    )
+
+
 def shortest_wait_us(
     state: state_lib.GateState, service: state_lib.ServiceState
 ) -> int:
--- a/tests/test_target_statements.py
+++ b/tests/test_target_statements.py
@@ -319,6 +319,19 @@
     assert reached(host, "10.0.0.1:80", since=known) == []
 
 
+def test_refusal_tells_of_the_targets_that_want_a_pause(make_published_host):
+    host = make_published_host(targets=2)
+    full = published_host.load(in_flight=4)
+    declined = report(healthy=False, retry_after_s=4.0)
+    host.call_arrives(1)
+    published_host.answer_probes(
+        host, {ADDRESS: declined, "10.0.0.1:80": full}, 600_000
+    )
+    answer = host.gate_answer(1)
+    assert answer.error == "no_room"
+    assert "1 of 2 targets take none of this gate host" in answer.detail
+
+
 def test_waiting_calls_are_refused_once_all_targets_want_a_pause(
     make_published_host,
 ):
