Handle a lost connection before looking for crashes, which may refuse the same call

Callers would have seen no answer to a call whose own refused attempt showed the third crash under its request: the call was refused and dropped while its failure was still being handled, which then raised KeyError.

Evidence: test_call_whose_own_failure_shows_the_third_crash_is_answered failed with KeyError in answers.finish_if_done.

Why it works: crashes are looked for once the failure has been handled.

--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -21,6 +21,7 @@
 from fireflyspindle.core import relays
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import suspects
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
@@ -293,7 +294,6 @@
     elif service is not None:
         _update_statements(state, service, attempt, event)
         ejection.on_failed(state, attempt, service, event)
-        crash_detection.on_attempt_failed(state, service, call, attempt, event)
         reachability.on_attempt_failed(
             state, service, attempt.target, event.reason
         )
@@ -309,6 +309,9 @@
             answers.finish_if_done(state, call)
         case state_lib.CallPhase.ANSWERED:
             answers.finish_if_done(state, call)
+    if service is not None and not attempt.relayed:
+        # This may refuse calls, this one included.
+        crash_detection.on_attempt_failed(state, service, call, attempt, event)
 
 
 def _retry_failed(
@@ -341,6 +344,8 @@
     service = state.services.get(call.service)
     if service is None or state.now_us >= call.deadline_us:
         return False
+    if not suspects.may_resend(state, call):
+        return False
     return placement.place(state, service, call)
 
 
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -163,6 +163,35 @@
     assert host.gate_answer(900).error == "crashes_targets"
 
 
+def test_call_whose_own_failure_shows_the_third_crash_is_answered(make_fleet):
+    fleet = make_fleet()
+    host = fleet.hosts[0]
+    for name in ("i-90", "i-91"):
+        start = events.TargetStart(name, 1_000)
+        crash_evidence.on_crash(host.state, "s", start, FINGERPRINT)
+    by_target = {}
+    for call_id in range(1, 60):
+        attempt = host.arrive_and_send(call_id, fingerprints=(FINGERPRINT,))
+        if attempt.target in by_target:
+            break
+        by_target[attempt.target] = attempt
+    lost = by_target[attempt.target]
+    host.fail(
+        lost.call_id,
+        lost.attempt,
+        events.FailureReason.DISCONNECTED,
+        True,
+    )
+    fleet.answer_other(host)
+    host.fail(
+        attempt.call_id, attempt.attempt, events.FailureReason.REFUSED, False
+    )
+    fleet.end_probes(host)
+    assert len(log_lines(host, "request_refused")) == 1
+    assert host.gate_answer(attempt.call_id).status == 503
+    assert fleet.answer_to(host).error == "crashes_targets"
+
+
 def test_writes_that_fail_are_repeated_until_all_hosts_know(make_fleet):
     fleet = make_fleet()
     fleet.error = "no response in time"
