Don't refuse other queries of a path under which targets crashed

Whoever knows a crashing query could have closed a path for others.

Why it works: only the whole request, with its query and credentials, is suspected.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -273,7 +273,7 @@
     if effect.steps.kept:
         decision_fields = {
             "route": effect.route,
-            "fingerprints": list(exchange.fingerprints),
+            "fingerprint": exchange.fingerprint,
             "late": effect.past_soft_deadline,
             "steps": steps_lib.as_data(effect.steps),
             "steps_left_out": effect.steps.dropped_count,
--- a/src/fireflyspindle/adapters/exchange.py
+++ b/src/fireflyspindle/adapters/exchange.py
@@ -41,7 +41,7 @@
         attempts: Attempts by number.
         too_large: Whether a streamed body exceeded its limit.
         relayed: Whether another gate host relayed the call.
-        fingerprints: Fingerprints of the request; none if its body is streamed.
+        fingerprint: Fingerprint of the request; empty if its body is streamed.
     """
 
     call_id: int
@@ -57,7 +57,7 @@
     attempts: "dict[int, target_client.Attempt]" = attrs.field(factory=dict)
     too_large: bool = False
     relayed: bool = False
-    fingerprints: tuple[str, ...] = ()
+    fingerprint: str = ""
 
     @property
     def declares_body(self) -> bool:
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -336,11 +336,11 @@
             keyed_requests.set_digest(event, message.method, message.path, body)
         if not event.request_id:
             event.request_id = f"{self._request_id_prefix}-{event.call_id}"
-        event.fingerprints = _fingerprints(pending, message, body)
+        event.fingerprint = _fingerprint(pending, message, body)
         exchange = exchange_lib.Exchange(
             call_id=event.call_id,
             request_id=event.request_id,
-            fingerprints=event.fingerprints,
+            fingerprint=event.fingerprint,
             message=message,
             repeatable=event.repeatable,
             body=body,
@@ -375,17 +375,17 @@
         )
 
 
-def _fingerprints(
+def _fingerprint(
     pending: PendingRequest,
     message: http.RawRequestMessage,
     body: bytes | None,
-) -> tuple[str, ...]:
-    """Returns the fingerprints of a request; none if its body is streamed."""
+) -> str:
+    """Returns the fingerprint of a request; "" if its body is streamed."""
     if pending.connection.relays:
-        stated = message.headers.get(headers.RELAY_FINGERPRINTS, "")
+        stated = message.headers.get(headers.RELAY_FINGERPRINT, "")
         return request_fingerprints.parse(stated)
     if body is None:
-        return ()
+        return ""
     return request_fingerprints.compute(message, body)
 
 
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -10,7 +10,6 @@
 from fireflyspindle import headers
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import message_heads
-from fireflyspindle.adapters import request_fingerprints
 from fireflyspindle.adapters import shared_buffer
 from fireflyspindle.adapters import target_connection
 from fireflyspindle.core import effects
@@ -161,9 +160,10 @@
             gateway_lines += (
                 f"{header_profile.target_incarnation}: {self.incarnation}\r\n"
             )
-        if self.relayed and self.exchange.fingerprints:
-            stated = request_fingerprints.encode(self.exchange.fingerprints)
-            gateway_lines += f"{headers.RELAY_FINGERPRINTS}: {stated}\r\n"
+        if self.relayed and self.exchange.fingerprint:
+            gateway_lines += (
+                f"{headers.RELAY_FINGERPRINT}: {self.exchange.fingerprint}\r\n"
+            )
         return message_heads.request_head(
             self.exchange.message,
             self.target,
--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -117,8 +117,9 @@
         yield f"  {step['ms']:>8.1f} ms  {step['what']:<12} {formatted}"
     if fields.get("steps_left_out"):
         yield f"  {fields['steps_left_out']} more steps were not recorded"
-    # Lines on crashes name the requests that were in progress.
-    targets.update(fields.get("fingerprints", ()))
+    if fields.get("fingerprint"):
+        # Lines on crashes name the requests that were in progress.
+        targets.add(fields["fingerprint"])
     for line in _related_lines(call, lines, targets - {None}):
         yield f"  {line.fields['time']}  believed: {line.fields['message']}"
 
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -60,7 +60,7 @@
         max_attempts=destination.max_attempts,
         priority=destination.priority,
         relayed=event.relayed,
-        fingerprints=event.fingerprints,
+        fingerprint=event.fingerprint,
     )
     state.calls[call.call_id] = call
     state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
--- a/src/fireflyspindle/core/crash_detection.py
+++ b/src/fireflyspindle/core/crash_detection.py
@@ -41,7 +41,7 @@
             # After its deadline, an attempt may fail because this host was
             # frozen.
             in_time = state.now_us < call.deadline_us
-            if event.sent and call.fingerprints and in_time:
+            if event.sent and call.fingerprint and in_time:
                 _on_lost(state, service, attempt.target, start, call)
 
 
@@ -106,10 +106,9 @@
         if state.now_us >= target.paused_until_us:
             if placement.take_probe_token(state):
                 _send_check(state, service, target)
-    check.fingerprints.update(call.fingerprints)
+    check.fingerprints.add(call.fingerprint)
     if check.crashed:
-        for fingerprint in call.fingerprints:
-            crash_evidence.on_crash(state, service.name, start, fingerprint)
+        crash_evidence.on_crash(state, service.name, start, call.fingerprint)
 
 
 def _send_check(
--- a/src/fireflyspindle/core/crash_evidence.py
+++ b/src/fireflyspindle/core/crash_evidence.py
@@ -98,10 +98,9 @@
         and event.status < HTTPStatus.INTERNAL_SERVER_ERROR
         and event.status not in _NOT_RUN_STATUSES
     )
-    for fingerprint in call.fingerprints:
-        if ran and fingerprint in state.crashes.suspects:
-            _forget(state, fingerprint, "a target ran it to an answer")
-    crash_records.flush(state)
+    if ran and call.fingerprint in state.crashes.suspects:
+        _forget(state, call.fingerprint, "a target ran it to an answer")
+        crash_records.flush(state)
 
 
 def on_target_answered(
@@ -286,10 +285,12 @@
     """Removes evidence that is no longer of use."""
     state.crashes.expiry_scheduled = False
     _expire(state)
-    if state.crashes.suspects:
+    known = state.crashes.suspects
+    state.crashes.crashed_starts = {
+        start for suspect in known.values() for start in suspect.crashes
+    }
+    if known:
         _schedule_expiry(state)
-    else:
-        state.crashes.crashed_starts.clear()
 
 
 def _expire(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/crashing_requests.py
+++ b/src/fireflyspindle/core/crashing_requests.py
@@ -19,15 +19,14 @@
     Returns:
         Whether the call was refused.
     """
-    fingerprint = suspects.refused_fingerprint(state, call)
-    if fingerprint is None:
+    if not suspects.is_refused(state, call.fingerprint):
         return False
-    suspect = state.crashes.suspects[fingerprint]
+    suspect = state.crashes.suspects[call.fingerprint]
     service = state.services.get(call.service)
     if service is not None:
         service.waiting_calls.pop(call.call_id, None)
     suspect.refused += 1
-    _record_repeat(state, fingerprint, suspect)
+    _record_repeat(state, call.fingerprint, suspect)
     latest_s = (state.now_us - suspect.crashed_us) / 1e6
     lifetime_s = UNUSED_LIFETIME_US // 1_000_000
     answers.fail_call(
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -129,8 +129,8 @@
         host: Requested host name, in lower case.
         request_id: Id of the request, for targets and log lines.
         relayed: Whether another gate host relayed the call.
-        fingerprints: Fingerprints of the request, equal for its copies; none
-            if its body is not buffered completely.
+        fingerprint: Fingerprint of the request, equal for its copies; empty if
+            its body is not buffered completely.
     """
 
     now_us: int
@@ -149,7 +149,7 @@
     host: str = ""
     request_id: str = ""
     relayed: bool = False
-    fingerprints: tuple[str, ...] = ()
+    fingerprint: str = ""
 
 
 @attrs.define
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -131,7 +131,8 @@
         steps: Decisions made for it.
         relayed: Whether another gate host relayed it to this one.
         relays: Attempts by other gate hosts.
-        fingerprints: Fingerprints of its request, equal for copies of it.
+        fingerprint: Fingerprint of its request, equal for copies of it; empty
+            if unknown.
     """
 
     call_id: int
@@ -163,7 +164,7 @@
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
     relayed: bool = False
     relays: int = 0
-    fingerprints: tuple[str, ...] = ()
+    fingerprint: str = ""
 
     def record_step(
         self,
--- a/src/fireflyspindle/core/suspects.py
+++ b/src/fireflyspindle/core/suspects.py
@@ -20,27 +20,11 @@
     return crash_count(state, fingerprint) >= MIN_CRASHES
 
 
-def refused_fingerprint(
-    state: state_lib.GateState, call: state_lib.Call
-) -> str | None:
-    """Returns the fingerprint for which a call is refused, or None."""
-    if not state.crashes.suspects:
-        return None
-    refused = (each for each in call.fingerprints if is_refused(state, each))
-    return next(refused, None)
-
-
 def may_resend(state: state_lib.GateState, call: state_lib.Call) -> bool:
     """Whether a call may be sent to another target after a failure."""
-    return _most_crashes(state, call) <= MAX_CRASHES_TO_RESEND
+    return crash_count(state, call.fingerprint) <= MAX_CRASHES_TO_RESEND
 
 
 def may_hedge(state: state_lib.GateState, call: state_lib.Call) -> bool:
     """Whether a call may be at two targets at the same time."""
-    return _most_crashes(state, call) == 0
-
-
-def _most_crashes(state: state_lib.GateState, call: state_lib.Call) -> int:
-    return max(
-        (crash_count(state, each) for each in call.fingerprints), default=0
-    )
+    return crash_count(state, call.fingerprint) == 0
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -29,8 +29,8 @@
 RELAY_OUTCOME = "Fireflyspindle-Relay-Outcome"
 # Value that states that the gate host could not carry the call.
 NOT_CARRIED = "not-carried"
-# Fingerprints of a relayed request; between gate hosts only.
-RELAY_FINGERPRINTS = "Fireflyspindle-Relay-Fingerprints"
+# Fingerprint of a relayed request; between gate hosts only.
+RELAY_FINGERPRINT = "Fireflyspindle-Relay-Fingerprint"
 # Start of the target that answered a relayed call, if it says that it is
 # leaving: the time of the start in milliseconds, a space and the target's id.
 RELAY_LEAVING = "Fireflyspindle-Relay-Leaving"
@@ -51,7 +51,7 @@
         b"connection",
         b"content-length",
         b"expect",
-        b"fireflyspindle-relay-fingerprints",
+        b"fireflyspindle-relay-fingerprint",
         b"fireflyspindle-relay-leaving",
         b"fireflyspindle-relay-outcome",
         b"keep-alive",
