--- a/src/fireflyspindle/core/crash_evidence.py
+++ b/src/fireflyspindle/core/crash_evidence.py
@@ -8,7 +8,7 @@
 
 Evidence is withdrawn when the target turns out to be alive, when the request
 has not come for some minutes, and `EVIDENCE_LIFETIME_US` after the latest
-crash, since the targets may have been mended by then.
+crash, since the targets may have been fixed by then.
 """
 
 from http import HTTPStatus
