Log refusals of requests without a route, with the version and its age

A request that matched no route was refused with 404 and left no log line, though OPERATIONS.md says that its only step is logged: the step was never recorded. The line now names the version and up to when newer ones are known; the value configuration_age_ms tells the same at any time. The time is that of the start of the latest read: a read may miss a record while it waits (docs/limits.md). Evidence: tests/test_explain.py::test_refusal_without_a_route_tells_the_version_and_its_age fails before (no step).

--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -6,6 +6,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import steps as steps_lib
 
 # Minimum Retry-After.
 MIN_RETRY_AFTER_MS = 1000
@@ -49,10 +50,27 @@
             total_us=0,
             target_us=0,
             attempts=0,
+            relayed=event.relayed,
+            steps=_refusal_steps(state, refusal),
         )
     )
 
 
+def _refusal_steps(
+    state: state_lib.GateState, refusal: refusals.Refusal
+) -> steps_lib.Steps:
+    """Returns the only step of a refused request."""
+    steps = steps_lib.Steps()
+    if state.settings.store is not None:
+        inputs = (
+            ("status", refusal.status),
+            ("error", refusal.error),
+            ("why", refusal.detail),
+        )
+        steps.add(steps_lib.Step(0, "gave_up", inputs=inputs))
+    return steps
+
+
 def fail_call(
     state: state_lib.GateState,
     call: state_lib.Call,
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -6,6 +6,8 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_reads
+from fireflyspindle.core import store_state
 
 # Maximum attempts of a call whose route sets no limit.
 DEFAULT_MAX_ATTEMPTS = 3
@@ -64,7 +66,7 @@
         )
     rule = state.rule_table.find(event.host, event.path)
     if rule is None:
-        return _no_route(event)
+        return _no_rule(state, event)
     part = state.rule_table.choose_part(rule, state.random.random())
     service = state.services.get(part.service)
     if service is None:
@@ -84,6 +86,20 @@
     )
 
 
+def _no_rule(
+    state: state_lib.GateState, event: events.CallArrived
+) -> refusals.Refusal:
+    complete_us = store_reads.complete_until_us(
+        state, store_state.Source.CONFIGURATION
+    )
+    detail = (
+        f"no route of version {state.rule_table.version} matches the path"
+        f" {event.path!r}; newer versions are known up to"
+        f" {(state.now_us - complete_us) // 1000} ms ago"
+    )
+    return refusals.Refusal(404, "no_route", detail)
+
+
 def _no_route(event: events.CallArrived) -> refusals.Refusal:
     return refusals.Refusal(
         404, "no_route", f"no route matches the path {event.path!r}"
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -145,6 +145,7 @@
     reads = state.store_reads[source]
     reads.next_offset = max(next_offset, reads.next_offset or 0)
     reads.has_relay_gap = False
+    _record_completeness(state, source, relayed)
     if relayed is not None:
         _on_relayed_read(state, source, relayed)
         return
@@ -166,6 +167,37 @@
     _schedule_read(state, source, max(0, delay_us))
 
 
+def _record_completeness(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    relayed: events.RelayedRead | None,
+) -> None:
+    """Records up to which time a successful read returned every record.
+
+    That is the start of the read. A read may wait, miss a record meanwhile
+    (docs/limits.md), and its response may be read late by a frozen host.
+    """
+    reads = state.store_reads[source]
+    settings = state.settings.store
+    assert settings is not None
+    started_us = min(state.now_us, reads.scheduled_us)
+    if relayed is not None:
+        started_us = state.now_us - relayed.age_us - settings.wait_us(source)
+    reads.complete_until_us = max(started_us, reads.complete_until_us or 0)
+
+
+def complete_until_us(
+    state: state_lib.GateState, source: store_state.Source
+) -> int:
+    """Returns the time up to which every record of a source is known.
+
+    A read of the source must have succeeded.
+    """
+    complete_us = state.store_reads[source].complete_until_us
+    assert complete_us is not None
+    return complete_us
+
+
 def _record_success(
     state: state_lib.GateState, source: store_state.Source
 ) -> None:
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -91,6 +91,8 @@
         relayed_us: End of the latest successful read that the reader relayed;
             None before the first.
         has_relay_gap: Whether the reader left out records of this source.
+        complete_until_us: Time up to which every record is known; None before
+            the first successful read.
     """
 
     next_offset: int | None = None
@@ -105,6 +107,7 @@
     pending: bool = False
     relayed_us: int | None = None
     has_relay_gap: bool = False
+    complete_until_us: int | None = None
 
 
 @attrs.define
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -18,6 +18,7 @@
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import suspects
 from fireflyspindle.platform import header_profile
@@ -172,6 +173,13 @@
         self.metrics.gauges["configuration_version"] = (
             self.state.rule_table.version or 0
         )
+        if self.state.rule_table.version is not None:
+            self.metrics.gauges["configuration_age_ms"] = (
+                self.now_us()
+                - store_reads.complete_until_us(
+                    self.state, store_state.Source.CONFIGURATION
+                )
+            ) // 1000
         self.metrics.gauges["followers"] = self._store_sync.feed.followers
         self.metrics.gauges["gate_hosts"] = fleet.size(self.state) or 0
         self.metrics.gauges["probe_budget_per_s"] = (
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -54,6 +54,20 @@
     assert failed == {"attempt": 1, "why": "disconnected", "sent": True}
 
 
+def test_refusal_without_a_route_tells_the_version_and_its_age(
+    make_published_host,
+):
+    host = make_published_host()
+    host.advance(300_000)
+    host.call_arrives(1, path="/unknown/x")
+    (step,) = finished_call(host).steps.kept
+    assert step.what == "gave_up"
+    inputs = dict(step.inputs)
+    assert (inputs["status"], inputs["error"]) == (404, "no_route")
+    assert "no route of version 1 matches" in inputs["why"]
+    assert "300 ms ago" in inputs["why"]
+
+
 def test_number_of_steps_is_bounded():
     call_steps = steps.Steps()
     for number in range(100):
