Refuse unknown routes with 503 while the configuration may be outdated

Cause: the host answered from whatever version it held, with no regard to how old its knowledge was: reads failing for seconds, a reader silent, records left out by the reader, a reader's old copy after a start in an outage, a response that waited in the socket of a frozen host. The class is a belief that outlives what it rests on.

404 now rests on a read that started within the bound for configurations (config-apply-ms), so that every version acknowledged before that bound is known to the host that says it; otherwise, or while records are known to be missing, the answer is 503, not run, and the caller tries another host. Known routes are served as before.

Evidence: five cases of tests/test_outdated_configuration.py fail before. complete_until_us was kept at 0 or above, which made a reader's copy look new on a machine that has just booted; the test of a host started in an outage showed it.

--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -89,14 +89,20 @@
 def _no_rule(
     state: state_lib.GateState, event: events.CallArrived
 ) -> refusals.Refusal:
-    complete_us = store_reads.complete_until_us(
-        state, store_state.Source.CONFIGURATION
-    )
+    """Refuses a call that matches no rule.
+
+    A caller does not come back after a 404, so it is only told so if the rules
+    are known to be up to date. A 503 sends it to another gate host.
+    """
+    source = store_state.Source.CONFIGURATION
+    complete_us = store_reads.complete_until_us(state, source)
     detail = (
         f"no route of version {state.rule_table.version} matches the path"
         f" {event.path!r}; newer versions are known up to"
         f" {(state.now_us - complete_us) // 1000} ms ago"
     )
+    if not store_reads.is_up_to_date(state, source):
+        return refusals.Refusal(503, "configuration_outdated", detail)
     return refusals.Refusal(404, "no_route", detail)
 
 
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -183,7 +183,9 @@
     started_us = min(state.now_us, reads.scheduled_us)
     if relayed is not None:
         started_us = state.now_us - relayed.age_us - settings.wait_us(source)
-    reads.complete_until_us = max(started_us, reads.complete_until_us or 0)
+    previous_us = reads.complete_until_us
+    if previous_us is None or previous_us < started_us:
+        reads.complete_until_us = started_us
 
 
 def complete_until_us(
@@ -198,6 +200,22 @@
     return complete_us
 
 
+def is_up_to_date(
+    state: state_lib.GateState, source: store_state.Source
+) -> bool:
+    """Whether this host has read what it has to know by now.
+
+    That is every record that is older than the time limit for changes. It is
+    not up to date either while it lacks records that a reader has left out.
+    """
+    settings = state.settings.store
+    assert settings is not None
+    if state.store_reads[source].has_relay_gap:
+        return False
+    age_us = state.now_us - complete_until_us(state, source)
+    return age_us <= settings.apply_limit_ms * 1000
+
+
 def _record_success(
     state: state_lib.GateState, source: store_state.Source
 ) -> None:
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -15,6 +15,8 @@
     Attributes:
         min_read_interval_ms: Minimum time between two reads of one source
             while there are changes.
+        apply_limit_ms: Time within which a published configuration has to be in
+            force on every gate host.
         reregistration_grace_ms: Grace period after an outage of the store in
             which a target whose entry expired may register again.
         probes_per_s: Probes per target and second, on average over all
@@ -36,6 +38,7 @@
     """
 
     min_read_interval_ms: int = 1_000
+    apply_limit_ms: int = 2_000
     reregistration_grace_ms: int = 2_000
     probes_per_s: float = 10.0
     resend_share: float = 0.1
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -247,6 +247,7 @@
         drain_limit_ms=int(bounds.grace_s * 1000) - SIGKILL_MARGIN_MS,
         store=store_state.StoreSettings(
             min_read_interval_ms=max(0, int(apply_bound_ms) - READ_MARGIN_MS),
+            apply_limit_ms=int(bounds.config_apply_ms),
             probes_per_s=bounds.probes_per_s,
             resend_share=bounds.retry_budget_ratio,
             resend_slack=bounds.retry_slack,
--- /dev/null
+++ b/tests/test_outdated_configuration.py
@@ -0,0 +1,93 @@
+"""Requests at a gate host whose configuration may be out of date."""
+
+import pytest
+
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import store_state
+import published_driver as published_host
+import test_following
+
+APPLY_LIMIT_US = 2_000_000
+CONFIGURATION = store_state.Source.CONFIGURATION
+
+
+@pytest.fixture
+def follower():
+    """Returns a host that has read version 1 through a reader."""
+    host = test_following.FollowingHost()
+    host.relay_reads(
+        configured=published_host.document(), entries=[published_host.entry(0)]
+    )
+    return host
+
+
+def refusal_of(host, path="/added/x"):
+    """Returns the status and error that a request is refused with."""
+    call_id = 1 + max(host.state.calls, default=0)
+    host.call_arrives(call_id, path=path)
+    answer = host.gate_answer(call_id)
+    return answer.status, answer.error
+
+
+def read_in_vain(host):
+    """Lets the reads of the host and of its reader fail for a while."""
+    host.fail_reads_for(APPLY_LIMIT_US, CONFIGURATION)
+
+
+def hear_nothing(host):
+    """Advances time while the host neither reads nor hears anything."""
+    host.advance(APPLY_LIMIT_US)
+
+
+def lack_large_records(host):
+    """Lets the reader leave out the newest configuration."""
+    host.omit_records(CONFIGURATION, next_offset=5)
+
+
+@pytest.mark.parametrize(
+    "fall_behind", [read_in_vain, hear_nothing, lack_large_records]
+)
+def test_route_that_an_old_configuration_lacks_is_not_refused_for_good(
+    follower, fall_behind
+):
+    fall_behind(follower)
+    assert refusal_of(follower) == (503, "configuration_outdated")
+    (answer,) = follower.effects_of(effects.AnswerCaller)
+    assert answer.outcome is effects.Outcome.NOT_RUN
+    assert answer.retry_after_ms is not None
+
+
+def test_host_started_in_an_outage_does_not_trust_the_copy_of_its_reader():
+    host = test_following.FollowingHost()
+    host.relay_reads(age_us=5_000_000, configured=published_host.document())
+    assert refusal_of(host) == (503, "configuration_outdated")
+
+
+def test_response_that_a_frozen_host_reads_late_is_not_taken_for_new(
+    make_published_host,
+):
+    host = make_published_host()
+    read = host.effects_of(effects.ReadStore)[-1]
+    host.advance(read.delay_us)
+    host.now_us += APPLY_LIMIT_US + 1
+    host.feed(events.ConfigurationRead, None, host.next_offset)
+    assert refusal_of(host) == (503, "configuration_outdated")
+
+
+def test_known_routes_are_served_from_an_old_configuration(follower):
+    read_in_vain(follower)
+    assert follower.arrive_and_send(1) is not None
+
+
+def test_unknown_route_is_refused_for_good_while_a_reader_relays(follower):
+    for _ in range(8):
+        follower.advance(test_following.READ_WAIT_US)
+        assert refusal_of(follower) == (404, "no_route")
+        follower.relay_reads()
+
+
+def test_unknown_route_is_refused_for_good_again_after_an_outage(follower):
+    read_in_vain(follower)
+    follower.relay_reads()
+    assert refusal_of(follower) == (404, "no_route")
