Read the store in time when only the readers stay cut off from it

A follower could apply a configuration up to 7.5 s after the store was back, though the store was within its reach all the time.

Cause: the pause of 6 s (4.5 to 7.5 s with jitter) after a failed read while a reader reports failed reads. It rests on the belief that the reader finds out when the store is back. The reader's reports can't tell the two apart, so the pause may not be longer than the bound allows: 3 s after the store is back the limit for changes holds again, and a read may take 1.2 s of that.

So this pause is now the longest of the ordinary ones (1.05 to 1.75 s). Nothing has to end it early any more; bringing a retry forward and its state are gone.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -96,12 +96,11 @@
     return relayed.stream == state.following.stream_number
 
 
-def reader_detects_recovery(state: state_lib.GateState) -> bool:
-    """Whether a reader that reports failed reads will tell when they succeed.
+def reader_reports_failures(state: state_lib.GateState) -> bool:
+    """Whether reads of the reader that this host relies on fail too.
 
     The report of a reader that was lost since counts for a while, in which
-    another reader may report. A reader does not count on others, which may
-    count on it.
+    another reader may report. A reader does not rely on others.
     """
     follow = state.following
     reported_us = follow.failure_reported_us
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -17,11 +17,6 @@
 # apply again that long after the store is back (`contact-ms`).
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 1_400_000
-# Pause after a failed read while the reads of the followed reader fail too. The
-# reader detects when the store is back; this host's own reads only cover the
-# case that the reader alone can't reach the store. The pause ends when a reader
-# succeeds, and when none reports any more.
-FOLLOWER_BACKOFF_US = 6_000_000
 # Share of each pause that is random, so that the hosts of a fleet don't all
 # retry at the same moment after an outage.
 BACKOFF_JITTER = 0.5
@@ -56,27 +51,12 @@
 
 def _start_own_reads(state: state_lib.GateState) -> None:
     for source, reads in state.store_reads.items():
-        if reads.suspended:
-            continue
-        if reads.pending:
-            _bring_retry_forward(state, source)
+        if reads.suspended or reads.pending:
             continue
         if following.must_read_store(state, source):
             _schedule_read(state, source, 0)
 
 
-def _bring_retry_forward(
-    state: state_lib.GateState, source: store_state.Source
-) -> None:
-    """Shortens the pause of a follower to which no reader reports failures."""
-    reads = state.store_reads[source]
-    if following.reader_detects_recovery(state):
-        return
-    retry_us = max(state.now_us, reads.retry_us)
-    if reads.failures and reads.scheduled_us > retry_us:
-        _schedule_read(state, source, retry_us - state.now_us)
-
-
 def should_apply(
     state: state_lib.GateState,
     source: store_state.Source,
@@ -305,12 +285,12 @@
         _log_retry(state, source, reason, "after a read of the other source")
         return
     pause_us = INITIAL_BACKOFF_US << min(reads.failures - 1, 10)
-    pause_us = min(MAX_BACKOFF_US, pause_us)
+    if following.reader_reports_failures(state):
+        # The store itself is away. The pause is no longer than any other: the
+        # reader may stay cut off when the store is back.
+        pause_us = MAX_BACKOFF_US
     jitter = 1 + BACKOFF_JITTER * (state.random.random() - 0.5)
-    reads.retry_us = state.now_us + int(pause_us * jitter)
-    if following.reader_detects_recovery(state):
-        pause_us = FOLLOWER_BACKOFF_US
-    delay_us = int(pause_us * jitter)
+    delay_us = int(min(MAX_BACKOFF_US, pause_us) * jitter)
     _log_retry(state, source, reason, f"in {delay_us // 1000} ms")
     _schedule_read(state, source, delay_us)
 
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -82,8 +82,6 @@
         first_offset: Offset of the oldest record that the store holds, as
             last reported by the store.
         scheduled_us: Time for which the latest read was scheduled.
-        retry_us: Time of the next read after a failure, unless a reader
-            detects before that the store is back.
         failures: Consecutive failed reads.
         failing_since_us: Time of the first of these failures.
         recovered_us: Time of the first success after the last failures.
@@ -101,7 +99,6 @@
     next_offset: int | None = None
     first_offset: int = 0
     scheduled_us: int = 0
-    retry_us: int = 0
     failures: int = 0
     failing_since_us: int = 0
     recovered_us: int | None = None
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -592,14 +592,35 @@
     assert max(delays_us) <= RECOVERY_LIMIT_US - READ_TIMEOUT_US
 
 
+# The readers may be cut off from the store when it is back for this host.
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("source", store_state.Source)
+def test_store_is_not_read_too_late_when_only_readers_are_cut_off(source, seed):
+    host = FollowingHost(seed)
+    host.relay_reads(configured=published_host.document())
+    host.fail_reads_for(20_000_000, source)
+    delays_us = [read.delay_us for read in host.own_reads()]
+    assert max(delays_us) <= RECOVERY_LIMIT_US - READ_TIMEOUT_US
+    # Retries have to be rare all the same: they don't start with short pauses.
+    assert min(delay_us for delay_us in delays_us if delay_us) >= 1_000_000
+
+
 def test_lines_tell_when_omitted_records_are_read():
     host = follower_in_an_outage(store_state.Source.CONFIGURATION)
-    delay_ms = max(read.delay_us for read in host.own_reads()) // 1000
-    assert any(
-        "configuration: read 2 of the store failed: 503" in line
-        and f"starts in {delay_ms} ms" in line
-        for line in host.lines("store_retry")
-    )
+    delays_ms = [
+        read.delay_us // 1000
+        for read in host.own_reads()
+        if read.source == "configuration" and read.delay_us
+    ]
+    assert len(delays_ms) >= 2
+    lines = host.lines("store_retry")
+    # The failure that the reader reported is the first.
+    for number, delay_ms in enumerate(delays_ms, 2):
+        assert any(
+            f"configuration: read {number} of the store failed: 503" in line
+            and f"starts in {delay_ms} ms" in line
+            for line in lines
+        )
     for _ in range(2):
         host.omit_records(store_state.Source.CONFIGURATION, next_offset=5)
     (omitted,) = host.lines("store_records_omitted")
