Resume suspended reads when a reader relays another source

In an outage a host retries one source and suspends the reads of the others until a read succeeds. If the retried source then comes from a reader, its own retry is cancelled, and nothing resumes the suspended ones: while the reader's reads of the configuration go on failing, or its stream ends after the first line, the host reads no configuration of its own (in the test's sequence not for 10 s, until the end of the run).

A relayed success now resumes the suspended reads as an own success does, after 100 ms in which the reader usually relays them too.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -17,6 +17,9 @@
 # apply again that long after the store is back (`contact-ms`).
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 1_400_000
+# Pause before reads that were suspended in an outage resume because a reader
+# relays a successful read: it usually relays the other sources as well.
+RELAYED_RESUME_DELAY_US = 100_000
 # Share of each pause that is random, so that the hosts of a fleet don't all
 # retry at the same moment after an outage.
 BACKOFF_JITTER = 0.5
@@ -133,7 +136,7 @@
     reads.pending = False
     _record_success(state, source)
     following.on_own_read_succeeded(state)
-    _resume_suspended_reads(state)
+    _resume_suspended_reads(state, 0)
     if not following.must_read_store(state, source):
         return
     settings = state.settings.store
@@ -227,16 +230,17 @@
         if reads.pending and not following.must_read_store(state, source):
             reads.pending = False
             state.emit(effects.CancelStoreRead(source.value))
+        _resume_suspended_reads(state, RELAYED_RESUME_DELAY_US)
     following.schedule_check(state)
 
 
-def _resume_suspended_reads(state: state_lib.GateState) -> None:
+def _resume_suspended_reads(state: state_lib.GateState, delay_us: int) -> None:
     """Reads the sources whose reads were suspended during an outage."""
     for source, reads in state.store_reads.items():
         if reads.suspended:
             reads.suspended = False
             if following.must_read_store(state, source):
-                _schedule_read(state, source, 0)
+                _schedule_read(state, source, delay_us)
 
 
 def on_history_dropped(
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -605,6 +605,19 @@
     assert min(delay_us for delay_us in delays_us if delay_us) >= 1_000_000
 
 
+def test_suspended_reads_resume_when_a_reader_relays_only_other_sources():
+    host = follower_in_an_outage(store_state.Source.TARGETS)
+    reads = host.state.store_reads[store_state.Source.CONFIGURATION]
+    assert reads.suspended
+    relayed = events.RelayedRead(host.stream, 0)
+    host.feed(
+        events.TargetsRead, [], [], False, host.next_offset, relayed=relayed
+    )
+    host.feed(events.StoreReadFailed, "configuration", "reset", relayed)
+    assert reads.pending
+    assert reads.scheduled_us <= host.now_us + 100_000
+
+
 def test_lines_tell_when_omitted_records_are_read():
     host = follower_in_an_outage(store_state.Source.CONFIGURATION)
     delays_ms = [
