--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from typing import Protocol
+import urllib.parse
 
 from aiohttp import http
 from aiohttp import streams
@@ -264,6 +265,9 @@
                 self._refuse(pending, refusal)
             case result.Ok(event):
                 event.relayed = pending.connection.relays
+                if event.relayed:
+                    service = message.headers.get(headers.RELAY_SERVICE, "")
+                    event.relay_service = urllib.parse.unquote(service)
                 self._read_body(pending, message, payload, event)
 
     def _read_body(
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from typing import Protocol
+import urllib.parse
 
 from aiohttp import http
 import attrs
@@ -67,6 +68,7 @@
         incarnation: Incarnation that the request is addressed to, or "".
         relayed: Whether the target is a gate host that carries the call.
         target_started_ms: Wall-clock time of the target's start, if known.
+        service: Service that a gate host has to carry the call to, or "".
         sent: Whether a byte of the request may have been sent.
         ended: Whether its end has been reported.
         response: The response, once its head has arrived.
@@ -84,6 +86,7 @@
     _started_us: int
     relayed: bool = False
     target_started_ms: int = 0
+    service: str = ""
     sent: bool = False
     ended: bool = False
     response: target_connection.Response | None = None
@@ -164,6 +167,9 @@
             gateway_lines += (
                 f"{headers.RELAY_FINGERPRINT}: {self.exchange.fingerprint}\r\n"
             )
+        if self.service:
+            service = urllib.parse.quote(self.service, safe="")
+            gateway_lines += f"{headers.RELAY_SERVICE}: {service}\r\n"
         return message_heads.request_head(
             self.exchange.message,
             self.target,
@@ -281,6 +287,7 @@
             self.now_us(),
             effect.relayed,
             effect.target_started_ms,
+            effect.service,
         )
         exchange.attempts[effect.attempt] = attempt
         attempt.begin()
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -104,6 +104,7 @@
             repeatable=call.repeatable,
             relayed=attempt.relayed,
             target_started_ms=start.started_ms if start is not None else 0,
+            service=call.service if attempt.relayed else "",
         )
     )
 
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -67,7 +67,17 @@
     rule = state.rule_table.find(event.host, event.path)
     if rule is None:
         return _no_rule(state, event)
-    part = state.rule_table.choose_part(rule, state.random.random())
+    if event.relay_service:
+        # The host that relays the call may have another version.
+        part = rule.part_of(event.relay_service)
+        if part is None:
+            detail = (
+                f"route {rule.name} of version {state.rule_table.version} does"
+                f" not lead to service {event.relay_service}"
+            )
+            return refusals.Refusal(503, "configuration_differs", detail)
+    else:
+        part = state.rule_table.choose_part(rule, state.random.random())
     service = state.services.get(part.service)
     if service is None:
         detail = f"route {rule.name} refers to unknown service {part.service}"
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -32,6 +32,8 @@
         repeatable: Whether the request may run more than once.
         relayed: Whether the target is a gate host that carries the call.
         target_started_ms: Wall-clock time of the target's start, if known.
+        service: Service that a gate host has to carry the call to; empty for
+            any other target.
     """
 
     call_id: int
@@ -43,6 +45,7 @@
     repeatable: bool = True
     relayed: bool = False
     target_started_ms: int = 0
+    service: str = ""
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -131,6 +131,8 @@
         relayed: Whether another gate host relayed the call.
         fingerprint: Fingerprint of the request, equal for its copies; empty if
             its body is not buffered completely.
+        relay_service: Service that the gate host which relayed the call has
+            chosen; empty if it states none.
     """
 
     now_us: int
@@ -150,6 +152,7 @@
     request_id: str = ""
     relayed: bool = False
     fingerprint: str = ""
+    relay_service: str = ""
 
 
 @attrs.define
--- a/src/fireflyspindle/core/published.py
+++ b/src/fireflyspindle/core/published.py
@@ -42,6 +42,13 @@
     max_attempts: int
     priority: int
 
+    def part_of(self, service: str) -> Part | None:
+        """Returns the part that a service has in the split, or None."""
+        for part in self.parts:
+            if part.service == service:
+                return part
+        return None
+
 
 @attrs.define(frozen=True)
 class ServiceSettings:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -31,6 +31,9 @@
 NOT_CARRIED = "not-carried"
 # Fingerprint of a relayed request; between gate hosts only.
 RELAY_FINGERPRINT = "Fireflyspindle-Relay-Fingerprint"
+# Service that the gate host which relays a call has chosen, percent-encoded;
+# between gate hosts only.
+RELAY_SERVICE = "Fireflyspindle-Relay-Service"
 # Start of the target that answered a relayed call, if it says that it is
 # leaving: the time of the start in milliseconds, a space and the target's id.
 RELAY_LEAVING = "Fireflyspindle-Relay-Leaving"
@@ -54,6 +57,7 @@
         b"fireflyspindle-relay-fingerprint",
         b"fireflyspindle-relay-leaving",
         b"fireflyspindle-relay-outcome",
+        b"fireflyspindle-relay-service",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import helper_list
+from fireflyspindle.core import published
 from fireflyspindle.core import reachability
 from fireflyspindle.core import relays
 import published_driver as published_host
@@ -173,6 +174,51 @@
     assert host.gate_answer(1).not_carried
 
 
+def test_host_states_the_service_that_it_has_chosen(make_published_host):
+    host = cut_off_host(make_published_host)
+    assert relay(host, 1).service == "s"
+
+
+def test_helper_with_another_version_does_not_choose_another_service(
+    make_published_host,
+):
+    helper_host = make_published_host(targets=0)
+    moved = published_host.rule(service="other")
+    helper_host.configure(published_host.document(2, [moved], ["s", "other"]))
+    helper_host.register(
+        published_host.entry(1), published_host.entry(2, service="other")
+    )
+    assert not helper_host.arrive_and_send(1, relayed=True, relay_service="s")
+    answer = helper_host.gate_answer(1)
+    assert (answer.status, answer.error) == (503, "configuration_differs")
+    assert answer.outcome is effects.Outcome.NOT_RUN
+    assert answer.not_carried
+
+
+def test_helper_takes_the_stated_part_of_a_split(make_published_host):
+    parts = (published.Part("s", 1), published.Part("other", 99))
+    helper_host = make_published_host(targets=0)
+    helper_host.configure(
+        published_host.document(
+            2, [published_host.rule(parts=parts)], ["s", "other"]
+        )
+    )
+    helper_host.register(
+        published_host.entry(1), published_host.entry(2, service="other")
+    )
+    for call_id in range(1, 5):
+        sent = helper_host.arrive_and_send(
+            call_id, relayed=True, relay_service="s"
+        )
+        assert sent.target == published_host.entry(1).address
+
+
+def test_helper_chooses_the_service_for_a_host_of_an_older_build(
+    make_published_host,
+):
+    assert make_published_host().arrive_and_send(1, relayed=True)
+
+
 def test_relayed_call_credits_no_budget_of_the_helper(make_published_host):
     host = make_published_host(resend_slack=0.0)
     for call_id in range(1, 31):
--- a/tests/test_targets_unreachable.py
+++ b/tests/test_targets_unreachable.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
+import attrs
 import pytest
 
+from fireflyspindle import headers
+from fireflyspindle.core import published
 from fireflyspindle.platform import header_profile
 import platform_driver
 import platform_fleet
+import published_driver
 import wire
 
 # Time from the start of a cut after which calls must be served.
@@ -61,6 +65,27 @@
         assert len(runs) == len(set(runs))
 
 
+async def test_helpers_with_another_configuration_do_not_carry_calls():
+    async with platform_fleet.running(hosts=4, servers=5) as fleet:
+        host, *helpers = fleet.hosts
+        fleet.cut_off(host, "refuse")
+        for helper in helpers:
+            table = helper.state.rule_table
+            rule = table.find("dossier.example", platform_driver.IDEMPOTENT)
+            moved = attrs.evolve(rule, parts=(published.Part("other", 1),))
+            table.replace_rules(published_driver.document(2, [moved]))
+        await serve_calls(fleet, [host], 60, "cut")
+        assert sum(
+            helper.metrics.error_counts["configuration_differs"]
+            for helper in helpers
+        )
+        assert not any(
+            request.values(headers.RELAY_SERVICE)
+            for server in fleet.servers
+            for request in server.requests
+        )
+
+
 async def test_hosts_use_their_own_way_again_after_the_cut():
     async with platform_fleet.running(hosts=4, servers=5) as fleet:
         await serve_calls(fleet, fleet.hosts, 20, "before")
