Pick the candidates of a service once when many of its targets leave

Cause: each target that was newly leaving had the candidates of its service picked anew, so that the time grew with the square of their number.

Resuming suspended reads had no part in it.

Evidence: tests/test_discovery.py::test_candidates_are_picked_once_when_many_targets_leave fails before.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -18,6 +18,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
+from fireflyspindle.core import target_selection
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
@@ -233,8 +234,7 @@
     configuration_updates.refresh_services(state)
     for name in registered_by_service:
         _init_service(state, state.services[name])
-    for registered in state.registered_targets.values():
-        _update_target(state, registered)
+    _update_targets(state)
 
 
 def _select_by_address(
@@ -293,14 +293,25 @@
     )
 
 
+def _update_targets(state: state_lib.GateState) -> None:
+    """Updates all targets from their entries."""
+    changed_services: dict[str, None] = {}
+    for registered in state.registered_targets.values():
+        if _update_target(state, registered):
+            changed_services[registered.entry.service] = None
+    for name in changed_services:
+        target_selection.refresh_candidates(state, state.services[name])
+
+
 def _update_target(
     state: state_lib.GateState, registered: store_state.RegisteredTarget
-) -> None:
+) -> bool:
+    """Updates a target from its entry; returns whether it is newly leaving."""
     service = state.services.get(registered.entry.service)
     if service is None:
-        return
+        return False
     target = service.targets.get(registered.entry.target_id)
     if target is None:
-        return
-    target_statements.restore(state, service, registered, target)
+        return False
     target.slow_start_until_us = registered.warmup_until_us
+    return target_statements.restore(state, registered, target)
--- a/src/fireflyspindle/core/target_statements.py
+++ b/src/fireflyspindle/core/target_statements.py
@@ -112,17 +112,21 @@
 
 def restore(
     state: state_lib.GateState,
-    service: state_lib.ServiceState,
     registered: store_state.RegisteredTarget,
     target: targets.Target,
-) -> None:
-    """Applies what a start has stated to the state of its target."""
-    if registered.leaving and not target.leaving:
-        target.leaving = True
-        target_selection.refresh_candidates(state, service)
+) -> bool:
+    """Applies what a start has stated to the state of its target.
+
+    Returns:
+        Whether the target is newly leaving, so that the candidates of its
+        service change.
+    """
     target.paused_until_us = max(
         target.paused_until_us, state.pauses_us.get(registered.start, 0)
     )
+    newly_leaving = registered.leaving and not target.leaving
+    target.leaving = target.leaving or registered.leaving
+    return newly_leaving
 
 
 def start_of(target: targets.Target) -> events.TargetStart | None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
+from fireflyspindle.core import target_selection
 import published_driver as published_host
 
 
@@ -68,6 +69,28 @@
         host.advance(50_000)
 
 
+def test_candidates_are_picked_once_when_many_targets_leave(
+    make_published_host, monkeypatch
+):
+    host = make_published_host(targets=60)
+    refresh = target_selection.refresh_candidates
+    refreshed = []
+
+    def record(state, service):
+        refreshed.append(service.name)
+        refresh(state, service)
+
+    monkeypatch.setattr(target_selection, "refresh_candidates", record)
+    host.register(
+        *(
+            published_host.entry(number, draining=True, sequence=2)
+            for number in range(1, 60)
+        )
+    )
+    assert refreshed == ["s"]
+    assert [target.spec.key for target in host.service().candidates] == ["i-0"]
+
+
 def test_empty_read_processes_no_target(make_published_host, monkeypatch):
     """Empty reads come about once per second, also with a thousand targets."""
     host = make_published_host(targets=2)
