--- a/tests/test_known_failures.py
+++ b/tests/test_known_failures.py
@@ -88,6 +88,20 @@
     assert known_failures.read(tmp_path / "none") == []
 
 
+@pytest.mark.parametrize(
+    ("node_id", "named"),
+    [
+        ("t.py::test_x", True),
+        ("t.py::test_x[1]", True),
+        ("t.py::test_xy", False),
+    ],
+)
+def test_an_id_names_a_function_with_all_its_parameters(node_id, named):
+    assert known_failures.names("t.py::test_x", node_id) is named
+    assert known_failures.names(node_id, node_id)
+    assert not known_failures.names("t.py::test_x[2]", node_id)
+
+
 def test_named_tests_run_but_do_not_count_and_are_printed(run):
     result = run()
     assert result.ret == pytest.ExitCode.OK
