--- /dev/null
+++ b/tests/test_own_client_errors.py
@@ -0,0 +1,354 @@
+"""Answers 4xx that a gate host gives by itself to proper requests.
+
+Callers don't retry after 400, 404 or 413, so that a proper request must not get
+one of them.
+"""
+
+import asyncio
+import contextlib
+import copy
+import json
+import time
+
+import attrs
+import pytest
+
+from fireflyspindle import testing
+from fireflyspindle.core import events
+from fireflyspindle.core import store_state
+from fireflyspindle.platform import configuration_document
+from fireflyspindle.platform import header_profile
+from fireflyspindle.platform import host as host_lib
+from fireflyspindle.testing import platform_documents
+from fireflyspindle.testing import store as store_lib
+import platform_driver
+import platform_fleet
+import wire
+
+# Bytes of a query that is longer than the header lines that aiohttp accepts.
+QUERY_BYTES = 12_000
+# Time for a whole test: some of the faults also keep a host from stopping.
+LIMIT_S = 10.0
+MOVED_SERVICE = "t"
+NEW_ROUTE = "/new/"
+# Calls by which a host must have noticed that it reaches no server.
+MAX_EARLY_CALLS = 300
+
+
+def status(response):
+    """Returns the status of a response."""
+    return response.first_line.split()[1]
+
+
+def long_request(query_bytes=QUERY_BYTES, name="q1"):
+    """Returns a request that stays within the limits of the configuration."""
+    path = platform_driver.IDEMPOTENT + "1?" + "q" * query_bytes
+    return platform_driver.request(path, name=name)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ("Idempotency-Key: 8e03978e-40d5-43e8-bc93-6894a57f9324",),
+        ("Idempotency-Key: {now_ms}-order7",),
+        ("Idempotency-Key: a", "Idempotency-Key: b"),
+        ("Fireflyspindle-Repeatable: maybe",),
+        ("Fireflyspindle-Tenant: " + "t" * 101,),
+        ("Fireflyspindle-Class: " + "c" * 101,),
+    ],
+    ids=["key", "own key", "two keys", "repeatable", "tenant", "class"],
+)
+async def test_headers_without_a_meaning_on_the_platform_are_forwarded(lines):
+    now_ms = time.time_ns() // 1_000_000
+    lines = [line.format(now_ms=now_ms) for line in lines]
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(platform_driver.server_behaviour()) as platform,
+    ):
+        response = await platform.send_request(
+            platform_driver.request(
+                platform_driver.STRICT, *lines, method="POST", body=b"ab"
+            )
+        )
+        assert response is not None
+        assert status(response) == b"200"
+        (received,) = platform.requests
+    for line in lines:
+        name, _, value = line.partition(": ")
+        assert value.encode() in received.values(name)
+
+
+async def test_request_with_a_key_does_not_stop_the_timers_of_the_host():
+    async def keep_silent(_request, _writer):
+        pass
+
+    statuses = []
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(
+            platform_driver.server_behaviour(keep_silent)
+        ) as platform,
+    ):
+        timers = platform.host.state.timers
+        await wire.until(lambda: timers.next_at_us() is None)
+        for name in ("q1", "q2"):
+            key = f"Idempotency-Key: {time.time_ns() // 1_000_000}-{name}"
+            sent = platform_driver.request(
+                platform_driver.STRICT, key, method="POST", name=name
+            ).replace(b"Ms: 3000", b"Ms: 300")
+            async with asyncio.timeout(3.0):
+                response = await platform.send_request(sent)
+            statuses.append(response and status(response))
+    assert statuses == [b"504", b"504"]
+
+
+async def test_many_short_headers_within_the_limit_are_accepted():
+    lines = [f"X-{number}: 1" for number in range(200)]
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        response = await platform.send_request(
+            platform_driver.request(platform_driver.IDEMPOTENT + "1", *lines)
+        )
+    assert status(response) == b"200"
+
+
+async def test_time_that_a_caller_waits_is_not_bounded():
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        response = await platform.send_request(
+            platform_driver.request().replace(b"Ms: 3000", b"Ms: 3600001")
+        )
+    assert status(response) == b"200"
+
+
+@contextlib.asynccontextmanager
+async def host_without_a_configuration():
+    """Runs a second host, which can't read the store yet."""
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        platform.store.refuse_status = 503
+        host = host_lib.PlatformHost(
+            attrs.evolve(platform.host.settings, host_id="edge-2")
+        )
+        await host.start()
+        caller = await testing.connect(host.data_path.server.address)
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            yield platform, host, caller
+        caller.close()
+        host.request_stop()
+        host.request_stop()
+        await host.wait_closed()
+
+
+async def test_long_query_before_the_first_configuration_is_not_run():
+    async with host_without_a_configuration() as (_, _, caller):
+        response = await caller.ask(long_request())
+    assert status(response) == b"503"
+
+
+async def test_long_query_is_accepted_on_a_connection_from_before_it():
+    async with host_without_a_configuration() as (platform, host, caller):
+        early = await caller.ask(platform_driver.request())
+        platform.store.refuse_status = None
+        await wire.until(lambda: host.state.rule_table.version is not None)
+        await wire.until(lambda: host.state.registered_targets)
+        response = await caller.ask(long_request(name="q2"))
+    assert [status(early), status(response)] == [b"503", b"200"]
+
+
+async def test_higher_header_limit_applies_to_open_connections():
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        caller = await platform.caller()
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            first = await caller.ask(platform_driver.request())
+            document = platform_driver.document(2)
+            document["limits"]["max-header-bytes"] = 32_768
+            platform.store.write(
+                store_lib.CONFIGURATION_TOPIC, "config", document
+            )
+            await wire.until(
+                lambda: platform.host.state.rule_table.version == 2
+            )
+            second = await caller.ask(long_request(20_000, "q2"))
+        caller.close()
+    assert [status(first), status(second)] == [b"200", b"200"]
+
+
+@pytest.mark.parametrize(
+    ("target", "host"),
+    [
+        ('/read/1?%zz="<>|{}^`\\[]&a?b/../c#d', "dossier.example"),
+        ("/read/%2F%ff%00/../..;x", "Dossier.EXAMPLE"),
+        ("//dossier.example//x", "dossier.example:8080"),
+        ("http://Dossier.Example:80/read/1?x=1", "dossier.example:80"),
+    ],
+)
+async def test_odd_but_proper_targets_and_host_names_are_routed(target, host):
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        document = platform_driver.document(2)
+        document["listeners"][0]["rules"][0]["match"]["path-prefix"] = "/"
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+        await wire.until(lambda: platform.host.state.rule_table.version == 2)
+        response = await platform.send_request(
+            platform_driver.request(target).replace(
+                b"dossier.example\r\n", host.encode() + b"\r\n"
+            )
+        )
+    assert status(response) == b"200"
+
+
+async def test_pipelined_long_requests_and_bodies_are_all_accepted():
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        caller = await platform.caller()
+        requests = [long_request(name=f"q{number}") for number in range(12)]
+        chunks = b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n"
+        requests += [
+            platform_driver.request(
+                platform_driver.IDEMPOTENT + "1",
+                "Transfer-Encoding: chunked",
+                "Expect: 100-Continue",
+                method="POST",
+                name=f"c{number}",
+            )
+            + chunks
+            for number in range(3)
+        ]
+        caller.writer.write(b"".join(requests))
+        statuses = []
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            while statuses.count(b"200") < len(requests):
+                statuses.append(status(await caller.ask(b"")))
+        caller.close()
+    assert set(statuses) <= {b"100", b"200"}
+
+
+def moved_document(version, moved):
+    """Returns a configuration; `moved` is that to which a few things changed.
+
+    Idempotent calls then go to another service and may run once only, a route
+    is new, and the limit for bodies is higher.
+    """
+    document = platform_driver.document(version)
+    document["clusters"].append(
+        {**document["clusters"][0], "name": MOVED_SERVICE}
+    )
+    if not moved:
+        return document
+    document["limits"]["max-body-bytes"] = 2_000_000
+    rules = document["listeners"][0]["rules"]
+    new_rule = copy.deepcopy(rules[0])
+    new_rule["match"]["path-prefix"] = NEW_ROUTE
+    rules.append({**new_rule, "name": "r-new"})
+    rules[0]["action"]["service"] = MOVED_SERVICE
+    rules[0]["route-kind"] = "non_idempotent"
+    return document
+
+
+async def start_moved_server(fleet):
+    """Starts a server of the service to which idempotent calls move."""
+    behaviour = platform_driver.server_behaviour(fleet.work, "i-moved")
+    server = testing.ScriptedTarget(behaviour)
+    fleet.servers.append(server)
+    address = await server.start()
+    fleet.server_addresses.append(address)
+    entry = platform_documents.target_entry(address)
+    entry["info"]["service"] = MOVED_SERVICE
+    fleet.store.write(store_lib.TARGETS_TOPIC, "i-moved", entry)
+
+
+def configure(host, document):
+    """Gives a configuration to one host only."""
+    source = store_state.Source.CONFIGURATION
+    host.submit(
+        events.ConfigurationRead(
+            host.now_us(),
+            configuration_document.decode(json.dumps(document)).unwrap(),
+            host.state.store_reads[source].next_offset,
+        )
+    )
+    assert host.state.rule_table.version == int(document["version"], 16)
+
+
+@contextlib.asynccontextmanager
+async def relaying_to_an_older_configuration(work=None):
+    """Runs a host that relays calls to one with an older configuration."""
+    async with platform_fleet.running(2, 2, work) as fleet:
+        await start_moved_server(fleet)
+        document = moved_document(2, moved=False)
+        fleet.store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+        await wire.until(
+            lambda: all(
+                host.state.rule_table.version == 2
+                and "i-moved" in host.state.registered_targets
+                for host in fleet.hosts
+            )
+        )
+        host = fleet.hosts[0]
+        fleet.cut_off(host, "refuse")
+        number = 0
+        while not host.metrics.event_counts["relay"]:
+            number += 1
+            assert number < MAX_EARLY_CALLS
+            await fleet.send(host, platform_driver.request(name=f"e{number}"))
+        configure(host, moved_document(3, moved=True))
+        yield fleet
+
+
+async def test_missing_route_of_a_helper_does_not_reach_the_caller():
+    async with relaying_to_an_older_configuration() as fleet:
+        response = await fleet.send(
+            fleet.hosts[0], platform_driver.request(NEW_ROUTE + "1")
+        )
+    assert status(response) == b"503"
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+async def test_body_limit_of_a_helper_does_not_reach_the_caller(framing):
+    body = b"b" * 1_500_000
+    path = platform_driver.STRICT
+    request = platform_driver.request(path, method="POST", body=body)
+    if framing == "chunks":
+        line = "Transfer-Encoding: chunked"
+        request = platform_driver.request(path, line, method="POST")
+        request += b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    async with relaying_to_an_older_configuration() as fleet:
+        response = await fleet.send(fleet.hosts[0], request)
+    assert status(response) in (b"502", b"503")
+
+
+def runs(servers, name):
+    """Returns how often servers received the request with an id."""
+    return sum(
+        request.values(header_profile.REQUEST_ID) == [name.encode()]
+        for server in servers
+        for request in server.requests
+    )
+
+
+async def test_helper_does_not_run_a_call_at_the_service_that_had_the_route():
+    async with relaying_to_an_older_configuration() as fleet:
+        await fleet.send(fleet.hosts[0], platform_driver.request(name="q1"))
+        assert runs(fleet.servers[:2], "q1") == 0
+
+
+async def test_helper_does_not_run_a_call_again_that_may_run_once_by_now():
+    async def lose(request, writer):
+        if request.values(header_profile.REQUEST_ID)[0].startswith(b"lost"):
+            writer.transport.abort()
+        else:
+            writer.write(platform_driver.answer(request))
+
+    async with relaying_to_an_older_configuration(lose) as fleet:
+        names = [f"lost{number}" for number in range(6)]
+        for name in names:
+            await fleet.send(fleet.hosts[0], platform_driver.request(name=name))
+        assert max(runs(fleet.servers, name) for name in names) == 1
