Test in virtual time that hosts apply configurations in time after outages

Runs the real reducers, StoreSync, Feed and FeedClient of nine hosts against a stand-in store and stand-in links, with one fault plan a case. A host counts as in touch while its own path to the store and the store itself have worked for 3 s, whatever other hosts lack.

--- /dev/null
+++ b/tests/configuration_fleet.py
@@ -0,0 +1,390 @@
+"""Hosts that read the platform's store and follow readers, in virtual time.
+
+The reducers, `StoreSync`, `Feed` and `FeedClient` are the real ones. The store,
+the connections between hosts and the clock are stand-ins.
+"""
+
+import asyncio
+import base64
+import collections
+import json
+import random
+import types
+from unittest import mock
+
+import attrs
+
+import configuration_network as network
+from fireflyspindle.adapters import store_feed
+from fireflyspindle.adapters import store_feed_client
+from fireflyspindle.adapters import store_records
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import reducer
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_state
+from fireflyspindle.platform import store_client
+from fireflyspindle.platform import store_decoder
+from fireflyspindle.platform import store_sync
+from fireflyspindle.testing import platform_documents
+
+# Time without a fault after which a host is in touch (`contact-ms`), and time
+# limit for a host in touch to apply a version (`config-apply-ms`).
+CONTACT_US = 3_000_000
+APPLY_LIMIT_US = 2_000_000
+CHECK_INTERVAL_S = 0.02
+# Size of a document that readers omit; its text does not compress.
+LARGE_BYTES = 9_000
+CONFIGURATION_TOPIC = store_sync.TOPIC_BY_SOURCE[
+    store_state.Source.CONFIGURATION
+]
+TARGETS_TOPIC = store_sync.TOPIC_BY_SOURCE[store_state.Source.TARGETS]
+_STORE_EFFECTS = (
+    effects.ReadStore,
+    effects.CancelStoreRead,
+    effects.FollowReader,
+    effects.StopFollowing,
+)
+
+
+class Host:
+    """One gate host, which may be killed and started again."""
+
+    def __init__(self, fleet: "Fleet", number: int):
+        self.fleet = fleet
+        self.number = number
+        self.alive = False
+        self.starts = 0
+        self.running = asyncio.Event()
+        self.metrics = types.SimpleNamespace(event_counts=collections.Counter())
+        self.connections: list[network.Connection] = []
+        self.served: list[network.Connection] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 if there is none."""
+        return self.state.rule_table.version or 0
+
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+        return self.fleet.now_us
+
+    def spawn(self, work) -> asyncio.Task[None]:
+        """Starts a task that ends when the process is killed."""
+        task = self.fleet.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def start(self) -> None:
+        """Starts the process."""
+        self.alive = True
+        self.running.set()
+        address = self.fleet.address(self.number)
+        settings = store_state.StoreSettings(
+            min_read_interval_ms=1_400,
+            control_address=address,
+            is_reader=self.number < network.READERS,
+            other_reader_addresses=tuple(
+                self.fleet.address(reader)
+                for reader in range(network.READERS)
+                if reader != self.number
+            ),
+        )
+        domain = self.fleet.plan.domains[self.number]
+        self.starts += 1
+        seed = self.fleet.random.randrange(1 << 30)
+        self.state = state_lib.new(
+            state_lib.CoreSettings(
+                host_id=str(self.number), failure_domain=domain, store=settings
+            ),
+            seed,
+        )
+        store = network.StoreClient(self.fleet, self)
+        client = network.FeedClient(network.Session(self.fleet, self))
+        with (
+            mock.patch.object(store_client, "StoreClient", lambda _: store),
+            mock.patch.object(
+                store_feed_client, "FeedClient", lambda _: client
+            ),
+        ):
+            self.sync = store_sync.StoreSync(self, "", domain, address)
+        self._execute(reducer.start(self.state, self.now_us()))
+
+    def kill(self) -> None:
+        """Ends the process and every stream from and to it."""
+        self.alive = False
+        self.running.clear()
+        for task in list(self._tasks):
+            task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        for connection in self.served:
+            connection.close()
+        self.served.clear()
+
+    def submit(self, event: events.Event) -> None:
+        """Feeds an event to the reducer and carries out the effects."""
+        if not self.alive:
+            return
+        self.fleet.trace.append((self.now_us(), self.number, event))
+        self._execute(reducer.reduce(self.state, event))
+
+    def serve(self, connection: network.Connection, query: dict) -> None:
+        """Serves a stream of this host's feed."""
+        self.served = [each for each in self.served if not each.closed]
+        self.served.append(connection)
+        request = types.SimpleNamespace(
+            query=query,
+            connection=connection,
+            transport=types.SimpleNamespace(
+                is_closing=lambda: connection.closed
+            ),
+        )
+        (handler,) = [
+            route.handler
+            for route in self.sync.feed.routes()
+            if route.path == store_feed.PATH
+        ]
+
+        async def respond() -> None:
+            await self.running.wait()
+            await handler(request)
+
+        self.spawn(respond())
+
+    def _execute(self, emitted: list[effects.Effect]) -> None:
+        for effect in emitted:
+            if isinstance(effect, effects.SetTimer):
+                if self._timer is not None:
+                    self._timer.cancel()
+                at_s = effect.at_us / 1e6
+                self._timer = self.fleet.loop.call_at(
+                    at_s, lambda: self.spawn(self._fire())
+                )
+                continue
+            self.fleet.trace.append((self.now_us(), self.number, effect))
+            if isinstance(effect, _STORE_EFFECTS):
+                self.sync.execute_effect(effect)
+
+    async def _fire(self) -> None:
+        await self.running.wait()
+        self.submit(events.TimerFired(self.now_us()))
+
+
+@attrs.define(frozen=True)
+class Late:
+    """A host in touch that lacked a version in time.
+
+    Attributes:
+        at_us: Time at which it was seen.
+        host: Number of the host.
+        held: Version in force.
+        due: Version that had to be in force.
+        acknowledged_us: Time at which the store acknowledged that one.
+    """
+
+    at_us: int
+    host: int
+    held: int
+    due: int
+    acknowledged_us: int
+
+
+class Fleet:
+    """Hosts and a store that a plan harms.
+
+    Attributes:
+        late: Versions that were not in force in time, once for each host.
+        reverted: Hosts that went back to an older version, with both versions.
+        trace: Time, host and what was fed to it or what it asked for.
+    """
+
+    def __init__(self, plan: network.Plan, seed: int):
+        self.plan = plan
+        self.random = random.Random(seed)
+        self.topics = collections.defaultdict(list)
+        self.acknowledged_us: dict[int, int] = {}
+        self.late: list[Late] = []
+        self.reverted: list[tuple[int, int, int]] = []
+        self.trace: list[tuple[int, int, object]] = []
+        self._held: dict[tuple[int, int], int] = {}
+        self._changes = collections.defaultdict(list)
+        self._reported: set[tuple[int, int]] = set()
+
+    @property
+    def now_us(self) -> int:
+        """Virtual time."""
+        return round(self.loop.time() * 1e6)
+
+    def address(self, number: int) -> str:
+        """Returns the control address of a host."""
+        return f"10.0.0.{number}:1"
+
+    def run(self) -> "Fleet":
+        """Runs the plan."""
+        with (
+            mock.patch.object(
+                store_feed.web, "StreamResponse", network.Response
+            ),
+            asyncio.Runner(loop_factory=network.Loop) as runner,
+        ):
+            runner.run(self._run())
+        return self
+
+    def store_fault(self, host: int) -> str | None:
+        """Returns how reads by a host fail now, or None."""
+        return self.path_fault(host) or self._active_how("store", host)
+
+    def path_fault(self, host: int) -> str | None:
+        """Returns how the path of a host to the store fails, or None."""
+        return self._active_how("path", host)
+
+    def link_fault(self, host: int, reader: int) -> str | None:
+        """Returns how the link between a host and a reader fails, or None."""
+        how = self._active_how("link", host, reader)
+        if how is None and host < network.READERS:
+            how = self._active_how("link", reader, host)
+        return how
+
+    def _active_how(self, kind, host, reader=None):
+        for fault in self.plan.faults:
+            if fault.kind != kind or host not in fault.hosts:
+                continue
+            if reader is not None and reader not in fault.readers:
+                continue
+            if fault.start_us <= self.now_us < fault.end_us:
+                return fault.how
+        return None
+
+    async def _run(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.changed = asyncio.Event()
+        self._write(large=False)
+        self.hosts = [Host(self, n) for n in range(self.plan.hosts)]
+        for host in self.hosts:
+            host.start()
+        for fault in self.plan.faults:
+            self.loop.call_at(fault.start_us / 1e6, self._begin, fault)
+            self.loop.call_at(fault.end_us / 1e6, self._end, fault)
+        for at_us, large in self.plan.writes:
+            self.loop.call_at(at_us / 1e6, self._write, large)
+        while self.now_us < self.plan.end_us:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            for host in self.hosts:
+                if host.alive:
+                    self._check(host)
+        for host in self.hosts:
+            host.kill()
+
+    def _write(self, large: bool) -> None:
+        """Writes a new version; without the store, once it is back."""
+        for fault in self.plan.faults:
+            is_total = len(fault.hosts) == self.plan.hosts
+            if fault.kind == "store" and is_total:
+                if fault.start_us <= self.now_us < fault.end_us:
+                    self.loop.call_at(
+                        fault.end_us / 1e6 + 0.01, self._write, large
+                    )
+                    return
+        version = len(self.topics[CONFIGURATION_TOPIC]) + 1
+        name = "r"
+        if large:
+            noise = random.Random(version).randbytes(LARGE_BYTES)
+            name = base64.b64encode(noise).decode()
+        document = platform_documents.configuration_document(
+            version, "h.example", {name: ("/s/", "idempotent")}
+        )
+        value = json.dumps(document).encode()
+        self._append(
+            CONFIGURATION_TOPIC, store_decoder.CONFIGURATION_KEY, value
+        )
+        self._append(TARGETS_TOPIC, "i-0", None)
+        self.acknowledged_us[version] = self.now_us
+
+    def _append(self, topic: str, key: str, value: bytes | None) -> None:
+        records = self.topics[topic]
+        records.append(store_records.Record(key, value, len(records)))
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _begin(self, fault: network.Fault) -> None:
+        self._wake()
+        for number in fault.hosts:
+            host = self.hosts[number]
+            match fault.kind:
+                case "down":
+                    host.kill()
+                case "freeze":
+                    host.running.clear()
+                case "reset":
+                    for connection in host.connections:
+                        connection.close()
+                case "stall":
+                    for connection in host.connections:
+                        connection.stalled = True
+
+    def _end(self, fault: network.Fault) -> None:
+        for number in fault.hosts:
+            host = self.hosts[number]
+            if fault.kind == "down" and not host.alive:
+                host.start()
+            if fault.kind == "freeze" and host.alive:
+                host.running.set()
+
+    def in_touch(self, host: int) -> bool:
+        """Whether nothing has disturbed a host for `CONTACT_US`."""
+        since_us = self.now_us - CONTACT_US
+        return since_us >= 1_000_000 and not any(
+            fault.start_us <= self.now_us
+            and fault.end_us > since_us
+            and fault.disturbs(host)
+            for fault in self.plan.faults
+        )
+
+    def _check(self, host: Host) -> None:
+        key = host.number, host.starts
+        previous = self._held.get(key, 0)
+        self._held[key] = host.version
+        if host.version > previous:
+            self._changes[host.number].append((self.now_us, host.version))
+        if host.version < previous:
+            self.reverted.append((host.number, previous, host.version))
+        if not self.in_touch(host.number):
+            return
+        before_us = self.now_us - APPLY_LIMIT_US
+        due = max(
+            version
+            for version, at_us in self.acknowledged_us.items()
+            if at_us <= before_us
+        )
+        if host.version < due and (host.number, due) not in self._reported:
+            self._reported.add((host.number, due))
+            self.late.append(
+                Late(
+                    self.now_us,
+                    host.number,
+                    host.version,
+                    due,
+                    self.acknowledged_us[due],
+                )
+            )
+
+    def applied_us(self, host: int, version: int) -> int:
+        """Returns when a host was first seen with a version or a newer one."""
+        return next(
+            at_us for at_us, held in self._changes[host] if held >= version
+        )
+
+    def lines(self, host: int, from_us: int, until_us: int) -> list[str]:
+        """Returns what a host was told and asked for, as text."""
+        return [
+            f"{at_us / 1e6:9.3f} {entry!r:.230}"
+            for at_us, number, entry in self.trace
+            if number == host and from_us <= at_us <= until_us
+        ]
