--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -81,6 +81,7 @@
         self.idle_limit_s = caller_connection.IDLE_LIMIT_S
         self.head_limits = caller_connection.HeadLimits()
         self.body_limits = body_limits
+        self._initial_body_limits = body_limits
         self._shell = shell
         self._header_profile = header_profile
         self._call_ids = itertools.count(1)
@@ -257,7 +258,7 @@
             message,
             next(self._call_ids),
             self._shell.now_us(),
-            self.body_limits.forwarded_bytes,
+            self._body_limit_bytes(pending),
             self._header_profile,
         )
         match parsed:
@@ -268,6 +269,8 @@
                 if event.relayed:
                     service = message.headers.get(headers.RELAY_SERVICE, "")
                     event.relay_service = urllib.parse.unquote(service)
+                    repeatable = message.headers.get(headers.RELAY_REPEATABLE)
+                    event.relay_repeatable = repeatable != "no"
                 self._read_body(pending, message, payload, event)
 
     def _read_body(
@@ -350,7 +353,7 @@
             body=body,
             body_prefix=body_prefix,
             payload=payload,
-            body_limit_bytes=self.body_limits.forwarded_bytes,
+            body_limit_bytes=self._body_limit_bytes(pending),
             caller=pending,
             header_profile=self._header_profile,
             relayed=event.relayed,
@@ -358,6 +361,16 @@
         pending.exchange = exchange
         self._shell.open_call(exchange, event)
 
+    def _body_limit_bytes(self, pending: PendingRequest) -> int:
+        """Returns the largest body of a request that is forwarded.
+
+        The host that relays a call has applied the configured limit, possibly
+        that of a newer configuration.
+        """
+        if pending.connection.relays:
+            return self._initial_body_limits.forwarded_bytes
+        return self.body_limits.forwarded_bytes
+
     def on_undelivered(self, request_id: str, blocked_by: str) -> None:
         """Logs a response that was ready when its caller disconnected."""
         logs.logger.info(
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -167,6 +167,8 @@
             gateway_lines += (
                 f"{headers.RELAY_FINGERPRINT}: {self.exchange.fingerprint}\r\n"
             )
+        if self.relayed and not self.exchange.repeatable:
+            gateway_lines += f"{headers.RELAY_REPEATABLE}: no\r\n"
         if self.service:
             service = urllib.parse.quote(self.service, safe="")
             gateway_lines += f"{headers.RELAY_SERVICE}: {service}\r\n"
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -87,7 +87,7 @@
         deadline_us = min(deadline_us, event.deadline_us)
     return Destination(
         service=service,
-        repeatable=rule.repeatable,
+        repeatable=rule.repeatable and event.relay_repeatable,
         deadline_us=deadline_us,
         route=rule.name,
         soft_deadline_us=event.now_us + rule.latency_objective_ms * 1000,
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -133,6 +133,8 @@
             its body is not buffered completely.
         relay_service: Service that the gate host which relayed the call has
             chosen; empty if it states none.
+        relay_repeatable: Whether a relayed request may run more than once, as
+            far as that gate host knows.
     """
 
     now_us: int
@@ -153,6 +155,7 @@
     relayed: bool = False
     fingerprint: str = ""
     relay_service: str = ""
+    relay_repeatable: bool = True
 
 
 @attrs.define
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -31,6 +31,8 @@
 NOT_CARRIED = "not-carried"
 # Fingerprint of a relayed request; between gate hosts only.
 RELAY_FINGERPRINT = "Fireflyspindle-Relay-Fingerprint"
+# "no" if a relayed request may run only once; between gate hosts only.
+RELAY_REPEATABLE = "Fireflyspindle-Relay-Repeatable"
 # Service that the gate host which relays a call has chosen, percent-encoded;
 # between gate hosts only.
 RELAY_SERVICE = "Fireflyspindle-Relay-Service"
@@ -57,6 +59,7 @@
         b"fireflyspindle-relay-fingerprint",
         b"fireflyspindle-relay-leaving",
         b"fireflyspindle-relay-outcome",
+        b"fireflyspindle-relay-repeatable",
         b"fireflyspindle-relay-service",
         b"keep-alive",
         b"proxy-authenticate",
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -195,6 +195,18 @@
     assert answer.not_carried
 
 
+def test_helper_sends_a_call_once_that_the_relaying_host_takes_for_strict(
+    make_published_host,
+):
+    helper_host = make_published_host()
+    assert helper_host.arrive_and_send(
+        1, relayed=True, relay_service="s", relay_repeatable=False
+    )
+    helper_host.fail(1, 1, events.FailureReason.DISCONNECTED, sent=True)
+    assert len(sends_of(helper_host, 1)) == 1
+    assert helper_host.gate_answer(1).outcome is effects.Outcome.UNKNOWN
+
+
 def test_helper_takes_the_stated_part_of_a_split(make_published_host):
     parts = (published.Part("s", 1), published.Part("other", 99))
     helper_host = make_published_host(targets=0)
