Apply limits on heads to each request, not to the connection

A proper request with a line of over 8,190 bytes, such as a long query, was refused with 400 on a host that had no configuration yet, and for as long as a connection lasted that was opened before the first configuration or before a higher limit (the users' DENIED).

Cause: the limit was given to the parser when the connection was opened, and before a configuration it was the default of the project's own interface: a limit that outlives the configuration it was taken from. Connections now parse lines of up to 64 KiB, and each request is held to the limit of that time; until a configuration sets one, only to the 64 KiB.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -10,6 +10,7 @@
 import attrs
 
 from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import head_limits as head_limits_lib
 from fireflyspindle.adapters import overhead
 from fireflyspindle.adapters import shared_buffer
 
@@ -23,35 +24,19 @@
 IDLE_LIMIT_S = 75.0
 BODY_LIMIT_S = 30.0
 LINGER_LIMIT_S = 2.0
-# Longest header line unless a limit is configured; the default of aiohttp.
-HEAD_LINE_BYTES = 8_190
-HEAD_LIMIT_S = 30.0
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _Request = tuple[http.RawRequestMessage, streams.StreamReader]
 
 
-@attrs.define(frozen=True)
-class HeadLimits:
-    """Limits on request heads.
-
-    Attributes:
-        line_bytes: Longest line of a head.
-        timeout_s: Longest time from the first byte of a head to its end.
-    """
-
-    line_bytes: int = HEAD_LINE_BYTES
-    timeout_s: float = HEAD_LIMIT_S
-
-
 class Server(Protocol):
     """Serves the requests of callers' connections."""
 
     connections: "set[CallerConnection]"
     stopping: bool
     idle_limit_s: float
-    head_limits: HeadLimits
+    head_limits: head_limits_lib.HeadLimits
 
     def on_request(
         self,
@@ -202,8 +187,8 @@
             READ_BUFFER_BYTES,
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
-            max_line_size=server.head_limits.line_bytes,
-            max_field_size=server.head_limits.line_bytes,
+            max_line_size=head_limits_lib.PARSED_LINE_BYTES,
+            max_field_size=head_limits_lib.PARSED_LINE_BYTES,
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
         self._head_started_s: float | None = None
@@ -273,6 +258,11 @@
             if self._buffer_paused:
                 self._resume_reading_for_buffer()
                 self.data_received(b"")
+            error = self._server.head_limits.check(message)
+            if error is not None:
+                self._accepts_requests = False
+                self._server.on_malformed(pending, error)
+                return
             self._server.on_request(pending, message, payload)
         if self._malformed is not None and not self._parsed:
             if self._may_serve():
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -16,6 +16,7 @@
 from fireflyspindle import logs
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
+from fireflyspindle.adapters import head_limits as head_limits_lib
 from fireflyspindle.adapters import keyed_requests
 from fireflyspindle.adapters import request_fingerprints
 from fireflyspindle.adapters import requests
@@ -65,7 +66,7 @@
         connections: Open connections of callers.
         stopping: Whether each connection closes after its next response.
         idle_limit_s: Time after which an idle connection is closed.
-        head_limits: Limits on request heads on new connections.
+        head_limits: Limits on request heads.
         body_limits: Limits on request bodies.
     """
 
@@ -79,7 +80,7 @@
         self.connections: set[Connection] = set()
         self.stopping = False
         self.idle_limit_s = caller_connection.IDLE_LIMIT_S
-        self.head_limits = caller_connection.HeadLimits()
+        self.head_limits = head_limits_lib.HeadLimits()
         self.body_limits = body_limits
         self._initial_body_limits = body_limits
         self._shell = shell
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -6,8 +6,8 @@
 
 from fireflyspindle import logs
 from fireflyspindle import shell
-from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import data_path
+from fireflyspindle.adapters import head_limits
 from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import target_client
@@ -102,6 +102,10 @@
             self.data_path.client,
             PROBE_TIMEOUT_S,
         )
+        # Until a configuration sets a limit.
+        self.data_path.server.head_limits = head_limits.HeadLimits(
+            line_bytes=head_limits.PARSED_LINE_BYTES
+        )
         await self.data_path.start(
             self.settings.callers_address, accepting=False
         )
@@ -227,7 +231,7 @@
     def _apply_caller_limits(self, limits: published.CallerLimits) -> None:
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
-        server.head_limits = caller_connection.HeadLimits(
+        server.head_limits = head_limits.HeadLimits(
             limits.header_bytes, limits.header_timeout_ms / 1000
         )
         server.body_limits = requests.BodyLimits(
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -179,6 +179,19 @@
     assert [status(first), status(second)] == [b"200", b"200"]
 
 
+async def test_line_over_the_configured_limit_is_refused():
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        caller = await platform.caller()
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(long_request(16_384))
+            assert status(response) == b"400"
+            assert await caller.ask(platform_driver.request()) is None
+        caller.close()
+        assert not platform.requests
+
+
 @pytest.mark.parametrize(
     ("target", "host"),
     [
