--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -63,6 +63,58 @@
     return fleet
 
 
+def random_plan(seed):
+    """Returns a plan with outages, and other faults mostly around them."""
+    chosen = random.Random(seed)
+    hosts = network.READERS + chosen.randint(3, 11)
+    everyone = range(hosts)
+    faults = []
+    start_us = chosen.randrange(6 * S, 10 * S)
+    for _ in range(chosen.randint(1, 3)):
+        end_us = start_us + chosen.randrange(2 * S, 8 * S)
+        some = chosen.sample(everyone, chosen.randint(1, hosts - 1))
+        harmed = chosen.choice([everyone, everyone, READERS, some])
+        how = chosen.choice(FAILURES)
+        faults.append(fault("store", start_us, end_us, harmed, how))
+        for _ in range(chosen.randint(0, 4)):
+            at_us = chosen.randrange(start_us - S, end_us + 2 * S)
+            faults.append(random_fault(chosen, at_us, hosts))
+        start_us = end_us + chosen.randrange(8 * S)
+    plan_end_us = start_us + 6 * S
+    writes = []
+    at_us = 3 * S
+    while at_us < plan_end_us:
+        writes.append((at_us, chosen.random() < 0.4))
+        at_us += chosen.randrange(S // 5, 2 * S)
+    return network.Plan(
+        hosts=hosts,
+        end_us=plan_end_us,
+        faults=faults,
+        writes=writes,
+        domains=[f"d{chosen.randrange(3)}" for _ in everyone],
+        missed_wakes=chosen.choice([0.0, 0.1]),
+    )
+
+
+def random_fault(chosen, at_us, hosts):
+    """Returns a fault of hosts, links or streams."""
+    kind = chosen.choice(
+        ["down", "down", "freeze", "path", "path", "link", "reset", "stall"]
+    )
+    some_readers = chosen.sample(READERS, chosen.randint(1, len(READERS)))
+    one = [chosen.randrange(hosts)]
+    harmed = chosen.choice([one, one, some_readers])
+    end_us = at_us + chosen.randrange(S // 5, 8 * S)
+    how = chosen.choice(FAILURES)
+    others = [reader for reader in some_readers if reader not in harmed]
+    return fault(kind, at_us, end_us, harmed, how, others)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_versions_are_applied_in_time_after_random_faults(seed):
+    check(fleet_lib.Fleet(random_plan(seed), seed).run())
+
+
 @directed_seeds
 @sizes
 def test_versions_are_applied_in_time_without_faults(run_fleet, seed, large):
@@ -70,6 +122,25 @@
     assert min(host.version for host in fleet.hosts) > 20
 
 
+@directed_seeds
+@failures
+@sizes
+def test_versions_are_applied_in_time_after_an_outage(
+    run_fleet, seed, how, large
+):
+    run_fleet([outage(how)], seed, large)
+
+
+@directed_seeds
+@failures
+@pytest.mark.parametrize("kind", ["down", "freeze"])
+def test_followers_read_the_store_when_readers_are_lost_in_an_outage(
+    run_fleet, seed, how, kind
+):
+    lost = fault(kind, OUTAGE_US + 3 * S, END_US, READERS)
+    run_fleet([outage(how), lost], seed)
+
+
 # The readers go on telling their followers that their reads fail.
 @directed_seeds
 @failures
