Follow a read that waited at the store with a short pause only

After an outage of 1 to 2 s a follower whose readers stay cut off could lack versions for up to 4 s instead of 3 s. Found by the reviewer of this work.

Cause: counts with reads that time out after 1.2 s. The first read that fails waits at the store and times out after 2.0 s or more (crashes 2.7 s); when the reader's report comes meanwhile, the long pause followed on top, and the configuration was suspended in favour of another source's waiting read. A read that waited is now followed by the short first pause, and only the retry of a source, which never waits, suspends others.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -14,7 +14,8 @@
 # Backoff between failed reads. The first pause is short, because most failures
 # affect only a single connection. The longest pause with its jitter, plus a
 # read that times out after 1.2 s, stays below 3 s: the time limits for changes
-# apply again that long after the store is back (`contact-ms`).
+# apply again that long after the store is back (`contact-ms`). A read that
+# waits at the store times out later, so only short pauses follow it.
 INITIAL_BACKOFF_US = 100_000
 MAX_BACKOFF_US = 1_400_000
 # Pause before reads that were suspended in an outage resume because a reader
@@ -281,7 +282,10 @@
     failing_reads = [
         other
         for other in state.store_reads.values()
-        if other is not reads and other.failures and other.pending
+        if other is not reads
+        and other.failures
+        and other.pending
+        and not other.wait_ms
     ]
     if failing_reads and reads.failures > 1:
         # Retries of one source suffice to detect that the store is back.
@@ -289,7 +293,7 @@
         _log_retry(state, source, reason, "after a read of the other source")
         return
     pause_us = INITIAL_BACKOFF_US << min(reads.failures - 1, 10)
-    if following.reader_reports_failures(state):
+    if following.reader_reports_failures(state) and not reads.wait_ms:
         # The store itself is away. The pause is no longer than any other: the
         # reader may stay cut off when the store is back.
         pause_us = MAX_BACKOFF_US
@@ -343,13 +347,14 @@
     reads = state.store_reads[source]
     reads.scheduled_us = state.now_us + delay_us
     reads.pending = True
+    reads.wait_ms = _wait_ms(state, source)
     state.emit(
         effects.ReadStore(
             source=source.value,
             from_offset=reads.next_offset,
             first_offset=reads.first_offset,
             delay_us=delay_us,
-            wait_ms=_wait_ms(state, source),
+            wait_ms=reads.wait_ms,
         )
     )
 
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -82,6 +82,7 @@
         first_offset: Offset of the oldest record that the store holds, as
             last reported by the store.
         scheduled_us: Time for which the latest read was scheduled.
+        wait_ms: How long that read may long-poll the store.
         failures: Consecutive failed reads.
         failing_since_us: Time of the first of these failures.
         recovered_us: Time of the first success after the last failures.
@@ -99,6 +100,7 @@
     next_offset: int | None = None
     first_offset: int = 0
     scheduled_us: int = 0
+    wait_ms: int = 0
     failures: int = 0
     failing_since_us: int = 0
     recovered_us: int | None = None
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -141,6 +141,20 @@
     run_fleet([outage(how), lost], seed)
 
 
+# The first reads that fail wait at the store, and time out later than others.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("length_us", [S, S * 18 // 10, S * 28 // 10, 4 * S])
+def test_followers_read_the_store_that_no_reader_reaches_after_a_moment(
+    run_fleet, seed, length_us
+):
+    end_us = OUTAGE_US + length_us
+    faults = [
+        fault("store", OUTAGE_US, end_us, EVERYONE),
+        fault("path", OUTAGE_US, END_US, READERS),
+    ]
+    run_fleet(faults, seed)
+
+
 # The readers go on telling their followers that their reads fail.
 @directed_seeds
 @failures
