--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -213,7 +213,7 @@
 ) -> None:
     """Retries a call that the target did not run, or gives up on it."""
     attempts.cancel(state, call, attempt)
-    if event.not_carried:
+    if event.not_carried and event.status != destinations.ROUTE_DIFFERS_STATUS:
         relays.on_not_carried(state, attempt.target.spec.address)
     if call.attempts or call.probe_round is not None:
         return
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -11,6 +11,9 @@
 
 # Maximum attempts of a call whose route sets no limit.
 DEFAULT_MAX_ATTEMPTS = 3
+# Status of a relayed call that this host can't carry because of its route
+# only; the host that relays it does not pass the status on.
+ROUTE_DIFFERS_STATUS = 421
 
 
 @attrs.define(frozen=True)
@@ -65,19 +68,19 @@
             503, "no_configuration", "this gate host has no configuration yet"
         )
     rule = state.rule_table.find(event.host, event.path)
-    if rule is None:
-        return _no_rule(state, event)
     if event.relay_service:
         # The host that relays the call may have another version.
-        part = rule.part_of(event.relay_service)
-        if part is None:
-            detail = (
-                f"route {rule.name} of version {state.rule_table.version} does"
-                f" not lead to service {event.relay_service}"
-            )
-            return refusals.Refusal(503, "configuration_differs", detail)
+        part = rule.part_of(event.relay_service) if rule is not None else None
+    elif rule is None:
+        return _no_rule(state, event)
     else:
         part = state.rule_table.choose_part(rule, state.random.random())
+    if rule is None or part is None:
+        detail = (
+            f"no route of version {state.rule_table.version} leads from the"
+            f" path {event.path!r} to service {event.relay_service}"
+        )
+        return refusals.Refusal(ROUTE_DIFFERS_STATUS, "route_differs", detail)
     service = state.services.get(part.service)
     if service is None:
         detail = f"route {rule.name} refers to unknown service {part.service}"
