Forward the gate's own headers on the users' platform without reading them

Callers saw 400 for an Idempotency-Key, Fireflyspindle-Repeatable, -Tenant or -Class that the gate's own interface does not accept, although these headers mean nothing on the users' platform. A well-formed key cut the connection, and the host's timers stopped.

Cause: the head was read in the same way for both interfaces. A keyed call led the platform host to AppendRecord, which it can't execute (NotImplementedError); the SetTimer effect after it was lost.

The header profile now says whether the gate's own headers are interpreted. On the platform they are not, so that they are forwarded like any other header and no call has a key. On the own interface a bad deadline is now named before a bad header of these, if a request has both.

--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -58,17 +58,6 @@
     refusal = _body_refusal(message, body_limit_bytes)
     if refusal is not None:
         return result.Err(refusal)
-    repeatable = request_headers.get(headers.REPEATABLE, "").lower()
-    if repeatable not in ("", "yes", "no"):
-        return _bad_header(headers.REPEATABLE, repeatable, '"yes" or "no"')
-    tenant = request_headers.get(headers.TENANT, "")
-    traffic_class = request_headers.get(headers.CLASS, "")
-    if len(tenant) > MAX_NAME_CHARACTERS:
-        return _bad_header(headers.TENANT, tenant, "at most 100 characters")
-    if len(traffic_class) > MAX_NAME_CHARACTERS:
-        return _bad_header(
-            headers.CLASS, traffic_class, "at most 100 characters"
-        )
     deadline_us = None
     text = request_headers.get(header_profile.deadline_ms)
     if text is not None:
@@ -88,13 +77,12 @@
         path=_route_path(message),
         host=request_headers.get("Host", "").partition(":")[0].lower(),
         request_id=request_id,
-        tenant=tenant,
-        traffic_class=traffic_class,
-        repeatable=repeatable == "yes"
-        or (not repeatable and message.method in REPEATABLE_METHODS),
+        repeatable=message.method in REPEATABLE_METHODS,
         deadline_us=deadline_us,
     )
-    return _with_key(event, message)
+    if not header_profile.interprets_own_headers:
+        return result.Ok(event)
+    return _with_own_headers(event, message)
 
 
 def _body_refusal(
@@ -119,6 +107,26 @@
     return None
 
 
+def _with_own_headers(
+    event: events.CallArrived, message: http.RawRequestMessage
+) -> result.Result[events.CallArrived, refusals.Refusal]:
+    """Sets what the headers defined by the gate state on the event."""
+    repeatable = message.headers.get(headers.REPEATABLE, "").lower()
+    if repeatable not in ("", "yes", "no"):
+        return _bad_header(headers.REPEATABLE, repeatable, '"yes" or "no"')
+    if repeatable:
+        event.repeatable = repeatable == "yes"
+    event.tenant = message.headers.get(headers.TENANT, "")
+    event.traffic_class = message.headers.get(headers.CLASS, "")
+    for name, value in (
+        (headers.TENANT, event.tenant),
+        (headers.CLASS, event.traffic_class),
+    ):
+        if len(value) > MAX_NAME_CHARACTERS:
+            return _bad_header(name, value, "at most 100 characters")
+    return _with_key(event, message)
+
+
 def _with_key(
     event: events.CallArrived, message: http.RawRequestMessage
 ) -> result.Result[events.CallArrived, refusals.Refusal]:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -132,6 +132,9 @@
             forwarded to targets.
         forwarded_to_callers: Headers with that prefix, in lower case, that are
             forwarded to callers.
+        interprets_own_headers: Whether the tenant, the class, the idempotency
+            key and the other headers defined by the gate mean anything in a
+            request. If not, they are forwarded like any other header.
         callers_choose_ids: Whether callers choose the ids of their requests.
         requires_id_echo: Whether targets always echo the id; an answer with
             another id is then skipped, and a successful one without it is
@@ -153,6 +156,7 @@
         name.lower().encode() for name in (TENANT, CLASS, REPEATABLE)
     )
     forwarded_to_callers: frozenset[bytes] = frozenset()
+    interprets_own_headers: bool = True
     callers_choose_ids: bool = False
     requires_id_echo: bool = False
     buffers_unsized_bodies: bool = False
--- a/src/fireflyspindle/platform/header_profile.py
+++ b/src/fireflyspindle/platform/header_profile.py
@@ -86,6 +86,7 @@
     outcome="",
     reserved_prefix=_PREFIX.lower().encode(),
     forwarded_to_callers=frozenset({SERVER_SIGNATURE.lower().encode()}),
+    interprets_own_headers=False,
     callers_choose_ids=True,
     requires_id_echo=True,
     buffers_unsized_bodies=True,
