Accept many short headers and long deadlines on the users' platform

Cause: the parser of aiohttp accepts 128 headers unless told otherwise, and the bound on deadlines of the own interface was applied to the platform too.

The platform host now lets the parser take as many headers as fit into max-header-bytes at four bytes a line, so that only the bytes are limited. The header profile says whether deadlines are bounded: on the platform the route's timeout bounds the call, and a deadline above 10**12 ms is shortened to that, which keeps int() off thousands of digits. The own interface keeps its 128 headers and its hour; it no longer refuses a deadline with leading zeros for its digits.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -26,6 +26,10 @@
 # Longest header line unless a limit is configured; the default of aiohttp.
 HEAD_LINE_BYTES = 8_190
 HEAD_LIMIT_S = 30.0
+# Most headers unless a limit is configured; the default of aiohttp.
+HEAD_COUNT = 128
+# Bytes of the shortest line of a header: a name, a colon and the line end.
+MIN_HEADER_LINE_BYTES = 4
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -39,10 +43,12 @@
     Attributes:
         line_bytes: Longest line of a head.
         timeout_s: Longest time from the first byte of a head to its end.
+        header_count: Most headers of a head.
     """
 
     line_bytes: int = HEAD_LINE_BYTES
     timeout_s: float = HEAD_LIMIT_S
+    header_count: int = HEAD_COUNT
 
 
 class Server(Protocol):
@@ -203,6 +209,7 @@
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
             max_line_size=server.head_limits.line_bytes,
+            max_headers=server.head_limits.header_count,
             max_field_size=server.head_limits.line_bytes,
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -14,7 +14,9 @@
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_NAME_CHARACTERS = 100
 MAX_DEADLINE_MS = 3_600_000
-MAX_DEADLINE_DIGITS = 7
+# Longer deadlines are shortened where they are not bounded: int() refuses
+# thousands of digits.
+UNBOUNDED_DEADLINE_MS = 10**12
 _REQUEST_ID = re.compile(r"[!-~]{1,100}")
 
 
@@ -61,10 +63,15 @@
     deadline_us = None
     text = request_headers.get(header_profile.deadline_ms)
     if text is not None:
-        if not _is_deadline(text):
-            accepted = f"whole milliseconds from 1 to {MAX_DEADLINE_MS}"
+        deadline_ms = _parse_deadline_ms(text)
+        accepted = "whole milliseconds from 1"
+        if header_profile.bounds_deadlines:
+            accepted += f" to {MAX_DEADLINE_MS}"
+            if deadline_ms is not None and deadline_ms > MAX_DEADLINE_MS:
+                deadline_ms = None
+        if deadline_ms is None:
             return _bad_header(header_profile.deadline_ms, text, accepted)
-        deadline_us = now_us + int(text) * 1000
+        deadline_us = now_us + deadline_ms * 1000
     request_id = ""
     if header_profile.callers_choose_ids:
         request_id = request_headers.get(header_profile.request_id, "")
@@ -141,10 +148,14 @@
     return result.Ok(event)
 
 
-def _is_deadline(text: str) -> bool:
+def _parse_deadline_ms(text: str) -> int | None:
+    """Returns a deadline, shortened if it is very long; None if invalid."""
     if not text.isascii() or not text.isdecimal():
-        return False
-    return len(text) <= MAX_DEADLINE_DIGITS and 0 < int(text) <= MAX_DEADLINE_MS
+        return None
+    digits = text.lstrip("0")
+    if len(digits) >= len(str(UNBOUNDED_DEADLINE_MS)):
+        return UNBOUNDED_DEADLINE_MS
+    return int(digits) if digits else None
 
 
 def _route_path(message: http.RawRequestMessage) -> str:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -135,6 +135,8 @@
         interprets_own_headers: Whether the tenant, the class, the idempotency
             key and the other headers defined by the gate mean anything in a
             request. If not, they are forwarded like any other header.
+        bounds_deadlines: Whether the deadline that a caller may state is
+            bounded. If not, routes bound the time of every call.
         callers_choose_ids: Whether callers choose the ids of their requests.
         requires_id_echo: Whether targets always echo the id; an answer with
             another id is then skipped, and a successful one without it is
@@ -157,6 +159,7 @@
     )
     forwarded_to_callers: frozenset[bytes] = frozenset()
     interprets_own_headers: bool = True
+    bounds_deadlines: bool = True
     callers_choose_ids: bool = False
     requires_id_echo: bool = False
     buffers_unsized_bodies: bool = False
--- a/src/fireflyspindle/platform/header_profile.py
+++ b/src/fireflyspindle/platform/header_profile.py
@@ -87,6 +87,7 @@
     reserved_prefix=_PREFIX.lower().encode(),
     forwarded_to_callers=frozenset({SERVER_SIGNATURE.lower().encode()}),
     interprets_own_headers=False,
+    bounds_deadlines=False,
     callers_choose_ids=True,
     requires_id_echo=True,
     buffers_unsized_bodies=True,
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -228,7 +228,10 @@
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
         server.head_limits = caller_connection.HeadLimits(
-            limits.header_bytes, limits.header_timeout_ms / 1000
+            limits.header_bytes,
+            limits.header_timeout_ms / 1000,
+            # As many as fit, so that only the bytes are limited.
+            limits.header_bytes // caller_connection.MIN_HEADER_LINE_BYTES,
         )
         server.body_limits = requests.BodyLimits(
             min(MAX_RETRY_BODY_BYTES, limits.body_bytes), limits.body_bytes
