Merge headers and bounds that the users' platform does not state

With the limits on heads of each request, the number of headers is checked for each request too, so that it follows the configuration on open connections.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -188,6 +188,7 @@
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
             max_line_size=head_limits_lib.PARSED_LINE_BYTES,
+            max_headers=head_limits_lib.PARSED_HEADERS,
             max_field_size=head_limits_lib.PARSED_LINE_BYTES,
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
--- a/src/fireflyspindle/adapters/head_limits.py
+++ b/src/fireflyspindle/adapters/head_limits.py
@@ -3,12 +3,16 @@
 from aiohttp import http
 import attrs
 
-# Longest line unless a limit is configured; the default of aiohttp.
+# Limits unless others are configured; the defaults of aiohttp.
 LINE_BYTES = 8_190
+HEADER_COUNT = 128
 TIMEOUT_S = 30.0
-# Longest line that is parsed at all. Connections are open while the configured
-# limit changes, which may only be lower.
+# Bytes of the shortest line of a header: a name, a colon and the line end.
+MIN_HEADER_BYTES = 4
+# Longest line and most headers that are parsed at all. Connections are open
+# while the configured limits change, which may only be lower.
 PARSED_LINE_BYTES = 64 * 1024
+PARSED_HEADERS = PARSED_LINE_BYTES // MIN_HEADER_BYTES
 
 
 @attrs.define(frozen=True)
@@ -18,15 +22,20 @@
     Attributes:
         line_bytes: Longest request target, header name or header value.
         timeout_s: Longest time from the first byte of a head to its end.
+        header_count: Most headers of a head.
     """
 
     line_bytes: int = LINE_BYTES
     timeout_s: float = TIMEOUT_S
+    header_count: int = HEADER_COUNT
 
     def check(
         self, message: http.RawRequestMessage
     ) -> http.HttpProcessingError | None:
-        """Returns the error of a head with a line that is too long, if any."""
+        """Returns the error of a head that exceeds the limits, if it does."""
+        if len(message.raw_headers) > self.header_count:
+            detail = f"the head has more than {self.header_count} headers"
+            return http.HttpProcessingError(code=400, message=detail)
         sizes = [
             max(len(name), len(value)) for name, value in message.raw_headers
         ]
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -14,7 +14,9 @@
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_NAME_CHARACTERS = 100
 MAX_DEADLINE_MS = 3_600_000
-MAX_DEADLINE_DIGITS = 7
+# Longer deadlines are shortened where they are not bounded: int() refuses
+# thousands of digits.
+UNBOUNDED_DEADLINE_MS = 10**12
 _REQUEST_ID = re.compile(r"[!-~]{1,100}")
 
 
@@ -58,24 +60,18 @@
     refusal = _body_refusal(message, body_limit_bytes)
     if refusal is not None:
         return result.Err(refusal)
-    repeatable = request_headers.get(headers.REPEATABLE, "").lower()
-    if repeatable not in ("", "yes", "no"):
-        return _bad_header(headers.REPEATABLE, repeatable, '"yes" or "no"')
-    tenant = request_headers.get(headers.TENANT, "")
-    traffic_class = request_headers.get(headers.CLASS, "")
-    if len(tenant) > MAX_NAME_CHARACTERS:
-        return _bad_header(headers.TENANT, tenant, "at most 100 characters")
-    if len(traffic_class) > MAX_NAME_CHARACTERS:
-        return _bad_header(
-            headers.CLASS, traffic_class, "at most 100 characters"
-        )
     deadline_us = None
     text = request_headers.get(header_profile.deadline_ms)
     if text is not None:
-        if not _is_deadline(text):
-            accepted = f"whole milliseconds from 1 to {MAX_DEADLINE_MS}"
+        deadline_ms = _parse_deadline_ms(text)
+        accepted = "whole milliseconds from 1"
+        if header_profile.bounds_deadlines:
+            accepted += f" to {MAX_DEADLINE_MS}"
+            if deadline_ms is not None and deadline_ms > MAX_DEADLINE_MS:
+                deadline_ms = None
+        if deadline_ms is None:
             return _bad_header(header_profile.deadline_ms, text, accepted)
-        deadline_us = now_us + int(text) * 1000
+        deadline_us = now_us + deadline_ms * 1000
     request_id = ""
     if header_profile.callers_choose_ids:
         request_id = request_headers.get(header_profile.request_id, "")
@@ -88,13 +84,12 @@
         path=_route_path(message),
         host=request_headers.get("Host", "").partition(":")[0].lower(),
         request_id=request_id,
-        tenant=tenant,
-        traffic_class=traffic_class,
-        repeatable=repeatable == "yes"
-        or (not repeatable and message.method in REPEATABLE_METHODS),
+        repeatable=message.method in REPEATABLE_METHODS,
         deadline_us=deadline_us,
     )
-    return _with_key(event, message)
+    if not header_profile.interprets_own_headers:
+        return result.Ok(event)
+    return _with_own_headers(event, message)
 
 
 def _body_refusal(
@@ -119,6 +114,26 @@
     return None
 
 
+def _with_own_headers(
+    event: events.CallArrived, message: http.RawRequestMessage
+) -> result.Result[events.CallArrived, refusals.Refusal]:
+    """Sets what the headers defined by the gate state on the event."""
+    repeatable = message.headers.get(headers.REPEATABLE, "").lower()
+    if repeatable not in ("", "yes", "no"):
+        return _bad_header(headers.REPEATABLE, repeatable, '"yes" or "no"')
+    if repeatable:
+        event.repeatable = repeatable == "yes"
+    event.tenant = message.headers.get(headers.TENANT, "")
+    event.traffic_class = message.headers.get(headers.CLASS, "")
+    for name, value in (
+        (headers.TENANT, event.tenant),
+        (headers.CLASS, event.traffic_class),
+    ):
+        if len(value) > MAX_NAME_CHARACTERS:
+            return _bad_header(name, value, "at most 100 characters")
+    return _with_key(event, message)
+
+
 def _with_key(
     event: events.CallArrived, message: http.RawRequestMessage
 ) -> result.Result[events.CallArrived, refusals.Refusal]:
@@ -133,10 +148,14 @@
     return result.Ok(event)
 
 
-def _is_deadline(text: str) -> bool:
+def _parse_deadline_ms(text: str) -> int | None:
+    """Returns a deadline, shortened if it is very long; None if invalid."""
     if not text.isascii() or not text.isdecimal():
-        return False
-    return len(text) <= MAX_DEADLINE_DIGITS and 0 < int(text) <= MAX_DEADLINE_MS
+        return None
+    digits = text.lstrip("0")
+    if len(digits) >= len(str(UNBOUNDED_DEADLINE_MS)):
+        return UNBOUNDED_DEADLINE_MS
+    return int(digits) if digits else None
 
 
 def _route_path(message: http.RawRequestMessage) -> str:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -104,7 +104,8 @@
         )
         # Until a configuration sets a limit.
         self.data_path.server.head_limits = head_limits.HeadLimits(
-            line_bytes=head_limits.PARSED_LINE_BYTES
+            line_bytes=head_limits.PARSED_LINE_BYTES,
+            header_count=head_limits.PARSED_HEADERS,
         )
         await self.data_path.start(
             self.settings.callers_address, accepting=False
@@ -232,7 +233,10 @@
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
         server.head_limits = head_limits.HeadLimits(
-            limits.header_bytes, limits.header_timeout_ms / 1000
+            limits.header_bytes,
+            limits.header_timeout_ms / 1000,
+            # As many as fit, so that only the bytes are limited.
+            limits.header_bytes // head_limits.MIN_HEADER_BYTES,
         )
         server.body_limits = requests.BodyLimits(
             min(MAX_RETRY_BODY_BYTES, limits.body_bytes), limits.body_bytes
