--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -158,8 +158,9 @@
 ) -> None:
     """Records up to which time a successful read returned every record.
 
-    That is the start of the read. A read may wait, miss a record meanwhile
-    (docs/limits.md), and its response may be read late by a frozen host.
+    That is the start of the read, for a relayed one the earliest possible. A
+    read may wait, miss a record meanwhile (docs/limits.md), and its response
+    may be read late by a frozen host.
     """
     reads = state.store_reads[source]
     settings = state.settings.store
