List that a host refuses routes for good when it can't decode the newest version

Found by the review and not mended: the read of an undecodable configuration counts as complete, so that an unknown route gets 404 where the host knows that it lacks a version.

--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -5,8 +5,11 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import store_state
+from fireflyspindle.testing import store as store_lib
+import platform_driver
 import published_driver as published_host
 import test_following
+import wire
 
 APPLY_LIMIT_US = 2_000_000
 CONFIGURATION = store_state.Source.CONFIGURATION
@@ -91,3 +94,16 @@
     read_in_vain(follower)
     follower.relay_reads()
     assert refusal_of(follower) == (404, "no_route")
+
+
+async def test_unknown_route_is_not_refused_for_good_by_undecodable_version():
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", b"{")
+        decoder = platform.host._store_sync.decoder
+        await wire.until(lambda: "config" in decoder.undecodable)
+        response = await platform.send_request(
+            platform_driver.request("/added/1")
+        )
+    assert response.first_line.split()[1] == b"503"
