--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -4,7 +4,6 @@
 
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
-from fireflyspindle.core import claims
 from fireflyspindle.core import crash_detection
 from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import crashing_requests
@@ -26,6 +25,7 @@
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.quotas import admission as quota_admission
 
 
 def on_arrived(state: state_lib.GateState, event: events.CallArrived) -> None:
@@ -46,7 +46,8 @@
     call = state_lib.Call(
         call_id=event.call_id,
         service=service.name,
-        tenant=_configured_or_empty(event.tenant, state.configuration.tenants),
+        tenant=destination.organisation
+        or _configured_or_empty(event.tenant, state.configuration.tenants),
         traffic_class=_configured_or_empty(
             event.traffic_class, state.configuration.classes
         ),
@@ -70,7 +71,7 @@
         hedging.on_arrived(state, service)
     if crashing_requests.refuse(state, call):
         return
-    claims.admit_call(state, call, event)
+    quota_admission.admit(state, call, event)
 
 
 def _configured_or_empty(name: str, configured: Collection[str]) -> str:
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
+from fireflyspindle.core.organisations import authorisation
 
 # Maximum attempts of a call whose route sets no limit.
 DEFAULT_MAX_ATTEMPTS = 3
@@ -29,6 +30,7 @@
             reached, or None.
         max_attempts: Maximum number of targets that the request is sent to.
         priority: Priority of the route; 0 is the highest.
+        organisation: Name of the organisation of the request, or empty.
     """
 
     service: state_lib.ServiceState
@@ -38,6 +40,7 @@
     soft_deadline_us: int | None = None
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     priority: int = 0
+    organisation: str = ""
 
 
 def find(
@@ -81,6 +84,9 @@
             f" path {event.path!r} to service {event.relay_service}"
         )
         return refusals.Refusal(ROUTE_DIFFERS_STATUS, "route_differs", detail)
+    organisation = authorisation.authorise(state, event, rule)
+    if isinstance(organisation, refusals.Refusal):
+        return organisation
     service = state.services.get(part.service)
     if service is None:
         detail = f"route {rule.name} refers to unknown service {part.service}"
@@ -96,6 +102,7 @@
         soft_deadline_us=event.now_us + rule.latency_objective_ms * 1000,
         max_attempts=rule.max_attempts,
         priority=rule.priority,
+        organisation=organisation,
     )
 
 
--- /dev/null
+++ b/src/fireflyspindle/core/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of failure domains."""
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -135,6 +135,8 @@
             chosen; empty if it states none.
         relay_repeatable: Whether a relayed request may run more than once, as
             far as that gate host knows.
+        key_digest: Digest of the API key of the request; empty if it has none
+            or a malformed one.
     """
 
     now_us: int
@@ -156,6 +158,7 @@
     fingerprint: str = ""
     relay_service: str = ""
     relay_repeatable: bool = True
+    key_digest: str = ""
 
 
 @attrs.define
@@ -422,12 +425,21 @@
         document: Newest document read, or None if there was none.
         next_offset: First offset that has not been read.
         relayed: Origin of the read if a reader relayed it.
+        newest_is_decodable: Whether the newest configuration record of the
+            read could be decoded; None if the read has none.
+        evacuated: Failure domains whose evacuation was requested.
+        evacuations_ended: Failure domains whose evacuation was ended.
+        is_snapshot: Whether the read covers all existing records.
     """
 
     now_us: int
     document: published.Document | None
     next_offset: int
     relayed: RelayedRead | None = None
+    newest_is_decodable: bool | None = None
+    evacuated: frozenset[str] = frozenset()
+    evacuations_ended: frozenset[str] = frozenset()
+    is_snapshot: bool = False
 
 
 @attrs.define
--- /dev/null
+++ b/src/fireflyspindle/core/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations: API keys and the proof that they are current."""
--- a/src/fireflyspindle/core/published.py
+++ b/src/fireflyspindle/core/published.py
@@ -30,6 +30,7 @@
             the caller.
         max_attempts: Maximum number of targets that a request is sent to.
         priority: Priority of the route; 0 is the highest.
+        public: Whether requests need no API key.
     """
 
     name: str
@@ -41,6 +42,7 @@
     latency_objective_ms: int
     max_attempts: int
     priority: int
+    public: bool = False
 
     def part_of(self, service: str) -> Part | None:
         """Returns the part that a service has in the split, or None."""
@@ -58,11 +60,37 @@
         name: Name of the service.
         load_path: Path of the targets' health and load endpoint.
         connection_limit: Maximum connections to a target from all gate hosts.
+        cold_requests_per_s: Requests per second that a cold target takes from
+            all gate hosts; 0 for no limit.
+        cold_start_ms: Time for which a target is cold after its start.
     """
 
     name: str
     load_path: str
     connection_limit: int
+    cold_requests_per_s: float = 0.0
+    cold_start_ms: int = 0
+
+
+@attrs.define(frozen=True)
+class Organisation:
+    """An organisation whose requests are identified by API keys.
+
+    Attributes:
+        name: Name, which targets receive.
+        key_digests: Digests of its API keys; see `api_keys`.
+        priority: Priority that replaces that of the route; None for the
+            route's.
+        requests_per_s: Quota of requests per second over all gate hosts; 0 for
+            no limit.
+        burst_requests: Requests that it may send beyond that rate.
+    """
+
+    name: str
+    key_digests: frozenset[str]
+    priority: int | None = None
+    requests_per_s: float = 0.0
+    burst_requests: float = 0.0
 
 
 @attrs.define(frozen=True)
@@ -92,12 +120,14 @@
         rules: Every route.
         services: Every service.
         limits: Limits for callers.
+        organisations: Every organisation; without any, requests need no key.
     """
 
     version: int
     rules: tuple[Rule, ...]
     services: tuple[ServiceSettings, ...]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] = ()
 
 
 @attrs.define
--- /dev/null
+++ b/src/fireflyspindle/core/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations that hold over all gate hosts."""
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -191,11 +191,13 @@
     """Whether this host has read what it has to know by now.
 
     That is every record that is older than the time limit for changes. It is
-    not up to date either while it lacks records that a reader has left out.
+    not up to date either while it lacks records that a reader has left out, or
+    the newest of which it can't decode.
     """
     settings = state.settings.store
     assert settings is not None
-    if state.store_reads[source].has_relay_gap:
+    reads = state.store_reads[source]
+    if reads.has_relay_gap or reads.has_undecodable_record:
         return False
     age_us = state.now_us - complete_until_us(state, source)
     return age_us <= settings.apply_limit_ms * 1000
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -8,6 +8,31 @@
 from fireflyspindle.core import events
 
 
+@attrs.define(frozen=True)
+class QuotaTolerance:
+    """How far the quotas of organisations may be exceeded over all hosts.
+
+    In any window of `window_ms` an organisation may have run
+    `(1 + overage)` times its quota and `slack_requests` more.
+    """
+
+    window_ms: int
+    overage: float
+    slack_requests: float
+
+
+@attrs.define(frozen=True)
+class ColdTolerance:
+    """How far the rate of a cold target may be exceeded over all hosts.
+
+    In any second a cold target tolerates `factor` times its rate and
+    `slack_requests` more.
+    """
+
+    factor: float
+    slack_requests: float
+
+
 @attrs.define(frozen=True)
 class StoreSettings:
     """Settings of a gate host that is configured by the platform's store.
@@ -35,6 +60,14 @@
         crash_wait_ms: The same for a read of crashes.
         relay_address: Address on which this host takes calls that other gate
             hosts relay; empty if it takes none.
+        revocation_limit_ms: Time after which no request may run with a
+            withdrawn API key, on any host; None if the limit for changes holds
+            for hosts that reach the store only.
+        quota_tolerance: Tolerance of quotas; None if quotas are not enforced.
+        cold_tolerance: Tolerance of cold targets; None if their rate is not
+            limited.
+        evacuation_limit_ms: Time after which no request may reach an evacuated
+            failure domain; None if evacuations are not supported.
     """
 
     min_read_interval_ms: int = 1_000
@@ -51,6 +84,10 @@
     long_poll_wait_ms: int = 800
     relay_address: str = ""
     crash_wait_ms: int = 1_500
+    revocation_limit_ms: int | None = None
+    quota_tolerance: QuotaTolerance | None = None
+    cold_tolerance: ColdTolerance | None = None
+    evacuation_limit_ms: int | None = None
 
     def wait_us(self, source: "Source") -> int:
         """Returns the maximum time that a read of a source waits."""
@@ -95,6 +132,8 @@
         has_relay_gap: Whether the reader left out records of this source.
         complete_until_us: Time up to which every record is known; None before
             the first successful read.
+        has_undecodable_record: Whether the newest configuration could not be
+            decoded, so that an older one is in force.
     """
 
     next_offset: int | None = None
@@ -110,6 +149,7 @@
     relayed_us: int | None = None
     has_relay_gap: bool = False
     complete_until_us: int | None = None
+    has_undecodable_record: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -267,5 +267,37 @@
             long_poll_wait_ms=int(apply_bound_ms * READ_WAIT_FRACTION),
             relay_address=settings.relay_address,
             crash_wait_ms=int(bounds.contact_ms * CRASH_WAIT_FRACTION),
+            revocation_limit_ms=(
+                int(bounds.revoke_ms)
+                if bounds.strict_revoke and bounds.revoke_ms is not None
+                else None
+            ),
+            quota_tolerance=_quota_tolerance(bounds),
+            cold_tolerance=_cold_tolerance(bounds),
+            evacuation_limit_ms=(
+                int(bounds.evacuate_ms)
+                if bounds.evacuate_ms is not None
+                else None
+            ),
         ),
     )
+
+
+def _quota_tolerance(
+    bounds: settings_lib.Bounds,
+) -> store_state.QuotaTolerance | None:
+    if bounds.quota_window_s is None:
+        return None
+    return store_state.QuotaTolerance(
+        window_ms=int(bounds.quota_window_s * 1000),
+        overage=bounds.quota_overage,
+        slack_requests=bounds.quota_slack,
+    )
+
+
+def _cold_tolerance(
+    bounds: settings_lib.Bounds,
+) -> store_state.ColdTolerance | None:
+    if bounds.cold_overage is None:
+        return None
+    return store_state.ColdTolerance(bounds.cold_overage, bounds.cold_slack)
--- a/src/fireflyspindle/platform/settings.py
+++ b/src/fireflyspindle/platform/settings.py
@@ -28,6 +28,18 @@
         contact_ms: Time within which hosts must know what one of them knows.
         probes_per_s: Most probes per target and second, on average over all
             targets, by all hosts.
+        strict_revoke: Whether `revoke_ms` holds for every host, also for those
+            that don't reach the store.
+        revoke_ms: Time after which no request runs with a withdrawn API key.
+        quota_window_s: Length of the window in which quotas hold; None if there
+            are no quotas.
+        quota_overage: Share by which a quota may be exceeded.
+        quota_slack: Requests that are allowed beyond that.
+        cold_overage: Factor by which the rate of a cold target may be exceeded;
+            None if it isn't limited.
+        cold_slack: Requests that are allowed beyond that.
+        evacuate_ms: Time after which no request reaches an evacuated failure
+            domain; None if there are no evacuations.
     """
 
     drain_ms: float = 2_000
@@ -38,6 +50,14 @@
     budget_window_s: float = 10
     contact_ms: float = 3_000
     probes_per_s: float = 10
+    strict_revoke: bool = False
+    revoke_ms: float | None = None
+    quota_window_s: float | None = None
+    quota_overage: float = 0
+    quota_slack: float = 0
+    cold_overage: float | None = None
+    cold_slack: float = 0
+    evacuate_ms: float | None = None
 
 
 @attrs.define(frozen=True)
@@ -185,13 +205,20 @@
 
 
 def _bounds(raw: dict[str, Any], errors: list[str]) -> Bounds:
-    values: dict[str, float] = {}
+    values: dict[str, Any] = {}
     for field in attrs.fields(Bounds):
         path = ("terms", "contract-params", field.name.replace("_", "-"))
         value = _lookup(raw, path)
         if value is None:
             continue
-        if isinstance(value, bool) or not isinstance(value, int | float):
+        if field.type is bool:
+            if isinstance(value, bool):
+                values[field.name] = value
+            else:
+                errors.append(
+                    f"{'.'.join(path)}: found {value!r}; give true or false"
+                )
+        elif isinstance(value, bool) or not isinstance(value, int | float):
             errors.append(f"{'.'.join(path)}: found {value!r}; give a number")
         elif value < 0:
             errors.append(f"{'.'.join(path)}: found {value}; give 0 or more")
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -14,6 +14,8 @@
 from fireflyspindle.platform import target_registrations
 
 CONFIGURATION_KEY = "config"
+# Followed by the name of a failure domain.
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 
 class Decoder:
@@ -21,10 +23,12 @@
 
     Attributes:
         undecodable: Newest undecodable value by key.
+        unknown_kinds: Kinds of routes that are not known.
     """
 
     def __init__(self) -> None:
         self.undecodable: dict[str, bytes] = {}
+        self.unknown_kinds: set[str] = set()
 
     def decode_outcome(
         self,
@@ -60,20 +64,49 @@
         relayed: events.RelayedRead | None,
     ) -> events.ConfigurationRead:
         newest: published.Document | None = None
+        newest_is_decodable: bool | None = None
+        evacuated_by_domain: dict[str, bool] = {}
         for record in batch.records:
+            if record.key.startswith(EVACUATION_KEY_PREFIX):
+                domain = record.key.removeprefix(EVACUATION_KEY_PREFIX)
+                evacuated_by_domain[domain] = record.value is not None
             if record.key != CONFIGURATION_KEY or record.value is None:
                 continue
             decoded = configuration_document.decode(record.value)
+            newest_is_decodable = isinstance(decoded, result.Ok)
             if isinstance(decoded, result.Err):
                 self._log_undecodable(record, decoded.err_value)
                 continue
+            self._log_unknown_kinds(record.value)
             document = decoded.ok_value
             if newest is None or document.version > newest.version:
                 newest = document
+        evacuated = {
+            domain for domain, value in evacuated_by_domain.items() if value
+        }
         return events.ConfigurationRead(
-            now_us, newest, batch.next_offset, relayed
+            now_us,
+            newest,
+            batch.next_offset,
+            relayed,
+            newest_is_decodable=newest_is_decodable,
+            evacuated=frozenset(evacuated),
+            evacuations_ended=frozenset(evacuated_by_domain.keys() - evacuated),
+            is_snapshot=batch.is_snapshot,
         )
 
+    def _log_unknown_kinds(self, value: bytes) -> None:
+        """Logs each kind of route that is not known, once."""
+        for kind in configuration_document.unknown_route_kinds(value):
+            if kind in self.unknown_kinds:
+                continue
+            self.unknown_kinds.add(kind)
+            logs.logger.warning(
+                f"route kind {kind!r:.100} is not known; requests of its routes"
+                " run once at most",
+                code="route_kind_unknown",
+            )
+
     def _targets_read(
         self,
         now_us: int,
