--- /dev/null
+++ b/src/fireflyspindle/adapters/configuration_proof.py
@@ -0,0 +1,93 @@
+"""Tells other gate hosts how old this host's proof of its configuration is.
+
+See `core.organisations.proof`.
+"""
+
+from typing import Protocol
+
+import aiohttp
+from aiohttp import web
+import attrs
+
+from fireflyspindle.core import state as state_lib
+from fireflyspindle.core.organisations import proof
+
+PATH = "/configuration-proof"
+# Time for an answer. A reader on the same network answers within milliseconds;
+# another one is asked well before the proof is too old.
+ANSWER_TIMEOUT_S = 0.4
+
+
+class Gate(Protocol):
+    """The part of a gate that the handler uses."""
+
+    state: state_lib.GateState
+
+    def now_us(self) -> int:
+        """Returns the monotonic time."""
+
+
+@attrs.define(frozen=True)
+class Answer:
+    """The answer of a reader.
+
+    Attributes:
+        version: Version in force there, or None.
+        age_us: Age of its proof; None if it has none or did not answer.
+        unsupported: Whether the reader does not know the path.
+    """
+
+    version: int | None = None
+    age_us: int | None = None
+    unsupported: bool = False
+
+
+def routes(gate: Gate) -> list[web.RouteDef]:
+    """Returns the route that answers other gate hosts."""
+
+    async def answer(_request: web.Request) -> web.Response:
+        age_us = proof.age_us(gate.state, gate.now_us())
+        return web.json_response(
+            {
+                "version": gate.state.rule_table.version,
+                # Rounded up: a proof must not look newer than it is.
+                "age-ms": None if age_us is None else -(-age_us // 1000),
+            }
+        )
+
+    return [web.get(PATH, answer)]
+
+
+class ProofClient:
+    """Asks readers for their proofs, over connections that stay open."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def ask(self, reader: str) -> Answer:
+        """Returns the answer of the reader at a control address."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            )
+        try:
+            async with self._session.get(f"http://{reader}{PATH}") as response:
+                if response.status == 404:
+                    return Answer(unsupported=True)
+                response.raise_for_status()
+                content = await response.json()
+                if content["version"] is None or content["age-ms"] is None:
+                    return Answer()
+                age_ms = int(content["age-ms"])
+                if age_ms < 0:
+                    return Answer()
+                return Answer(int(content["version"]), age_ms * 1000)
+        except (aiohttp.ClientError, OSError, TypeError, KeyError, ValueError):
+            return Answer()
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        if self._session is not None:
+            await self._session.close()
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -6,7 +6,6 @@
 import socket
 import time
 from typing import Protocol
-import urllib.parse
 
 from aiohttp import http
 from aiohttp import streams
@@ -14,6 +13,7 @@
 
 from fireflyspindle import headers
 from fireflyspindle import logs
+from fireflyspindle.adapters import api_key_headers
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import head_limits as head_limits_lib
@@ -268,8 +268,7 @@
             case result.Ok(event):
                 event.relayed = pending.connection.relays
                 if event.relayed:
-                    service = message.headers.get(headers.RELAY_SERVICE, "")
-                    event.relay_service = urllib.parse.unquote(service)
+                    api_key_headers.read_relayed(event, message)
                     repeatable = message.headers.get(headers.RELAY_REPEATABLE)
                     event.relay_repeatable = repeatable != "no"
                 self._read_body(pending, message, payload, event)
--- a/src/fireflyspindle/adapters/message_heads.py
+++ b/src/fireflyspindle/adapters/message_heads.py
@@ -27,6 +27,7 @@
     length: int | None,
     chunked: bool,
     header_profile: headers.HeaderProfile = headers.DEFAULT_PROFILE,
+    removed: bytes = b"",
 ) -> bytes:
     """Returns the head of a caller's request for a target.
 
@@ -37,6 +38,8 @@
         length: Length of the body in bytes, or None if unknown.
         chunked: Whether the body is sent in chunks.
         header_profile: Header names.
+        removed: Name, in lower case, of a header that is not forwarded; empty
+            for none.
     """
     path = message.path
     if not path.startswith("/") and message.url.absolute:
@@ -54,6 +57,7 @@
         message,
         header_profile.reserved_prefix,
         header_profile.forwarded_to_targets,
+        removed,
     )
     lines += gateway_lines
     _add_framing(lines, length, chunked)
@@ -94,6 +98,7 @@
     message: Message,
     reserved_prefix: bytes,
     forwarded: frozenset[bytes],
+    removed: bytes = b"",
 ) -> None:
     values = message.headers.getall("Connection", None)
     connection_tokens = _connection_tokens(values) if values else frozenset()
@@ -103,6 +108,8 @@
             connection_tokens and name.lower() in connection_tokens
         ):
             continue
+        if removed and name.lower() == removed:
+            continue
         lines += (prefix, value, b"\r\n")
 
 
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -7,6 +7,7 @@
 import result
 
 from fireflyspindle import headers
+from fireflyspindle.adapters import api_key_headers
 from fireflyspindle.adapters import keyed_requests
 from fireflyspindle.core import events
 from fireflyspindle.core import refusals
@@ -86,6 +87,7 @@
         request_id=request_id,
         repeatable=message.method in REPEATABLE_METHODS,
         deadline_us=deadline_us,
+        key_digest=api_key_headers.key_digest(message, header_profile),
     )
     if not header_profile.interprets_own_headers:
         return result.Ok(event)
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -24,6 +24,7 @@
     for outcome in effects.Outcome
 }
 _CLOSE = b"Connection: close\r\n"
+_BEARER = b"WWW-Authenticate: Bearer\r\n"
 _KEEP_ALIVE = b"Connection: keep-alive\r\n"
 
 DISCARD_LIMIT_S = 5.0
@@ -65,6 +66,8 @@
     keep_alive = caller.may_keep_alive
     lines = _header_lines(exchange, effect.outcome, effect.not_carried)
     lines += _connection_lines(exchange.message, keep_alive)
+    if status == HTTPStatus.UNAUTHORIZED:
+        lines.append(_BEARER)
     if effect.retry_after_ms is not None:
         lines.append(
             _retry_after(exchange.header_profile, effect.retry_after_ms)
--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -31,12 +31,15 @@
         next_offset: First offset that has not been read.
         is_snapshot: Whether the records are a full snapshot.
         from_offset: Offset from which the records are complete.
+        is_complete: Whether the read reached the end of the topic; the store
+            limits the size of a response.
     """
 
     records: list[Record]
     next_offset: int
     is_snapshot: bool
     from_offset: int = 0
+    is_complete: bool = True
 
     @property
     def value_bytes(self) -> int:
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable
 from typing import Protocol
-import urllib.parse
 
 from aiohttp import http
 import attrs
 
 from fireflyspindle import headers
+from fireflyspindle.adapters import api_key_headers
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import message_heads
 from fireflyspindle.adapters import shared_buffer
@@ -69,6 +69,7 @@
         relayed: Whether the target is a gate host that carries the call.
         target_started_ms: Wall-clock time of the target's start, if known.
         service: Service that a gate host has to carry the call to, or "".
+        key: How the headers of the request's API key are treated, if at all.
         sent: Whether a byte of the request may have been sent.
         ended: Whether its end has been reported.
         response: The response, once its head has arrived.
@@ -87,6 +88,7 @@
     relayed: bool = False
     target_started_ms: int = 0
     service: str = ""
+    key: effects.KeyHandling | None = None
     sent: bool = False
     ended: bool = False
     response: target_connection.Response | None = None
@@ -132,7 +134,7 @@
         if self.ended:
             self._client.keep(connection)
             return
-        if self._left_us() <= 0:
+        if self._left_us() <= 0 or self._key_expired():
             # The host was frozen while it connected.
             self._client.keep(connection)
             self.on_failed(events.FailureReason.CANCELLED)
@@ -170,8 +172,11 @@
         if self.relayed and not self.exchange.repeatable:
             gateway_lines += f"{headers.RELAY_REPEATABLE}: no\r\n"
         if self.service:
-            service = urllib.parse.quote(self.service, safe="")
-            gateway_lines += f"{headers.RELAY_SERVICE}: {service}\r\n"
+            gateway_lines += api_key_headers.relay_lines(self.service, self.key)
+        else:
+            gateway_lines += api_key_headers.organisation_line(
+                header_profile, self.key
+            )
         return message_heads.request_head(
             self.exchange.message,
             self.target,
@@ -179,12 +184,19 @@
             length,
             self.exchange.body is None and length is None,
             header_profile,
+            api_key_headers.AUTHORIZATION if self.key is not None else b"",
         )
 
     def _left_us(self) -> int:
         """Returns the time left until the deadline of the call."""
         return self._timeout_us - (self._client.now_us() - self._started_us)
 
+    def _key_expired(self) -> bool:
+        """Whether the proof of the request's API key has become too old."""
+        if self.key is None or self.key.valid_until_us is None:
+            return False
+        return self._client.now_us() > self.key.valid_until_us
+
     async def _upload(self, connection: Connection) -> None:
         chunked = self.exchange.content_length is None
         try:
@@ -290,6 +302,7 @@
             effect.relayed,
             effect.target_started_ms,
             effect.service,
+            effect.key,
         )
         exchange.attempts[effect.attempt] = attempt
         attempt.begin()
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -10,6 +10,8 @@
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
+from fireflyspindle.core.organisations import authorisation
+from fireflyspindle.core.organisations import sending
 
 SERVER_ERROR_STATUS = 500
 
@@ -17,12 +19,14 @@
 def begin(
     state: state_lib.GateState, call: state_lib.Call, target: targets.Target
 ) -> None:
-    """Sends an attempt of a call to a target.
+    """Sends an attempt of a call to a target, if its key is still valid.
 
     Raises:
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
+    if not sending.may_send(state, call):
+        return
     service = state.services[call.service]
     expected_slowdown, near_capacity = 1.0, False
     if call.route:
@@ -43,12 +47,14 @@
     call: state_lib.Call,
     helper: targets.Target,
 ) -> None:
-    """Sends a call to a gate host that carries it.
+    """Sends a call to a gate host that carries it, if its key is valid.
 
     Raises:
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
+    if not sending.may_send(state, call):
+        return
     attempt = _add(state, service, call, helper)
     attempt.relayed = True
     call.record_step(
@@ -105,6 +111,7 @@
             relayed=attempt.relayed,
             target_started_ms=start.started_ms if start is not None else 0,
             service=call.service if attempt.relayed else "",
+            key=authorisation.handling(state, call),
         )
     )
 
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -62,6 +62,9 @@
         priority=destination.priority,
         relayed=event.relayed,
         fingerprint=event.fingerprint,
+        organisation=destination.organisation,
+        key_digest=event.key_digest,
+        public=destination.public,
     )
     state.calls[call.call_id] = call
     state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -31,6 +31,7 @@
         max_attempts: Maximum number of targets that the request is sent to.
         priority: Priority of the route; 0 is the highest.
         organisation: Name of the organisation of the request, or empty.
+        public: Whether the route needs no API key.
     """
 
     service: state_lib.ServiceState
@@ -41,6 +42,7 @@
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     priority: int = 0
     organisation: str = ""
+    public: bool = False
 
 
 def find(
@@ -101,8 +103,9 @@
         route=rule.name,
         soft_deadline_us=event.now_us + rule.latency_objective_ms * 1000,
         max_attempts=rule.max_attempts,
-        priority=rule.priority,
+        priority=authorisation.priority(state, organisation, rule),
         organisation=organisation,
+        public=rule.public,
     )
 
 
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -23,6 +23,7 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.organisations import proof
 
 # Connections that this gate host opens to one target. The platform allows at
 # least 8.5 per gate host; two are left for probes and closing connections.
@@ -45,6 +46,7 @@
     if event.newest_is_decodable is not None:
         reads = state.store_reads[source]
         reads.has_undecodable_record = not event.newest_is_decodable
+    proof.on_configuration_read(state, event)
     store_reads.on_read_succeeded(
         state,
         source,
@@ -63,6 +65,7 @@
     if table.version is not None and document.version <= table.version:
         return
     table.replace_rules(document)
+    state.organisations.replace(document)
     state.service_settings = {
         service.name: service for service in document.services
     }
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -17,6 +17,26 @@
     UNKNOWN = "unknown"
 
 
+@attrs.define(frozen=True)
+class KeyHandling:
+    """How the headers of an API key are treated on a send.
+
+    The header with the key is always removed.
+
+    Attributes:
+        organisation: Name of the organisation, stated to the target; empty to
+            state none.
+        key_digest: Digest of the key, stated to a gate host that carries the
+            call.
+        valid_until_us: Time after which the request must not be sent; None for
+            no limit.
+    """
+
+    organisation: str = ""
+    key_digest: str = ""
+    valid_until_us: int | None = None
+
+
 @attrs.define
 class SendToTarget:
     """Send the request of a call to a target.
@@ -34,6 +54,8 @@
         target_started_ms: Wall-clock time of the target's start, if known.
         service: Service that a gate host has to carry the call to; empty for
             any other target.
+        key: How the headers of its API key are treated; None to forward them
+            like any other.
     """
 
     call_id: int
@@ -46,6 +68,7 @@
     relayed: bool = False
     target_started_ms: int = 0
     service: str = ""
+    key: KeyHandling | None = None
 
 
 @attrs.define
@@ -259,6 +282,19 @@
     hosts: int
 
 
+@attrs.define
+class AskConfigurationProof:
+    """Ask a reader how old its proof of the configuration is.
+
+    The shell reports `ConfigurationProofAnswered`, within a second.
+
+    Attributes:
+        reader: Control address of the reader.
+    """
+
+    reader: str
+
+
 @attrs.define
 class ListHelpers:
     """Ask the readers which gate hosts may carry calls for this one.
@@ -389,6 +425,7 @@
     | CountHosts
     | ReportHosts
     | ListHelpers
+    | AskConfigurationProof
     | SetCallerLimits
     | ReadHostList
     | AppendRecord
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -137,6 +137,8 @@
             far as that gate host knows.
         key_digest: Digest of the API key of the request; empty if it has none
             or a malformed one.
+        relay_keyed: Whether the gate host that relayed the call states the
+            digest, and so has checked the key.
     """
 
     now_us: int
@@ -159,6 +161,7 @@
     relay_service: str = ""
     relay_repeatable: bool = True
     key_digest: str = ""
+    relay_keyed: bool = False
 
 
 @attrs.define
@@ -430,6 +433,7 @@
         evacuated: Failure domains whose evacuation was requested.
         evacuations_ended: Failure domains whose evacuation was ended.
         is_snapshot: Whether the read covers all existing records.
+        is_complete: Whether the read reached the end of the topic.
     """
 
     now_us: int
@@ -440,6 +444,7 @@
     evacuated: frozenset[str] = frozenset()
     evacuations_ended: frozenset[str] = frozenset()
     is_snapshot: bool = False
+    is_complete: bool = True
 
 
 @attrs.define
@@ -576,6 +581,26 @@
     readers: tuple[str, ...]
 
 
+@attrs.define
+class ConfigurationProofAnswered:
+    """A reader was asked how old its proof of the configuration is.
+
+    Attributes:
+        now_us: Monotonic time.
+        sent_us: Time before the question was sent.
+        version: Version in force at the reader, or None.
+        age_us: Age of its proof when it answered; None if it has none or did
+            not answer.
+        unsupported: Whether the reader is of a build that gives no proofs.
+    """
+
+    now_us: int
+    sent_us: int
+    version: int | None = None
+    age_us: int | None = None
+    unsupported: bool = False
+
+
 @attrs.define
 class HostsCounted:
     """The readers were asked how many hosts follow them.
@@ -660,4 +685,5 @@
     | HostsCounted
     | HostsReported
     | HelpersListed
+    | ConfigurationProofAnswered
 )
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
 from fireflyspindle.core import timers
+from fireflyspindle.core.organisations import proof
 
 # Minimum time between two reads of one source by a reader: a change reaches
 # every host within a third of a second, and a burst of changes costs at most
@@ -82,7 +83,7 @@
 ) -> bool:
     """Whether this host has to read a source because no reader relays it."""
     follow = state.following
-    if is_primary_reader(state):
+    if is_primary_reader(state) or proof.needs_own_read(state, source):
         return True
     if state.now_us < follow.own_reads_allowed_us:
         return False
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -31,6 +31,7 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import timers
+from fireflyspindle.core.organisations import proof
 
 
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
@@ -146,6 +147,8 @@
             crash_evidence.on_read(state, event)
         case events.CrashesAppended():
             crash_records.on_appended(state, event)
+        case events.ConfigurationProofAnswered():
+            proof.on_answered(state, event)
         case _:
             pass
 
@@ -202,6 +205,8 @@
             store_reads.on_follow_check_due(state)
         case timers.HostCountDue():
             host_count.on_due(state)
+        case timers.ConfigurationProofDue():
+            store_reads.on_configuration_proof_due(state)
         case timers.CrashReportDue():
             crash_evidence.report(state)
         case timers.CrashExpiryDue():
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -5,6 +5,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import suspects
 from fireflyspindle.core import target_selection
+from fireflyspindle.core.organisations import authorisation
 
 # Maximum sends of one call, including those that never reached a target.
 MAX_SENDS = 5
@@ -32,6 +33,8 @@
         return False
     if call.sent_attempts >= MAX_SENDS or not suspects.may_resend(state, call):
         return False
+    if not authorisation.may_resend(state, call):
+        return False
     return state.now_us < call.deadline_us
 
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -27,6 +27,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
+from fireflyspindle.core.organisations import key_state
 
 
 @attrs.define(frozen=True)
@@ -133,6 +134,10 @@
         relays: Attempts by other gate hosts.
         fingerprint: Fingerprint of its request, equal for copies of it; empty
             if unknown.
+        organisation: Name of the organisation that its key names; empty where
+            requests need no key.
+        key_digest: Digest of the API key of its request, or empty.
+        public: Whether its route needs no key.
     """
 
     call_id: int
@@ -165,6 +170,9 @@
     relayed: bool = False
     relays: int = 0
     fingerprint: str = ""
+    organisation: str = ""
+    key_digest: str = ""
+    public: bool = False
 
     def record_step(
         self,
@@ -524,6 +532,7 @@
     crashes: crash_state.CrashState = attrs.field(
         factory=crash_state.CrashState
     )
+    organisations: key_state.KeyState = attrs.field(factory=key_state.KeyState)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import following
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
+from fireflyspindle.core.organisations import proof
 
 # Backoff between failed reads. The first pause is short, because most failures
 # affect only a single connection. The longest pause with its jitter, plus a
@@ -45,6 +46,12 @@
     following.check_stream(state)
 
 
+def on_configuration_proof_due(state: state_lib.GateState) -> None:
+    """Asks for a proof of the configuration, or reads the store for one."""
+    proof.on_due(state)
+    _start_own_reads(state)
+
+
 def on_readers_changed(
     state: state_lib.GateState, event: events.ReadersChanged
 ) -> None:
@@ -371,6 +378,8 @@
     """
     if state.store_reads[source].failures:
         return 0
+    if proof.needs_own_read(state, source):
+        return 0
     settings = state.settings.store
     assert settings is not None
     return settings.wait_us(source) // 1000
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -68,6 +68,11 @@
     """A check whether the followed host still sends is due."""
 
 
+@attrs.define
+class ConfigurationProofDue:
+    """A check of the proof of the configuration is due."""
+
+
 @attrs.define
 class HostCountDue:
     """A count of the gate hosts by a reader is due."""
@@ -140,6 +145,7 @@
     | AcceptTimeout
     | FollowCheckDue
     | HostCountDue
+    | ConfigurationProofDue
     | ReachabilityCheckDue
     | HelperListDue
     | CrashReportDue
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -36,6 +36,11 @@
 # Service that the gate host which relays a call has chosen, percent-encoded;
 # between gate hosts only.
 RELAY_SERVICE = "Fireflyspindle-Relay-Service"
+# Digest of the API key of a relayed request, and the service chosen for it in
+# place of `RELAY_SERVICE`, which then names one that can't exist, so that gate
+# hosts of builds that know no keys refuse it; between gate hosts only.
+RELAY_KEY_DIGEST = "Fireflyspindle-Relay-Key-Digest"
+RELAY_KEYED_SERVICE = "Fireflyspindle-Relay-Keyed-Service"
 # Start of the target that answered a relayed call, if it says that it is
 # leaving: the time of the start in milliseconds, a space and the target's id.
 RELAY_LEAVING = "Fireflyspindle-Relay-Leaving"
@@ -57,6 +62,8 @@
         b"content-length",
         b"expect",
         b"fireflyspindle-relay-fingerprint",
+        b"fireflyspindle-relay-key-digest",
+        b"fireflyspindle-relay-keyed-service",
         b"fireflyspindle-relay-leaving",
         b"fireflyspindle-relay-outcome",
         b"fireflyspindle-relay-repeatable",
@@ -148,6 +155,10 @@
             buffered, up to the limits for bodies, before they are forwarded; an
             answer may then be delimited by the end of its connection.
         fractional_retry_after: Whether Retry-After may hold fractions.
+        reads_api_keys: Whether requests may carry an API key in the header
+            Authorization.
+        organisation: Header that states the organisation of a request to
+            targets, or an empty string.
         parse_load_report: Parses the load report in the headers of an answer.
     """
 
@@ -167,6 +178,8 @@
     requires_id_echo: bool = False
     buffers_unsized_bodies: bool = False
     fractional_retry_after: bool = False
+    reads_api_keys: bool = False
+    organisation: str = ""
     parse_load_report: Callable[[HeaderFields], events.LoadReport] = (
         parse_load_report
     )
--- a/src/fireflyspindle/platform/header_profile.py
+++ b/src/fireflyspindle/platform/header_profile.py
@@ -10,6 +10,7 @@
 NOT_EXECUTED = _PREFIX + "Not-Executed"
 INSTANCE_ID = _PREFIX + "Instance-Id"
 SERVER_LOAD = _PREFIX + "Server-Load"
+TENANT = _PREFIX + "Tenant"
 SERVER_SIGNATURE = _PREFIX + "Server-Signature"
 SERVER_LIMIT = "Server-Limit"
 SERVER_LEAVING = "Server-Leaving"
@@ -92,5 +93,7 @@
     requires_id_echo=True,
     buffers_unsized_bodies=True,
     fractional_retry_after=True,
+    reads_api_keys=True,
+    organisation=TENANT,
     parse_load_report=parse_load_report,
 )
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -6,6 +6,7 @@
 
 from fireflyspindle import logs
 from fireflyspindle import shell
+from fireflyspindle.adapters import configuration_proof
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import head_limits
 from fireflyspindle.adapters import probe_client
@@ -21,6 +22,7 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import suspects
+from fireflyspindle.core.organisations import proof
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.platform import store_sync
@@ -81,6 +83,7 @@
             settings.relay_address,
             settings.link_mbps,
         )
+        self._proofs = configuration_proof.ProofClient()
         self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
@@ -123,7 +126,9 @@
         )
         if self.settings.control_address:
             await self._serve(
-                self.settings.control_address, self._store_sync.feed.routes()
+                self.settings.control_address,
+                self._store_sync.feed.routes()
+                + configuration_proof.routes(self),
             )
         self.begin()
 
@@ -151,6 +156,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._store_sync.close()
+        await self._proofs.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time, including time while suspended."""
@@ -185,6 +191,9 @@
                     self.state, store_state.Source.CONFIGURATION
                 )
             ) // 1000
+        proof_age_us = proof.age_us(self.state, self.now_us())
+        if proof.is_needed(self.state) and proof_age_us is not None:
+            self.metrics.gauges["key_proof_age_ms"] = proof_age_us // 1000
         self.metrics.gauges["followers"] = self._store_sync.feed.followers
         self.metrics.gauges["gate_hosts"] = fleet.size(self.state) or 0
         self.metrics.gauges["probe_budget_per_s"] = (
@@ -224,11 +233,26 @@
                 | effects.AppendCrashes()
             ):
                 self._store_sync.execute_effect(effect)
+            case effects.AskConfigurationProof(reader):
+                self.spawn(self._ask_configuration_proof(reader))
             case effects.SetCallerLimits(limits):
                 self._apply_caller_limits(limits)
             case _:
                 super().execute_specific_effect(effect)
 
+    async def _ask_configuration_proof(self, reader: str) -> None:
+        sent_us = self.now_us()
+        answer = await self._proofs.ask(reader)
+        self.submit(
+            events.ConfigurationProofAnswered(
+                self.now_us(),
+                sent_us,
+                answer.version,
+                answer.age_us,
+                answer.unsupported,
+            )
+        )
+
     def _apply_caller_limits(self, limits: published.CallerLimits) -> None:
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -102,8 +102,10 @@
         if end < offset:
             return store_records.HistoryDropped(end)
         records = _split_records(body[2 * _OFFSET_BYTES :], offset)
-        end = offset + len(records)
-        return store_records.Batch(records, end, False, offset)
+        next_offset = offset + len(records)
+        return store_records.Batch(
+            records, next_offset, False, offset, is_complete=next_offset >= end
+        )
 
     async def _list_newest(
         self, topic: str, first_offset: int
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -93,6 +93,7 @@
             evacuated=frozenset(evacuated),
             evacuations_ended=frozenset(evacuated_by_domain.keys() - evacuated),
             is_snapshot=batch.is_snapshot,
+            is_complete=batch.is_complete,
         )
 
     def _log_unknown_kinds(self, value: bytes) -> None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -86,7 +86,7 @@
         return response
 
 
-def _settings(number, addresses, readers, store_address):
+def _settings(number, addresses, readers, store_address, revoke_ms):
     control, relay = addresses
     relay_ip, _, relay_port = relay.rpartition(":")
     raw = {
@@ -109,6 +109,8 @@
                 "retry-budget-ratio": 0.2,
                 "retry-slack": 62,
                 "probes-per-s": 60,
+                "strict-revoke": revoke_ms is not None,
+                "revoke-ms": revoke_ms or 5_000,
             }
         },
     }
@@ -116,13 +118,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running(hosts, servers, work=None):
+async def running(hosts, servers, work=None, revoke_ms=None):
     """Runs gate hosts, of which the first three read the store for all.
 
     Args:
         hosts: Number of gate hosts.
         servers: Number of servers.
         work: Writes the answers of servers to requests.
+        revoke_ms: Time after which no withdrawn key works; None for no limit.
     """
     store = testing.StandInStore()
     store_server = testing.Server(store.application())
@@ -137,7 +140,7 @@
     fleet = Fleet(
         [
             host_lib.PlatformHost(
-                _settings(number, pair, readers, store_address)
+                _settings(number, pair, readers, store_address, revoke_ms)
             )
             for number, pair in enumerate(addresses)
         ],
