--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -141,6 +141,8 @@
             "store_regained",
             "targets_lost",
             "targets_regained",
+            "key_proof_lost",
+            "key_proof_regained",
         ):
             yield line
 
