--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -1,5 +1,6 @@
 """Attempts: sending a call's request to a target, and how that ends."""
 
+from fireflyspindle.core import answers
 from fireflyspindle.core import capacity
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -10,6 +11,7 @@
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 SERVER_ERROR_STATUS = 500
 
@@ -19,11 +21,17 @@
 ) -> None:
     """Sends an attempt of a call to a target.
 
+    This is the last check of an evacuation: a call for an evacuated target is
+    refused, unless another attempt of it is in flight.
+
     Raises:
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
     service = state.services[call.service]
+    if not evacuation_domains.may_receive(state, target):
+        _refuse_evacuated(state, call, target)
+        return
     expected_slowdown, near_capacity = 1.0, False
     if call.route:
         expected_slowdown = forecast.expected_slowdown(state, service, target)
@@ -37,6 +45,20 @@
     hedging.schedule(state, call)
 
 
+def _refuse_evacuated(
+    state: state_lib.GateState, call: state_lib.Call, target: targets.Target
+) -> None:
+    if call.attempts:
+        return
+    answers.fail_call(
+        state,
+        call,
+        answers.failure_status(call),
+        "no_target",
+        f"failure domain {target.spec.failure_domain!r} is evacuated",
+    )
+
+
 def begin_relay(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
@@ -192,6 +214,7 @@
     targets.on_attempt_ended(attempt.target, state.now_us)
     capacity.on_attempt_ended(state, attempt.service, call)
     load_lib.on_attempt_ended(attempt.target.load, attempt.started_us)
+    evacuation_domains.on_attempt_ended(state, attempt)
 
 
 def cancel(
--- a/src/fireflyspindle/core/capacity.py
+++ b/src/fireflyspindle/core/capacity.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import limits
 from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 REFRESH_INTERVAL_US = 500_000
 OFFERED_DECAY = 0.7
@@ -34,7 +35,8 @@
     slots = sum(
         target.spec.slots
         for target in service.targets.values()
-        if not target.leaving and not target.ejected
+        if evacuation_domains.takes_requests(state, target)
+        and not target.ejected
     )
     share = max(1.0, slots / limits.fleet_size(state))
     capacity.soft_limit = share
--- a/src/fireflyspindle/core/crash_detection.py
+++ b/src/fireflyspindle/core/crash_detection.py
@@ -15,6 +15,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 # Time after a loss in which its reason must be found. A target that crashed may
 # listen again seconds later.
@@ -103,7 +104,8 @@
     if check is None:
         check = crash_state.LostConnections(service.name, state.now_us)
         state.crashes.checks[start] = check
-        if state.now_us >= target.paused_until_us:
+        may_probe = evacuation_domains.may_receive(state, target)
+        if may_probe and state.now_us >= target.paused_until_us:
             if placement.take_probe_token(state):
                 _send_check(state, service, target)
     check.fingerprints.add(call.fingerprint)
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -22,7 +22,7 @@
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
-from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.evacuation import transitions as evacuation_transitions
 
 # Connections that this gate host opens to one target. The platform allows at
 # least 8.5 per gate host; two are left for probes and closing connections.
@@ -41,7 +41,7 @@
     document = event.document
     if document is not None:
         _apply_configuration(state, document)
-    evacuation_domains.on_configuration_read(state, event)
+    evacuation_transitions.on_configuration_read(state, event)
     if event.newest_is_decodable is not None:
         reads = state.store_reads[source]
         reads.has_undecodable_record = not event.newest_is_decodable
--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -17,6 +17,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 TARGET_SMOOTHING = 1 / 8
 SERVICE_SMOOTHING = 1 / 128
@@ -235,10 +236,12 @@
     state: state_lib.GateState, service: state_lib.ServiceState
 ) -> bool:
     present_count = sum(
-        not target.leaving for target in service.targets.values()
+        evacuation_domains.takes_requests(state, target)
+        for target in service.targets.values()
     )
     ejected_count = sum(
-        not target.leaving for target in service.ejected.values()
+        evacuation_domains.takes_requests(state, target)
+        for target in service.ejected.values()
     )
     policy = state.configuration.policy(service.name)
     return ejected_count + 1 <= math.floor(
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -22,6 +22,7 @@
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 # Targets probed in one round, and rounds before one attempt. With a third of
 # the targets slow, 1 in 80 calls finds none of four targets at its usual speed.
@@ -37,6 +38,9 @@
 # Minimum time between two refills of the probe tokens; a refill looks at every
 # service.
 PROBE_REFILL_INTERVAL_US = 10_000
+# Retry-After of calls that an evacuation leaves no target. Operators end it, so
+# that no better time is known; a minute would delay callers after its end.
+EVACUATION_RETRY_MS = 1_000
 
 
 def place(
@@ -267,6 +271,17 @@
 ) -> None:
     """Refuses a call that no target is available for."""
     service.waiting_calls.pop(call.call_id, None)
+    if evacuation_domains.leaves_no_target(state, service):
+        answers.fail_call(
+            state,
+            call,
+            answers.failure_status(call),
+            "no_target",
+            f"every failure domain with targets of service {service.name} is"
+            " evacuated",
+            answers.jittered_retry_after_ms(state, EVACUATION_RETRY_MS),
+        )
+        return
     if reachability.is_lost(state, service):
         answers.fail_call(
             state,
--- a/src/fireflyspindle/core/reachability.py
+++ b/src/fireflyspindle/core/reachability.py
@@ -17,6 +17,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 # Targets that must have failed since the last answer; all if there are fewer.
 MIN_FAILED_TARGETS = 4
@@ -101,6 +102,8 @@
 ) -> None:
     if state.settings.store is None:
         return
+    if not evacuation_domains.may_receive(state, target):
+        return
     key = target.spec.key
     service.reachability.failed_targets.add(key)
     state.reachability.failed_targets.add(key)
@@ -220,7 +223,7 @@
     services = [service] if service is not None else _all_services(state)
     for candidate in services:
         for target in candidate.targets.values():
-            if not target.leaving:
+            if evacuation_domains.takes_requests(state, target):
                 yield candidate, target
 
 
--- a/src/fireflyspindle/core/relays.py
+++ b/src/fireflyspindle/core/relays.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import helper_list
 from fireflyspindle.core import helper_state
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 # Helpers that a call is sent to, one after the other, until one carries it.
 MAX_RELAYS = 3
@@ -30,6 +31,8 @@
     """Sends a call to a helper; False if none may carry it."""
     if not call.route or call.relayed or call.relays >= MAX_RELAYS:
         return False
+    if evacuation_domains.leaves_no_target(state, service):
+        return False
     if not helper_list.is_known(state):
         helper_list.request(state)
         return False
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -27,6 +27,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
+from fireflyspindle.core.evacuation import evacuation_state
 
 
 @attrs.define(frozen=True)
@@ -459,6 +460,7 @@
         reachability_check_scheduled: Whether the next check is scheduled.
         helpers: Gate hosts that may carry calls for this one.
         crashes: What is known of crashes of targets.
+        evacuations: The evacuations in force.
     """
 
     settings: CoreSettings
@@ -524,6 +526,9 @@
     crashes: crash_state.CrashState = attrs.field(
         factory=crash_state.CrashState
     )
+    evacuations: evacuation_state.Evacuations = attrs.field(
+        factory=evacuation_state.Evacuations
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -15,6 +15,7 @@
 from fireflyspindle.core import fleet
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 PERMIT_LIFETIME_US = 500_000
 # A target tolerates `TOLERANCE_FACTOR` times its limit and `TOLERANCE_REQUESTS`
@@ -119,6 +120,8 @@
     target: targets.Target,
 ) -> bool:
     """Whether this gate host may send a request to a target now."""
+    if not evacuation_domains.may_receive(state, target):
+        return False
     if state.now_us < target.paused_until_us:
         return False
     limit = target.rate_limit
@@ -134,6 +137,8 @@
     target: targets.Target,
 ) -> bool:
     """Whether a probe of a target leaves a permit for the call after it."""
+    if not evacuation_domains.may_receive(state, target):
+        return False
     if state.now_us < target.paused_until_us:
         return False
     limit = target.rate_limit
@@ -149,6 +154,8 @@
     target: targets.Target,
 ) -> bool:
     """Whether a call may wait until it can be sent to a target."""
+    if not evacuation_domains.may_receive(state, target):
+        return False
     return wait_us(state, service, target) <= MAX_PERMIT_WAIT_US
 
 
@@ -196,7 +203,9 @@
         The number; None while some target is neither limited nor paused.
     """
     present = [
-        target for target in service.targets.values() if not target.leaving
+        target
+        for target in service.targets.values()
+        if evacuation_domains.takes_requests(state, target)
     ]
     if not present or any(
         target.rate_limit is None and state.now_us >= target.paused_until_us
@@ -211,7 +220,8 @@
 ) -> int:
     """Returns how many targets take no requests because of a pause."""
     return sum(
-        not target.leaving and state.now_us < target.paused_until_us
+        evacuation_domains.takes_requests(state, target)
+        and state.now_us < target.paused_until_us
         for target in service.targets.values()
     )
 
@@ -223,7 +233,7 @@
     return min(
         wait_us(state, service, target)
         for target in service.targets.values()
-        if not target.leaving
+        if evacuation_domains.takes_requests(state, target)
     )
 
 
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 MAX_CANDIDATES = 16
 SAMPLED_CANDIDATES = 4
@@ -158,7 +159,7 @@
 ) -> None:
     """Picks the candidates of a service after its targets have changed.
 
-    A target that is leaving is no candidate.
+    A target that is leaving, or evacuated, is no candidate.
     """
     policy = state.configuration.policy(service.name)
     domain = state.settings.failure_domain
@@ -168,7 +169,9 @@
         same_domain = target.spec.failure_domain == domain
         target.domain_penalty = 0.0 if same_domain else OTHER_DOMAIN_PENALTY
     ranked = [
-        target for target in service.targets.values() if not target.leaving
+        target
+        for target in service.targets.values()
+        if evacuation_domains.takes_requests(state, target)
     ]
     if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
         ranked.sort(key=lambda target: _rendezvous_hash(state, target))
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -21,6 +21,7 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import suspects
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.platform import store_sync
@@ -198,6 +199,9 @@
             for service in self.state.services.values()
             for target in service.targets.values()
         )
+        self.metrics.gauges["evacuated_targets"] = (
+            evacuation_domains.evacuated_targets(self.state)
+        )
         self.metrics.gauges["paused_targets"] = sum(
             target.paused_until_us > self.state.now_us
             for service in self.state.services.values()
--- a/tests/published_driver.py
+++ b/tests/published_driver.py
@@ -110,11 +110,20 @@
         self.configure(document(rules=rules))
         self.register(*(entry(number) for number in range(targets)))
 
-    def configure(self, new_document):
-        """Feeds a configuration."""
+    def configure(self, new_document, **fields):
+        """Feeds a configuration, or only other records if it is None."""
         self.next_offset += 1
         return self.feed(
-            events.ConfigurationRead, new_document, self.next_offset
+            events.ConfigurationRead, new_document, self.next_offset, **fields
+        )
+
+    def evacuate(self, *domains, ended=(), **fields):
+        """Feeds records by which evacuations start and end."""
+        return self.configure(
+            None,
+            evacuated=frozenset(domains),
+            evacuations_ended=frozenset(ended),
+            **fields,
         )
 
     def register(self, *entries, removed=(), is_snapshot=False):
