--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -37,6 +37,9 @@
     def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
         """Starts a task."""
 
+    def may_send(self, call_id: int, attempt: int) -> bool:
+        """Whether an attempt that waited for a connection may be sent."""
+
 
 class DataPath:
     """Executes the effects of calls and reports the results as events.
@@ -59,7 +62,12 @@
         self._shell = shell
         self._header_profile = header_profile
         self.client = target_client.TargetClient(
-            self, shell.spawn, shell.now_us, connection_limits, header_profile
+            self,
+            shell.spawn,
+            shell.now_us,
+            connection_limits,
+            header_profile,
+            shell.may_send,
         )
         self.server = gate_server.GateServer(
             self, host_id, body_limits, header_profile
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -126,7 +126,17 @@
         except OSError:
             self.on_failed(events.FailureReason.UNREACHABLE)
         else:
-            self._send(connection)
+            self._send_after_connecting(connection)
+
+    def _send_after_connecting(self, connection: Connection) -> None:
+        """Repeats a check that may have changed while it connected."""
+        if not self.ended and not self._client.may_send(
+            self.exchange.call_id, self.number
+        ):
+            self._client.keep(connection)
+            self.on_failed(events.FailureReason.CANCELLED)
+            return
+        self._send(connection)
 
     def _send(self, connection: Connection) -> None:
         if self.ended:
@@ -253,6 +263,8 @@
         now_us: Returns the monotonic time.
         limits: Time limits of connections.
         header_profile: Header names used by targets.
+        may_send: Whether an attempt, by call id and number, may still be sent
+            once its connection is established.
     """
 
     def __init__(
@@ -262,12 +274,14 @@
         now_us: Callable[[], int],
         limits: ConnectionLimits | None = None,
         header_profile: headers.HeaderProfile = headers.DEFAULT_PROFILE,
+        may_send: Callable[[int, int], bool] = lambda _call, _attempt: True,
     ) -> None:
         self.listener = listener
         self.spawn = spawn
         self.now_us = now_us
         self.limits = limits or ConnectionLimits()
         self.header_profile = header_profile
+        self.may_send = may_send
         self._loop = asyncio.get_running_loop()
         self._buffer = bytearray(shared_buffer.RECEIVE_BUFFER_BYTES)
         self._idle: dict[str, list[Connection]] = {}
--- a/src/fireflyspindle/core/evacuation/domains.py
+++ b/src/fireflyspindle/core/evacuation/domains.py
@@ -16,6 +16,17 @@
     return target.spec.failure_domain not in state.evacuations.by_domain
 
 
+def may_send_attempt(
+    state: state_lib.GateState, call_id: int, number: int
+) -> bool:
+    """Whether an attempt that waited for a connection may still be sent."""
+    call = state.calls.get(call_id)
+    attempt = call.attempts.get(number) if call is not None else None
+    if attempt is None or attempt.relayed:
+        return True
+    return may_receive(state, attempt.target)
+
+
 def takes_requests(state: state_lib.GateState, target: targets.Target) -> bool:
     """Whether a target is neither leaving nor evacuated."""
     return not target.leaving and may_receive(state, target)
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core.evacuation import domains as evacuation_domains
 
 
 class Shell:
@@ -125,6 +126,10 @@
         """Executes an effect that is specific to the subclass."""
         raise NotImplementedError(f"{type(effect).__name__} is not executed")
 
+    def may_send(self, call_id: int, attempt: int) -> bool:
+        """Whether an attempt that waited for a connection may be sent."""
+        return evacuation_domains.may_send_attempt(self.state, call_id, attempt)
+
     def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
         """Starts a task, which is cancelled at the latest on exit."""
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -26,7 +26,7 @@
     servers: list[testing.ScriptedTarget] = attrs.field(factory=list)
     server_addresses: list[str] = attrs.field(factory=list)
 
-    async def start_server(self):
+    async def start_server(self, zone="a"):
         """Starts a server, under an id of its own, and registers it."""
         server_id = f"i-{len(self.servers)}"
         behaviour = platform_driver.server_behaviour(self.work, server_id)
@@ -34,6 +34,7 @@
         self.servers.append(server)
         self.server_addresses.append(await server.start())
         entry = platform_documents.target_entry(self.server_addresses[-1])
+        entry["info"]["zone"] = zone
         self.store.write(store_lib.TARGETS_TOPIC, server_id, entry)
 
     async def crash_server(self, address):
@@ -86,7 +87,7 @@
         return response
 
 
-def _settings(number, addresses, readers, store_address):
+def _settings(number, addresses, readers, store_address, parameters):
     control, relay = addresses
     relay_ip, _, relay_port = relay.rpartition(":")
     raw = {
@@ -109,6 +110,7 @@
                 "retry-budget-ratio": 0.2,
                 "retry-slack": 62,
                 "probes-per-s": 60,
+                **parameters,
             }
         },
     }
@@ -116,14 +118,18 @@
 
 
 @contextlib.asynccontextmanager
-async def running(hosts, servers, work=None):
+async def running(hosts, servers, work=None, **parameters):
     """Runs gate hosts, of which the first three read the store for all.
 
     Args:
         hosts: Number of gate hosts.
         servers: Number of servers.
         work: Writes the answers of servers to requests.
+        parameters: Further parameters of the settings, with underscores.
     """
+    parameters = {
+        name.replace("_", "-"): value for name, value in parameters.items()
+    }
     store = testing.StandInStore()
     store_server = testing.Server(store.application())
     store_address = await store_server.start()
@@ -137,7 +143,7 @@
     fleet = Fleet(
         [
             host_lib.PlatformHost(
-                _settings(number, pair, readers, store_address)
+                _settings(number, pair, readers, store_address, parameters)
             )
             for number, pair in enumerate(addresses)
         ],
