--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -27,6 +27,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
+from fireflyspindle.core.evacuation import evacuation_state
 from fireflyspindle.core.organisations import key_state
 
 
@@ -467,6 +468,7 @@
         reachability_check_scheduled: Whether the next check is scheduled.
         helpers: Gate hosts that may carry calls for this one.
         crashes: What is known of crashes of targets.
+        evacuations: The evacuations in force.
     """
 
     settings: CoreSettings
@@ -533,6 +535,9 @@
         factory=crash_state.CrashState
     )
     organisations: key_state.KeyState = attrs.field(factory=key_state.KeyState)
+    evacuations: evacuation_state.Evacuations = attrs.field(
+        factory=evacuation_state.Evacuations
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -254,7 +254,7 @@
 
 async def test_follower_proves_its_configuration_over_http():
     async with platform_fleet.running(
-        hosts=4, servers=1, revoke_ms=5_000
+        hosts=4, servers=1, strict_revoke=True, revoke_ms=5_000
     ) as fleet:
         content = document(2, KEY)
         fleet.store.write(store_lib.CONFIGURATION_TOPIC, "config", content)
