--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -11,6 +11,7 @@
 
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
+from fireflyspindle.core import domain_preference
 from fireflyspindle.core import forecast
 from fireflyspindle.core import placement
 from fireflyspindle.core import reachability
@@ -119,9 +120,13 @@
             and target.rate_limit is None
         ):
             continue
-        if recently_reported and (
-            forecast.expected_slowdown(state, service, target)
+        if (
+            recently_reported
+            and forecast.expected_slowdown(state, service, target)
             > forecast.SLOW_TARGET_SLOWDOWN
+            and not domain_preference.suits_slow_target(
+                state, call, expected_us
+            )
         ):
             continue
         if forecast.has_free_slot(state, service, target):
--- a/src/fireflyspindle/core/published.py
+++ b/src/fireflyspindle/core/published.py
@@ -31,6 +31,7 @@
         max_attempts: Maximum number of targets that a request is sent to.
         priority: Priority of the route; 0 is the highest.
         public: Whether requests need no API key.
+        has_large_bodies: Whether its requests or answers have large bodies.
     """
 
     name: str
@@ -43,6 +44,7 @@
     max_attempts: int
     priority: int
     public: bool = False
+    has_large_bodies: bool = False
 
     def part_of(self, service: str) -> Part | None:
         """Returns the part that a service has in the split, or None."""
@@ -136,15 +138,20 @@
 
     Attributes:
         version: Version of the active document; None before the first.
+        has_large_bodies: Whether any route has large bodies.
     """
 
     version: int | None = None
+    has_large_bodies: bool = False
     _rules: dict[str, dict[str, Rule]] = attrs.field(factory=dict)
     _split_points: dict[str, float] = attrs.field(factory=dict)
 
     def replace_rules(self, document: Document) -> None:
         """Replaces all rules with those of a newer document."""
         self.version = document.version
+        self.has_large_bodies = any(
+            rule.has_large_bodies for rule in document.rules
+        )
         self._rules = {}
         for rule in document.rules:
             self._rules.setdefault(rule.host, {})[rule.path_prefix] = rule
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -8,6 +8,7 @@
 
 import hashlib
 
+from fireflyspindle.core import domain_preference
 from fireflyspindle.core import forecast
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import slow_start
@@ -103,6 +104,7 @@
         and target_limits.may_send(state, service, target)
     ]
     ranked.sort(key=lambda pair: pair[0])
+    domain_preference.sort_targets(state, call, ranked)
     return ranked
 
 
@@ -175,8 +177,13 @@
     ]
     if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
         ranked.sort(key=lambda target: _rendezvous_hash(state, target))
-        service.sampled_targets = ranked[MAX_CANDIDATES:]
-        service.candidates = ranked[:MAX_CANDIDATES]
+        service.candidates = domain_preference.choose_candidates(
+            state, ranked, MAX_CANDIDATES
+        )
+        keys = {target.spec.key for target in service.candidates}
+        service.sampled_targets = [
+            target for target in ranked if target.spec.key not in keys
+        ]
     else:
         service.sampled_targets = []
         service.candidates = ranked
--- a/src/fireflyspindle/platform/configuration_document.py
+++ b/src/fireflyspindle/platform/configuration_document.py
@@ -16,6 +16,7 @@
     "non_idempotent": False,
     "upload": False,
 }
+_KINDS_WITH_LARGE_BODIES = frozenset({"download", "upload"})
 
 
 def decode(value: bytes) -> result.Result[published.Document, str]:
@@ -87,6 +88,7 @@
         max_attempts=int(action["max-attempts"]),
         priority=int(raw["priority"]),
         public=_flag(raw, "public"),
+        has_large_bodies=raw["route-kind"] in _KINDS_WITH_LARGE_BODIES,
     )
 
 
