--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -60,6 +60,7 @@
         soft_deadline_us=destination.soft_deadline_us,
         max_attempts=destination.max_attempts,
         priority=destination.priority,
+        has_large_bodies=destination.has_large_bodies,
         relayed=event.relayed,
         fingerprint=event.fingerprint,
         organisation=destination.organisation,
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -31,6 +31,7 @@
         max_attempts: Maximum number of targets that the request is sent to.
         priority: Priority of the route; 0 is the highest.
         organisation: Name of the organisation of the request, or empty.
+        has_large_bodies: Whether its route has large bodies.
         public: Whether the route needs no API key.
     """
 
@@ -42,6 +43,7 @@
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     priority: int = 0
     organisation: str = ""
+    has_large_bodies: bool = False
     public: bool = False
 
 
@@ -105,6 +107,7 @@
         max_attempts=rule.max_attempts,
         priority=authorisation.priority(state, organisation, rule),
         organisation=organisation,
+        has_large_bodies=rule.has_large_bodies,
         public=rule.public,
     )
 
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -64,7 +64,6 @@
     table = state.rule_table
     if table.version is not None and document.version <= table.version:
         return
-    had_large_bodies = table.has_large_bodies
     table.replace_rules(document)
     state.organisations.replace(document)
     state.service_settings = {
@@ -77,9 +76,6 @@
     )
     state.emit(effects.WriteLogLine("info", "configuration_in_force", detail))
     refresh_services(state)
-    if table.has_large_bodies != had_large_bodies:
-        for service in state.services.values():
-            target_selection.refresh_candidates(state, service)
 
 
 def on_targets_read(
--- a/src/fireflyspindle/core/domain_preference.py
+++ b/src/fireflyspindle/core/domain_preference.py
@@ -8,8 +8,9 @@
 slow at the moment is good enough for a call with time to spare, and leaves the
 fast ones to calls that have none.
 
-It applies where the configuration has routes with large bodies. Elsewhere a
-small penalty is all that counts against another domain; see `forecast`.
+It applies to calls of routes with large bodies. For other calls a small penalty
+is all that counts against another domain (see `forecast`): with the preference
+they crowded the targets of the domain with the most load.
 """
 
 from fireflyspindle.core import state as state_lib
@@ -18,14 +19,6 @@
 # Safety factor on the expected answer time. The standard deviation of the
 # processing time is 0.3 of its mean.
 ANSWER_TIME_MARGIN = 1.4
-# Candidates of other domains among the targets that every choice considers, as
-# a share; they take over when the own domain is short of room.
-OTHER_DOMAIN_SHARE = 0.25
-
-
-def applies(state: state_lib.GateState) -> bool:
-    """Whether the configuration calls for the preference."""
-    return state.rule_table.has_large_bodies
 
 
 def answers_in_time(
@@ -50,7 +43,7 @@
         call: The call to be sent.
         ranked: Expected answer times and targets, fastest first.
     """
-    if not applies(state):
+    if not call.has_large_bodies:
         return
     # A stable sort keeps the fastest first in both groups.
     ranked.sort(
@@ -65,24 +58,4 @@
     state: state_lib.GateState, call: state_lib.Call, expected_us: float
 ) -> bool:
     """Whether a target that is slow at the moment is good enough for a call."""
-    return applies(state) and answers_in_time(state, call, expected_us)
-
-
-def choose_candidates(
-    state: state_lib.GateState,
-    service_targets: list[targets.Target],
-    count: int,
-) -> list[targets.Target]:
-    """Returns the targets that every choice considers, most of the own domain.
-
-    Args:
-        state: State of the gate host.
-        service_targets: Targets by descending preference of this host.
-        count: Number of targets to return; there are at least as many.
-    """
-    if not applies(state):
-        return service_targets[:count]
-    own = [target for target in service_targets if not target.domain_penalty]
-    other = [target for target in service_targets if target.domain_penalty]
-    other_count = max(int(count * OTHER_DOMAIN_SHARE), count - len(own))
-    return own[: count - other_count] + other[:other_count]
+    return call.has_large_bodies and answers_in_time(state, call, expected_us)
--- a/src/fireflyspindle/core/published.py
+++ b/src/fireflyspindle/core/published.py
@@ -138,20 +138,15 @@
 
     Attributes:
         version: Version of the active document; None before the first.
-        has_large_bodies: Whether any route has large bodies.
     """
 
     version: int | None = None
-    has_large_bodies: bool = False
     _rules: dict[str, dict[str, Rule]] = attrs.field(factory=dict)
     _split_points: dict[str, float] = attrs.field(factory=dict)
 
     def replace_rules(self, document: Document) -> None:
         """Replaces all rules with those of a newer document."""
         self.version = document.version
-        self.has_large_bodies = any(
-            rule.has_large_bodies for rule in document.rules
-        )
         self._rules = {}
         for rule in document.rules:
             self._rules.setdefault(rule.host, {})[rule.path_prefix] = rule
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -128,6 +128,7 @@
         max_attempts: Maximum number of attempts. Attempts that never reached
             their target count only if no published rule matched the call.
         priority: Priority of its route; 0 is the most urgent.
+        has_large_bodies: Whether its route has large bodies.
         unreached_attempts: Attempts that never reached their target.
         probe_round: Probe round in progress before its next attempt, if any.
         steps: Decisions made for it.
@@ -165,6 +166,7 @@
     soft_deadline_us: int | None = None
     max_attempts: int = 3
     priority: int = 0
+    has_large_bodies: bool = False
     unreached_attempts: int = 0
     probe_round: "ProbeRound | None" = None
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -177,13 +177,8 @@
     ]
     if len(ranked) > MAX_CANDIDATES + SAMPLED_CANDIDATES:
         ranked.sort(key=lambda target: _rendezvous_hash(state, target))
-        service.candidates = domain_preference.choose_candidates(
-            state, ranked, MAX_CANDIDATES
-        )
-        keys = {target.spec.key for target in service.candidates}
-        service.sampled_targets = [
-            target for target in ranked if target.spec.key not in keys
-        ]
+        service.sampled_targets = ranked[MAX_CANDIDATES:]
+        service.candidates = ranked[:MAX_CANDIDATES]
     else:
         service.sampled_targets = []
         service.candidates = ranked
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -332,3 +332,45 @@
         False,
         True,
     ]
+
+
+@pytest.mark.parametrize(
+    ("has_large_bodies", "slowdown", "stays"),
+    [
+        # Calls with large bodies crossed domains for no gain to their callers.
+        (True, 4.0, True),
+        # They must not wait for a target that can't answer in time.
+        (True, 60.0, False),
+        # Other calls must not crowd the slow targets of their own domain.
+        (False, 4.0, False),
+    ],
+)
+def test_large_bodies_stay_in_their_domain_while_answers_are_in_time(
+    make_published_host, has_large_bodies, slowdown, stays
+):
+    rule = published_host.rule(
+        has_large_bodies=has_large_bodies,
+        latency_objective_ms=1_500,
+        timeout_ms=6_000,
+    )
+    host = make_published_host(targets=0, rules=[rule])
+    near = [published_host.entry(n) for n in range(2)]
+    far = [
+        published_host.entry(n, failure_domain=published_host.OTHER_DOMAIN)
+        for n in range(2, 6)
+    ]
+    host.register(*near, *far)
+    for call_id in range(1, 31):
+        host.arrive_and_send(call_id)
+        host.now_us += 100_000
+        host.answer(call_id, 1, report=published_host.load())
+        host.finish(call_id)
+    near_addresses = {entry.address for entry in near}
+    loads = dict.fromkeys(
+        near_addresses, published_host.load(slowdown=slowdown)
+    )
+    host.now_us += 1_000_000
+    host.call_arrives(99)
+    while host.state.probes:
+        host.answer_probes(loads)
+    assert (host.sent[-1].target in near_addresses) is stays
