--- a/tests/proof_fleet.py
+++ b/tests/proof_fleet.py
@@ -93,6 +93,7 @@
         waiting, self.waiting = self.waiting, []
         for event_class, args, fields in waiting:
             self.feed(event_class, *args, **fields)
+            self.fleet.check()
 
     def tick(self):
         """Fires the timers that are due."""
@@ -141,6 +142,7 @@
 
     def __init__(self, hosts, store_us=400_000, seed=0):
         self.now_us = 1_000_000
+        self.check = lambda: None
         self.random = random.Random(seed)
         self.store_us = store_us
         self.documents = [document(1, "old", "kept")]
@@ -160,6 +162,7 @@
 
     def run(self, duration_us, each=lambda: None):
         """Advances time, calling `each` at every tick."""
+        self.check = each
         end_us = self.now_us + duration_us
         while self.now_us < end_us:
             self.now_us += TICK_US
--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -11,6 +11,7 @@
 from fireflyspindle.adapters import api_key_headers
 from fireflyspindle.core import api_keys
 from fireflyspindle.core import effects
+from fireflyspindle.core.organisations import proof
 from fireflyspindle.platform import header_profile
 from fireflyspindle.testing import store as store_lib
 import platform_driver
@@ -172,6 +173,34 @@
         assert received.values(TENANT) == [b"a b%25%0D%0AX-Bad: %C3%A9"]
 
 
+async def test_host_suspended_while_it_connects_does_not_send(monkeypatch):
+    # Guards against the time between the last check and the first byte.
+    async with keyed_platform() as platform:
+        client = platform.host.data_path.client
+        connect, now_us = client.connect, client.now_us
+        opened = []
+
+        async def connect_slowly(target):
+            connection = await connect(target)
+            if not opened:
+                client.now_us = lambda: now_us() + 2_000_000
+            opened.append(target)
+            return connection
+
+        monkeypatch.setattr(client, "connect", connect_slowly)
+        monkeypatch.setattr(client, "take_idle", lambda *_: None)
+        monkeypatch.setattr(
+            proof,
+            "valid_until_us",
+            lambda state: state.now_us + 1_000_000,
+        )
+        request = platform_driver.request("/read/1", BEARER)
+        response = await platform.send_request(request)
+        assert opened
+        assert status_of(response) == 503
+        assert not platform.requests
+
+
 async def test_key_appears_in_no_line_and_no_metric():
     text = io.StringIO()
     handler = logbook.StreamHandler(text, level="DEBUG", bubble=False)
--- a/tests/test_key_proof.py
+++ b/tests/test_key_proof.py
@@ -45,6 +45,14 @@
     return fleet.hosts[FOLLOWER].resume
 
 
+def freeze_follower_that_asks(fleet):
+    """Suspends a follower whose question is on its way."""
+    asked = fleet.hosts[FOLLOWER].state.organisations.proof
+    while not asked.asking:
+        fleet.run(proof_fleet.TICK_US)
+    return freeze_follower(fleet)
+
+
 def cut_links(fleet):
     """Cuts the links of all readers; their lines wait there."""
     fleet.cut_links = {(r, h) for r in range(3) for h in range(6)}
@@ -77,7 +85,14 @@
 
 @pytest.mark.parametrize(
     "harm",
-    [freeze_reader, freeze_follower, cut_links, cut_follower, cut_from_store],
+    [
+        freeze_reader,
+        freeze_follower,
+        freeze_follower_that_asks,
+        cut_links,
+        cut_follower,
+        cut_from_store,
+    ],
 )
 @pytest.mark.parametrize("fault_us", [1_500_000, 4_000_000, 12_000_000])
 @pytest.mark.parametrize("before_us", [0, 700_000])
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -3,10 +3,12 @@
 import attrs
 import pytest
 
+from fireflyspindle.commands import explain
 from fireflyspindle.core import api_keys
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import published
+from fireflyspindle.core import steps
 from fireflyspindle.core import store_state
 import published_driver as published_host
 import test_relays
@@ -123,6 +125,29 @@
     assert "ms ago" in last_step(host)["why"]
 
 
+def test_explain_tells_why_a_request_with_a_key_was_refused(
+    make_published_host,
+):
+    host = keyed_host(make_published_host)
+    host.now_us += LIMIT_US
+    host.call_arrives(1, key_digest=DIGEST)
+    finished = host.effects_of(effects.CallFinished)[-1]
+    fields = {
+        "time": "t",
+        "code": "call",
+        "request_id": "q1",
+        "outcome": finished.outcome.value,
+        "total_us": 0,
+        "attempts": 0,
+        "steps": steps.as_data(finished.steps),
+    }
+    call = explain.LogLine("gate", fields)
+    text = "\n".join(explain.format_call(call, [call]))
+    assert "key_proof_outdated" in text
+    assert "last known 5" in text
+    assert KEY not in text and DIGEST not in text
+
+
 def waiting_call(host, call_id=1, **fields):
     """Feeds a call that waits for the answers to its probes."""
     host.call_arrives(call_id, key_digest=DIGEST, **fields)
@@ -292,3 +317,17 @@
     host.answer_probes()
     assert not host.sent
     assert host.gate_answer(1).status == 503
+    assert host.gate_answer(1).not_carried
+
+
+def test_helper_does_not_deny_an_attempt_that_may_have_run(
+    make_published_host,
+):
+    # Guards against a second run by the host that relayed the call.
+    host = keyed_host(make_published_host)
+    host.arrive_and_send(1, key_digest=DIGEST, deadline_ms=60_000, **RELAYED)
+    host.state.calls[1].may_have_run = True
+    revoke(host)
+    host.fail(1, 1, events.FailureReason.REFUSED, sent=False)
+    assert host.gate_answer(1).status == 502
+    assert not host.gate_answer(1).not_carried
