--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import steps as steps_lib
+from fireflyspindle.core.quotas import permits as quota_permits
 
 # Minimum Retry-After.
 MIN_RETRY_AFTER_MS = 1000
@@ -143,6 +144,7 @@
         return
     del state.calls[call.call_id]
     capacity.on_call_ended(state, call)
+    quota_permits.on_call_ended(state, call)
     if call.claim is not None:
         claim_outcomes.on_finished(state, call, call.claim)
     state.emit(
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
+from fireflyspindle.core.quotas import send_check as quota_send_check
 
 SERVER_ERROR_STATUS = 500
 
@@ -23,6 +24,8 @@
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
+    if quota_send_check.wait_if_expired(state, call):
+        return
     service = state.services[call.service]
     expected_slowdown, near_capacity = 1.0, False
     if call.route:
@@ -49,6 +52,8 @@
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
+    if quota_send_check.wait_if_expired(state, call):
+        return
     attempt = _add(state, service, call, helper)
     attempt.relayed = True
     call.record_step(
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -26,6 +26,7 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 from fireflyspindle.core.quotas import admission as quota_admission
+from fireflyspindle.core.quotas import limits as quota_limits
 
 
 def on_arrived(state: state_lib.GateState, event: events.CallArrived) -> None:
@@ -59,7 +60,9 @@
         route=destination.route,
         soft_deadline_us=destination.soft_deadline_us,
         max_attempts=destination.max_attempts,
-        priority=destination.priority,
+        priority=quota_limits.priority(
+            state, destination.organisation, destination.priority
+        ),
         relayed=event.relayed,
         fingerprint=event.fingerprint,
     )
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -23,6 +23,7 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.quotas import limits as quota_limits
 
 # Connections that this gate host opens to one target. The platform allows at
 # least 8.5 per gate host; two are left for probes and closing connections.
@@ -66,6 +67,7 @@
     state.service_settings = {
         service.name: service for service in document.services
     }
+    quota_limits.on_configuration(state, document)
     state.emit(effects.SetCallerLimits(document.limits))
     detail = (
         f"version {document.version} is active: {len(document.rules)} routes,"
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import published
 from fireflyspindle.core import steps as steps_lib
+from fireflyspindle.core.quotas import messages
 
 
 class Outcome(enum.Enum):
@@ -389,6 +390,8 @@
     | CountHosts
     | ReportHosts
     | ListHelpers
+    | messages.RequestQuotaPermits
+    | messages.AnswerQuotaRequest
     | SetCallerLimits
     | ReadHostList
     | AppendRecord
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -9,6 +9,7 @@
 import attrs
 
 from fireflyspindle.core import published
+from fireflyspindle.core.quotas import messages
 
 
 class FailureReason(enum.Enum):
@@ -660,4 +661,7 @@
     | HostsCounted
     | HostsReported
     | HelpersListed
+    | messages.QuotaPermitsRequested
+    | messages.QuotaPermitsReceived
+    | messages.QuotaRequestFailed
 )
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -31,6 +31,9 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import timers
+from fireflyspindle.core.quotas import admission as quota_admission
+from fireflyspindle.core.quotas import granter as quota_granter
+from fireflyspindle.core.quotas import messages as quota_messages
 
 
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
@@ -129,6 +132,7 @@
             following.on_reader_disconnected(state, event)
         case events.ReadersChanged():
             store_reads.on_readers_changed(state, event)
+            quota_granter.on_readers_changed(state)
             host_count.schedule(state)
         case _:
             _apply_fleet(state, event)
@@ -146,6 +150,12 @@
             crash_evidence.on_read(state, event)
         case events.CrashesAppended():
             crash_records.on_appended(state, event)
+        case quota_messages.QuotaPermitsRequested():
+            quota_granter.on_requested(state, event)
+        case quota_messages.QuotaPermitsReceived():
+            quota_admission.on_received(state, event)
+        case quota_messages.QuotaRequestFailed():
+            quota_admission.on_failed(state, event)
         case _:
             pass
 
@@ -206,6 +216,10 @@
             crash_evidence.report(state)
         case timers.CrashExpiryDue():
             crash_evidence.on_expiry_due(state)
+        case timers.QuotaWaitExpired(call_id):
+            quota_admission.on_wait_expired(state, call_id)
+        case timers.QuotaCheckDue():
+            quota_admission.on_check_due(state)
         case _:
             pass
 
@@ -224,6 +238,7 @@
                 | timers.QueueWaitExpired(call_id)
                 | timers.ProbeRoundTimeout(call_id)
                 | timers.DispatchWaitExpired(call_id)
+                | timers.QuotaWaitExpired(call_id)
             ):
                 if call_id in state.calls:
                     return
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -27,6 +27,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
+from fireflyspindle.core.quotas import quota_state
 
 
 @attrs.define(frozen=True)
@@ -459,6 +460,7 @@
         reachability_check_scheduled: Whether the next check is scheduled.
         helpers: Gate hosts that may carry calls for this one.
         crashes: What is known of crashes of targets.
+        quotas: Quotas of organisations over all gate hosts.
     """
 
     settings: CoreSettings
@@ -524,6 +526,7 @@
     crashes: crash_state.CrashState = attrs.field(
         factory=crash_state.CrashState
     )
+    quotas: quota_state.QuotaState = attrs.field(factory=quota_state.QuotaState)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -93,6 +93,18 @@
     """A removal of crashes that are no longer of use is due."""
 
 
+@attrs.define
+class QuotaWaitExpired:
+    """The maximum wait of a call for a permit of its quota has passed."""
+
+    call_id: int
+
+
+@attrs.define
+class QuotaCheckDue:
+    """A check of the calls that wait for permits is due."""
+
+
 @attrs.define
 class DrainGraceExpired:
     """The load balancer has had time to stop using this gate host."""
@@ -144,6 +156,8 @@
     | HelperListDue
     | CrashReportDue
     | CrashExpiryDue
+    | QuotaWaitExpired
+    | QuotaCheckDue
     | DrainGraceExpired
     | DrainDeadline
     | GossipRoundDue
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -9,6 +9,7 @@
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import head_limits
 from fireflyspindle.adapters import probe_client
+from fireflyspindle.adapters import quota_permits
 from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
@@ -21,6 +22,8 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import suspects
+from fireflyspindle.core.quotas import messages as quota_messages
+from fireflyspindle.core.quotas import quota_values
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.platform import store_sync
@@ -81,6 +84,7 @@
             settings.relay_address,
             settings.link_mbps,
         )
+        self._quota_permits = quota_permits.QuotaPermits(self)
         self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
@@ -123,7 +127,8 @@
         )
         if self.settings.control_address:
             await self._serve(
-                self.settings.control_address, self._store_sync.feed.routes()
+                self.settings.control_address,
+                self._store_sync.feed.routes() + self._quota_permits.routes(),
             )
         self.begin()
 
@@ -151,6 +156,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._store_sync.close()
+        await self._quota_permits.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time, including time while suspended."""
@@ -207,6 +213,7 @@
             suspects.is_refused(self.state, fingerprint)
             for fingerprint in self.state.crashes.suspects
         )
+        self.metrics.gauges.update(quota_values.of(self.state))
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
@@ -224,6 +231,11 @@
                 | effects.AppendCrashes()
             ):
                 self._store_sync.execute_effect(effect)
+            case (
+                quota_messages.RequestQuotaPermits()
+                | quota_messages.AnswerQuotaRequest()
+            ):
+                self._quota_permits.execute_effect(effect)
             case effects.SetCallerLimits(limits):
                 self._apply_caller_limits(limits)
             case _:
