--- a/src/fireflyspindle/bench/commands.py
+++ b/src/fireflyspindle/bench/commands.py
@@ -15,6 +15,7 @@
 from fireflyspindle.bench import overhead as overhead_lib
 from fireflyspindle.bench import policy as policy_lib
 from fireflyspindle.bench import policy_model
+from fireflyspindle.bench import quotas as quotas_lib
 from fireflyspindle.bench import slopes as slopes_lib
 from fireflyspindle.bench import soak as soak_lib
 
@@ -270,6 +271,7 @@
     "history": history,
     "overhead": overhead_lib.overhead,
     "policy": policy,
+    "quotas": quotas_lib.quotas,
     "slopes": slopes,
     "soak": soak,
 }
--- a/src/fireflyspindle/core/quotas/admission.py
+++ b/src/fireflyspindle/core/quotas/admission.py
@@ -90,7 +90,9 @@
     """Refuses a call whose permit did not arrive in time."""
     call = state.calls.get(call_id)
     quota = state.quotas.limited.get(call.tenant) if call is not None else None
-    if quota is None or call_id not in quota.waiting:
+    waiting = quota.waiting.get(call_id) if quota is not None else None
+    if quota is None or waiting is None or state.now_us < waiting.until_us:
+        # An earlier wait of the call ended with a permit.
         return
     holds = reader_requests.holds(state, quota.name)
     if holds:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -181,6 +181,9 @@
     host.now_us += VALID_MS * 1000 + 1
     host.answer_probes()
     assert not host.sent
+    # The time limit of the first wait does not end the second one.
+    host.feed(events.TimerFired)
+    assert 1 in host.state.calls
     reply(host, granted=1)
     while host.state.probes:
         host.answer_probes()
