--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core.evacuation import domains as evacuation_domains
 from fireflyspindle.core.organisations import authorisation
 from fireflyspindle.core.organisations import sending
+from fireflyspindle.core.quotas import send_check as quota_send_check
 
 SERVER_ERROR_STATUS = 500
 
@@ -32,6 +33,8 @@
     """
     if not sending.may_send(state, call):
         return
+    if quota_send_check.wait_if_expired(state, call):
+        return
     service = state.services[call.service]
     if not evacuation_domains.may_receive(state, target):
         _refuse_evacuated(state, call, target)
@@ -77,6 +80,8 @@
     """
     if not sending.may_send(state, call):
         return
+    if quota_send_check.wait_if_expired(state, call):
+        return
     attempt = _add(state, service, call, helper)
     attempt.relayed = True
     call.record_step(
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -9,6 +9,7 @@
 import attrs
 
 from fireflyspindle.core import published
+from fireflyspindle.core.quotas import messages
 
 
 class FailureReason(enum.Enum):
@@ -686,4 +687,7 @@
     | HostsReported
     | HelpersListed
     | ConfigurationProofAnswered
+    | messages.QuotaPermitsRequested
+    | messages.QuotaPermitsReceived
+    | messages.QuotaRequestFailed
 )
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -29,6 +29,7 @@
 from fireflyspindle.core import timers as timers_lib
 from fireflyspindle.core.evacuation import evacuation_state
 from fireflyspindle.core.organisations import key_state
+from fireflyspindle.core.quotas import quota_state
 
 
 @attrs.define(frozen=True)
@@ -471,6 +472,7 @@
         helpers: Gate hosts that may carry calls for this one.
         crashes: What is known of crashes of targets.
         evacuations: The evacuations in force.
+        quotas: Quotas of organisations over all gate hosts.
     """
 
     settings: CoreSettings
@@ -540,6 +542,7 @@
     evacuations: evacuation_state.Evacuations = attrs.field(
         factory=evacuation_state.Evacuations
     )
+    quotas: quota_state.QuotaState = attrs.field(factory=quota_state.QuotaState)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -10,6 +10,7 @@
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import head_limits
 from fireflyspindle.adapters import probe_client
+from fireflyspindle.adapters import quota_permits
 from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
@@ -24,6 +25,8 @@
 from fireflyspindle.core import suspects
 from fireflyspindle.core.evacuation import domains as evacuation_domains
 from fireflyspindle.core.organisations import proof
+from fireflyspindle.core.quotas import messages as quota_messages
+from fireflyspindle.core.quotas import quota_values
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.platform import store_sync
@@ -85,6 +88,7 @@
             settings.link_mbps,
         )
         self._proofs = configuration_proof.ProofClient()
+        self._quota_permits = quota_permits.QuotaPermits(self)
         self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
@@ -129,7 +133,8 @@
             await self._serve(
                 self.settings.control_address,
                 self._store_sync.feed.routes()
-                + configuration_proof.routes(self),
+                + configuration_proof.routes(self)
+                + self._quota_permits.routes(),
             )
         self.begin()
 
@@ -158,6 +163,7 @@
             await runner.cleanup()
         await self._store_sync.close()
         await self._proofs.close()
+        await self._quota_permits.close()
 
     def now_us(self) -> int:
         """Returns the monotonic time, including time while suspended."""
@@ -220,6 +226,7 @@
             suspects.is_refused(self.state, fingerprint)
             for fingerprint in self.state.crashes.suspects
         )
+        self.metrics.gauges.update(quota_values.of(self.state))
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
@@ -239,6 +246,11 @@
                 self._store_sync.execute_effect(effect)
             case effects.AskConfigurationProof(reader):
                 self.spawn(self._ask_configuration_proof(reader))
+            case (
+                quota_messages.RequestQuotaPermits()
+                | quota_messages.AnswerQuotaRequest()
+            ):
+                self._quota_permits.execute_effect(effect)
             case effects.SetCallerLimits(limits):
                 self._apply_caller_limits(limits)
             case _:
