--- /dev/null
+++ b/src/fireflyspindle/core/cold_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets that are cold after a start or an evacuation."""
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -22,6 +22,7 @@
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.cold_targets import cold
 from fireflyspindle.core.evacuation import transitions as evacuation_transitions
 
 # Connections that this gate host opens to one target. The platform allows at
@@ -319,4 +320,5 @@
     if target is None:
         return False
     target.slow_start_until_us = registered.warmup_until_us
+    cold.update(state, service, target)
     return target_statements.restore(state, registered, target)
--- a/src/fireflyspindle/core/evacuation/transitions.py
+++ b/src/fireflyspindle/core/evacuation/transitions.py
@@ -6,7 +6,7 @@
 read.
 """
 
-from collections.abc import Set
+from collections.abc import Collection, Set
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -14,6 +14,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
 from fireflyspindle.core import target_selection
+from fireflyspindle.core.cold_targets import cold
 from fireflyspindle.core.evacuation import domains
 from fireflyspindle.core.evacuation import evacuation_state
 
@@ -54,6 +55,7 @@
         )
     for service in state.services.values():
         _refresh(state, service, {*ended, *started})
+        _begin_cold(state, service, ended)
     for domain in started:
         _log_started(state, domain)
     if started:
@@ -81,6 +83,17 @@
         state.reachability.failed_targets.discard(target.spec.key)
 
 
+def _begin_cold(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    ended: Collection[str],
+) -> None:
+    """Treats the targets that get requests again as cold."""
+    for target in service.targets.values():
+        if target.spec.failure_domain in ended:
+            cold.on_evacuation_ended(state, service, target)
+
+
 def _refuse_unplaceable(state: state_lib.GateState) -> None:
     """Refuses the calls that have not been sent and have no target left."""
     without_target = {
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -41,6 +41,8 @@
             this host, if stated.
         invalid_headers: Names of headers whose values were ignored.
         healthy: Whether the target answered a probe with success.
+        cold_left_ms: Time for which the target stays cold; None if it says
+            nothing.
     """
 
     in_flight: int | None = None
@@ -52,6 +54,7 @@
     retry_after_s: float | None = None
     invalid_headers: tuple[str, ...] = ()
     healthy: bool = True
+    cold_left_ms: float | None = None
 
 
 @attrs.define(frozen=True)
--- a/src/fireflyspindle/core/forecast.py
+++ b/src/fireflyspindle/core/forecast.py
@@ -219,7 +219,9 @@
         expected_us *= 1 + queued / slots
     if target.domain_penalty:
         penalty += OTHER_DOMAIN_PENALTY
-    if state.now_us < target.slow_start_until_us:
+    if state.now_us < target.slow_start_until_us and target.cold_limit is None:
+        # Where the rate of cold targets is limited, the permits of this host
+        # are there to be used; the load report tells how slow the target is.
         penalty += WARMUP_PENALTY
     excess_failure_share = target.health.failure_share - service.failure_share
     penalty += FAILURE_PENALTY * max(0.0, excess_failure_share)
--- a/src/fireflyspindle/core/probes.py
+++ b/src/fireflyspindle/core/probes.py
@@ -27,7 +27,7 @@
             reachable, on a new connection.
     """
     target.load.probed_us = state.now_us
-    target_limits.on_sent(state, service, target)
+    target_limits.on_probe_sent(state, service, target)
     state.last_probe_id += 1
     state.probes[state.last_probe_id] = state_lib.Probe(
         service.name,
--- a/src/fireflyspindle/core/target_limits.py
+++ b/src/fireflyspindle/core/target_limits.py
@@ -7,29 +7,16 @@
 all of them could be used at once.
 """
 
-import functools
 import math
 
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import fleet
+from fireflyspindle.core import limit_shares
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
 from fireflyspindle.core.evacuation import domains as evacuation_domains
 
-PERMIT_LIFETIME_US = 500_000
-# A target tolerates `TOLERANCE_FACTOR` times its limit and `TOLERANCE_REQUESTS`
-# more in any window of this length.
-TOLERANCE_WINDOW_S = 4.0
-TOLERANCE_FACTOR = 1.5
-TOLERANCE_REQUESTS = 5.0
-# Maximum probability that a window has more requests than a target tolerates.
-MAX_EXCESS_PROBABILITY = 2e-6
-# Share of that probability below which further terms of its sum are left out.
-NEGLIGIBLE_SHARE = 1e-9
-# Steps in which the used part of a limit is reduced, down to the smallest part.
-FRACTION_STEP = 0.05
-MIN_FRACTION = 0.25
 # Time for which a call waits for a permit instead of being refused.
 MAX_PERMIT_WAIT_US = 50_000
 # Time after the latest statement of a limit after which a call is sent to the
@@ -110,10 +97,34 @@
     service.limited_targets = [
         target
         for target in service.targets.values()
-        if target.rate_limit is not None
+        if target.rate_limit is not None or target.cold_limit is not None
     ]
 
 
+def cold_limit(
+    state: state_lib.GateState, target: targets.Target
+) -> targets.RateLimit | None:
+    """Returns the limit of a target that is cold now, or None."""
+    if state.now_us >= target.slow_start_until_us:
+        return None
+    return target.cold_limit
+
+
+def _limits(
+    state: state_lib.GateState, target: targets.Target
+) -> list[targets.RateLimit]:
+    """Returns the limits that are in force; each of them has to be kept."""
+    limits = (target.rate_limit, cold_limit(state, target))
+    return [limit for limit in limits if limit is not None]
+
+
+def is_limited(state: state_lib.GateState, target: targets.Target) -> bool:
+    """Whether a request to a target takes a permit."""
+    return (
+        target.rate_limit is not None or cold_limit(state, target) is not None
+    )
+
+
 def may_send(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
@@ -124,11 +135,13 @@
         return False
     if state.now_us < target.paused_until_us:
         return False
-    limit = target.rate_limit
-    if limit is None:
+    if not is_limited(state, target):
         return True
-    _refill(state, service, limit)
-    return limit.permits >= 1.0
+    for limit in _limits(state, target):
+        _refill(state, service, limit)
+        if limit.permits < 1.0:
+            return False
+    return True
 
 
 def may_probe(
@@ -165,16 +178,19 @@
     target: targets.Target,
 ) -> int:
     """Returns the time until this host may send a request to a target."""
-    pause_us = max(0, target.paused_until_us - state.now_us)
-    limit = target.rate_limit
-    if limit is None:
-        return pause_us
-    _refill(state, service, limit)
-    missing = 1.0 - limit.permits
-    if missing <= 0:
-        return pause_us
-    permit_us = math.ceil(missing / _permits_per_us(state, service, limit))
-    return max(pause_us, permit_us)
+    longest_us = max(0, target.paused_until_us - state.now_us)
+    for limit in _limits(state, target):
+        _refill(state, service, limit)
+        missing = 1.0 - limit.permits
+        if missing <= 0:
+            continue
+        permit_us = math.ceil(missing / _permits_per_us(state, service, limit))
+        if limit is target.cold_limit:
+            permit_us = min(
+                permit_us, target.slow_start_until_us - state.now_us
+            )
+        longest_us = max(longest_us, permit_us)
+    return longest_us
 
 
 def unheard_target(
@@ -208,7 +224,7 @@
         if evacuation_domains.takes_requests(state, target)
     ]
     if not present or any(
-        target.rate_limit is None and state.now_us >= target.paused_until_us
+        not is_limited(state, target) and state.now_us >= target.paused_until_us
         for target in present
     ):
         return None
@@ -242,7 +258,18 @@
     service: state_lib.ServiceState,
     target: targets.Target,
 ) -> None:
-    """Takes a permit for a request or probe that is sent to a target."""
+    """Takes a permit for a request that is sent to a target."""
+    for limit in _limits(state, target):
+        _refill(state, service, limit)
+        limit.permits -= 1.0
+
+
+def on_probe_sent(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    target: targets.Target,
+) -> None:
+    """Takes a permit for a probe; those of a cold target are for requests."""
     limit = target.rate_limit
     if limit is not None:
         _refill(state, service, limit)
@@ -258,7 +285,7 @@
     per_us = _permits_per_us(state, service, limit)
     limit.permits += (state.now_us - limit.refilled_us) * per_us
     limit.refilled_us = state.now_us
-    excess = limit.permits - (1.0 + per_us * PERMIT_LIFETIME_US)
+    excess = limit.permits - (1.0 + per_us * limit_shares.PERMIT_LIFETIME_US)
     if excess > 0:
         limit.permits -= math.ceil(excess)
 
@@ -271,65 +298,29 @@
     policy = state.configuration.policy(service.name)
     hosts = round(1 / fleet.share(state, policy))
     if hosts != limit.divided_by:
-        fraction = used_fraction(limit.requests_per_s, hosts)
-        per_s = max(MIN_REQUESTS_PER_S, fraction * limit.requests_per_s)
-        limit.permits_per_us = per_s / hosts / 1e6
+        per_s = (
+            _used_per_s(limit, hosts, limit_shares.MAX_EXCESS_PROBABILITY)
+            / hosts
+        )
+        if limit.holds_if_miscounted:
+            largest = max(hosts, policy.gate_hosts_max)
+            largest_per_s = _used_per_s(
+                limit, largest, limit_shares.MAX_MISCOUNTED_PROBABILITY
+            )
+            per_s = min(per_s, largest_per_s / largest)
+        limit.permits_per_us = per_s / 1e6
         limit.divided_by = hosts
     return limit.permits_per_us
 
 
-@functools.lru_cache(maxsize=1_000)
-def used_fraction(requests_per_s: float, hosts: int) -> float:
-    """Returns the part of a limit that the gate hosts use together.
-
-    Each host has a permit at regular intervals, starting at a random time. In a
-    window, each host has either the integer part of the mean or one more, so
-    that the sum follows a binomial distribution.
-
-    Args:
-        requests_per_s: The limit.
-        hosts: Number of gate hosts.
-    """
-    window_s = TOLERANCE_WINDOW_S + PERMIT_LIFETIME_US / 1e6
-    tolerated = TOLERANCE_REQUESTS + (
-        TOLERANCE_FACTOR * TOLERANCE_WINDOW_S * requests_per_s
-    )
-    fraction = 1.0
-    while fraction > MIN_FRACTION:
-        mean_per_host = fraction * requests_per_s * window_s / hosts
-        certain = math.floor(mean_per_host)
-        excess_probability = _binomial_tail(
-            math.floor(tolerated) - certain * hosts,
-            hosts,
-            mean_per_host - certain,
-        )
-        if excess_probability <= MAX_EXCESS_PROBABILITY:
-            break
-        fraction -= FRACTION_STEP
-    return fraction
-
-
-def _binomial_tail(successes: int, trials: int, probability: float) -> float:
-    """Returns the probability of more than a number of successes."""
-    if successes < 0:
-        return 1.0
-    if successes >= trials or not probability:
-        return 0.0
-    term = math.exp(
-        math.lgamma(trials + 1)
-        - math.lgamma(successes + 2)
-        - math.lgamma(trials - successes)
-        + (successes + 1) * math.log(probability)
-        + (trials - successes - 1) * math.log1p(-probability)
+def _used_per_s(
+    limit: targets.RateLimit, hosts: int, max_probability: float
+) -> float:
+    """Returns the rate that a number of hosts uses of a limit together."""
+    fraction = limit_shares.used_fraction(
+        limit.requests_per_s, hosts, limit.tolerance, max_probability
     )
-    odds = probability / (1 - probability)
-    total = 0.0
-    for count in range(successes + 1, trials + 1):
-        total += term
-        if term < NEGLIGIBLE_SHARE * total:
-            break
-        term *= (trials - count) / (count + 1) * odds
-    return total
+    return max(MIN_REQUESTS_PER_S, fraction * limit.requests_per_s)
 
 
 def _log_limit(
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -151,6 +151,7 @@
         target
         for target in service.limited_targets
         if target.spec.key not in keys
+        and target_limits.is_limited(state, target)
     ]
 
 
--- a/src/fireflyspindle/core/target_statements.py
+++ b/src/fireflyspindle/core/target_statements.py
@@ -16,6 +16,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
+from fireflyspindle.core.cold_targets import cold
 
 # Statuses with which a target turns a request away for a while.
 PAUSE_STATUSES = frozenset({429, 503})
@@ -54,6 +55,7 @@
         _log_invalid(state, service, target, report.invalid_headers)
     if report.leaving:
         on_leaving(state, start)
+    cold.on_report(state, service, target, report)
     if not declined or not report.retry_after_s:
         return False
     _pause(state, service, target, start, report.retry_after_s)
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import forecast_state
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import records
+from fireflyspindle.core.cold_targets import cold_state
 
 
 @attrs.define
@@ -75,6 +76,22 @@
     PROBE = "probe"
 
 
+@attrs.define(frozen=True)
+class Tolerance:
+    """How far a target tolerates that its limit is exceeded.
+
+    In any `window_s` it tolerates `factor` times its limit and `requests` more.
+    """
+
+    window_s: float
+    factor: float
+    requests: float
+
+
+# Of a limit that a target states.
+STATED_TOLERANCE = Tolerance(window_s=4.0, factor=1.5, requests=5.0)
+
+
 @attrs.define
 class RateLimit:
     """A target's limit on the requests from all gate hosts together.
@@ -91,6 +108,9 @@
         stated_by: Kinds of the answers that stated it.
         heard_us: Time at which it was last stated.
         logged_us: Time of the latest log line about it.
+        tolerance: How far the target tolerates that it is exceeded.
+        holds_if_miscounted: Whether it holds although the hosts divide it by
+            too small a number of hosts.
     """
 
     requests_per_s: float
@@ -102,6 +122,8 @@
     stated_by: set[AnswerKind] = attrs.field(factory=set)
     heard_us: int = 0
     logged_us: int = 0
+    tolerance: Tolerance = STATED_TOLERANCE
+    holds_if_miscounted: bool = False
 
 
 @attrs.define
@@ -125,6 +147,9 @@
         invalid_limit_us: Time of the latest log line about an invalid limit.
         paused_until_us: End of the pause that it asked for.
         invalid_header_us: Time of the latest log line about invalid headers.
+        cold: What is known of its cold time besides its entry.
+        cold_limit: Limit on its requests while it is cold; None if it was
+            never cold.
     """
 
     spec: records.TargetSpec
@@ -144,6 +169,8 @@
     invalid_limit_us: int = load_lib.NEVER_US
     paused_until_us: int = 0
     invalid_header_us: int = load_lib.NEVER_US
+    cold: cold_state.ColdState = attrs.field(factory=cold_state.ColdState)
+    cold_limit: RateLimit | None = None
 
 
 def on_attempt_started(target: Target, now_us: int) -> None:
--- a/src/fireflyspindle/platform/header_profile.py
+++ b/src/fireflyspindle/platform/header_profile.py
@@ -13,6 +13,7 @@
 SERVER_SIGNATURE = _PREFIX + "Server-Signature"
 SERVER_LIMIT = "Server-Limit"
 SERVER_LEAVING = "Server-Leaving"
+COLD_MS = _PREFIX + "Cold-Ms"
 
 # The load fields are running, waiting and slots; a fourth, the slowdown, is
 # optional.
@@ -34,6 +35,7 @@
     )
     _parse_leaving(response_headers, report)
     _parse_retry_after(response_headers, report)
+    _parse_cold_time(response_headers, report)
     fields = response_headers.get(SERVER_LOAD, "").split(",")
     values = [_load_value(field) for field in fields]
     if len(values) < REQUIRED_LOAD_FIELDS or None in values:
@@ -71,6 +73,19 @@
         report.invalid_headers += (headers.RETRY_AFTER,)
 
 
+def _parse_cold_time(
+    response_headers: headers.HeaderFields, report: events.LoadReport
+) -> None:
+    """Parses a time in milliseconds, the longest of several."""
+    texts = response_headers.getall(COLD_MS, ())
+    values = [headers.parse_decimal(text) for text in texts]
+    report.cold_left_ms = max(
+        (value for value in values if value is not None), default=None
+    )
+    if None in values:
+        report.invalid_headers += (COLD_MS,)
+
+
 def _load_value(text: str) -> int | None:
     text = text.strip()
     if not text.isascii() or not text.isdecimal() or len(text) > 7:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -21,6 +21,7 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import suspects
+from fireflyspindle.core.cold_targets import cold
 from fireflyspindle.core.evacuation import domains as evacuation_domains
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
@@ -202,6 +203,7 @@
         self.metrics.gauges["evacuated_targets"] = (
             evacuation_domains.evacuated_targets(self.state)
         )
+        self.metrics.gauges["cold_targets"] = cold.cold_targets(self.state)
         self.metrics.gauges["paused_targets"] = sum(
             target.paused_until_us > self.state.now_us
             for service in self.state.services.values()
