--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import ejection
 from fireflyspindle.core import events
 from fireflyspindle.core import reachability
+from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets
@@ -445,3 +446,28 @@
     host = make_divided_host(evacuated=4, kept=2)
     host.evacuate(EVACUATED)
     assert domains.evacuated_targets(host.state) == 4
+
+
+# A host that restarts in an evacuation reads its record before it accepts
+# callers, in the same read as the configuration.
+def test_host_that_starts_obeys_from_its_first_request(make_published_host):
+    host = make_published_host(targets=0, evacuation_limit_ms=LIMIT_MS)
+    host.state = state_lib.new(host.state.settings, 1)
+    host.effects.clear()
+    host.next_offset = 0
+    reducer.start(host.state, host.now_us)
+    host.register(
+        published_host.entry(0, failure_domain=EVACUATED),
+        published_host.entry(1),
+        is_snapshot=True,
+    )
+    assert not host.state.accepting_callers
+    host.configure(
+        published_host.document(),
+        evacuated=frozenset({EVACUATED}),
+        is_snapshot=True,
+    )
+    assert host.state.accepting_callers
+    run_calls(host)
+    assert not reached(host)
+    assert host.sent
