--- a/src/fireflyspindle/core/budgets.py
+++ b/src/fireflyspindle/core/budgets.py
@@ -71,6 +71,13 @@
         self._bucket(now_us)[2] += 1
         return True
 
+    def refund(self) -> None:
+        """Takes back the latest extra attempt, which was not sent."""
+        for counts in reversed(self._buckets):
+            if counts[2]:
+                counts[2] -= 1
+                return
+
     def balance(self, now_us: int) -> float:
         """Returns the share of the requests less the extra attempts."""
         bucket_number = now_us // BUCKET_US
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -126,6 +126,8 @@
     state.emit(
         effects.ForwardAnswer(call.call_id, attempt.number, call.outcome)
     )
+    if attempt.hedge:
+        state.hedges.won += 1
     attempts.cancel_all_except(state, call, attempt.number)
 
 
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -274,7 +274,7 @@
     return records.Policy(
         probes_per_s=settings.probes_per_s,
         retry_share=settings.resend_share,
-        hedge_share=0.0,
+        hedge_share=settings.hedge_share,
         slow_start_ms=0,
         gate_hosts_max=max(
             1,
--- /dev/null
+++ b/src/fireflyspindle/core/hedges/__init__.py
@@ -0,0 +1,1 @@
+"""Hedged requests within an operator's limit on the platform."""
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -14,7 +14,12 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import suspects
 from fireflyspindle.core import target_selection
+from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.evacuation import domains
+from fireflyspindle.core.hedges import hedge_state
+from fireflyspindle.core.hedges import sending
+from fireflyspindle.core.quotas import admission as quota_admission
 
 MIN_SAMPLES = 100
 # Share of the calls considered for hedging, as a multiple of the hedge share.
@@ -35,18 +40,35 @@
     """Credits the hedge budget of a service with one call."""
     policy = state.configuration.policy(service.name)
     service.hedge_budget.earn(policy.hedge_share)
+    if sending.is_limited(state, service):
+        sending.on_arrived(state, service)
 
 
 def schedule(state: state_lib.GateState, call: state_lib.Call) -> None:
     """Arms the timer after which an unanswered call may be hedged."""
-    if not call.repeatable or not call.resendable or call.sent_attempts > 1:
+    if call.sent_attempts > 1:
         return
     service = state.services.get(call.service)
     if service is None:
         return
+    if sending.is_limited(state, service):
+        # All calls, so that refusals are counted by cause when they are due.
+        _schedule_by_quantile(state, service, call)
+        return
+    if not call.repeatable or not call.resendable:
+        return
     if service.probes_before_send:
         _schedule_by_forecast(state, service, call)
         return
+    _schedule_by_quantile(state, service, call)
+
+
+def _schedule_by_quantile(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> None:
+    """Arms the timer for a quantile of the answers of the service."""
     if service.load.latencies.samples < MIN_SAMPLES:
         return
     share = state.configuration.policy(service.name).hedge_share
@@ -63,12 +85,13 @@
     call = state.calls.get(call_id)
     if call is None or call.phase is not state_lib.CallPhase.WAITING:
         return
-    if len(call.attempts) != 1 or call.sent_attempts != 1:
+    service = state.services.get(call.service)
+    if service is not None and sending.is_limited(state, service):
+        sending.on_due(state, service, call)
         return
-    if not suspects.may_hedge(state, call):
+    if service is None or len(call.attempts) != 1 or call.sent_attempts != 1:
         return
-    service = state.services.get(call.service)
-    if service is None:
+    if not suspects.may_hedge(state, call):
         return
     target = target_selection.choose(state, service, call)
     if target is None:
@@ -85,8 +108,36 @@
         delay_us = int(service.load.mean_latency_us * RECHECK_SHARE)
         state.timers.add(state.now_us + delay_us, timers.HedgeDue(call_id))
         return
-    if service.hedge_budget.spend():
+    _send_within_share(state, service, call, target)
+
+
+def _send_within_share(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+    target: targets.Target,
+) -> None:
+    """Sends a hedge within the share of the service's policy."""
+    if not domains.may_receive(state, target):
+        sending.refuse(state, call, hedge_state.Cause.TARGET_EVACUATED)
+    elif not service.hedge_budget.spend():
+        sending.refuse(state, call, hedge_state.Cause.HEDGE_BUDGET)
+    elif not quota_admission.take_for_hedge(state, call):
+        sending.refuse(state, call, hedge_state.Cause.QUOTA)
+    else:
         attempts.begin(state, call, target)
+        sending.mark_sent(state, call)
+
+
+def on_probed(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState | None,
+    call: state_lib.Call,
+) -> bool:
+    """Continues a call if its probe round was for a hedge; see `sending`."""
+    if service is None or not call.hedge_charged:
+        return False
+    return sending.on_probed(state, service, call)
 
 
 def _schedule_by_forecast(
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -13,6 +13,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import fleet
 from fireflyspindle.core import forecast
+from fireflyspindle.core import hedging
 from fireflyspindle.core import helper_list
 from fireflyspindle.core import probes
 from fireflyspindle.core import reachability
@@ -220,6 +221,8 @@
     ended_round, call.probe_round = call.probe_round, None
     assert ended_round is not None
     service = state.services.get(call.service)
+    if hedging.on_probed(state, service, call):
+        return
     if service is None or call.phase is not state_lib.CallPhase.WAITING:
         answers.finish_if_done(state, call)
         return
--- a/src/fireflyspindle/core/quotas/admission.py
+++ b/src/fireflyspindle/core/quotas/admission.py
@@ -12,3 +12,8 @@
 ) -> None:
     """Admits a call, lets it wait for a permit of its quota, or refuses it."""
     claims.admit_call(state, call, event)
+
+
+def take_for_hedge(state: state_lib.GateState, call: state_lib.Call) -> bool:
+    """Takes a permit for a hedge of a call; False if there is none."""
+    return True
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -27,6 +27,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
+from fireflyspindle.core.hedges import hedge_state
 
 
 @attrs.define(frozen=True)
@@ -82,6 +83,8 @@
         near_capacity: Whether the target's slots were nearly all in use.
         declined: Whether the target stated that it did not run the request.
         relayed: Whether the target is a gate host that carries the call.
+        hedge: Whether it was sent while another attempt was in flight, within
+            the operator's limit.
     """
 
     number: int
@@ -92,6 +95,7 @@
     near_capacity: bool = False
     declined: bool = False
     relayed: bool = False
+    hedge: bool = False
 
 
 @attrs.define
@@ -133,6 +137,8 @@
         relays: Attempts by other gate hosts.
         fingerprint: Fingerprint of its request, equal for copies of it; empty
             if unknown.
+        hedge_charged: Whether its probe round is for a hedge that the budgets
+            have been charged for.
     """
 
     call_id: int
@@ -165,6 +171,7 @@
     relayed: bool = False
     relays: int = 0
     fingerprint: str = ""
+    hedge_charged: bool = False
 
     def record_step(
         self,
@@ -323,6 +330,7 @@
         fast_latency_us: Estimate of the latency of a fast answer; 0 before the
             first.
         failure_share: Moving average of the share of failed attempts.
+        hedges: Hedges within the operator's limit.
     """
 
     name: str
@@ -360,6 +368,9 @@
     reachability: reachability_state.Reachability = attrs.field(
         factory=reachability_state.Reachability
     )
+    hedges: hedge_state.ServiceHedges = attrs.field(
+        factory=hedge_state.ServiceHedges
+    )
 
 
 @attrs.define
@@ -459,6 +470,7 @@
         reachability_check_scheduled: Whether the next check is scheduled.
         helpers: Gate hosts that may carry calls for this one.
         crashes: What is known of crashes of targets.
+        hedges: Counts of hedges.
     """
 
     settings: CoreSettings
@@ -524,6 +536,7 @@
     crashes: crash_state.CrashState = attrs.field(
         factory=crash_state.CrashState
     )
+    hedges: hedge_state.Counters = attrs.field(factory=hedge_state.Counters)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -7,6 +7,9 @@
 
 from fireflyspindle.core import events
 
+# Share of the slots of a service in use above which no call of it is hedged.
+HEDGE_LOAD_LIMIT = 0.6
+
 
 @attrs.define(frozen=True)
 class QuotaTolerance:
@@ -68,6 +71,13 @@
             limited.
         evacuation_limit_ms: Time after which no request may reach an evacuated
             failure domain; None if evacuations are not supported.
+        hedge_share: Most hedges as a share of the requests of a service, over
+            all gate hosts; 0 if the operator sets no limit, so that late calls
+            are hedged within the resend budget only.
+        hedge_routes: Names of the routes whose calls may be hedged; empty for
+            all.
+        hedge_load_limit: Share of the slots of a service in use above which no
+            call of it is hedged.
     """
 
     min_read_interval_ms: int = 1_000
@@ -88,6 +98,9 @@
     quota_tolerance: QuotaTolerance | None = None
     cold_tolerance: ColdTolerance | None = None
     evacuation_limit_ms: int | None = None
+    hedge_share: float = 0.0
+    hedge_routes: frozenset[str] = frozenset()
+    hedge_load_limit: float = HEDGE_LOAD_LIMIT
 
     def wait_us(self, source: "Source") -> int:
         """Returns the maximum time that a read of a source waits."""
