--- a/src/fireflyspindle/adapters/admin_api.py
+++ b/src/fireflyspindle/adapters/admin_api.py
@@ -42,7 +42,7 @@
     handlers = _Handlers(gate)
     app = web.Application(
         client_max_size=2 * records.MAX_RECORD_BYTES,
-        middlewares=[_authentication(gate.settings.administration.teams)],
+        middlewares=[authentication(gate.settings.administration.teams)],
     )
     app.add_routes(
         [
@@ -57,9 +57,11 @@
     return app
 
 
-def _authentication(
+def authentication(
     teams: tuple[settings_lib.TeamSettings, ...],
 ) -> Any:
+    """Returns a middleware that refuses requests without a team's token."""
+
     @web.middleware
     async def check(request: web.Request, handler: Any) -> web.StreamResponse:
         authorization = request.headers.get("Authorization", "")
--- a/src/fireflyspindle/adapters/control_api.py
+++ b/src/fireflyspindle/adapters/control_api.py
@@ -8,6 +8,7 @@
 from fireflyspindle.adapters import admin_api
 from fireflyspindle.adapters import claim_metrics
 from fireflyspindle.adapters import peers
+from fireflyspindle.adapters import route_api
 from fireflyspindle.core import events
 from fireflyspindle.core import membership
 from fireflyspindle.core import readiness
@@ -40,6 +41,15 @@
         ]
     )
     app.add_subapp("/admin/", admin_api.application(gate))
+    app.add_subapp(route_api.PATH, _route_application(gate))
+    return app
+
+
+def _route_application(gate: Gate) -> web.Application:
+    """Returns the application that previews requests, for teams only."""
+    teams = gate.settings.administration.teams
+    app = web.Application(middlewares=[admin_api.authentication(teams)])
+    app.add_routes([web.get("", route_api.RouteHandler(gate).handle)])
     return app
 
 
--- a/src/fireflyspindle/cli.py
+++ b/src/fireflyspindle/cli.py
@@ -9,6 +9,7 @@
 from fireflyspindle.commands import explain
 from fireflyspindle.commands import gate
 from fireflyspindle.commands import records
+from fireflyspindle.commands import route
 from fireflyspindle.commands import stand_in
 from fireflyspindle.commands import token
 from fireflyspindle.platform import daemon
@@ -18,6 +19,7 @@
     "platform": daemon.main,
     "demo": demo.demo,
     "explain": explain.explain,
+    "route": route.route,
     **records.COMMANDS,
     "hash-token": token.hash_token,
     "bench": bench_commands.COMMANDS,
--- a/src/fireflyspindle/commands/records.py
+++ b/src/fireflyspindle/commands/records.py
@@ -48,6 +48,11 @@
         async with self._session.get(
             self._base_url + path, params=query
         ) as response:
+            if response.status == 404 and (
+                response.content_type != "application/json"
+            ):
+                detail = f"the gate host does not serve {path}; is it older?"
+                return Response(response.status, {"detail": detail})
             return Response(response.status, await response.json())
 
     async def post(self, path: str, content: dict, **query: str) -> Response:
@@ -92,7 +97,7 @@
                 return status.FAILURE
         return status.SUCCESS
 
-    return _run_with_client(gate, operation)
+    return run_with_client(gate, operation)
 
 
 async def _publish_record(client: Client, change: dict, wait: bool) -> Response:
@@ -145,7 +150,7 @@
         The exit status.
     """
     path = f"/admin/records/{key}" if key else "/admin/records"
-    return _run_with_client(
+    return run_with_client(
         gate, lambda client: _print_content(client.get(path))
     )
 
@@ -169,7 +174,7 @@
     query = {"key": key} if key else {}
     if conflicts:
         query["conflicts"] = "yes"
-    return _run_with_client(
+    return run_with_client(
         gate,
         lambda client: _print_content(client.get("/admin/history", **query)),
     )
@@ -184,7 +189,7 @@
     Returns:
         The exit status.
     """
-    return _run_with_client(
+    return run_with_client(
         gate, lambda client: _print_content(client.get("/state"))
     )
 
@@ -198,12 +203,24 @@
     return status.SUCCESS
 
 
-def _run_with_client(
-    address: str, operation: Callable[[Client], Awaitable[int]]
+def run_with_client(
+    address: str,
+    operation: Callable[[Client], Awaitable[int]],
+    option: str = "--gate",
 ) -> int:
+    """Runs an operation with a client of a gate host.
+
+    Args:
+        address: Control address of the gate host.
+        operation: Returns the exit status.
+        option: Name of the option that gives the address.
+
+    Returns:
+        The exit status.
+    """
     problem = addresses.validation_error(address)
     if problem is not None:
-        return _report_error(f"--gate is {problem}", status.USAGE_ERROR)
+        return _report_error(f"{option} is {problem}", status.USAGE_ERROR)
 
     async def run() -> int:
         token = os.environ.get(TOKEN_VARIABLE, "")
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -25,8 +25,8 @@
 # Share of the calls considered for hedging, as a multiple of the hedge share.
 CHECKED_SHARE_FACTOR = 2.0
 # The same within an operator's limit on the platform, where no load difference
-# excludes calls. With 2.0 a limit of 5 in 100 is spent on calls that are about to
-# be answered: 0.18 of the hedges win, against 0.40 with 1.0, at a load of 0.3.
+# excludes calls. With 2.0 a limit of 5 in 100 is spent on calls that are about
+# to be answered: 0.18 of them win at a load of 0.3, against 0.40 with 1.0.
 LIMITED_SHARE_FACTOR = 1.5
 # Minimum load difference between the two targets, in attempts in flight.
 MIN_LOAD_DIFFERENCE = 1.5
--- /dev/null
+++ b/src/fireflyspindle/core/previews/__init__.py
@@ -0,0 +1,1 @@
+"""Previews of where a request would be sent, for operators."""
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -10,6 +10,7 @@
 from fireflyspindle.adapters import head_limits
 from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import requests
+from fireflyspindle.adapters import route_api
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -122,8 +123,13 @@
             ],
         )
         if self.settings.control_address:
+            route_handler = route_api.RouteHandler(self)
             await self._serve(
-                self.settings.control_address, self._store_sync.feed.routes()
+                self.settings.control_address,
+                [
+                    *self._store_sync.feed.routes(),
+                    web.get(route_api.PATH, route_handler.handle),
+                ],
             )
         self.begin()
 
