--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -28,6 +28,7 @@
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
 from fireflyspindle.core.evacuation import evacuation_state
+from fireflyspindle.core.hedges import hedge_state
 from fireflyspindle.core.organisations import key_state
 from fireflyspindle.core.quotas import quota_state
 
@@ -85,6 +86,8 @@
         near_capacity: Whether the target's slots were nearly all in use.
         declined: Whether the target stated that it did not run the request.
         relayed: Whether the target is a gate host that carries the call.
+        hedge: Whether it was sent while another attempt was in flight, within
+            the operator's limit.
     """
 
     number: int
@@ -95,6 +98,7 @@
     near_capacity: bool = False
     declined: bool = False
     relayed: bool = False
+    hedge: bool = False
 
 
 @attrs.define
@@ -141,6 +145,8 @@
             requests need no key.
         key_digest: Digest of the API key of its request, or empty.
         public: Whether its route needs no key.
+        hedge_charged: Whether its probe round is for a hedge that the budgets
+            have been charged for.
     """
 
     call_id: int
@@ -177,6 +183,7 @@
     organisation: str = ""
     key_digest: str = ""
     public: bool = False
+    hedge_charged: bool = False
 
     def record_step(
         self,
@@ -335,6 +342,7 @@
         fast_latency_us: Estimate of the latency of a fast answer; 0 before the
             first.
         failure_share: Moving average of the share of failed attempts.
+        hedges: Hedges within the operator's limit.
     """
 
     name: str
@@ -372,6 +380,9 @@
     reachability: reachability_state.Reachability = attrs.field(
         factory=reachability_state.Reachability
     )
+    hedges: hedge_state.ServiceHedges = attrs.field(
+        factory=hedge_state.ServiceHedges
+    )
 
 
 @attrs.define
@@ -473,6 +484,7 @@
         crashes: What is known of crashes of targets.
         evacuations: The evacuations in force.
         quotas: Quotas of organisations over all gate hosts.
+        hedges: Counts of hedges.
     """
 
     settings: CoreSettings
@@ -543,6 +555,7 @@
         factory=evacuation_state.Evacuations
     )
     quotas: quota_state.QuotaState = attrs.field(factory=quota_state.QuotaState)
+    hedges: hedge_state.Counters = attrs.field(factory=hedge_state.Counters)
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -12,6 +12,7 @@
 from fireflyspindle.adapters import probe_client
 from fireflyspindle.adapters import quota_permits
 from fireflyspindle.adapters import requests
+from fireflyspindle.adapters import route_api
 from fireflyspindle.adapters import target_client
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -131,11 +132,15 @@
             ],
         )
         if self.settings.control_address:
+            route_handler = route_api.RouteHandler(self)
             await self._serve(
                 self.settings.control_address,
-                self._store_sync.feed.routes()
-                + configuration_proof.routes(self)
-                + self._quota_permits.routes(),
+                [
+                    *self._store_sync.feed.routes(),
+                    *configuration_proof.routes(self),
+                    *self._quota_permits.routes(),
+                    web.get(route_api.PATH, route_handler.handle),
+                ],
             )
         self.begin()
 
@@ -229,6 +234,7 @@
             for fingerprint in self.state.crashes.suspects
         )
         self.metrics.gauges.update(quota_values.of(self.state))
+        self.metrics.set_hedges(self.state.hedges)
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
@@ -321,6 +327,8 @@
                 if bounds.evacuate_ms is not None
                 else None
             ),
+            hedge_share=settings.hedges.share,
+            hedge_routes=settings.hedges.routes,
         ),
     )
 
