--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
+from fireflyspindle.core.load_sharing import fairness
 
 SERVER_ERROR_STATUS = 500
 
@@ -29,6 +30,7 @@
         expected_slowdown = forecast.expected_slowdown(state, service, target)
         near_capacity = forecast.is_near_capacity(state, service, target)
     attempt = _add(state, service, call, target)
+    fairness.on_sent(state, call)
     attempt.expected_slowdown = expected_slowdown
     attempt.near_capacity = near_capacity
     target_limits.on_sent(state, service, target)
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -23,6 +23,7 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.load_sharing import fairness
 
 # Connections that this gate host opens to one target. The platform allows at
 # least 8.5 per gate host; two are left for probes and closing connections.
@@ -63,6 +64,7 @@
     if table.version is not None and document.version <= table.version:
         return
     table.replace_rules(document)
+    fairness.on_configuration(state, document)
     state.service_settings = {
         service.name: service for service in document.services
     }
--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -20,6 +20,7 @@
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.load_sharing import fairness
 
 # Time between two rounds of probes for the waiting calls. Answers to other
 # calls report free slots too, and each round uses probe tokens that arriving
@@ -197,10 +198,30 @@
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     call: state_lib.Call,
-) -> tuple[bool, int, int]:
+) -> tuple[bool, int, float, int]:
     """Returns the sort key of a waiting call; the highest is sent next."""
     late = is_late(state, service, call)
-    return not late, -call.priority, call.arrived_us
+    share = fairness.served_share(state, call)
+    return not late, -call.priority, -share, call.arrived_us
+
+
+def must_yield(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> bool:
+    """Whether a waiting call precedes one that would take a free slot.
+
+    Without organisations an arriving call is as new as any, and never yields.
+    """
+    if not state.sharing.weights or not service.waiting_calls:
+        return False
+    first = _next_call(state, service)
+    if first is call or _precedence(state, service, call) >= _precedence(
+        state, service, first
+    ):
+        return False
+    return find_available_target(state, service, first) is not None
 
 
 def _refuse_beyond_limits(
--- /dev/null
+++ b/src/fireflyspindle/core/load_sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions when load is at its worst."""
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -248,6 +248,11 @@
         False when there is no target or, for a hedge, none with a free slot.
     """
     target = dispatch_queue.find_available_target(state, service, call)
+    if target is not None and not call.attempts:
+        if dispatch_queue.must_yield(state, service, call):
+            dispatch_queue.enqueue(state, service, call)
+            dispatch_queue.dispatch(state, service)
+            return True
     if target is not None:
         service.waiting_calls.pop(call.call_id, None)
         return _send(state, call, target)
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -27,6 +27,7 @@
 from fireflyspindle.core import store_state
 from fireflyspindle.core import targets as targets_lib
 from fireflyspindle.core import timers as timers_lib
+from fireflyspindle.core.load_sharing import sharing_state
 
 
 @attrs.define(frozen=True)
@@ -459,6 +460,7 @@
         reachability_check_scheduled: Whether the next check is scheduled.
         helpers: Gate hosts that may carry calls for this one.
         crashes: What is known of crashes of targets.
+        sharing: What decides how capacity is shared under shortage.
     """
 
     settings: CoreSettings
@@ -524,6 +526,9 @@
     crashes: crash_state.CrashState = attrs.field(
         factory=crash_state.CrashState
     )
+    sharing: sharing_state.SharingState = attrs.field(
+        factory=sharing_state.SharingState
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
