--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -20,6 +20,7 @@
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.load_sharing import admission
 from fireflyspindle.core.load_sharing import fairness
 
 # Time between two rounds of probes for the waiting calls. Answers to other
@@ -62,6 +63,8 @@
         _refuse(state, service, call)
         return
     if call.call_id not in service.waiting_calls:
+        if _refuse_unreachable(state, service, [call]):
+            return
         service.waiting_calls[call.call_id] = None
         call.record_step(
             state.now_us,
@@ -86,6 +89,7 @@
         target = find_available_target(state, service, call)
         if target is None:
             return
+        admission.on_sending(state, service)
         del service.waiting_calls[call.call_id]
         attempts.begin(state, call, target)
 
@@ -241,6 +245,40 @@
             placement.refuse_no_target(state, service, call)
 
 
+def _refuse_unreachable(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    calls: list[state_lib.Call],
+) -> bool:
+    """Refuses those of some calls that can't be sent in time.
+
+    Calls that are being probed for are left to the end of their round.
+
+    Returns:
+        Whether a call was refused.
+    """
+    if not admission.is_enabled(state, service):
+        return False
+    waiting = [state.calls[call_id] for call_id in service.waiting_calls]
+    keys = {
+        call.call_id: _precedence(state, service, call)
+        for call in (*waiting, *calls)
+    }
+    refused = False
+    for call in calls:
+        if call.probe_round is not None or call.soft_deadline_us is None:
+            continue
+        key = keys[call.call_id]
+        ahead = sum(keys[other.call_id] > key for other in waiting)
+        wait_us = admission.expected_wait_us(state, service, ahead)
+        latest_us = call.soft_deadline_us - _min_answer_time_us(service, call)
+        if wait_us and state.now_us + wait_us > latest_us:
+            state.sharing.refused_early += 1
+            _refuse(state, service, call)
+            refused = True
+    return refused
+
+
 def on_dispatch_due(state: state_lib.GateState, service_name: str) -> None:
     """Sends waiting calls, and probes for the next one if any is left."""
     service = state.services.get(service_name)
@@ -251,6 +289,11 @@
         relays.relay_waiting(state, service)
     dispatch(state, service)
     _refuse_beyond_limits(state, service)
+    _refuse_unreachable(
+        state,
+        service,
+        [state.calls[call_id] for call_id in service.waiting_calls],
+    )
     if not service.waiting_calls:
         return
     call = _next_call(state, service)
@@ -283,6 +326,7 @@
     service: state_lib.ServiceState,
     call: state_lib.Call,
 ) -> None:
+    admission.update(state, service)
     service.waiting_calls.pop(call.call_id, None)
     left_ms = max(0, call.deadline_us - state.now_us) // 1000
     detail = (
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -22,6 +22,7 @@
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.load_sharing import admission
 
 # Targets probed in one round, and rounds before one attempt. With a third of
 # the targets slow, 1 in 80 calls finds none of four targets at its usual speed.
@@ -254,6 +255,7 @@
             dispatch_queue.dispatch(state, service)
             return True
     if target is not None:
+        admission.on_sending(state, service)
         service.waiting_calls.pop(call.call_id, None)
         return _send(state, call, target)
     if call.attempts:
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -310,6 +310,8 @@
         resend_budget: Budget of attempts beyond the first of a request; None
             where the budgets of retries and hedges apply.
         reachability: Whether this gate host reaches any of its targets.
+        hangs_until_us: Time until which its targets count as ignoring requests
+            that they can't queue.
         ejected: Ejected targets by key.
         retry_budget: Budget of retries.
         queue: Calls queued by admission, as the limits on attempts in flight
@@ -358,6 +360,7 @@
     waiting_calls: dict[int, None] = attrs.field(factory=dict)
     dispatch_timer_armed: bool = False
     resend_budget: budgets.WindowBudget | None = None
+    hangs_until_us: int = 0
     reachability: reachability_state.Reachability = attrs.field(
         factory=reachability_state.Reachability
     )
--- a/src/fireflyspindle/metrics.py
+++ b/src/fireflyspindle/metrics.py
@@ -181,6 +181,7 @@
                 self.gauges[name] = (now_us - read_us[stream]) / 1e6
         self.gauges["calls_in_flight"] = len(state.calls)
         self.gauges["stopping"] = float(state.stopping)
+        self.gauges["calls_refused_early"] = state.sharing.refused_early
         counters = attrs.asdict(state.claims.counters)
         self.event_counts.update(
             {
