--- a/src/fireflyspindle/core/forecast.py
+++ b/src/fireflyspindle/core/forecast.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import forecast_state
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import targets
+from fireflyspindle.core.load_sharing import hung_attempts
 
 # Age at which a report has no weight left; slow periods of a target last about
 # half a second.
@@ -104,6 +105,7 @@
     averages.others_in_flight += REPORT_EWMA_WEIGHT * (
         reported.others_in_flight - averages.others_in_flight
     )
+    hung_attempts.on_report(state, service, target, report, own_in_flight)
 
 
 def on_missing_report(service: state_lib.ServiceState) -> None:
@@ -203,7 +205,7 @@
         return UNRESPONSIVE_ANSWER_US + state.random.random()
     base_us = processing_time_us(service, call)
     weight = _report_weight(state, reported)
-    in_flight = _expected_in_flight(state, service, target)
+    in_flight = expected_in_flight(state, service, target)
     slots = target.spec.slots
     penalty = (
         OCCUPANCY_PENALTY * in_flight / slots
@@ -235,7 +237,7 @@
     slots = float(target.spec.slots)
     if service.averages.saturation_slowdown > SATURATION_SLOWDOWN_LIMIT:
         slots = max(1.0, slots * NEAR_CAPACITY_SHARE)
-    return _expected_in_flight(state, service, target) + 1 <= slots
+    return expected_in_flight(state, service, target) + 1 <= slots
 
 
 def is_near_capacity(
@@ -244,11 +246,11 @@
     target: targets.Target,
 ) -> bool:
     """Whether one more call brings a target near its capacity."""
-    in_flight = _expected_in_flight(state, service, target) + 1
+    in_flight = expected_in_flight(state, service, target) + 1
     return in_flight > NEAR_CAPACITY_SHARE * target.spec.slots
 
 
-def _expected_in_flight(
+def expected_in_flight(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     target: targets.Target,
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -31,6 +31,7 @@
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.core import timers
+from fireflyspindle.core.load_sharing import hung_attempts
 
 
 def start(state: state_lib.GateState, now_us: int) -> list[effects.Effect]:
@@ -194,6 +195,8 @@
 
 def _fire_store(state: state_lib.GateState, timer: timers.Timer) -> None:
     match timer:
+        case timers.HungAttemptsDue():
+            hung_attempts.on_due(state, timer)
         case timers.ReregistrationGraceExpired():
             discovery.on_reregistration_grace_expired(state)
         case timers.AcceptTimeout():
--- a/src/fireflyspindle/core/target_selection.py
+++ b/src/fireflyspindle/core/target_selection.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import targets
+from fireflyspindle.core.load_sharing import hung_attempts
 
 MAX_CANDIDATES = 16
 SAMPLED_CANDIDATES = 4
@@ -100,6 +101,9 @@
         and target.spec.key not in call.tried_targets
         and target.in_flight < target.max_connections
         and target_limits.may_send(state, service, target)
+        and (
+            optimistic or not hung_attempts.may_be_full(state, service, target)
+        )
     ]
     ranked.sort(key=lambda pair: pair[0])
     return ranked
--- a/src/fireflyspindle/core/targets.py
+++ b/src/fireflyspindle/core/targets.py
@@ -125,6 +125,9 @@
         invalid_limit_us: Time of the latest log line about an invalid limit.
         paused_until_us: End of the pause that it asked for.
         invalid_header_us: Time of the latest log line about invalid headers.
+        largest_queue: Longest queue that it has reported.
+        reported_empty_us: Time since which it has reported no requests while
+            this gate host had overdue attempts there; 0 if it hasn't.
     """
 
     spec: records.TargetSpec
@@ -144,6 +147,8 @@
     invalid_limit_us: int = load_lib.NEVER_US
     paused_until_us: int = 0
     invalid_header_us: int = load_lib.NEVER_US
+    largest_queue: int = 0
+    reported_empty_us: int = 0
 
 
 def on_attempt_started(target: Target, now_us: int) -> None:
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -53,6 +53,23 @@
     call_id: int
 
 
+@attrs.define
+class HungAttemptsDue:
+    """A report may show that a target doesn't hold attempts of this host.
+
+    Attributes:
+        service: Name of the service.
+        target: Key of the target.
+        reported_us: Time of the report.
+        certain: Whether the target holds none of them for certain.
+    """
+
+    service: str
+    target: str
+    reported_us: int
+    certain: bool
+
+
 @attrs.define
 class ReregistrationGraceExpired:
     """Targets lost in an outage of the store have had time to re-register."""
@@ -136,6 +153,7 @@
     | ProbeRoundTimeout
     | DispatchDue
     | DispatchWaitExpired
+    | HungAttemptsDue
     | ReregistrationGraceExpired
     | AcceptTimeout
     | FollowCheckDue
