--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.load_sharing import fairness
 from fireflyspindle.core.organisations import authorisation
 from fireflyspindle.core.organisations import sending
 from fireflyspindle.core.quotas import send_check as quota_send_check
@@ -44,6 +45,7 @@
         expected_slowdown = forecast.expected_slowdown(state, service, target)
         near_capacity = forecast.is_near_capacity(state, service, target)
     attempt = _add(state, service, call, target)
+    fairness.on_sent(state, call)
     attempt.expected_slowdown = expected_slowdown
     attempt.near_capacity = near_capacity
     target_limits.on_sent(state, service, target)
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -24,6 +24,7 @@
 from fireflyspindle.core import timers
 from fireflyspindle.core.cold_targets import cold
 from fireflyspindle.core.evacuation import transitions as evacuation_transitions
+from fireflyspindle.core.load_sharing import fairness
 from fireflyspindle.core.organisations import proof
 from fireflyspindle.core.quotas import limits as quota_limits
 
@@ -68,6 +69,7 @@
         return
     table.replace_rules(document)
     state.organisations.replace(document)
+    fairness.on_configuration(state, document)
     state.service_settings = {
         service.name: service for service in document.services
     }
--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -21,6 +21,8 @@
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core.load_sharing import admission
+from fireflyspindle.core.load_sharing import fairness
 
 # Time between two rounds of probes for the waiting calls. Answers to other
 # calls report free slots too, and each round uses probe tokens that arriving
@@ -62,6 +64,8 @@
         _refuse(state, service, call)
         return
     if call.call_id not in service.waiting_calls:
+        if _refuse_unreachable(state, service, [call]):
+            return
         service.waiting_calls[call.call_id] = None
         call.record_step(
             state.now_us,
@@ -86,6 +90,7 @@
         target = find_available_target(state, service, call)
         if target is None:
             return
+        admission.on_sending(state, service)
         del service.waiting_calls[call.call_id]
         attempts.begin(state, call, target)
 
@@ -202,10 +207,30 @@
     state: state_lib.GateState,
     service: state_lib.ServiceState,
     call: state_lib.Call,
-) -> tuple[bool, int, int]:
+) -> tuple[bool, int, float, int]:
     """Returns the sort key of a waiting call; the highest is sent next."""
     late = is_late(state, service, call)
-    return not late, -call.priority, call.arrived_us
+    share = fairness.served_share(state, call)
+    return not late, -call.priority, -share, call.arrived_us
+
+
+def must_yield(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    call: state_lib.Call,
+) -> bool:
+    """Whether a waiting call precedes one that would take a free slot.
+
+    Without organisations an arriving call is as new as any, and never yields.
+    """
+    if not state.sharing.weights or not service.waiting_calls:
+        return False
+    first = _next_call(state, service)
+    if first is call or _precedence(state, service, call) >= _precedence(
+        state, service, first
+    ):
+        return False
+    return find_available_target(state, service, first) is not None
 
 
 def _refuse_beyond_limits(
@@ -225,6 +250,40 @@
             placement.refuse_no_target(state, service, call)
 
 
+def _refuse_unreachable(
+    state: state_lib.GateState,
+    service: state_lib.ServiceState,
+    calls: list[state_lib.Call],
+) -> bool:
+    """Refuses those of some calls that can't be sent in time.
+
+    Calls that are being probed for are left to the end of their round.
+
+    Returns:
+        Whether a call was refused.
+    """
+    if not admission.is_enabled(state, service):
+        return False
+    waiting = [state.calls[call_id] for call_id in service.waiting_calls]
+    keys = {
+        call.call_id: _precedence(state, service, call)
+        for call in (*waiting, *calls)
+    }
+    refused = False
+    for call in calls:
+        if call.probe_round is not None or call.soft_deadline_us is None:
+            continue
+        key = keys[call.call_id]
+        ahead = sum(keys[other.call_id] > key for other in waiting)
+        wait_us = admission.expected_wait_us(state, service, ahead)
+        latest_us = call.soft_deadline_us - _min_answer_time_us(service, call)
+        if wait_us and state.now_us + wait_us > latest_us:
+            state.sharing.refused_early += 1
+            _refuse(state, service, call)
+            refused = True
+    return refused
+
+
 def on_dispatch_due(state: state_lib.GateState, service_name: str) -> None:
     """Sends waiting calls, and probes for the next one if any is left."""
     service = state.services.get(service_name)
@@ -235,6 +294,11 @@
         relays.relay_waiting(state, service)
     dispatch(state, service)
     _refuse_beyond_limits(state, service)
+    _refuse_unreachable(
+        state,
+        service,
+        [state.calls[call_id] for call_id in service.waiting_calls],
+    )
     if not service.waiting_calls:
         return
     call = _next_call(state, service)
@@ -267,6 +331,7 @@
     service: state_lib.ServiceState,
     call: state_lib.Call,
 ) -> None:
+    admission.update(state, service)
     service.waiting_calls.pop(call.call_id, None)
     left_ms = max(0, call.deadline_us - state.now_us) // 1000
     detail = (
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -24,6 +24,7 @@
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
 from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.load_sharing import admission
 
 # Targets probed in one round, and rounds before one attempt. With a third of
 # the targets slow, 1 in 80 calls finds none of four targets at its usual speed.
@@ -255,7 +256,13 @@
         False when there is no target or, for a hedge, none with a free slot.
     """
     target = dispatch_queue.find_available_target(state, service, call)
+    if target is not None and not call.attempts:
+        if dispatch_queue.must_yield(state, service, call):
+            dispatch_queue.enqueue(state, service, call)
+            dispatch_queue.dispatch(state, service)
+            return True
     if target is not None:
+        admission.on_sending(state, service)
         service.waiting_calls.pop(call.call_id, None)
         return _send(state, call, target)
     if call.attempts:
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -29,6 +29,7 @@
 from fireflyspindle.core import timers as timers_lib
 from fireflyspindle.core.evacuation import evacuation_state
 from fireflyspindle.core.hedges import hedge_state
+from fireflyspindle.core.load_sharing import sharing_state
 from fireflyspindle.core.organisations import key_state
 from fireflyspindle.core.quotas import quota_state
 
@@ -485,6 +486,7 @@
         evacuations: The evacuations in force.
         quotas: Quotas of organisations over all gate hosts.
         hedges: Counts of hedges.
+        sharing: What decides how capacity is shared under shortage.
     """
 
     settings: CoreSettings
@@ -556,6 +558,9 @@
     )
     quotas: quota_state.QuotaState = attrs.field(factory=quota_state.QuotaState)
     hedges: hedge_state.Counters = attrs.field(factory=hedge_state.Counters)
+    sharing: sharing_state.SharingState = attrs.field(
+        factory=sharing_state.SharingState
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect of the current event."""
--- a/src/fireflyspindle/metrics.py
+++ b/src/fireflyspindle/metrics.py
@@ -183,6 +183,7 @@
         self.gauges["calls_in_flight"] = len(state.calls)
         self.gauges["stopping"] = float(state.stopping)
         self.set_hedges(state.hedges)
+        self.gauges["calls_refused_early"] = state.sharing.refused_early
         counters = attrs.asdict(state.claims.counters)
         self.event_counts.update(
             {
