--- a/src/fireflyspindle/bench/load_replay.py
+++ b/src/fireflyspindle/bench/load_replay.py
@@ -15,10 +15,10 @@
 
 from fireflyspindle.bench import load_replay_targets
 from fireflyspindle.bench import virtual
+from fireflyspindle.core import api_keys
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import published
-from fireflyspindle.core import records
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_state
 
@@ -266,11 +266,6 @@
                 now_us, _registrations(load), [], False, 1
             )
         )
-        for organisation in load.organisations:
-            if organisation.name:
-                gate.state.configuration.tenants[organisation.name] = (
-                    records.Tenant()
-                )
         gate.state.host_counts.started_us = 0
         gate.state.host_counts.recent.add(START_US, load.hosts)
 
@@ -316,7 +311,7 @@
                 host="h.example",
                 request_id=f"q{call_id}",
                 deadline_us=deadline_us,
-                tenant=caller.organisation,
+                key_digest=api_keys.digest(caller.organisation),
             )
         )
 
@@ -463,7 +458,7 @@
         organisations=tuple(
             published.Organisation(
                 organisation.name,
-                frozenset(),
+                frozenset({api_keys.digest(organisation.name)}),
                 requests_per_s=QUOTA_FACTOR
                 * organisation.share
                 * load.requests_per_s,
--- a/src/fireflyspindle/core/hedges/sending.py
+++ b/src/fireflyspindle/core/hedges/sending.py
@@ -179,8 +179,11 @@
     hedges.stopped_by_load = stopped
     hedges.logged_us = state.now_us
     used = checks.used_share(service)
-    code = "hedging_stopped" if stopped else "hedging_resumed"
     detail = (
         f"{service.name}: {used:.0%} of the slots of its targets are in use"
     )
-    state.emit(effects.WriteLogLine("info", code, detail))
+    if stopped:
+        line = effects.WriteLogLine("info", "hedging_stopped", detail)
+    else:
+        line = effects.WriteLogLine("info", "hedging_resumed", detail)
+    state.emit(line)
--- a/tests/test_early_refusals.py
+++ b/tests/test_early_refusals.py
@@ -3,11 +3,13 @@
 import pytest
 
 from fireflyspindle.bench import load_replay
+from fireflyspindle.core import api_keys
 from fireflyspindle.core import effects
 from fireflyspindle.core import published
 from fireflyspindle.core.load_sharing import admission
 import published_driver as published_host
 
+DIGEST = api_keys.digest("key")
 FULL = published_host.slow_loads(in_flight=4, slowdown=1.0)
 
 
@@ -18,7 +20,7 @@
     def make(has_organisations):
         host = make_published_host(targets=6)
         if has_organisations:
-            organisation = published.Organisation("o", frozenset())
+            organisation = published.Organisation("o", frozenset({DIGEST}))
             host.configure(
                 published_host.with_fields(
                     published_host.document(version=2),
@@ -26,7 +28,7 @@
                 )
             )
         for call_id in range(100, 120):
-            host.call_arrives(call_id)
+            host.call_arrives(call_id, key_digest=DIGEST)
             published_host.answer_probes(host, FULL, 60_000)
         return host
 
@@ -36,7 +38,7 @@
 # A call that waits in vain learns it too late to try another host.
 def test_call_is_refused_at_once_while_no_slot_becomes_free(make_short_host):
     host = make_short_host(True)
-    host.call_arrives(9)
+    host.call_arrives(9, key_digest=DIGEST)
     published_host.answer_probes(host, FULL, 20_000)
     refused = host.gate_answer(9)
     assert refused.status == 503
@@ -50,7 +52,7 @@
 def test_retry_after_differs_between_refused_callers(make_short_host):
     host = make_short_host(True)
     for call_id in range(10, 20):
-        host.call_arrives(call_id)
+        host.call_arrives(call_id, key_digest=DIGEST)
     published_host.answer_probes(host, FULL, 20_000)
     refusals = [host.gate_answer(call_id) for call_id in range(10, 20)]
     assert len({refusal.retry_after_ms for refusal in refusals}) >= 5
@@ -58,7 +60,7 @@
 
 def test_call_waits_as_before_without_organisations(make_short_host):
     host = make_short_host(False)
-    host.call_arrives(9)
+    host.call_arrives(9, key_digest=DIGEST)
     published_host.answer_probes(host, FULL, 100_000)
     assert host.gate_answer(9) is None
     assert 9 in host.service().waiting_calls
@@ -68,7 +70,7 @@
     """A single wait shows no lasting shortage."""
     host = make_short_host(True)
     host.now_us += 10_000_000
-    host.call_arrives(9)
+    host.call_arrives(9, key_digest=DIGEST)
     published_host.answer_probes(host, FULL, 60_000)
     assert 9 in host.service().waiting_calls
 
--- a/tests/test_organisation_fairness.py
+++ b/tests/test_organisation_fairness.py
@@ -5,8 +5,8 @@
 import pytest
 
 from fireflyspindle.bench import load_replay
+from fireflyspindle.core import api_keys
 from fireflyspindle.core import published
-from fireflyspindle.core import records
 import published_driver as published_host
 
 FULL = published_host.slow_loads(in_flight=4, slowdown=1.0)
@@ -16,7 +16,11 @@
 
 def _organisations(**rates_per_s):
     return tuple(
-        published.Organisation(name, frozenset(), requests_per_s=rate_per_s)
+        published.Organisation(
+            name,
+            frozenset({api_keys.digest(name)}),
+            requests_per_s=rate_per_s,
+        )
         for name, rate_per_s in rates_per_s.items()
     )
 
@@ -32,15 +36,13 @@
             organisations=_organisations(**rates_per_s),
         )
         host.configure(new)
-        for name in rates_per_s:
-            host.state.configuration.tenants[name] = records.Tenant()
         return host
 
     return make
 
 
 def _arrive(host, call_id, organisation):
-    host.call_arrives(call_id, tenant=organisation)
+    host.call_arrives(call_id, key_digest=api_keys.digest(organisation))
 
 
 def _serve(host, first_id, organisation, count):
