--- a/src/fireflyspindle/adapters/configuration_proof.py
+++ b/src/fireflyspindle/adapters/configuration_proof.py
@@ -78,14 +78,17 @@
                     return Answer(unsupported=True)
                 response.raise_for_status()
                 content = await response.json()
-                if content["version"] is None or content["age-ms"] is None:
+                version, age_ms = content["version"], content["age-ms"]
+                if type(version) is not int or type(age_ms) is not int:
                     return Answer()
-                age_ms = int(content["age-ms"])
                 if age_ms < 0:
                     return Answer()
-                return Answer(int(content["version"]), age_ms * 1000)
+                return Answer(version, age_ms * 1000)
         except (aiohttp.ClientError, OSError, TypeError, KeyError, ValueError):
             return Answer()
+        except RecursionError:
+            # JSON that is nested too deeply.
+            return Answer()
 
     async def close(self) -> None:
         """Closes every connection."""
--- a/src/fireflyspindle/adapters/quota_permits.py
+++ b/src/fireflyspindle/adapters/quota_permits.py
@@ -74,7 +74,7 @@
             content = _object(await request.json())
             wanted = _counts(content.get("wanted", {}))
             ahead = _counts(content.get("ahead", {}))
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, RecursionError) as error:
             return web.json_response({"error": str(error)}, status=400)
         self._last_request_id += 1
         request_id = self._last_request_id
@@ -122,7 +122,14 @@
             reason, unsupported = f"status {error.status}", error.status == 404
         except TimeoutError:
             reason = f"no answer in {TIMEOUT_S * 1000:.0f} ms"
-        except (aiohttp.ClientError, OSError, ValueError, TypeError) as error:
+        except (
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+            TypeError,
+            LookupError,
+            RecursionError,
+        ) as error:
             reason = f"{type(error).__name__}: {error}"
         now_us = self._shell.now_us()
         if reason:
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -46,9 +46,11 @@
     if document is not None:
         _apply_configuration(state, document)
     evacuation_transitions.on_configuration_read(state, event)
+    reads = state.store_reads[source]
     if event.newest_is_decodable is not None:
-        reads = state.store_reads[source]
-        reads.has_undecodable_record = not event.newest_is_decodable
+        # A reader that is behind may relay an older, decodable version.
+        if event.next_offset >= (reads.next_offset or 0):
+            reads.has_undecodable_record = not event.newest_is_decodable
     proof.on_configuration_read(state, event)
     store_reads.on_read_succeeded(
         state,
--- a/src/fireflyspindle/core/organisations/authorisation.py
+++ b/src/fireflyspindle/core/organisations/authorisation.py
@@ -138,14 +138,15 @@
 ) -> effects.KeyHandling | None:
     """Returns how the headers of a call's key are treated on a send.
 
-    On a public route nothing is added. A known key is still removed, since no
-    target may see it; any other Authorization is the target's matter.
+    On a public route nothing is added. The header is still removed where there
+    are organisations: it may hold a key in another form, or one that this host
+    doesn't know yet.
     """
     keys = state.organisations
     if call.organisation:
         return effects.KeyHandling(
             call.organisation, call.key_digest, proof.valid_until_us(state)
         )
-    if keys.enforced and call.key_digest in keys.by_digest:
+    if keys.enforced:
         return effects.KeyHandling()
     return None
--- a/src/fireflyspindle/core/organisations/proof.py
+++ b/src/fireflyspindle/core/organisations/proof.py
@@ -165,6 +165,9 @@
     """Whether this host reads the store because readers give no proof."""
     if source is not store_state.Source.CONFIGURATION or not is_needed(state):
         return False
+    if state.store_reads[source].has_undecodable_record:
+        # No read proves anything until the operator publishes another version.
+        return False
     due_us = _own_read_due_us(state)
     return due_us is not None and state.now_us >= due_us
 
--- a/src/fireflyspindle/core/quotas/permits.py
+++ b/src/fireflyspindle/core/quotas/permits.py
@@ -83,6 +83,24 @@
     return take(state, call)
 
 
+def may_send_attempt(
+    state: state_lib.GateState, call: state_lib.Call, now_us: int
+) -> bool:
+    """Whether the only attempt of a call may be sent after a wait to connect.
+
+    Args:
+        state: State of the gate host.
+        call: A call with an attempt that has not been sent.
+        now_us: Monotonic time, which may be later than that of the last event.
+    """
+    permit = state.quotas.permits_by_call.get(call.call_id)
+    if permit is None or permit.expires_us > now_us:
+        return True
+    if len(call.attempts) > 1 or call.may_have_run:
+        return True
+    return permit.organisation not in state.quotas.limited
+
+
 def on_call_ended(state: state_lib.GateState, call: state_lib.Call) -> None:
     """Returns the permit of a call that certainly has not run."""
     quotas = state.quotas
--- a/src/fireflyspindle/core/quotas/reader_requests.py
+++ b/src/fireflyspindle/core/quotas/reader_requests.py
@@ -235,7 +235,10 @@
     retry_after_ms = grant.retry_after_ms.get(quota.name)
     if retry_after_ms is None:
         return quota_state.Hold(state.now_us + MAX_HOLD_US, None)
-    retry_after_us = max(1, retry_after_ms) * 1000
+    # A faulty reader must not send callers away for longer than any would.
+    retry_after_us = min(
+        max(1, retry_after_ms) * 1000, granter.MAX_RETRY_AFTER_US
+    )
     return quota_state.Hold(
         until_us=state.now_us + min(_max_hold_us(quota), retry_after_us),
         retry_at_us=state.now_us + retry_after_us,
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -15,6 +15,8 @@
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core.evacuation import domains as evacuation_domains
+from fireflyspindle.core.organisations import authorisation
+from fireflyspindle.core.quotas import permits as quota_permits
 
 
 class Shell:
@@ -128,6 +130,13 @@
 
     def may_send(self, call_id: int, attempt: int) -> bool:
         """Whether an attempt that waited for a connection may be sent."""
+        call = self.state.calls.get(call_id)
+        if call is not None:
+            if authorisation.check_again(self.state, call):
+                return False
+            now_us = self.now_us()
+            if not quota_permits.may_send_attempt(self.state, call, now_us):
+                return False
         return evacuation_domains.may_send_attempt(self.state, call_id, attempt)
 
     def spawn(self, work: exchange_lib.Work) -> asyncio.Task[None]:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -214,6 +214,22 @@
     assert len(host.sent) == 2 and len(requests(host)) == 1
 
 
+def test_permit_that_expires_while_a_call_connects_is_not_used(
+    make_limited_host,
+):
+    # Guards against requests of many hosts that leave together after a stall.
+    host = make_limited_host()
+    arrive(host, 1)
+    reply(host, granted=1)
+    host.answer_probes()
+    call = host.state.calls[1]
+    late_us = host.now_us + VALID_MS * 1000 + 1
+    assert permits.may_send_attempt(host.state, call, host.now_us)
+    assert not permits.may_send_attempt(host.state, call, late_us)
+    call.may_have_run = True
+    assert permits.may_send_attempt(host.state, call, late_us)
+
+
 def test_relayed_call_needs_no_permit(make_limited_host):
     host = make_limited_host()
     arrive(host, 1, relayed=True)
