--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -43,9 +43,10 @@
     if not store_reads.should_apply(state, source, event.relayed):
         return
     document = event.document
+    # A configuration that lifts a quota sends calls that wait for permits.
+    evacuation_transitions.on_configuration_read(state, event)
     if document is not None:
         _apply_configuration(state, document)
-    evacuation_transitions.on_configuration_read(state, event)
     reads = state.store_reads[source]
     if event.newest_is_decodable is not None:
         # A reader that is behind may relay an older, decodable version.
--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -331,7 +331,8 @@
     service: state_lib.ServiceState,
     call: state_lib.Call,
 ) -> None:
-    admission.update(state, service)
+    if admission.is_enabled(state, service):
+        admission.update(state, service)
     service.waiting_calls.pop(call.call_id, None)
     left_ms = max(0, call.deadline_us - state.now_us) // 1000
     detail = (
