--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -38,10 +38,12 @@
 def reset(writer) -> None:
     """Resets a connection."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    try:
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
         )
+    except (AttributeError, OSError):
+        pass  # It is closed already.
     writer.transport.abort()
 
 
