Parse the requests of a caller one at a time

Where malformed bytes followed a request in one read, the request was dropped and only the bytes behind it were answered.

Cause: what a connection had to serve was kept twice. The parser counted requests whose bodies were complete and stopped at four; the connection reported each as consumed once its head was served. For a late body the report came before the count and was lost, so the parser stopped earlier each time and held back requests that the connection asked for only after its own queue had been full.

Evidence: the targets never saw the requests. Four uploads whose last byte comes late, without any loss, are enough: test_requests_behind_a_body_that_ came_late_are_answered timed out before; some reads were answered at once and the others never, so the transport was not paused. test_request_before_malformed_bytes_is_answered failed before as well.

Why this works: the parser stops at the end of each request and the connection asks for the next one whenever it may serve it. There is no count left. Reading pauses only while a parsed request waits for room.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -6,16 +6,13 @@
 
 from aiohttp import http
 from aiohttp import streams
-from aiohttp import web
 import attrs
 
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import head_limits as head_limits_lib
-from fireflyspindle.adapters import overhead
+from fireflyspindle.adapters import request_parser
 from fireflyspindle.adapters import shared_buffer
 
-READ_BUFFER_BYTES = 64 * 1024
-MAX_QUEUED_REQUESTS = 4
 # Most requests of one connection that are served concurrently. Further
 # requests stay unread, which bounds the memory that one caller can use.
 MAX_PENDING_REQUESTS = 8
@@ -27,7 +24,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-_Request = tuple[http.RawRequestMessage, streams.StreamReader]
+_Parsed = request_parser.Request | http.HttpProcessingError
 
 
 class Server(Protocol):
@@ -181,26 +178,16 @@
     ) -> None:
         super().__init__(loop, buffer)
         self.relays = relays
-        self._parser = http.HttpRequestParser(
-            self,
-            loop,
-            READ_BUFFER_BYTES,
-            payload_exception=web.RequestPayloadError,
-            auto_decompress=False,
-            max_line_size=head_limits_lib.PARSED_LINE_BYTES,
-            max_headers=head_limits_lib.PARSED_HEADERS,
-            max_field_size=head_limits_lib.PARSED_LINE_BYTES,
-            max_msg_queue_size=MAX_QUEUED_REQUESTS,
-        )
+        self._requests = request_parser.RequestParser(self, loop)
+        self._parser = self._requests.parser
         self._head_started_s: float | None = None
         self.stage_started_s = loop.time()
         self.pending: collections.deque[PendingRequest] = collections.deque()
         self._server = server
-        self._parsed: collections.deque[_Request] = collections.deque()
-        self._malformed: http.HttpProcessingError | None = None
+        # What was parsed last, until it may be served.
+        self._parsed: _Parsed | None = None
         self._accepts_requests = True
         self._lingering = False
-        self._overhead = overhead.OverheadMeter()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers with the server."""
@@ -209,76 +196,68 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and serves the requests with complete heads."""
-        if self._lingering or self._malformed is not None:
-            return
-        parser = self._parser
-        if parser is None:
-            return
-        try:
-            messages, upgraded, _tail = parser.feed_data(data)
-        except http.HttpProcessingError as error:
-            self._malformed = error
-            messages = []
-            upgraded = False
-        if messages:
-            self._overhead.start_message(messages[-1][1])
-        self._check_overhead(len(data))
-        if messages or not data or self.pending:
+        if self._parse(data) or not data or self.pending:
             self._head_started_s = None
         elif self._head_started_s is None:
             self._head_started_s = self._loop.time()
-        if messages:
-            self._parsed.extend(messages)
-            if len(self._parsed) >= MAX_QUEUED_REQUESTS:
-                self._pause_reading_for_buffer()
-        self._serve_parsed()
-        if upgraded:
-            self._accepts_requests = False
 
-    def _check_overhead(self, received_bytes: int) -> None:
-        """Treats more bytes beside a body than allowed as malformed."""
-        self._overhead.add(received_bytes)
-        if not self._overhead.exceeded or self._malformed is not None:
-            return
-        detail = "too many bytes that belong to no body"
-        self._malformed = http.HttpProcessingError(code=400, message=detail)
-        if not self.pending:
-            return
-        payload = self.pending[-1].payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(web.RequestPayloadError(detail))
+    def _parse(self, data: bytes) -> bool:
+        """Parses bytes until the next request is incomplete or has to wait.
+
+        Returns:
+            Whether a head, or an error, was parsed.
+        """
+        found = False
+        while self._may_parse():
+            try:
+                self._parsed = self._requests.feed(data)
+            except http.HttpProcessingError as error:
+                self._parsed = error
+            data = b""
+            if self._parsed is not None:
+                found = True
+                self._serve_parsed()
+            if not self._requests.stopped:
+                break
+        return found
+
+    def _may_parse(self) -> bool:
+        if self._lingering or self._parsed is not None or self._parser is None:
+            return False
+        return self._accepts_requests or not self._requests.body_complete
 
     def _serve_parsed(self) -> None:
-        while self._parsed and self._may_serve():
-            message, payload = self._parsed.popleft()
-            pending = self._add_pending(payload)
-            if message.should_close:
-                self._accepts_requests = False
-            assert self._parser is not None
-            self._parser.message_consumed()
-            if self._buffer_paused:
-                self._resume_reading_for_buffer()
-                self.data_received(b"")
-            error = self._server.head_limits.check(message)
-            if error is not None:
-                self._accepts_requests = False
-                self._server.on_malformed(pending, error)
-                return
-            self._server.on_request(pending, message, payload)
-        if self._malformed is not None and not self._parsed:
-            if self._may_serve():
+        if len(self.pending) >= MAX_PENDING_REQUESTS:
+            self._pause_reading_for_buffer()
+            return
+        parsed, self._parsed = self._parsed, None
+        match parsed:
+            case http.HttpProcessingError():
                 self._accepts_requests = False
-                self._server.on_malformed(
-                    self._add_pending(None), self._malformed
-                )
+                self._server.on_malformed(self._add_pending(None), parsed)
+            case (message, payload):
+                self._serve(message, payload)
+
+    def _serve(
+        self, message: http.RawRequestMessage, payload: streams.StreamReader
+    ) -> None:
+        pending = self._add_pending(payload)
+        if message.should_close or self._requests.upgraded:
+            self._accepts_requests = False
+        error = self._server.head_limits.check(message)
+        if error is not None:
+            self._accepts_requests = False
+            self._server.on_malformed(pending, error)
+            return
+        self._server.on_request(pending, message, payload)
 
-    def _may_serve(self) -> bool:
-        return (
-            self._accepts_requests
-            and not self._lingering
-            and self.transport is not None
-            and len(self.pending) < MAX_PENDING_REQUESTS
-        )
+    def _continue_parsing(self) -> None:
+        """Serves the request that waited, and those behind it."""
+        if self._parsed is not None:
+            self._serve_parsed()
+        if self._parsed is None and self._buffer_paused:
+            self._resume_reading_for_buffer()
+            self._parse(b"")
 
     def _add_pending(
         self, payload: streams.StreamReader | None
@@ -328,14 +307,14 @@
             if self.pending:
                 self.pending[0].on_became_first()
         self.stage_started_s = self._loop.time()
-        if self._parsed or self._malformed is not None:
-            self._loop.call_soon(self._serve_parsed)
+        if self._parsed is not None:
+            self._loop.call_soon(self._continue_parsing)
 
     def _start_lingering(self, last: PendingRequest) -> None:
         """Closes for writing, and reads on so the response is delivered."""
         self._lingering = True
         self.stage_started_s = self._loop.time()
-        self._parsed.clear()
+        self._parsed = None
         self._abandon_pending()
         transport = self.transport
         if transport is None:
@@ -377,7 +356,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether the connection has no request in progress."""
-        return not self.pending and not self._parsed
+        return not self.pending and self._parsed is None
 
     def is_overdue(self, now_s: float) -> bool:
         """Whether the connection has exceeded the time limit of its stage."""
@@ -402,6 +381,6 @@
         """Reports the unanswered requests to the server."""
         super().connection_lost(exc)
         self._parser = None
-        self._parsed.clear()
+        self._parsed = None
         self._server.connections.discard(self)
         self._abandon_pending()
--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,106 @@
+"""Callers that send further requests before the first is answered."""
+
+import asyncio
+
+from fireflyspindle.adapters import caller_connection
+from fireflyspindle.adapters import gate_server
+from fireflyspindle.adapters import head_limits
+import wire
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+PIPELINED = 20
+
+
+async def send_in_two_parts(running, caller, request, first_bytes):
+    """Sends a request whose rest arrives after its start has been read."""
+    caller.writer.write(request[:first_bytes])
+    server = running.gate.data_path.server
+    await wire.until(
+        lambda: any(
+            pending.reading_body
+            for connection in server.connections
+            for pending in connection.pending
+        )
+    )
+    return await caller.ask(request[first_bytes:])
+
+
+async def test_requests_behind_a_body_that_came_late_are_answered():
+    # Requests stayed in the parser for ever, since it counted each body that
+    # came after its head as a request that was still queued.
+    upload = wire.request("PUT", body=b"x" * 100)
+    paths = [f"/dossier/{number}" for number in range(PIPELINED)]
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        for _ in range(4):
+            await send_in_two_parts(running, caller, upload, len(upload) - 1)
+        caller.writer.write(
+            b"".join(wire.request("GET", path) for path in paths)
+        )
+        async with asyncio.timeout(wire.WAIT_S):
+            answers = [await caller.ask(b"") for _ in paths]
+        caller.close()
+    assert [answer.body for answer in answers] == [b"ok"] * PIPELINED
+    received = [r.first_line for r in running.targets[0].requests[4:]]
+    assert sorted(received) == sorted(
+        f"GET {path} HTTP/1.1".encode() for path in paths
+    )
+
+
+async def test_requests_beyond_those_served_at_once_wait_and_are_answered():
+    # The caller's further requests are read again once there is room.
+    async def respond(_request, writer):
+        await wire.until(lambda: released)
+        writer.write(OK)
+
+    def pending(running):
+        [connection] = running.gate.data_path.server.connections
+        return len(connection.pending)
+
+    released = []
+    limit = caller_connection.MAX_PENDING_REQUESTS
+    upload = wire.request("PUT", body=b"x" * 200_000)
+    async with wire.running(respond) as running:
+        caller = await running.caller()
+        reads = [wire.request("GET", f"/dossier/{n}") for n in range(12)]
+        caller.writer.write(b"".join(reads) + upload + reads[0])
+        await wire.until(lambda: running.targets[0].requests)
+        assert pending(running) == limit
+        released.append(True)
+        async with asyncio.timeout(wire.WAIT_S):
+            answers = [await caller.ask(b"") for _ in range(14)]
+        caller.close()
+    assert [answer.body for answer in answers] == [b"ok"] * 14
+    assert [
+        received.body
+        for received in running.targets[0].requests
+        if received.first_line.startswith(b"PUT")
+    ] == [b"x" * 200_000]
+
+
+async def test_request_before_malformed_bytes_is_answered():
+    # Bytes that can't be parsed took the requests of the same read with them.
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        answer = await caller.ask(wire.request() + b"nonsense\r\n\r\n")
+        refusal = await caller.ask(b"")
+        caller.close()
+    assert answer.body == b"ok"
+    assert refusal.first_line.split()[1] == b"400"
+
+
+async def test_kept_connection_is_not_taken_for_one_with_half_a_head(
+    monkeypatch,
+):
+    # The time limit of a head begins with its first byte.
+    monkeypatch.setattr(gate_server, "SWEEP_INTERVAL_S", 0.01)
+    async with wire.running(wire.replies(OK)) as running:
+        server = running.gate.data_path.server
+        server.head_limits = head_limits.HeadLimits(timeout_s=0.05)
+        caller = await running.caller()
+        refusal = await caller.ask(wire.request("GET", "/nowhere"))
+        await asyncio.sleep(0.2)
+        answer = await caller.ask(wire.request())
+        caller.close()
+    assert refusal.first_line.split()[1] == b"404"
+    assert answer.body == b"ok"
