Keep connections open until callers have received their responses

Cause: a response counted as delivered once the gate host's own system had taken its bytes. After the last response the socket was closed at once; a request that the caller sent behind it arrived at a closed socket, and the reset took the bytes that were still on their way. The end of the process and the idle limit closed connections by the same belief.

Evidence: the responses are lost long before the process ends, and without the further request all are delivered.

Why this works: after its last response a connection is closed for writing and read until the caller closes it, so that nothing meets a closed socket. The length of the send queue tells what the caller has not acknowledged; no limit ends a connection while it shrinks, and a stopping host waits for it until the limit of the stop. Idle connections without such bytes are closed at once as before, so that a crossing request stays unread. GateServer.close_idle had no caller and is gone.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -11,6 +11,7 @@
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import head_limits as head_limits_lib
 from fireflyspindle.adapters import request_parser
+from fireflyspindle.adapters import send_queue
 from fireflyspindle.adapters import shared_buffer
 
 # Most requests of one connection that are served concurrently. Further
@@ -188,6 +189,8 @@
         self._parsed: _Parsed | None = None
         self._accepts_requests = True
         self._lingering = False
+        # When the time limit of a stage was last checked.
+        self._undelivered_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers with the server."""
@@ -302,7 +305,7 @@
         while self.pending and self.pending[0].ended:
             ended = self.pending.popleft()
             if not ended.keep_alive:
-                self._start_lingering(ended)
+                self._start_lingering()
                 return
             if self.pending:
                 self.pending[0].on_became_first()
@@ -310,8 +313,12 @@
         if self._parsed is not None:
             self._loop.call_soon(self._continue_parsing)
 
-    def _start_lingering(self, last: PendingRequest) -> None:
-        """Closes for writing, and reads on so the response is delivered."""
+    def _start_lingering(self) -> None:
+        """Closes for writing, and reads on so that responses are delivered.
+
+        Bytes that arrive at a closed socket reset its connection, and the
+        caller loses what it has not received yet.
+        """
         self._lingering = True
         self.stage_started_s = self._loop.time()
         self._parsed = None
@@ -319,8 +326,7 @@
         transport = self.transport
         if transport is None:
             return
-        body_complete = last.payload is not None and last.payload.is_eof()
-        if body_complete or not transport.can_write_eof():
+        if not transport.can_write_eof():
             transport.close()
             return
         transport.write_eof()
@@ -328,6 +334,21 @@
         self._buffer_paused = False
         self._resume_transport_reading()
 
+    def close(self) -> None:
+        """Closes the connection, once its responses have been delivered.
+
+        Requests in progress are abandoned.
+        """
+        transport = self.transport
+        if transport is None or self._lingering:
+            return
+        if self.pending or send_queue.undelivered_bytes(transport):
+            self._start_lingering()
+            return
+        # A request that arrives now stays unread, so that its caller knows
+        # that it was not run.
+        transport.close()
+
     def _abandon_pending(self) -> None:
         """Abandons the requests that can no longer be answered."""
         requests = list(self.pending)
@@ -362,7 +383,7 @@
         """Whether the connection has exceeded the time limit of its stage."""
         age_s = now_s - self.stage_started_s
         if self._lingering:
-            return age_s > LINGER_LIMIT_S
+            return age_s > LINGER_LIMIT_S and not self._is_delivering(now_s)
         for pending in self.pending:
             if (
                 pending.reading_body
@@ -375,7 +396,20 @@
             head_s = now_s - self._head_started_s
             if head_s > self._server.head_limits.timeout_s:
                 return True
-        return age_s > self._server.idle_limit_s
+        if age_s <= self._server.idle_limit_s:
+            return False
+        return not self._is_delivering(now_s)
+
+    def _is_delivering(self, now_s: float) -> bool:
+        """Starts the stage anew if the caller has received more responses."""
+        if self.transport is None:
+            return False
+        undelivered_bytes = send_queue.undelivered_bytes(self.transport)
+        if undelivered_bytes == self._undelivered_bytes:
+            return False
+        self._undelivered_bytes = undelivered_bytes
+        self.stage_started_s = now_s
+        return True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Reports the unanswered requests to the server."""
--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -104,9 +104,16 @@
                 return
             await asyncio.sleep(POLL_S)
 
-    async def close(self) -> None:
-        """Closes every connection, after flushing written bytes."""
-        await self.server.close()
+    async def close_server(self, limit_s: float) -> None:
+        """Closes callers' connections, once their responses are delivered.
+
+        Args:
+            limit_s: Longest time in which callers may receive them.
+        """
+        await self.server.close(limit_s)
+
+    def close(self) -> None:
+        """Closes the idle connections to targets."""
         self.client.close()
 
     def now_us(self) -> int:
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -26,7 +26,6 @@
 from fireflyspindle.core import refusals
 
 SWEEP_INTERVAL_S = 1.0
-CLOSE_LIMIT_S = 2.0
 CLOSE_POLL_S = 0.01
 # Most connections that wait to be accepted; holds a burst of one or two
 # seconds.
@@ -206,31 +205,32 @@
             return
         await asyncio.sleep(LAST_READ_S)
 
-    def close_idle(self) -> None:
-        """Closes the connections that have no request in progress."""
-        for connection in list(self.connections):
-            if connection.is_idle and connection.transport is not None:
-                connection.transport.close()
+    async def close(self, limit_s: float) -> None:
+        """Closes the address, and each connection once it is flushed.
 
-    async def close(self) -> None:
-        """Closes the address and, after flushing, every connection."""
+        Args:
+            limit_s: Longest time in which callers may receive their responses.
+        """
         self.stop_listening()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
         for connection in list(self.connections):
-            if connection.transport is not None:
-                connection.transport.close()
-        end_s = time.monotonic() + CLOSE_LIMIT_S
-        while self.connections and time.monotonic() < end_s:
+            connection.close()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + limit_s
+        while self.connections and loop.time() < end_s:
+            self._abort_overdue()
             await asyncio.sleep(CLOSE_POLL_S)
 
-    def _close_overdue(self) -> None:
-        loop = asyncio.get_running_loop()
-        now_s = loop.time()
+    def _abort_overdue(self) -> None:
+        now_s = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             if connection.is_overdue(now_s):
                 connection.abort()
-        self._sweep_timer = loop.call_later(
+
+    def _close_overdue(self) -> None:
+        self._abort_overdue()
+        self._sweep_timer = asyncio.get_running_loop().call_later(
             SWEEP_INTERVAL_S, self._close_overdue
         )
 
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -18,6 +18,10 @@
 from fireflyspindle.core.organisations import authorisation
 from fireflyspindle.core.quotas import permits as quota_permits
 
+# Time in which callers may receive their last responses, also where calls were
+# in progress until the limit of a planned stop.
+MIN_DELIVERY_S = 2.0
+
 
 class Shell:
     """Base class of gate hosts: calls, probes, timers and shutdown.
@@ -43,6 +47,7 @@
         self._events: collections.deque[events.Event] = collections.deque()
         self._reducing = False
         self._exit = asyncio.Event()
+        self._stop_limit_us: int | None = None
 
     def begin(self) -> None:
         """Starts the reducer, once every address is open."""
@@ -50,18 +55,28 @@
 
     def request_stop(self) -> None:
         """Starts a planned stop; `wait_exit` returns when it is done."""
-        self.submit(events.StopRequested(self.now_us()))
+        now_us = self.now_us()
+        if self._stop_limit_us is None:
+            limit_us = self.state.settings.drain_limit_ms * 1000
+            self._stop_limit_us = now_us + limit_us
+        self.submit(events.StopRequested(now_us))
 
     async def wait_exit(self) -> None:
-        """Waits until nothing is in flight, then cancels every task."""
+        """Waits until every response is delivered, then cancels every task."""
         await self._exit.wait()
         await self.data_path.wait_idle()
+        await self.data_path.close_server(self._delivery_limit_s())
         if self._timer is not None:
             self._timer.cancel()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.data_path.close()
+        self.data_path.close()
+
+    def _delivery_limit_s(self) -> float:
+        """Returns the time left until the limit of the planned stop."""
+        left_us = (self._stop_limit_us or 0) - self.now_us()
+        return max(MIN_DELIVERY_S, left_us / 1e6)
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
