Send no request to a target behind a response that closes the connection

What callers saw: behind a request that the gate host refused, or behind an upload whose response began early, a pipelined request ran at a target and its response was dropped with the connection.

Cause: whether a connection accepts requests and whether a response closes it were decided separately; only the response at a planned stop did both.

Evidence: test_no_request_behind_a_refusal_that_closes_reaches_a_target and test_no_request_behind_an_early_response_reaches_a_target failed before: the target received DELETE, whose caller got no response.

Where a request behind has been accepted, the connection stays open.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -94,13 +94,20 @@
         """The transport of the connection; None once it is closed."""
         return self.connection.transport
 
-    @property
-    def may_keep_alive(self) -> bool:
-        """Whether the connection may stay open after this response."""
-        payload = self.payload
-        if payload is None or not payload.is_eof():
-            return False
-        return self.connection.may_stay_open_after(self)
+    def keep_alive_after(self, delimited: bool = True) -> bool:
+        """Decides whether the connection stays open after this response.
+
+        Otherwise no further request is accepted on it, since its response could
+        not be delivered.
+
+        Args:
+            delimited: Whether the response ends without the connection.
+        """
+        connection = self.connection
+        body_complete = self.payload is not None and self.payload.is_eof()
+        if delimited and body_complete and connection.accepts_requests:
+            return True
+        return not connection.close_after(self) and delimited
 
     @property
     def writing_paused(self) -> bool:
@@ -230,6 +237,9 @@
         return self._accepts_requests or not self._requests.body_complete
 
     def _serve_parsed(self) -> None:
+        if not self._accepts_requests:
+            self._parsed = None
+            return
         if len(self.pending) >= MAX_PENDING_REQUESTS:
             self._pause_reading_for_buffer()
             return
@@ -273,17 +283,17 @@
         """Whether every response before this one has been written."""
         return bool(self.pending) and self.pending[0] is pending
 
-    def may_stay_open_after(self, pending: PendingRequest) -> bool:
-        """Whether the connection may stay open after this response.
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether further requests may be accepted."""
+        return self._accepts_requests and not self._server.stopping
 
-        A stopping host closes the connection after the last accepted request
-        and accepts no further request on it.
-        """
+    def close_after(self, pending: PendingRequest) -> bool:
+        """Accepts no request behind this one; False if there is one already."""
         if self.pending and self.pending[-1] is not pending:
-            return True
-        if self._server.stopping:
-            self._accepts_requests = False
-        return self._accepts_requests
+            return False
+        self._accepts_requests = False
+        return True
 
     def write(self, data: bytes) -> None:
         """Writes response bytes, unless the caller has disconnected."""
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -37,18 +37,24 @@
 def refuse(
     pending: caller_connection.PendingRequest, refusal: refusals.Refusal
 ) -> None:
-    """Rejects a request before it is sent to a target and closes."""
+    """Rejects a request before it is sent to a target.
+
+    The connection is closed, unless a request behind it has been accepted.
+    """
     body = {
         "outcome": effects.Outcome.NOT_RUN.value,
         "error": refusal.error,
         "detail": refusal.detail,
         "retry_after_ms": None,
     }
-    lines = [_OUTCOME_LINES[effects.Outcome.NOT_RUN], _CLOSE]
+    keep_alive = not pending.connection.close_after(pending)
+    lines = [_OUTCOME_LINES[effects.Outcome.NOT_RUN]]
+    if not keep_alive:
+        lines.append(_CLOSE)
     if pending.connection.relays:
         lines.append(_relay_outcome_line(headers.NOT_CARRIED))
     pending.write(_local_response(refusal.status, lines, body, head_only=False))
-    pending.finish(False)
+    pending.finish(keep_alive)
 
 
 def answer(
@@ -63,7 +69,7 @@
     if exchange.too_large:
         status, error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large"
         detail = f"the body exceeds {exchange.body_limit_bytes} bytes"
-    keep_alive = caller.may_keep_alive
+    keep_alive = caller.keep_alive_after()
     lines = _header_lines(exchange, effect.outcome, effect.not_carried)
     lines += _connection_lines(exchange.message, keep_alive)
     if status == HTTPStatus.UNAUTHORIZED:
@@ -177,9 +183,7 @@
         length = self._length(response.length, body if complete else None)
         delimited = length is not None or not self._has_body()
         self._chunked = not delimited and message.version >= http.HttpVersion11
-        self._keep_alive = caller.may_keep_alive and (
-            delimited or self._chunked
-        )
+        self._keep_alive = caller.keep_alive_after(delimited or self._chunked)
         lines = _header_lines(self.exchange, outcome)
         lines += self._leaving_lines(response)
         lines += _connection_lines(message, self._keep_alive)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fireflyspindle import headers
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import gate_server
 from fireflyspindle.adapters import head_limits
@@ -104,3 +105,50 @@
         caller.close()
     assert refusal.first_line.split()[1] == b"404"
     assert answer.body == b"ok"
+
+
+async def test_no_request_behind_a_refusal_that_closes_reaches_a_target():
+    # It was sent to a target, and its response was dropped with the connection.
+    refused = wire.request("GET", "/dossier", f"{headers.REPEATABLE}: perhaps")
+    async with wire.running(wire.replies(OK)) as running:
+        caller = await running.caller()
+        requests = [wire.request(), refused, wire.request("DELETE")]
+        answer = await caller.ask(b"".join(requests))
+        refusal = await caller.ask(b"")
+        rest = await caller.reader.read()
+        caller.close()
+        received = [r.first_line for r in running.targets[0].requests]
+    assert answer.body == b"ok"
+    assert refusal.first_line.split()[1] == b"400"
+    assert refusal.values("Connection") == [b"close"]
+    assert rest == b""
+    assert received == [b"GET /dossier/1 HTTP/1.1"]
+
+
+async def test_no_request_behind_an_early_response_reaches_a_target():
+    # A response that begins before the upload has ended closes the connection.
+    async def respond(request, writer):
+        if request.first_line.startswith(b"PUT"):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+            await wire.until(lambda: released)
+            writer.write(b"k")
+        else:
+            writer.write(OK)
+
+    released = []
+    size = 1_000_000
+    upload = wire.request("PUT", "/dossier", f"Content-Length: {size}")
+    async with wire.running(respond) as running:
+        running.targets[0].reads_bodies = False
+        caller = await running.caller()
+        caller.writer.write(upload)
+        await caller.reader.readuntil(b"\r\n\r\n")
+        caller.writer.write(b"x" * size + wire.request("DELETE"))
+        await wire.until(lambda: running.gate.data_path.exchanges)
+        await asyncio.sleep(0.2)
+        released.append(True)
+        rest = await caller.reader.read()
+        caller.close()
+        received = [r.first_line for r in running.targets[0].requests]
+    assert rest == b"ok"
+    assert received == [b"PUT /dossier HTTP/1.1"]
