Bound what entries, configurations and crash records may hold

What users saw: reported by operators of similar systems, an odd entry among those of the targets ended the machines that read the list, or their following.

Cause: what a decoder accepted was not what the rest can carry. Numbers had no upper bound, and OverflowError was not among the exceptions that decoders handle, so that it ended the task that reads for all entries.

Evidence: on a real reader and follower an odd entry of a target ended nothing. Entries with starts, sequences and warm-ups of 401 digits, with a line end in the id or a lone surrogate as zone were in use.

Why this works: every value of an entry has bounds, which its error names; nesting is limited independently of the stack, so that hosts agree; all decoders of the store's records handle whatever decoding may raise.

--- a/src/fireflyspindle/platform/configuration_document.py
+++ b/src/fireflyspindle/platform/configuration_document.py
@@ -1,12 +1,12 @@
 """Decodes the configuration that the platform's operator publishes."""
 
-import json
 import math
 from typing import Any
 
 import result
 
 from fireflyspindle.core import api_keys
+from fireflyspindle.core import json_documents
 from fireflyspindle.core import published
 
 MAX_CONNECTION_LIMIT = 1_000_000
@@ -22,10 +22,8 @@
 def decode(value: bytes) -> result.Result[published.Document, str]:
     """Decodes a configuration; the error describes the first defect."""
     try:
-        return result.Ok(_document(json.loads(value)))
-    except (ValueError, RecursionError) as error:
-        return result.Err(str(error))
-    except (KeyError, TypeError, AttributeError) as error:
+        return result.Ok(_document(json_documents.parse(value)))
+    except json_documents.DECODE_ERRORS as error:
         return result.Err(f"{type(error).__name__}: {error}")
 
 
@@ -59,7 +57,7 @@
     """Returns the kinds of routes in a valid document that aren't known."""
     rules = (
         rule
-        for listener in json.loads(document)["listeners"]
+        for listener in json_documents.parse(document)["listeners"]
         for rule in listener["rules"]
     )
     kinds = {rule["route-kind"] for rule in rules}
--- a/src/fireflyspindle/platform/crash_records.py
+++ b/src/fireflyspindle/platform/crash_records.py
@@ -10,8 +10,11 @@
 import result
 
 from fireflyspindle.core import events
+from fireflyspindle.core import json_documents
 
 TOPIC = "keyed.gate-crashes"
+# Digits of a wall-clock time in milliseconds.
+MAX_TIME_DIGITS = 15
 _SEPARATOR = "/"
 
 
@@ -35,7 +38,8 @@
     fingerprint, *rest = text.split(_SEPARATOR, 2)
     if not rest:
         return result.Ok(events.CrashKey(fingerprint))
-    if len(rest) != 2 or not rest[0].isascii() or not rest[0].isdecimal():
+    valid = len(rest) == 2 and rest[0].isascii() and rest[0].isdecimal()
+    if not valid or len(rest[0]) > MAX_TIME_DIGITS:
         return result.Err(f"key is {text!r:.100}")
     start = events.TargetStart(rest[1], int(rest[0]))
     return result.Ok(events.CrashKey(fingerprint, start))
@@ -46,11 +50,12 @@
 ) -> result.Result[events.CrashRecord, str]:
     """Decodes a value that is read at a wall-clock time."""
     try:
-        raw = json.loads(value)
+        raw = json_documents.parse(value)
         service, at_ms = raw["service"], raw["at-ms"]
-    except (ValueError, RecursionError, KeyError, TypeError) as error:
+    except json_documents.DECODE_ERRORS as error:
         return result.Err(repr(error))
-    if not isinstance(service, str) or type(at_ms) is not int:
+    valid = isinstance(service, str) and type(at_ms) is int
+    if not valid or not 0 <= at_ms < 10**MAX_TIME_DIGITS:
         return result.Err(f"service is {service!r:.100}, at-ms {at_ms!r:.100}")
     # The clocks of the hosts differ.
     age_us = max(0, wall_ms - at_ms) * 1000
--- a/tests/platform_driver.py
+++ b/tests/platform_driver.py
@@ -159,3 +159,39 @@
         for server in servers:
             await server.close()
         await store_server.close()
+
+
+@contextlib.asynccontextmanager
+async def reader_and_follower():
+    """Runs a store, a reader and a host that follows the reader."""
+    store = testing.StandInStore()
+    store_server = testing.Server(store.application())
+    store_address = await store_server.start()
+    store.write(store_lib.CONFIGURATION_TOPIC, "config", document(1))
+    control_address = testing.free_address()
+    hosts = []
+    for own_address in (control_address, "127.0.0.1:0"):
+        host = host_lib.PlatformHost(
+            settings_lib.HostSettings(
+                host_id=own_address,
+                failure_domain="a",
+                callers_address="127.0.0.1:0",
+                readiness_address="127.0.0.1:0",
+                store_address=store_address,
+                control_address=own_address,
+                reader_addresses=(control_address,),
+            )
+        )
+        await host.start()
+        hosts.append(host)
+    await wire.until(
+        lambda: all(h.state.rule_table.version == 1 for h in hosts)
+    )
+    try:
+        yield store, *hosts
+    finally:
+        for host in hosts:
+            host.request_stop()
+            host.request_stop()
+            await host.wait_closed()
+        await store_server.close()
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -1,20 +1,25 @@
 """Tests the decoding of settings, entries, configurations and headers."""
 
 import json
+import math
 
 import multidict
 import pytest
 
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import api_keys
+from fireflyspindle.core import json_documents
 from fireflyspindle.core import published
 from fireflyspindle.core import store_state
 from fireflyspindle.platform import configuration_document
+from fireflyspindle.platform import crash_records
 from fireflyspindle.platform import header_profile
 from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.platform import store_decoder
 from fireflyspindle.platform import target_registrations
 
+HUGE = 10**400
+
 SETTINGS = {
     "self": {"node-name": "edge-1", "zone": "west-a", "unknown": 1},
     "network": {
@@ -198,6 +203,39 @@
     assert target_registrations.decode("i-1", value).is_err()
 
 
+def at_stack_depth(frames, action):
+    """Runs an action with further frames on the stack."""
+    return action() if not frames else at_stack_depth(frames - 1, action)
+
+
+@pytest.mark.parametrize("levels", [20, 100, 500, 900])
+def test_all_hosts_agree_on_a_nested_entry(levels):
+    # The depth at which the parser gives up depends on the caller's stack: a
+    # reader could use an entry that its followers could not decode.
+    text = json.dumps(with_member(ENTRY, [], "further"))
+    nested = text.replace("[]", "[" * levels + "]" * levels).encode()
+    decoded = [
+        at_stack_depth(
+            frames, lambda: target_registrations.decode("i-1", nested)
+        ).is_ok()
+        for frames in (0, 600)
+    ]
+    assert decoded == [levels < json_documents.MAX_NESTING] * 2
+
+
+@pytest.mark.parametrize("key", [f"f/{HUGE}/i-1", "f/1", "f/x/i-1"])
+def test_malformed_key_of_a_crash_is_an_error(key):
+    assert crash_records.decode_key(key).is_err()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"[]", b"{}", b'{"service":"s","at-ms":%d}' % HUGE],
+)
+def test_malformed_record_of_a_crash_is_an_error(value):
+    assert crash_records.decode_value(value, 1_790_000_000_000).is_err()
+
+
 def test_configuration_is_decoded():
     document = configuration_document.decode(
         json.dumps(DOCUMENT).encode()
@@ -330,6 +368,10 @@
         ),
         without(DOCUMENT, "listeners", 0, "rules", 0, "action", "service"),
         with_member(DOCUMENT, 3, "clusters"),
+        # These don't fit into a float.
+        with_member(DOCUMENT, HUGE, "clusters", 0, "cold-per-s"),
+        with_member(DOCUMENT, math.inf, "clusters", 0, "max-conns"),
+        with_member(DOCUMENT, 1e306, "clusters", 0, "cold-start-s"),
         [],
     ],
 )
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -1,7 +1,6 @@
 """Gate hosts on the platform that follow a reader of the store."""
 
 import asyncio
-import contextlib
 import random
 
 import aiohttp
@@ -13,7 +12,6 @@
 from fireflyspindle.core import fleet as fleet_lib
 from fireflyspindle.core import host_count
 from fireflyspindle.platform import host as host_lib
-from fireflyspindle.platform import settings as settings_lib
 from fireflyspindle.testing import platform_documents
 from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
@@ -34,46 +32,12 @@
     return float(line.split()[-1])
 
 
-@contextlib.asynccontextmanager
-async def fleet():
-    """Runs a store, a reader and a host that follows the reader."""
-    store = testing.StandInStore()
-    store_server = testing.Server(store.application())
-    store_address = await store_server.start()
-    store.write(
-        store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(1)
-    )
-    control_address = testing.free_address()
-    hosts = []
-    for own_address in (control_address, "127.0.0.1:0"):
-        host = host_lib.PlatformHost(
-            settings_lib.HostSettings(
-                host_id=own_address,
-                failure_domain="a",
-                callers_address="127.0.0.1:0",
-                readiness_address="127.0.0.1:0",
-                store_address=store_address,
-                control_address=own_address,
-                reader_addresses=(control_address,),
-            )
-        )
-        await host.start()
-        hosts.append(host)
-    await wire.until(
-        lambda: all(h.state.rule_table.version == 1 for h in hosts)
-    )
-    try:
-        yield store, *hosts
-    finally:
-        for host in hosts:
-            host.request_stop()
-            host.request_stop()
-            await host.wait_closed()
-        await store_server.close()
-
-
 async def test_follower_gets_changes_without_reading_the_store():
-    async with fleet() as (store, reader, follower):
+    async with platform_driver.reader_and_follower() as (
+        store,
+        reader,
+        follower,
+    ):
         store.write(
             store_lib.CONFIGURATION_TOPIC, "config", platform_driver.document(2)
         )
@@ -99,14 +63,18 @@
     monkeypatch.setattr(host_count, "FIRST_COUNT_US", 0)
     monkeypatch.setattr(host_count, "COUNT_INTERVAL_US", 100_000)
     monkeypatch.setattr(fleet_lib, "JOIN_TIME_US", 0)
-    async with fleet() as (_, *hosts):
+    async with platform_driver.reader_and_follower() as (_, *hosts):
         for host in hosts:
             while await gauge(host, "gate_hosts") != 2.0:
                 await asyncio.sleep(0.05)
 
 
 async def test_follower_reads_the_store_after_its_reader_stopped():
-    async with fleet() as (store, reader, follower):
+    async with platform_driver.reader_and_follower() as (
+        store,
+        reader,
+        follower,
+    ):
         reader.request_stop()
         reader.request_stop()
         await reader.wait_closed()
@@ -118,7 +86,11 @@
 
 
 async def test_follower_reads_the_store_when_it_refuses_the_reader():
-    async with fleet() as (store, reader, follower):
+    async with platform_driver.reader_and_follower() as (
+        store,
+        reader,
+        follower,
+    ):
         del reader
         store.refuse_status = 503
         await wire.until(
@@ -133,7 +105,11 @@
 
 @pytest.mark.parametrize("targets", [1, 400], ids=["few", "omitted"])
 async def test_host_that_starts_during_an_outage_serves_callers(targets):
-    async with fleet() as (store, reader, follower):
+    async with platform_driver.reader_and_follower() as (
+        store,
+        reader,
+        follower,
+    ):
         behaviour = platform_driver.server_behaviour()
         server = testing.ScriptedTarget(behaviour)
         address = await server.start()
@@ -168,7 +144,7 @@
 
 
 async def test_changed_list_of_readers_is_applied_at_run_time():
-    async with fleet() as (_, reader, follower):
+    async with platform_driver.reader_and_follower() as (_, reader, follower):
         new_settings = attrs.evolve(
             follower.settings,
             reader_addresses=(follower.settings.control_address,),
@@ -184,7 +160,11 @@
 
 async def test_hosts_that_follow_each_other_do_not_relay_in_a_loop():
     """Each host knows the other by an address lower than its own."""
-    async with fleet() as (store, reader, follower):
+    async with platform_driver.reader_and_follower() as (
+        store,
+        reader,
+        follower,
+    ):
         addresses = {}
         proxies = []
         for host in (reader, follower):
