Reject refusals that name no request

What users saw: reported by operators of similar systems, clients were told "not run, try again" for requests that an endpoint ran, after it had written an earlier refusal once more on a kept connection.

Cause: on the users' platform targets echo the id of each request, but only successful answers without an id were rejected. A refusal without one, such as that of a probe, was taken for the answer to the next request. In the project's own interface an answer without an id is trusted, also behind such a refusal.

Evidence: test_refusal_of_an_earlier_request_is_not_taken_for_this_one [/offer/-no id] failed before: the caller got 503 and the target ran the request. test_refusal_without_an_id_ends_its_connection failed as well. Refusals with an earlier id, and on idle connections, were harmless before.

Why this works: an answer to a call without the id is rejected whatever its status, so the request counts as sent. Refusals of relayed calls by gate hosts, which come before the id is read, are exempt. In the own interface a refusal without an id ends its connection.

Result: the tests pass.

--- a/src/fireflyspindle/adapters/target_connection.py
+++ b/src/fireflyspindle/adapters/target_connection.py
@@ -228,6 +228,8 @@
         if failure is not None:
             self._fail(failure)
             return
+        if self._is_anonymous_refusal(message):
+            self._reusable = False
         self.idle_limit_s = _stated_idle_limit_s(message)
         self._response = Response(message, payload, length)
         self._overhead.start_body(payload)
@@ -245,6 +247,23 @@
         echoed = message.headers.getall(self._header_profile.request_id, ())
         return bool(echoed) and request_id not in echoed
 
+    def _echo_required(self, message: http.RawResponseMessage) -> bool:
+        # A gate host refuses a relayed call before it has read its id.
+        return (
+            self._header_profile.requires_id_echo
+            and headers.RELAY_OUTCOME not in message.headers
+        )
+
+    def _is_anonymous_refusal(self, message: http.RawResponseMessage) -> bool:
+        """Whether a target refuses a request without naming it.
+
+        Written once more, such a refusal would pass for that of the next
+        request on the connection.
+        """
+        if self._header_profile.not_run not in message.headers:
+            return False
+        return self._header_profile.request_id not in message.headers
+
     def _schedule_delivery(self) -> None:
         # Runs outside the stream's callback, where exceptions are suppressed.
         self._loop.call_soon(self._deliver)
@@ -275,10 +294,7 @@
         echoed = message.headers.getall(self._header_profile.request_id, ())
         if any(value != request_id for value in echoed):
             return events.FailureReason.MISMATCHED
-        echo_missing = (
-            self._header_profile.requires_id_echo and request_id and not echoed
-        )
-        if echo_missing and message.code < HTTPStatus.MULTIPLE_CHOICES:
+        if request_id and not echoed and self._echo_required(message):
             return events.FailureReason.MISMATCHED
         codings = message.headers.getall("Transfer-Encoding", ())
         lengths = message.headers.getall("Content-Length", ())
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -149,8 +149,7 @@
             bounded. If not, routes bound the time of every call.
         callers_choose_ids: Whether callers choose the ids of their requests.
         requires_id_echo: Whether targets always echo the id; an answer with
-            another id is then skipped, and a successful one without it is
-            rejected.
+            another id is then skipped, and one without an id is rejected.
         buffers_unsized_bodies: Whether bodies without a stated length are
             buffered, up to the limits for bodies, before they are forwarded; an
             answer may then be delimited by the end of its connection.
