Ignore SIGHUP until a gate host can reload its settings

Cause: the handler was installed after all imports and after the start. And the time of the settings file was taken only with the handler, so that a change during the start was noticed by the signal alone.

The time of the file is taken before the settings are read, so that the regular check finds the change.

--- a/src/fireflyspindle/platform/daemon.py
+++ b/src/fireflyspindle/platform/daemon.py
@@ -30,6 +30,7 @@
     Returns:
         The exit status.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(settings_lib.SETTINGS_PATH_VARIABLE)
     if not path:
         print(
@@ -38,6 +39,7 @@
             file=sys.stderr,
         )
         return status.USAGE_ERROR
+    modified_ns = _modified_ns(pathlib.Path(path))
     loaded = settings_lib.load(pathlib.Path(path))
     if isinstance(loaded, result.Err):
         for error in loaded.err_value:
@@ -50,11 +52,26 @@
         return status.USAGE_ERROR
     settings = attrs.evolve(loaded.ok_value, hedges=hedges.ok_value)
     log = logs.set_up_bounded("INFO", sys.stdout)
-    return asyncio.run(_run(pathlib.Path(path), settings, log))
+    file = _SettingsFile(pathlib.Path(path), modified_ns)
+    return asyncio.run(_run(file, settings, log))
+
+
+@attrs.define
+class _SettingsFile:
+    """The settings file.
+
+    Attributes:
+        path: Path of the file.
+        modified_ns: When the file was modified, as of the last load; None if
+            there was no file.
+    """
+
+    path: pathlib.Path
+    modified_ns: int | None
 
 
 async def _run(
-    path: pathlib.Path,
+    file: _SettingsFile,
     settings: settings_lib.HostSettings,
     log: logs.BoundedHandler,
 ) -> int:
@@ -70,7 +87,7 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, gate_host.request_stop)
-    watcher = loop.create_task(_watch_settings(path, gate_host))
+    watcher = loop.create_task(_watch_settings(file, gate_host))
     await gate_host.wait_closed()
     watcher.cancel()
     logs.logger.info("gate host stopped", code="stopped")
@@ -89,25 +106,24 @@
 
 
 async def _watch_settings(
-    path: pathlib.Path, gate_host: host_lib.PlatformHost
+    file: _SettingsFile, gate_host: host_lib.PlatformHost
 ) -> None:
     """Reloads the settings on SIGHUP or when the file has changed."""
     reload_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
-    last_modified = _modified_ns(path)
     while True:
         try:
             async with asyncio.timeout(SETTINGS_CHECK_INTERVAL_S):
                 await reload_requested.wait()
         except TimeoutError:
             pass
-        modified = _modified_ns(path)
-        if modified == last_modified and not reload_requested.is_set():
+        modified_ns = _modified_ns(file.path)
+        if modified_ns == file.modified_ns and not reload_requested.is_set():
             continue
         reload_requested.clear()
-        last_modified = modified
-        loaded = settings_lib.load(path)
+        file.modified_ns = modified_ns
+        loaded = settings_lib.load(file.path)
         if isinstance(loaded, result.Err):
             logs.logger.error(
                 "the changed settings file is invalid; keeping the previous"
