Let a response that breaks off end no other response

Responses before it were lost too, as far as the gate host had not flushed them. A cut response without a length to a caller of HTTP/1.0 looked complete.

Cause: the break-off of one response was an abort of the whole connection, whatever was still owed on it.

Evidence: test_responses_behind_one_that_breaks_off_are_delivered, test_response_before_one_that_breaks_off_is_delivered and test_cut_response_to_http_1_0_does_not_look_complete failed before.

Why this works: nothing of a response that waits has been sent, so its caller gets 502 in its place and the connection goes on. Where a part has been sent, the connection is closed for writing behind it, which delivers what is before. Only a response that ends with its connection is reset.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import socket
+import struct
 from typing import Protocol
 
 from aiohttp import http
@@ -22,6 +24,8 @@
 IDLE_LIMIT_S = 75.0
 BODY_LIMIT_S = 30.0
 LINGER_LIMIT_S = 2.0
+# Value of SO_LINGER with which closing a connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -85,6 +89,7 @@
     keep_alive: bool = True
     finished_request_id: str = ""
     aborted: bool = False
+    _delimited: bool = True
     _buffered: list[bytes] = attrs.field(factory=list)
     _buffered_bytes: int = 0
     _became_first: asyncio.Future[None] | None = None
@@ -104,6 +109,7 @@
             delimited: Whether the response ends without the connection.
         """
         connection = self.connection
+        self._delimited = delimited
         body_complete = self.payload is not None and self.payload.is_eof()
         if delimited and body_complete and connection.accepts_requests:
             return True
@@ -146,15 +152,27 @@
         self.connection.on_request_ended(self)
 
     def abort(self) -> None:
-        """Aborts the response, so that the caller detects the truncation."""
+        """Ends the connection within the response; the caller detects it.
+
+        Earlier responses are still delivered.
+        """
         self.aborted = True
         if self.connection.is_first(self):
-            self.connection.abort()
+            self.connection.truncate(self._delimited)
+
+    def discard_written(self) -> bool:
+        """Discards what was written; False if some of it may have been sent."""
+        if self.connection.is_first(self):
+            return False
+        self._buffered.clear()
+        self._buffered_bytes = 0
+        self.wake()
+        return True
 
     def on_became_first(self) -> None:
         """Writes the buffered bytes; every earlier response is complete."""
         if self.aborted:
-            self.connection.abort()
+            self.connection.truncate(self._delimited)
             return
         for data in self._buffered:
             self.connection.write(data)
@@ -379,8 +397,24 @@
             if not pending.ended:
                 self._server.on_caller_left(pending)
 
+    def truncate(self, delimited: bool) -> None:
+        """Ends the connection within a response.
+
+        Args:
+            delimited: Whether the response ends without the connection. The
+                end of the connection would complete another one.
+        """
+        if delimited:
+            self._start_lingering()
+            return
+        if self.transport is not None:
+            self.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        self.abort()
+
     def abort(self) -> None:
-        """Closes at once, so that the caller detects a truncated response."""
+        """Closes at once; what the system has not taken is lost."""
         if self.transport is not None:
             self.transport.abort()
 
--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -243,7 +243,7 @@
             return
         head = attempt.connection.head if attempt.connection else None
         if attempt.relaying and exchange.caller is not None:
-            exchange.abort_caller()
+            responses.break_off(exchange)
             if not exchange.repeatable:
                 return
         if attempt.response is None or attempt.relaying:
--- a/src/fireflyspindle/adapters/exchange.py
+++ b/src/fireflyspindle/adapters/exchange.py
@@ -70,13 +70,6 @@
         text = self.message.headers.get("Content-Length")
         return int(text) if text is not None else None
 
-    def abort_caller(self) -> None:
-        """Aborts the caller's connection, so that it detects the truncation."""
-        caller = self.caller
-        self.caller = None
-        if caller is not None:
-            caller.abort()
-
     async def upload(self) -> AsyncIterator[bytes]:
         """Yields the body as it arrives.
 
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -91,6 +91,35 @@
     caller.finish(keep_alive)
 
 
+def break_off(exchange: exchange_lib.Exchange) -> None:
+    """Ends a forwarded response that can't be completed.
+
+    Nothing of a response that waits behind earlier ones has been sent: the
+    caller gets an error in its place, and the responses behind it.
+    """
+    caller = exchange.caller
+    exchange.caller = None
+    if caller is None:
+        return
+    if not caller.discard_written():
+        caller.abort()
+        return
+    keep_alive = caller.keep_alive_after()
+    lines = _header_lines(exchange, effects.Outcome.UNKNOWN)
+    lines += _connection_lines(exchange.message, keep_alive)
+    body = {
+        "outcome": effects.Outcome.UNKNOWN.value,
+        "error": "target_failed",
+        "detail": "the target's response was not complete",
+        "retry_after_ms": None,
+    }
+    head_only = exchange.message.method == "HEAD"
+    caller.write(
+        _local_response(HTTPStatus.BAD_GATEWAY, lines, body, head_only)
+    )
+    caller.finish(keep_alive)
+
+
 def _local_response(
     status: int, lines: list[bytes], body: dict[str, Any], head_only: bool
 ) -> bytes:
@@ -248,7 +277,7 @@
             except asyncio.CancelledError:
                 raise
             except Exception:
-                self.exchange.abort_caller()
+                break_off(self.exchange)
                 return False
             if not data:
                 self._end()
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from fireflyspindle import headers
 from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import gate_server
@@ -152,3 +154,54 @@
         received = [r.first_line for r in running.targets[0].requests]
     assert rest == b"ok"
     assert received == [b"PUT /dossier HTTP/1.1"]
+
+
+async def test_responses_behind_one_that_breaks_off_are_delivered():
+    # A response that broke off while it waited took those behind it along.
+    async def respond(request, writer):
+        path = request.first_line.split()[1]
+        if path.endswith(b"slow"):
+            await wire.until(lambda: broken_off)
+        if path.endswith(b"broken"):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.close()
+            broken_off.append(True)
+        else:
+            writer.write(OK)
+
+    broken_off = []
+    names = ["slow", "broken", "last"]
+    async with wire.running(respond) as running:
+        caller = await running.caller()
+        requests = [wire.request("GET", f"/dossier/{name}") for name in names]
+        caller.writer.write(b"".join(requests))
+        async with asyncio.timeout(wire.WAIT_S):
+            answers = [await caller.ask(b"") for _ in names]
+            answers.append(await caller.ask(wire.request()))
+        caller.close()
+    statuses = [answer.first_line.split()[1] for answer in answers]
+    assert statuses == [b"200", b"502", b"200", b"200"]
+    assert [answers[0].body, answers[2].body] == [b"ok", b"ok"]
+    assert answers[1].values(headers.OUTCOME) == [b"unknown"]
+
+
+async def test_cut_response_to_http_1_0_does_not_look_complete():
+    # The end of the connection is the end of such a response.
+    async def respond(_request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"3\r\nabc\r\n")
+        await writer.drain()
+        await wire.until(lambda: received)
+        writer.close()
+
+    received = []
+    async with wire.running(respond) as running:
+        caller = await running.caller()
+        caller.writer.write(b"GET /dossier HTTP/1.0\r\n\r\n")
+        await caller.reader.readuntil(b"abc")
+        received.append(True)
+        with pytest.raises(ConnectionResetError):
+            await caller.reader.read()
+        caller.close()
--- a/tests/test_response_delivery.py
+++ b/tests/test_response_delivery.py
@@ -141,3 +141,37 @@
             await asyncio.sleep(0.01)
         sock.close()
     assert received.endswith(body)
+
+
+async def test_response_before_one_that_breaks_off_is_delivered():
+    # What the gate host had not flushed was dropped with the connection.
+    body = BODY[:60_000]
+
+    async def respond(request, writer):
+        if request.first_line.split()[1].endswith(b"whole"):
+            size = b"Content-Length: %d\r\n\r\n" % len(body)
+            writer.write(b"HTTP/1.1 200 OK\r\n" + size + body)
+            return
+        await wire.until(lambda: pending(running) == 1)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+        await writer.drain()
+        writer.close()
+
+    async with wire.running(respond) as running:
+        caller = await slow_caller(running.gate.callers_address)
+        await wire.until(lambda: running.gate.data_path.server.connections)
+        [connection] = running.gate.data_path.server.connections
+        connection.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+        )
+        caller.reader._transport.pause_reading()
+        caller.writer.write(
+            wire.request("GET", "/dossier/whole")
+            + wire.request("GET", "/dossier/broken")
+        )
+        await wire.until(lambda: running.outcomes().get("unknown") == 1)
+        caller.reader._transport.resume_reading()
+        answer, broken = await read_all(caller, 2)
+    assert answer.body == body
+    assert broken.body == b"half"
+    assert not broken.whole
