Handle answers of an ejected target that was removed

What callers saw: nothing reported; the review read it in the code and did not show it. The third fast answer of an ejected target whose entry had gone was lost, and its call ended at its deadline.

Cause: the target is taken from the ejected ones when it has passed its trials, though its removal has done so already. The KeyError ended the handling of the answer. A new target under the same key would have been taken instead.

Evidence: test_answers_of_an_ejected_target_that_was_removed_are_forwarded failed with KeyError before.

Why this works: outcomes of a target that is not among the ejected ones count for nothing.

--- a/src/fireflyspindle/core/ejection.py
+++ b/src/fireflyspindle/core/ejection.py
@@ -290,6 +290,9 @@
     failed: bool,
 ) -> None:
     health = target.health
+    if service.ejected.get(target.spec.key) is not target:
+        # It was removed while its attempts were in flight.
+        return
     if state.now_us < health.ejected_until_us:
         return
     if failed:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -160,3 +160,27 @@
     fleet.run(400, interval_us=100_000)
     leaving = [t for t in service.targets.values() if t.leaving]
     assert 1 <= len(leaving) <= 2
+
+
+def test_answers_of_an_ejected_target_that_was_removed_are_forwarded(
+    make_host,
+):
+    # The third of them was lost with an exception: the target was no longer
+    # among the ejected ones.
+    host = make_host(targets=4)
+    fleet = Fleet(host, {1: (503, 1_000)})
+    fleet.run(400)
+    assert fleet.ejected() == [1]
+    service = host.state.services["s"]
+    target = service.targets[host.addresses[1]]
+    host.advance(target.health.ejected_until_us - host.now_us + 1)
+    sends = [host.call_arrives(10_000 + number) for number in range(3)]
+    for sent in sends:
+        attempt = host.state.calls[sent.call_id].attempts[sent.attempt]
+        attempt.target = target
+        target.in_flight += 1
+    del service.targets[target.spec.key], service.ejected[target.spec.key]
+    host.advance(1_000)
+    for sent in sends:
+        answered = host.answer(sent.call_id, sent.attempt, 200)
+        assert any(isinstance(e, effects.ForwardAnswer) for e in answered)
