Let callers of the soak pipeline and send bodies late

Change: a fifth of the sends are 2 to 6 requests at once; some requests that run once have a body whose last byte comes later; a request that gets no answer in 3 s without a fault is a violation.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -400,6 +400,9 @@
         report.violations += soak_checks.find_requests_cut_by_stops(
             self.callers.results, runs, self._planned_stops, self._fault_spans
         )
+        report.violations += soak_checks.find_requests_without_answer(
+            self.callers.results, self._fault_spans
+        )
 
     def _save_logs(self) -> None:
         for gate in self._gates:
--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -25,6 +25,12 @@
 MAX_PAUSE_S = 0.02
 # Prefix of the ids of requests that only check the active configuration.
 PROBE_PREFIX = "probe"
+# Share of the sends that pipeline requests, and most requests of one; share of
+# the requests with a body whose last byte is sent later.
+PIPELINED_SHARE = 0.2
+MAX_PIPELINED = 6
+LATE_BODY_SHARE = 0.3
+BODY = b"booking" * 300
 # Statuses which guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -52,13 +58,17 @@
     )
 
 
-def request(method: str, path: str, request_id: str) -> bytes:
-    """Returns the bytes of a request without a body."""
-    return (
+def request(
+    method: str, path: str, request_id: str, body: bytes = b""
+) -> bytes:
+    """Returns the bytes of a request."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = (
         f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"{header_profile.REQUEST_ID}: {request_id}\r\n"
-        f"{header_profile.DEADLINE_MS}: {DEADLINE_MS}\r\n\r\n"
-    ).encode()
+        f"{header_profile.DEADLINE_MS}: {DEADLINE_MS}\r\n{length}\r\n"
+    )
+    return head.encode() + body
 
 
 @attrs.define
@@ -92,6 +102,8 @@
         self.violations: list[str] = []
         self._addresses = addresses
         self._random = randomness
+        # Apart, so that the faults of a seed stay what they were.
+        self._pipeline_random = random.Random(len(addresses))
         self.results: dict[str, CallResult] = {}
         self._served = 0
         self._request_numbers = itertools.count(1)
@@ -150,9 +162,14 @@
             if self._stopping:
                 return
             at_most_once = self._random.random() < 0.5
-            if not await self._send_request(
-                connection, address, at_most_once=at_most_once
-            ):
+            if self._pipeline_random.random() < PIPELINED_SHARE:
+                count = self._pipeline_random.randint(2, MAX_PIPELINED)
+                status = await self._send_pipelined(connection, address, count)
+            else:
+                status = await self._send_request(
+                    connection, address, at_most_once=at_most_once
+                )
+            if not status:
                 return
             await asyncio.sleep(MAX_PAUSE_S * self._random.random())
 
@@ -164,21 +181,74 @@
         Returns:
             The status, or 0 if the connection can't be used further.
         """
-        request_id = f"soak{next(self._request_numbers)}"
-        path = (
-            AT_MOST_ONCE_PREFIX if at_most_once else REPEATABLE_PREFIX
-        ) + request_id
-        method = "POST" if at_most_once else "GET"
-        head = request(method, path, request_id)
-        loop = asyncio.get_running_loop()
-        result = CallResult(at_most_once, 0, address, loop.time())
+        if not at_most_once:
+            return await self._send_pipelined(connection, address, 1)
+        late = self._pipeline_random.random() < LATE_BODY_SHARE
+        request_id = self._next_id()
+        data = request(
+            "POST",
+            AT_MOST_ONCE_PREFIX + request_id,
+            request_id,
+            BODY if late else b"",
+        )
+        result = CallResult(True, 0, address, asyncio.get_running_loop().time())
+        self.results[request_id] = result
+        if late:
+            connection.writer.write(data[:-1])
+            await asyncio.sleep(MAX_PAUSE_S)
+            data = data[-1:]
+        return await self._read_response(connection, data, request_id)
+
+    async def _send_pipelined(
+        self, connection: testing.RawCaller, address: str, count: int
+    ) -> int:
+        """Sends repeatable requests at once and reads their responses.
+
+        Returns:
+            The last status, or 0 if the connection can't be used further. The
+            requests behind a response that closes it have not run then.
+        """
+        request_ids = [self._next_id() for _ in range(count)]
+        now_s = asyncio.get_running_loop().time()
+        for request_id in request_ids:
+            self.results[request_id] = CallResult(
+                False, 0, address, now_s, now_s + CALLER_TIMEOUT_S
+            )
+        data = b"".join(
+            request("GET", REPEATABLE_PREFIX + request_id, request_id)
+            for request_id in request_ids
+        )
+        status = 0
+        for request_id in request_ids:
+            status = await self._read_response(connection, data, request_id)
+            data = b""
+            if not status:
+                break
+        ended_s = asyncio.get_running_loop().time()
+        for request_id in request_ids:
+            result = self.results[request_id]
+            if not result.status:
+                result.ended_s = ended_s
+        return status
+
+    def _next_id(self) -> str:
+        return f"soak{next(self._request_numbers)}"
+
+    async def _read_response(
+        self, connection: testing.RawCaller, data: bytes, request_id: str
+    ) -> int:
+        """Writes data and reads the response to a request.
+
+        Returns:
+            The status, or 0 if the connection can't be used further.
+        """
+        result = self.results[request_id]
         try:
             async with asyncio.timeout(CALLER_TIMEOUT_S):
-                response = await connection.ask(head)
+                response = await connection.ask(data)
         except (TimeoutError, ConnectionError):
             response = None
-        result.ended_s = loop.time()
-        self.results[request_id] = result
+        result.ended_s = asyncio.get_running_loop().time()
         if response is None or not response.whole:
             return 0
         result.status = int(response.first_line.split()[1])
--- a/src/fireflyspindle/bench/soak_checks.py
+++ b/src/fireflyspindle/bench/soak_checks.py
@@ -220,5 +220,23 @@
     return violations
 
 
+def find_requests_without_answer(
+    results: dict[str, soak_callers.CallResult], faults: list[Span]
+) -> list[str]:
+    """Returns violations for requests that were left without an answer.
+
+    Args:
+        results: Result of each call, by request id.
+        faults: Faults that may hold up a response.
+    """
+    return [
+        f"answer: {request_id} got none in {soak_callers.CALLER_TIMEOUT_S:g} s"
+        for request_id, result in results.items()
+        if not result.status
+        and result.ended_s - result.sent_s >= soak_callers.CALLER_TIMEOUT_S
+        and not any(fault.overlaps(result) for fault in faults)
+    ]
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -217,3 +217,16 @@
 def test_other_build_without_sources_is_refused(tmp_path, capsys):
     assert commands.soak(other_build=str(tmp_path)) == 2
     assert "--other-build" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("status", "ended_s", "fault_s", "violations"),
+    [(0, 13.0, 1.0, 1), (0, 11.0, 1.0, 0), (200, 13.0, 1.0, 0), (0, 13, 11, 0)],
+)
+def test_request_without_an_answer_is_a_violation(
+    status, ended_s, fault_s, violations
+):
+    results = {"q": soak_callers.CallResult(False, status, "a", 10.0, ended_s)}
+    faults = [soak_checks.Span("", fault_s, fault_s + 1)]
+    found = soak_checks.find_requests_without_answer(results, faults)
+    assert len(found) == violations
