--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -8,10 +8,9 @@
 
 from aiohttp import http
 from aiohttp import streams
-import attrs
 
-from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import head_limits as head_limits_lib
+from fireflyspindle.adapters import pending_request
 from fireflyspindle.adapters import request_parser
 from fireflyspindle.adapters import send_queue
 from fireflyspindle.adapters import shared_buffer
@@ -19,8 +18,6 @@
 # Most requests of one connection that are served concurrently. Further
 # requests stay unread, which bounds the memory that one caller can use.
 MAX_PENDING_REQUESTS = 8
-# Most response bytes that are buffered while earlier responses are pending.
-BUFFERED_RESPONSE_LIMIT_BYTES = 256 * 1024
 IDLE_LIMIT_S = 75.0
 BODY_LIMIT_S = 30.0
 LINGER_LIMIT_S = 2.0
@@ -29,6 +26,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+PendingRequest = pending_request.PendingRequest
 _Parsed = request_parser.Request | http.HttpProcessingError
 
 
@@ -42,149 +40,24 @@
 
     def on_request(
         self,
-        pending: "PendingRequest",
+        pending: PendingRequest,
         message: http.RawRequestMessage,
         payload: streams.StreamReader,
     ) -> None:
         """Serves one request; ended by `PendingRequest.finish`."""
 
     def on_malformed(
-        self, pending: "PendingRequest", error: http.HttpProcessingError
+        self, pending: PendingRequest, error: http.HttpProcessingError
     ) -> None:
         """Rejects malformed bytes; ended by `PendingRequest.finish`."""
 
     def on_undelivered(self, request_id: str, blocked_by: str) -> None:
         """Logs a response that was ready when its caller disconnected."""
 
-    def on_caller_left(self, pending: "PendingRequest") -> None:
+    def on_caller_left(self, pending: PendingRequest) -> None:
         """Handles a disconnect before the response was complete."""
 
 
-@attrs.define(eq=False)
-class PendingRequest:
-    """One request of a connection and its place in the pipeline.
-
-    Written bytes are buffered until every earlier response is complete.
-
-    Attributes:
-        connection: The caller's connection.
-        payload: Body of the request, or None for malformed bytes.
-        head_read_s: Event loop time at which the request's head was read.
-        exchange: The call's exchange, once the call has been opened.
-        reading_body: Whether the body is being buffered before the call is
-            opened.
-        ended: Whether the complete response has been written.
-        finished_request_id: Id of the request, once its response has been
-            written.
-        keep_alive: Whether the connection stays open after the response.
-        aborted: Whether the response was aborted.
-    """
-
-    connection: "CallerConnection"
-    payload: streams.StreamReader | None
-    head_read_s: float
-    exchange: exchange_lib.Exchange | None = None
-    reading_body: bool = False
-    ended: bool = False
-    keep_alive: bool = True
-    finished_request_id: str = ""
-    aborted: bool = False
-    _delimited: bool = True
-    _buffered: list[bytes] = attrs.field(factory=list)
-    _buffered_bytes: int = 0
-    _became_first: asyncio.Future[None] | None = None
-
-    @property
-    def transport(self) -> asyncio.Transport | None:
-        """The transport of the connection; None once it is closed."""
-        return self.connection.transport
-
-    def keep_alive_after(self, delimited: bool = True) -> bool:
-        """Decides whether the connection stays open after this response.
-
-        Otherwise no further request is accepted on it, since its response could
-        not be delivered.
-
-        Args:
-            delimited: Whether the response ends without the connection.
-        """
-        connection = self.connection
-        self._delimited = delimited
-        body_complete = self.payload is not None and self.payload.is_eof()
-        if delimited and body_complete and connection.accepts_requests:
-            return True
-        return not connection.close_after(self) and delimited
-
-    @property
-    def writing_paused(self) -> bool:
-        """Whether a writer should wait in `drain`."""
-        if self.connection.is_first(self):
-            return self.connection.writing_paused
-        return self._buffered_bytes > BUFFERED_RESPONSE_LIMIT_BYTES
-
-    def write(self, data: bytes) -> None:
-        """Writes response bytes, or buffers them behind earlier responses."""
-        if self.connection.is_first(self):
-            self.connection.write(data)
-            return
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-
-    async def drain(self) -> None:
-        """Waits until more may be written.
-
-        Raises:
-            ConnectionError: The caller has disconnected.
-        """
-        if not self.connection.is_first(self):
-            self._became_first = asyncio.get_running_loop().create_future()
-            await self._became_first
-        await self.connection.drain()
-
-    def finish(self, keep_alive: bool) -> None:
-        """Ends the request after its response has been written."""
-        self.ended = True
-        self.keep_alive = keep_alive
-        self.reading_body = False
-        if self.exchange is not None:
-            self.finished_request_id = self.exchange.request_id
-        self.exchange = None
-        self.connection.on_request_ended(self)
-
-    def abort(self) -> None:
-        """Ends the connection within the response; the caller detects it.
-
-        Earlier responses are still delivered.
-        """
-        self.aborted = True
-        if self.connection.is_first(self):
-            self.connection.truncate(self._delimited)
-
-    def discard_written(self) -> bool:
-        """Discards what was written; False if some of it may have been sent."""
-        if self.connection.is_first(self):
-            return False
-        self._buffered.clear()
-        self._buffered_bytes = 0
-        self.wake()
-        return True
-
-    def on_became_first(self) -> None:
-        """Writes the buffered bytes; every earlier response is complete."""
-        if self.aborted:
-            self.connection.truncate(self._delimited)
-            return
-        for data in self._buffered:
-            self.connection.write(data)
-        self._buffered.clear()
-        self.wake()
-
-    def wake(self) -> None:
-        """Resumes a writer that waits for earlier responses."""
-        if self._became_first is not None and not self._became_first.done():
-            self._became_first.set_result(None)
-
-
 class CallerConnection(shared_buffer.ReceivingProtocol):
     """Parses requests and serves several of them concurrently.
 
--- a/src/fireflyspindle/adapters/exchange.py
+++ b/src/fireflyspindle/adapters/exchange.py
@@ -11,7 +11,7 @@
 from fireflyspindle import headers
 
 if TYPE_CHECKING:
-    from fireflyspindle.adapters import caller_connection
+    from fireflyspindle.adapters import pending_request
     from fireflyspindle.adapters import target_client
 
 Work = Coroutine[Any, Any, None]
@@ -51,7 +51,7 @@
     body: bytes | None
     payload: streams.StreamReader
     body_limit_bytes: int
-    caller: "caller_connection.PendingRequest | None"
+    caller: "pending_request.PendingRequest | None"
     header_profile: headers.HeaderProfile = headers.DEFAULT_PROFILE
     body_prefix: bytes = b""
     attempts: "dict[int, target_client.Attempt]" = attrs.field(factory=dict)
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -18,6 +18,7 @@
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import head_limits as head_limits_lib
 from fireflyspindle.adapters import keyed_requests
+from fireflyspindle.adapters import pending_request
 from fireflyspindle.adapters import request_fingerprints
 from fireflyspindle.adapters import requests
 from fireflyspindle.adapters import responses
@@ -34,7 +35,7 @@
 LAST_READ_S = 0.05
 
 Connection = caller_connection.CallerConnection
-PendingRequest = caller_connection.PendingRequest
+PendingRequest = pending_request.PendingRequest
 
 
 class Shell(Protocol):
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -10,9 +10,9 @@
 import attrs
 
 from fireflyspindle import headers
-from fireflyspindle.adapters import caller_connection
 from fireflyspindle.adapters import exchange as exchange_lib
 from fireflyspindle.adapters import message_heads
+from fireflyspindle.adapters import pending_request
 from fireflyspindle.adapters import target_client
 from fireflyspindle.adapters import target_connection
 from fireflyspindle.core import effects
@@ -35,7 +35,7 @@
 
 
 def refuse(
-    pending: caller_connection.PendingRequest, refusal: refusals.Refusal
+    pending: pending_request.PendingRequest, refusal: refusals.Refusal
 ) -> None:
     """Rejects a request before it is sent to a target.
 
