Wait in a test until the gate host has seen the cut response

Change: the slow response waits for the outcome that the gate host records. The test asks for the same as before.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -161,17 +161,15 @@
     async def respond(request, writer):
         path = request.first_line.split()[1]
         if path.endswith(b"slow"):
-            await wire.until(lambda: broken_off)
+            await wire.until(lambda: running.outcomes().get("unknown"))
         if path.endswith(b"broken"):
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
             await writer.drain()
             await asyncio.sleep(0.05)
             writer.close()
-            broken_off.append(True)
         else:
             writer.write(OK)
 
-    broken_off = []
     names = ["slow", "broken", "last"]
     async with wire.running(respond) as running:
         caller = await running.caller()
