Tell what a failed read of the store received, and what waits for what

A read that failed said only 'no response in time', whether nothing or most of a document had arrived, and a suspended read did not name the source that it waits for. Neither a silent from a slow store nor a suspended from a failing source could be told apart.

The reason of a timed-out read now has its time and bytes, store_retry names the sources that are retried, and the metrics have the age of each source and the number of suspended reads. Which reads are made is unchanged.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -289,18 +289,19 @@
         following.on_own_reads_failing(state)
     if not following.must_read_store(state, source):
         return
-    failing_reads = [
-        other
-        for other in state.store_reads.values()
-        if other is not reads
-        and other.failures
-        and other.pending
-        and not other.wait_ms
+    retried = [
+        other.value
+        for other, others_reads in state.store_reads.items()
+        if other is not source
+        and others_reads.failures
+        and others_reads.pending
+        and not others_reads.wait_ms
     ]
-    if failing_reads and reads.failures > 1:
+    if retried and reads.failures > 1:
         # Retries of one source suffice to detect that the store is back.
         reads.suspended = True
-        _log_retry(state, source, reason, "after a read of the other source")
+        names = " or ".join(retried)
+        _log_retry(state, source, reason, f"after a read of {names}")
         return
     pause_us = INITIAL_BACKOFF_US << min(reads.failures - 1, 10)
     if following.reader_reports_failures(state) and not reads.wait_ms:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -197,13 +197,7 @@
         self.metrics.gauges["configuration_version"] = (
             self.state.rule_table.version or 0
         )
-        if self.state.rule_table.version is not None:
-            self.metrics.gauges["configuration_age_ms"] = (
-                self.now_us()
-                - store_reads.complete_until_us(
-                    self.state, store_state.Source.CONFIGURATION
-                )
-            ) // 1000
+        self._set_store_gauges()
         proof_age_us = proof.age_us(self.state, self.now_us())
         if proof.is_needed(self.state) and proof_age_us is not None:
             self.metrics.gauges["key_proof_age_ms"] = proof_age_us // 1000
@@ -238,6 +232,18 @@
         content, http_headers = self.metrics.render()
         return web.Response(body=content, headers=http_headers)
 
+    def _set_store_gauges(self) -> None:
+        """Sets the age of what is known of each source, and suspended reads."""
+        for source, reads in self.state.store_reads.items():
+            if reads.complete_until_us is not None:
+                self.metrics.gauges[f"{source.value}_age_ms"] = (
+                    self.now_us()
+                    - store_reads.complete_until_us(self.state, source)
+                ) // 1000
+        self.metrics.gauges["suspended_store_reads"] = sum(
+            reads.suspended for reads in self.state.store_reads.values()
+        )
+
     def execute_specific_effect(self, effect: effects.Effect) -> None:
         """Executes an effect that is specific to the platform."""
         match effect:
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -3,9 +3,11 @@
 import base64
 import binascii
 import socket
+import time
 from typing import Any
 
 import aiohttp
+import attrs
 
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import json_documents
@@ -30,6 +32,29 @@
 _OFFSET_BYTES = 8
 
 
+@attrs.define
+class Progress:
+    """What a read has received so far.
+
+    Attributes:
+        started_s: Monotonic time at which it started.
+        received_bytes: Size of the received parts of bodies.
+    """
+
+    started_s: float = attrs.field(factory=time.monotonic)
+    received_bytes: int = 0
+
+    def describe_timeout(self) -> str:
+        """Returns why the read failed, for one that ran out of time."""
+        elapsed_s = time.monotonic() - self.started_s
+        if not self.received_bytes:
+            return f"no response in time, after {elapsed_s:.1f} s"
+        return (
+            f"no complete response in time: {self.received_bytes} bytes in"
+            f" {elapsed_s:.1f} s"
+        )
+
+
 class StoreClient:
     """Reads and appends to keyed topics of the platform's store.
 
@@ -66,19 +91,20 @@
                 to hold.
             wait_ms: Longest time for which the store waits for a record.
         """
+        progress = Progress()
         try:
             if from_offset is None:
-                return await self._list_newest(topic, first_offset)
-            return await self._read_from(topic, from_offset, wait_ms)
+                return await self._list_newest(topic, first_offset, progress)
+            return await self._read_from(topic, from_offset, wait_ms, progress)
         except TimeoutError:
-            return store_records.ReadFailed("no response in time")
+            return store_records.ReadFailed(progress.describe_timeout())
         except (aiohttp.ClientError, OSError) as error:
             return store_records.ReadFailed(f"{type(error).__name__}: {error}")
         except json_documents.DECODE_ERRORS as error:
             return store_records.ReadFailed(f"malformed response: {error!r}")
 
     async def _read_from(
-        self, topic: str, offset: int, wait_ms: int
+        self, topic: str, offset: int, wait_ms: int, progress: Progress
     ) -> (
         store_records.Batch
         | store_records.HistoryDropped
@@ -91,7 +117,7 @@
             "max-kb": str(MAX_READ_KB),
             "wait-ms": str(wait_ms),
         }
-        status, body = await self._get("/log-read", query, wait_ms)
+        status, body = await self._get("/log-read", query, wait_ms, progress)
         if status == 410:
             return store_records.HistoryDropped(
                 int(_json_object(body)["first-offset"])
@@ -108,7 +134,7 @@
         )
 
     async def _list_newest(
-        self, topic: str, first_offset: int
+        self, topic: str, first_offset: int, progress: Progress
     ) -> store_records.Batch | store_records.ReadFailed:
         """Lists the newest record of every key.
 
@@ -123,7 +149,7 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            status, body = await self._get("/log-newest", query, 0)
+            status, body = await self._get("/log-newest", query, 0, progress)
             if status != 200:
                 return store_records.ReadFailed(
                     f"response with status {status}"
@@ -175,7 +201,11 @@
             return f"{type(error).__name__}: {error}"
 
     async def _get(
-        self, path: str, query: dict[str, str], wait_ms: int
+        self,
+        path: str,
+        query: dict[str, str],
+        wait_ms: int,
+        progress: Progress,
     ) -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(
             total=wait_ms / 1000 + RESPONSE_TIMEOUT_S,
@@ -184,7 +214,11 @@
         async with self._session.get(
             self._base_url + path, params=query, timeout=timeout
         ) as response:
-            return response.status, await response.read()
+            body = bytearray()
+            async for part in response.content.iter_any():
+                body += part
+                progress.received_bytes += len(part)
+            return response.status, bytes(body)
 
     async def close(self) -> None:
         """Closes the session and its connections."""
