--- a/src/fireflyspindle/testing/store.py
+++ b/src/fireflyspindle/testing/store.py
@@ -54,6 +54,7 @@
     Attributes:
         topics: Topics by name.
         refuse_status: Status with which every request is refused, or None.
+        topic_statuses: Status with which reads of a topic fail, by topic.
         silent: Whether requests get no response.
         delay_s: Delay before the response to a request.
         reads: Path and query of every received request.
@@ -64,6 +65,7 @@
             collections.defaultdict(Topic)
         )
         self.refuse_status: int | None = None
+        self.topic_statuses: dict[str, int] = {}
         self.silent = False
         self.delay_s = 0.0
         self.reads: list[tuple[str, dict[str, str]]] = []
@@ -160,9 +162,10 @@
             await asyncio.sleep(self.delay_s)
         if self.silent:
             await asyncio.Event().wait()
-        if self.refuse_status is None:
-            return None
-        return web.Response(status=self.refuse_status)
+        status = self.refuse_status
+        if status is None and request.method == "GET":
+            status = self.topic_statuses.get(request.query["topic"])
+        return None if status is None else web.Response(status=status)
 
 
 def _encode_record(record: tuple[str, bytes | None]) -> bytes:
