Retry the sources of the store by turns, so that none holds up another

Callers got no route that was added, and requests went on to targets that had left, on every host and for as long as the hosts ran.

Cause: a source whose reads failed twice was suspended while another failing one was retried, and resumed only when that one succeeded. When its reads went on failing for a reason of their own (the topic of crashes answers 404, a document is too large for the link), nothing resumed the others. A failure of one thing was taken for one of the whole store.

The sources now take turns: a failed retry hands the next one to the source that has been suspended for longest, so that at most one source is retried at a time, as before, and each comes up. A response that fails for this source only (any status but 429, 502, 503 and 504, or a malformed body) shows that the store answers, and resumes the others at once, as does a dropped history. A suspended source that no retried one stands for is read at the next check.

--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -64,9 +64,12 @@
 
     Attributes:
         reason: Human-readable reason.
+        is_answered: Whether the store answered, but with no records of this
+            topic; other topics may still be readable.
     """
 
     reason: str
+    is_answered: bool = False
 
 
 class LatestRecords:
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -532,12 +532,15 @@
         source: Source that was read.
         reason: Human-readable reason.
         relayed: Origin of the read if a reader relayed it.
+        is_answered: Whether the store answered, but with no records of this
+            source.
     """
 
     now_us: int
     source: str
     reason: str
     relayed: RelayedRead | None = None
+    is_answered: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -123,10 +123,8 @@
             store_reads.on_history_dropped(
                 state, store_state.Source(source), first_offset
             )
-        case events.StoreReadFailed(_, source, reason, relayed):
-            store_reads.on_read_failed(
-                state, store_state.Source(source), reason, relayed
-            )
+        case events.StoreReadFailed():
+            store_reads.on_read_failed(state, event)
         case events.ReaderConnected():
             following.on_reader_connected(state, event)
         case events.ReaderDisconnected():
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -62,7 +62,7 @@
 
 def _start_own_reads(state: state_lib.GateState) -> None:
     for source, reads in state.store_reads.items():
-        if reads.suspended or reads.pending:
+        if reads.pending or (reads.suspended and _retried(state)):
             continue
         if following.must_read_store(state, source):
             _schedule_read(state, source, 0)
@@ -266,52 +266,93 @@
     )
     state.emit(effects.WriteLogLine("info", "store_history_dropped", detail))
     _schedule_read(state, source, 0)
+    _resume_suspended_reads(state, 0)
 
 
 def on_read_failed(
-    state: state_lib.GateState,
-    source: store_state.Source,
-    reason: str,
-    relayed: events.RelayedRead | None = None,
+    state: state_lib.GateState, event: events.StoreReadFailed
 ) -> None:
     """Handles a failed read and schedules another after a pause."""
-    if relayed is not None:
-        if following.is_current_stream(state, relayed):
-            _on_relayed_failure(state, source, reason)
+    source = store_state.Source(event.source)
+    if event.relayed is not None:
+        if following.is_current_stream(state, event.relayed):
+            _on_relayed_failure(state, source, event.reason)
         return
     reads = state.store_reads[source]
     reads.pending = False
-    _log_first_failure(state, source, reason)
+    _log_first_failure(state, source, event.reason)
     reads.failures += 1
     if reads.has_relay_gap:
         following.request_all_records(state)
     if reads.failures > 1:
         following.on_own_reads_failing(state)
-    if not following.must_read_store(state, source):
-        return
-    retried = [
-        other.value
-        for other, others_reads in state.store_reads.items()
-        if other is not source
-        and others_reads.failures
-        and others_reads.pending
-        and not others_reads.wait_ms
-    ]
-    if retried and reads.failures > 1:
+    if event.is_answered:
+        # The store answers, so that the failure is one of this source alone.
+        _resume_suspended_reads(state, 0)
+    elif reads.failures > 1 and (retried := _retried(state)):
         # Retries of one source suffice to detect that the store is back.
-        reads.suspended = True
-        names = " or ".join(retried)
-        _log_retry(state, source, reason, f"after a read of {names}")
+        _suspend(state, source)
+        names = " or ".join(other.value for other in retried)
+        next_read = f"after a read of {names}"
+        _log_retry(state, source, event.reason, next_read)
+        return
+    delay_us = _retry_delay_us(state, reads)
+    # The sources take turns: the reads of one may fail for a reason of its own
+    # when the store is back.
+    next_source = _longest_suspended(state) or source
+    if next_source is not source:
+        _suspend(state, source)
+    elif not following.must_read_store(state, source):
         return
+    start = f"in {delay_us // 1000} ms"
+    if next_source is not source:
+        start = f"after a read of {next_source.value}, which starts {start}"
+    _log_retry(state, source, event.reason, start)
+    _schedule_read(state, next_source, delay_us)
+
+
+def _retry_delay_us(
+    state: state_lib.GateState, reads: store_state.SourceReads
+) -> int:
+    """Returns the pause after a failed read of a source."""
     pause_us = INITIAL_BACKOFF_US << min(reads.failures - 1, 10)
     if following.reader_reports_failures(state) and not reads.wait_ms:
         # The store itself is away. The pause is no longer than any other: the
         # reader may stay cut off when the store is back.
         pause_us = MAX_BACKOFF_US
     jitter = 1 + BACKOFF_JITTER * (state.random.random() - 0.5)
-    delay_us = int(min(MAX_BACKOFF_US, pause_us) * jitter)
-    _log_retry(state, source, reason, f"in {delay_us // 1000} ms")
-    _schedule_read(state, source, delay_us)
+    return int(min(MAX_BACKOFF_US, pause_us) * jitter)
+
+
+def _retried(state: state_lib.GateState) -> list[store_state.Source]:
+    """Returns the failing sources whose next read does not wait."""
+    return [
+        source
+        for source, reads in state.store_reads.items()
+        if reads.failures and reads.pending and not reads.wait_ms
+    ]
+
+
+def _suspend(state: state_lib.GateState, source: store_state.Source) -> None:
+    reads = state.store_reads[source]
+    reads.suspended = True
+    reads.suspended_us = state.now_us
+
+
+def _longest_suspended(
+    state: state_lib.GateState,
+) -> store_state.Source | None:
+    """Returns the source that has been suspended for longest, or None."""
+    suspended = [
+        source
+        for source, reads in state.store_reads.items()
+        if reads.suspended and following.must_read_store(state, source)
+    ]
+    return min(
+        suspended,
+        key=lambda source: state.store_reads[source].suspended_us,
+        default=None,
+    )
 
 
 def _on_relayed_failure(
@@ -358,6 +399,7 @@
     reads = state.store_reads[source]
     reads.scheduled_us = state.now_us + delay_us
     reads.pending = True
+    reads.suspended = False
     reads.wait_ms = _wait_ms(state, source)
     state.emit(
         effects.ReadStore(
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -140,7 +140,8 @@
         recovered_us: Time of the first success after the last failures.
         succeeded: Whether a read ever succeeded.
         suspended: Whether the next read is suspended until another source has
-            been read successfully.
+            been read successfully, or it is this one's turn to be retried.
+        suspended_us: Time at which it was suspended.
         pending: Whether a read by this host is scheduled or in progress.
         relayed_us: End of the latest successful read that the reader relayed;
             None before the first.
@@ -160,6 +161,7 @@
     recovered_us: int | None = None
     succeeded: bool = False
     suspended: bool = False
+    suspended_us: int = 0
     pending: bool = False
     relayed_us: int | None = None
     has_relay_gap: bool = False
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -28,6 +28,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+# Statuses of a store, or of a proxy before it, that serves no call now.
+UNAVAILABLE_STATUSES = frozenset({429, 502, 503, 504})
+
 _LENGTH_PREFIX_BYTES = 4
 _OFFSET_BYTES = 8
 
@@ -101,7 +104,9 @@
         except (aiohttp.ClientError, OSError) as error:
             return store_records.ReadFailed(f"{type(error).__name__}: {error}")
         except json_documents.DECODE_ERRORS as error:
-            return store_records.ReadFailed(f"malformed response: {error!r}")
+            return store_records.ReadFailed(
+                f"malformed response: {error!r}", is_answered=True
+            )
 
     async def _read_from(
         self, topic: str, offset: int, wait_ms: int, progress: Progress
@@ -123,7 +128,7 @@
                 int(_json_object(body)["first-offset"])
             )
         if status != 200:
-            return store_records.ReadFailed(f"response with status {status}")
+            return _status_failure(status)
         end = int.from_bytes(body[:_OFFSET_BYTES])
         if end < offset:
             return store_records.HistoryDropped(end)
@@ -151,9 +156,7 @@
                 query["after"] = after
             status, body = await self._get("/log-newest", query, 0, progress)
             if status != 200:
-                return store_records.ReadFailed(
-                    f"response with status {status}"
-                )
+                return _status_failure(status)
             page = _json_object(body)
             items = page["items"]
             if page_number == 0:
@@ -166,7 +169,8 @@
                 )
             after = items[-1]["key"]
         return store_records.ReadFailed(
-            f"topic {topic} has more than {MAX_LISTING_PAGES} pages"
+            f"topic {topic} has more than {MAX_LISTING_PAGES} pages",
+            is_answered=True,
         )
 
     async def append(self, topic: str, records: dict[str, bytes | None]) -> str:
@@ -225,6 +229,13 @@
         await self._session.close()
 
 
+def _status_failure(status: int) -> store_records.ReadFailed:
+    return store_records.ReadFailed(
+        f"response with status {status}",
+        is_answered=status not in UNAVAILABLE_STATUSES,
+    )
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     value = json_documents.parse(body)
     if not isinstance(value, dict):
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -46,9 +46,9 @@
             relayed: Set when another host made the read.
         """
         match outcome:
-            case store_records.ReadFailed(reason):
+            case store_records.ReadFailed(reason, is_answered):
                 return events.StoreReadFailed(
-                    now_us, source.value, reason, relayed
+                    now_us, source.value, reason, relayed, is_answered
                 )
             case store_records.Batch() if source is store_state.Source.TARGETS:
                 return self._targets_read(now_us, outcome, relayed)
