Keep a read of the store that is late, beside the one that is tried next

Callers got no route that was added, and requests went on to targets that had left, on every host, for as long as an answer of the store took longer than the limit of one read.

Cause: head and body of a read had 1.2 s, at every try. The reads of a store or a link that needed longer were cancelled with what had arrived, and the next one began from nothing with the same limit.

A read that brings nothing for 1.2 s still counts as failed, so that a store that was silent is noticed as early as before, but it goes on beside the next one: the first that is answered counts. One late read of each topic is kept, so that a host has at most two at the store. It is given up for a newer one after a time without data that doubles, so that a dead connection doesn't hold it up and no duration is out of reach. Data that arrives counts as life, up to 2.4 s.

What a late read returned is known to be complete only up to its own start, for refusals of unknown routes, proofs of keys and followers; if newer records are known it is ignored.

test_response_timeout_is_a_failure reads through TimedReads, which has the limit now; its assertions are unchanged.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -229,6 +229,7 @@
         outcome: store_records.Batch | store_records.ReadFailed,
         age_us: int = 0,
         own: bool = True,
+        delay_us: int = 0,
     ) -> None:
         """Records the outcome of a read and sends it to the followers.
 
@@ -239,6 +240,8 @@
             own: Whether this host made the read. Reads of another host are
                 relayed once, so that they can't circulate among hosts that
                 follow each other.
+            delay_us: Time that a late read took beyond its wait at the store.
+                What it read may be that much older.
         """
         source = self._sources[name]
         failed: store_records.ReadFailed | None = None
@@ -256,7 +259,7 @@
         source.failed = failed
         source.own = own
         if failed is None:
-            source.succeeded_us = ended_us
+            source.succeeded_us = ended_us - delay_us
         self._notify()
 
     def add_records(self, name: str, batch: store_records.Batch) -> None:
--- a/src/fireflyspindle/core/crash_evidence.py
+++ b/src/fireflyspindle/core/crash_evidence.py
@@ -131,12 +131,10 @@
 def on_read(state: state_lib.GateState, event: events.CrashesRead) -> None:
     """Applies records that any gate host wrote."""
     source = store_state.Source.CRASHES
-    if not store_reads.should_apply(state, source, event.relayed):
+    if not store_reads.should_apply(state, source, event):
         return
     changed = bool(event.records or event.removed)
-    store_reads.on_read_succeeded(
-        state, source, event.next_offset, changed, event.relayed
-    )
+    store_reads.on_read_succeeded(state, source, event, changed)
     removed = list(event.removed)
     if event.is_snapshot:
         removed += _stored_keys(state) - event.records.keys()
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -40,7 +40,7 @@
 ) -> None:
     """Handles a read of the published configuration."""
     source = store_state.Source.CONFIGURATION
-    if not store_reads.should_apply(state, source, event.relayed):
+    if not store_reads.should_apply(state, source, event):
         return
     document = event.document
     # A configuration that lifts a quota sends calls that wait for permits.
@@ -54,11 +54,7 @@
             reads.has_undecodable_record = not event.newest_is_decodable
     proof.on_configuration_read(state, event)
     store_reads.on_read_succeeded(
-        state,
-        source,
-        event.next_offset,
-        changed=document is not None,
-        relayed=event.relayed,
+        state, source, event, changed=document is not None
     )
     readiness.accept_callers(state)
 
@@ -91,13 +87,11 @@
 ) -> None:
     """Handles a read of written and removed target entries."""
     source = store_state.Source.TARGETS
-    if not store_reads.should_apply(state, source, event.relayed):
+    if not store_reads.should_apply(state, source, event):
         return
     previous_offset = state.store_reads[source].next_offset
     changed = bool(event.entries or event.removed)
-    store_reads.on_read_succeeded(
-        state, source, event.next_offset, changed, event.relayed
-    )
+    store_reads.on_read_succeeded(state, source, event, changed)
     readiness.accept_callers(state)
     if not changed and not event.is_snapshot:
         return
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -438,6 +438,8 @@
         evacuations_ended: Failure domains whose evacuation was ended.
         is_snapshot: Whether the read covers all existing records.
         is_complete: Whether the read reached the end of the topic.
+        late_start_us: Start of a read by this host that succeeded after it had
+            failed for want of data in time; None for any other read.
     """
 
     now_us: int
@@ -449,6 +451,7 @@
     evacuations_ended: frozenset[str] = frozenset()
     is_snapshot: bool = False
     is_complete: bool = True
+    late_start_us: int | None = None
 
 
 @attrs.define
@@ -462,6 +465,8 @@
         is_snapshot: Whether the read covers all existing entries.
         next_offset: First offset that has not been read.
         relayed: Origin of the read if a reader relayed it.
+        late_start_us: Start of a read by this host that succeeded after it had
+            failed for want of data in time; None for any other read.
     """
 
     now_us: int
@@ -470,6 +475,7 @@
     is_snapshot: bool
     next_offset: int
     relayed: RelayedRead | None = None
+    late_start_us: int | None = None
 
 
 @attrs.define
@@ -483,6 +489,8 @@
         is_snapshot: Whether the read covers all existing records.
         next_offset: First offset that has not been read.
         relayed: Origin of the read if a reader relayed it.
+        late_start_us: Start of a read by this host that succeeded after it had
+            failed for want of data in time; None for any other read.
     """
 
     now_us: int
@@ -491,6 +499,10 @@
     is_snapshot: bool
     next_offset: int
     relayed: RelayedRead | None = None
+    late_start_us: int | None = None
+
+
+StoreRead = ConfigurationRead | TargetsRead | CrashesRead
 
 
 @attrs.define
--- a/src/fireflyspindle/core/organisations/proof.py
+++ b/src/fireflyspindle/core/organisations/proof.py
@@ -88,14 +88,14 @@
 ) -> None:
     """Takes the proof of a read by this host; starts to ask if needed.
 
-    It must be called while the read is the latest scheduled one. A relayed read
-    proves nothing: its line may have waited in a broken link, in a suspended
-    reader or in this host.
+    Unless the read is late, it must be called while the read is the latest
+    scheduled one. A relayed read proves nothing: its line may have waited in a
+    broken link, in a suspended reader or in this host.
     """
     reads = state.store_reads[store_state.Source.CONFIGURATION]
     if event.relayed is None and event.is_complete:
         if not reads.has_undecodable_record:
-            _prove(state, min(state.now_us, reads.scheduled_us))
+            _prove(state, reads.own_read_start_us(event))
     proof = state.organisations.proof
     if not is_needed(state):
         proof.needed_since_us = None
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -71,17 +71,19 @@
 def should_apply(
     state: state_lib.GateState,
     source: store_state.Source,
-    relayed: events.RelayedRead | None,
+    event: events.StoreRead,
 ) -> bool:
     """Returns whether to apply a read.
 
     If records are missing before a relayed read, this host reads the store.
     """
+    reads = state.store_reads[source]
+    relayed = event.relayed
     if relayed is None:
-        return True
+        is_late = event.late_start_us is not None
+        return not is_late or event.next_offset >= (reads.next_offset or 0)
     if not following.is_current_stream(state, relayed):
         return False
-    reads = state.store_reads[source]
     if (reads.next_offset or 0) >= relayed.from_offset:
         return True
     if not reads.has_relay_gap:
@@ -120,25 +122,23 @@
 def on_read_succeeded(
     state: state_lib.GateState,
     source: store_state.Source,
-    next_offset: int,
+    event: events.StoreRead,
     changed: bool,
-    relayed: events.RelayedRead | None = None,
 ) -> None:
     """Handles a successful read and schedules the next one.
 
     Args:
         state: State of the gate host.
         source: What was read.
-        next_offset: First offset that has not been read.
+        event: The read.
         changed: Whether the read returned anything.
-        relayed: Set when the read was relayed by a reader.
     """
     reads = state.store_reads[source]
-    reads.next_offset = max(next_offset, reads.next_offset or 0)
+    reads.next_offset = max(event.next_offset, reads.next_offset or 0)
     reads.has_relay_gap = False
-    _record_completeness(state, source, relayed)
-    if relayed is not None:
-        _on_relayed_read(state, source, relayed)
+    _record_completeness(state, source, event)
+    if event.relayed is not None:
+        _on_relayed_read(state, source, event.relayed)
         return
     reads.succeeded = True
     reads.pending = False
@@ -154,14 +154,15 @@
         spacing_ms = settings.min_read_interval_ms
         if state.following.is_reader:
             spacing_ms = min(spacing_ms, following.READER_READ_SPACING_MS)
-        delay_us = spacing_ms * 1000 - max(0, state.now_us - reads.scheduled_us)
+        started_us = reads.own_read_start_us(event)
+        delay_us = spacing_ms * 1000 - (state.now_us - started_us)
     _schedule_read(state, source, max(0, delay_us))
 
 
 def _record_completeness(
     state: state_lib.GateState,
     source: store_state.Source,
-    relayed: events.RelayedRead | None,
+    event: events.StoreRead,
 ) -> None:
     """Records up to which time a successful read returned every record.
 
@@ -172,9 +173,11 @@
     reads = state.store_reads[source]
     settings = state.settings.store
     assert settings is not None
-    started_us = min(state.now_us, reads.scheduled_us)
-    if relayed is not None:
-        started_us = state.now_us - relayed.age_us - settings.wait_us(source)
+    if event.relayed is None:
+        started_us = reads.own_read_start_us(event)
+    else:
+        age_us = event.relayed.age_us + settings.wait_us(source)
+        started_us = state.now_us - age_us
     previous_us = reads.complete_until_us
     if previous_us is None or previous_us < started_us:
         reads.complete_until_us = started_us
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -168,6 +168,15 @@
     complete_until_us: int | None = None
     has_undecodable_record: bool = False
 
+    def own_read_start_us(self, event: events.StoreRead) -> int:
+        """Returns when a read by this host started.
+
+        Unless the read is late, it must be the latest scheduled one.
+        """
+        if event.late_start_us is not None:
+            return event.late_start_us
+        return min(event.now_us, self.scheduled_us)
+
 
 @attrs.define
 class Reader:
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -1,9 +1,9 @@
 """HTTP client of the platform's store."""
 
+import asyncio
 import base64
 import binascii
 import socket
-import time
 from typing import Any
 
 import aiohttp
@@ -12,10 +12,11 @@
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import json_documents
 
-# Time for a response beyond the wait of a long poll. A slow store takes 0.4 s.
-# All bounds must hold again 3 s after the store has recovered (`contact-ms`),
-# and a pause of up to 1.75 s follows a read that timed out.
-RESPONSE_TIMEOUT_S = 1.2
+# Longest time without data on a connection. It ends reads that nobody waits for
+# any more; `timed_reads` has the limits of those that matter.
+MAX_SILENCE_S = 300.0
+# Time for the response to an append.
+APPEND_TIMEOUT_S = 1.2
 # Largest total size of the records of one read, in kilobytes as the store
 # counts them.
 MAX_READ_KB = 1_024
@@ -35,26 +36,46 @@
 _OFFSET_BYTES = 8
 
 
+def _loop_time_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 @attrs.define
 class Progress:
     """What a read has received so far.
 
     Attributes:
-        started_s: Monotonic time at which it started.
-        received_bytes: Size of the received parts of bodies.
+        started_s: Loop time at which it started.
+        received_s: Loop time at which it last received data.
+        received_bytes: Size of the parts of bodies that it has received.
     """
 
-    started_s: float = attrs.field(factory=time.monotonic)
+    started_s: float = attrs.field(factory=_loop_time_s)
+    received_s: float = attrs.field(
+        default=attrs.Factory(lambda self: self.started_s, takes_self=True)
+    )
     received_bytes: int = 0
 
+    def on_received(self, size_bytes: int) -> None:
+        """Records that data has arrived."""
+        self.received_s = _loop_time_s()
+        self.received_bytes += size_bytes
+
+    def elapsed_s(self) -> float:
+        """Returns the time since the start."""
+        return _loop_time_s() - self.started_s
+
+    def silent_s(self) -> float:
+        """Returns the time since data arrived, or since the start."""
+        return _loop_time_s() - self.received_s
+
     def describe_timeout(self) -> str:
         """Returns why the read failed, for one that ran out of time."""
-        elapsed_s = time.monotonic() - self.started_s
         if not self.received_bytes:
-            return f"no response in time, after {elapsed_s:.1f} s"
+            return f"no response in time, after {self.elapsed_s():.1f} s"
         return (
             f"no complete response in time: {self.received_bytes} bytes in"
-            f" {elapsed_s:.1f} s"
+            f" {self.elapsed_s():.1f} s"
         )
 
 
@@ -78,6 +99,7 @@
         from_offset: int | None,
         first_offset: int = 0,
         wait_ms: int = 0,
+        progress: Progress | None = None,
     ) -> (
         store_records.Batch
         | store_records.HistoryDropped
@@ -93,8 +115,10 @@
             first_offset: Offset of the oldest record that the store is known
                 to hold.
             wait_ms: Longest time for which the store waits for a record.
+            progress: Told what arrives. The read has no other limit in time
+                than `MAX_SILENCE_S`.
         """
-        progress = Progress()
+        progress = progress or Progress()
         try:
             if from_offset is None:
                 return await self._list_newest(topic, first_offset, progress)
@@ -122,7 +146,7 @@
             "max-kb": str(MAX_READ_KB),
             "wait-ms": str(wait_ms),
         }
-        status, body = await self._get("/log-read", query, wait_ms, progress)
+        status, body = await self._get("/log-read", query, progress)
         if status == 410:
             return store_records.HistoryDropped(
                 int(_json_object(body)["first-offset"])
@@ -154,7 +178,7 @@
             query = {"topic": topic, "part": "0"}
             if after:
                 query["after"] = after
-            status, body = await self._get("/log-newest", query, 0, progress)
+            status, body = await self._get("/log-newest", query, progress)
             if status != 200:
                 return _status_failure(status)
             page = _json_object(body)
@@ -193,7 +217,7 @@
                 self._base_url + "/log-append",
                 params={"topic": topic, "part": "0"},
                 data=body,
-                timeout=aiohttp.ClientTimeout(total=RESPONSE_TIMEOUT_S),
+                timeout=aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S),
             ) as response:
                 await response.read()
                 if response.status == 200:
@@ -208,20 +232,19 @@
         self,
         path: str,
         query: dict[str, str],
-        wait_ms: int,
         progress: Progress,
     ) -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(
-            total=wait_ms / 1000 + RESPONSE_TIMEOUT_S,
-            sock_connect=RESPONSE_TIMEOUT_S,
+            total=None, sock_connect=MAX_SILENCE_S, sock_read=MAX_SILENCE_S
         )
         async with self._session.get(
             self._base_url + path, params=query, timeout=timeout
         ) as response:
+            progress.on_received(0)
             body = bytearray()
             async for part in response.content.iter_any():
                 body += part
-                progress.received_bytes += len(part)
+                progress.on_received(len(part))
             return response.status, bytes(body)
 
     async def close(self) -> None:
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -36,6 +36,7 @@
         source: store_state.Source,
         outcome: store_records.Batch | store_records.ReadFailed,
         relayed: events.RelayedRead | None,
+        late_start_us: int | None = None,
     ) -> events.Event:
         """Returns the event for the outcome of a read.
 
@@ -44,7 +45,21 @@
             source: Source that was read.
             outcome: Outcome of the read.
             relayed: Set when another host made the read.
+            late_start_us: Start of a read by this host that succeeded late;
+                otherwise None.
         """
+        event = self._event(now_us, source, outcome, relayed)
+        if not isinstance(event, events.StoreReadFailed):
+            event.late_start_us = late_start_us
+        return event
+
+    def _event(
+        self,
+        now_us: int,
+        source: store_state.Source,
+        outcome: store_records.Batch | store_records.ReadFailed,
+        relayed: events.RelayedRead | None,
+    ) -> events.StoreReadFailed | events.StoreRead:
         match outcome:
             case store_records.ReadFailed(reason, is_answered):
                 return events.StoreReadFailed(
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from fireflyspindle import logs
 from fireflyspindle.adapters import data_path
 from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import store_feed
@@ -19,6 +20,7 @@
 from fireflyspindle.platform import crash_records
 from fireflyspindle.platform import store_client
 from fireflyspindle.platform import store_decoder
+from fireflyspindle.platform import timed_reads
 
 # Topic of each source in the platform's store.
 TOPIC_BY_SOURCE = {
@@ -62,6 +64,7 @@
         self._shell = shell
         self._control_address = control_address
         self._store = store_client.StoreClient(store_address)
+        self._timed_reads = timed_reads.TimedReads(shell, self._store)
         helper = None
         if relay_address:
             helper = events.HelperAddress(relay_address, failure_domain)
@@ -121,25 +124,54 @@
 
     async def _read(self, effect: effects.ReadStore) -> None:
         await asyncio.sleep(effect.delay_us / 1e6)
-        source = store_state.Source(effect.source)
         self._shell.metrics.event_counts["store_read"] += 1
-        outcome = await self._store.read(
-            TOPIC_BY_SOURCE[source],
+        started_us = self._shell.now_us()
+        outcome = await self._timed_reads.read(
+            TOPIC_BY_SOURCE[store_state.Source(effect.source)],
             effect.from_offset,
             effect.first_offset,
             effect.wait_ms,
+            lambda late: self._on_late_read(effect, late, started_us),
         )
         # The read has ended, so `CancelStoreRead` has nothing left to cancel.
         self._read_tasks.pop(effect.source, None)
+        self._on_read(effect, outcome)
+
+    def _on_late_read(
+        self,
+        effect: effects.ReadStore,
+        outcome: timed_reads.Outcome,
+        started_us: int,
+    ) -> None:
+        """Handles a read that has succeeded after it was given up."""
+        self._shell.metrics.event_counts["store_read_late"] += 1
+        elapsed_ms = (self._shell.now_us() - started_us) // 1000
+        logs.logger.info(
+            f"{effect.source}: the store answered a read after {elapsed_ms} ms",
+            code="store_slow",
+        )
+        self._on_read(effect, outcome, started_us)
+
+    def _on_read(
+        self,
+        effect: effects.ReadStore,
+        outcome: timed_reads.Outcome,
+        late_start_us: int | None = None,
+    ) -> None:
+        now_us = self._shell.now_us()
         if isinstance(outcome, store_records.HistoryDropped):
             self._shell.submit(
                 events.StoreHistoryDropped(
-                    self._shell.now_us(), effect.source, outcome.first_offset
+                    now_us, effect.source, outcome.first_offset
                 )
             )
             return
-        self.feed.record_read(effect.source, outcome)
-        self._shell.submit(self._decode(source, outcome, None))
+        delay_us = 0
+        if late_start_us is not None:
+            delay_us = now_us - late_start_us - effect.wait_ms * 1000
+        self.feed.record_read(effect.source, outcome, delay_us=delay_us)
+        source = store_state.Source(effect.source)
+        self._shell.submit(self._decode(source, outcome, None, late_start_us))
 
     async def _follow_reader(self, effect: effects.FollowReader) -> None:
         reason = "the stream ended"
@@ -250,6 +282,9 @@
         source: store_state.Source,
         outcome: store_records.Batch | store_records.ReadFailed,
         relayed: events.RelayedRead | None,
+        late_start_us: int | None = None,
     ) -> events.Event:
         now_us = self._shell.now_us()
-        return self.decoder.decode_outcome(now_us, source, outcome, relayed)
+        return self.decoder.decode_outcome(
+            now_us, source, outcome, relayed, late_start_us
+        )
--- a/tests/configuration_network.py
+++ b/tests/configuration_network.py
@@ -10,7 +10,6 @@
 
 from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.adapters import store_records
-from fireflyspindle.platform import store_client
 
 READERS = 3
 # Latency of the store and of the links between hosts.
@@ -204,17 +203,14 @@
         self.fleet = fleet
         self.host = host
 
-    async def read(self, topic, from_offset, _first_offset=0, wait_ms=0):
+    async def read(
+        self, topic, from_offset, _first_offset=0, wait_ms=0, _progress=None
+    ):
         """Reads as `StoreClient.read` does."""
         if from_offset is None:
             wait_ms = 0
-        timeout_s = wait_ms / 1000 + store_client.RESPONSE_TIMEOUT_S
-        try:
-            async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(STORE_LATENCY_S)
-                outcome = await self._answer(topic, from_offset, wait_ms)
-        except TimeoutError:
-            outcome = store_records.ReadFailed("no response in time")
+        await asyncio.sleep(STORE_LATENCY_S)
+        outcome = await self._answer(topic, from_offset, wait_ms)
         await self.host.running.wait()
         return outcome
 
--- a/tests/test_held_up_reads.py
+++ b/tests/test_held_up_reads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import types
 
 from aiohttp import web
 import pytest
@@ -9,6 +10,7 @@
 from fireflyspindle import testing
 from fireflyspindle.platform import store_client
 from fireflyspindle.platform import store_sync
+from fireflyspindle.platform import timed_reads
 from fireflyspindle.testing import platform_documents
 from fireflyspindle.testing import store as store_lib
 import platform_driver
@@ -57,7 +59,7 @@
 @pytest.fixture
 def short_limit(monkeypatch):
     """Shortens the limit on a read without a response."""
-    monkeypatch.setattr(store_client, "RESPONSE_TIMEOUT_S", LIMIT_S)
+    monkeypatch.setattr(timed_reads, "RESPONSE_TIMEOUT_S", LIMIT_S)
 
 
 # Guards against hosts that never read a store whose answers take longer than
@@ -98,7 +100,9 @@
     app.middlewares.append(send_slowly)
     server = testing.Server(app)
     client = store_client.StoreClient(await server.start())
-    outcome = await client.read("keyed.op", from_offset)
+    shell = types.SimpleNamespace(spawn=asyncio.create_task)
+    reads = timed_reads.TimedReads(shell, client)
+    outcome = await reads.read("keyed.op", from_offset)
     await client.close()
     await server.close()
     assert len(outcome.records) == 10
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Tests the client of the platform's store against a stand-in."""
 
 import asyncio
+import types
 
 from aiohttp import web
 import pytest
@@ -9,6 +10,7 @@
 from fireflyspindle import testing
 from fireflyspindle.adapters import store_records
 from fireflyspindle.platform import store_client
+from fireflyspindle.platform import timed_reads
 
 TOPIC = "keyed.servers"
 
@@ -98,12 +100,14 @@
 @pytest.mark.parametrize("from_offset", [None, 0])
 async def test_response_timeout_is_a_failure(store, monkeypatch, from_offset):
     stand_in, client = store
-    monkeypatch.setattr(store_client, "RESPONSE_TIMEOUT_S", 0.05)
+    shell = types.SimpleNamespace(spawn=asyncio.create_task)
+    reads = timed_reads.TimedReads(shell, client)
+    monkeypatch.setattr(timed_reads, "RESPONSE_TIMEOUT_S", 0.05)
     stand_in.silent = True
-    outcome = await client.read(TOPIC, from_offset, wait_ms=50)
+    outcome = await reads.read(TOPIC, from_offset, wait_ms=50)
     assert "in time" in outcome.reason
     stand_in.silent = False
-    assert isinstance(await client.read(TOPIC, None), store_records.Batch)
+    assert isinstance(await reads.read(TOPIC, None), store_records.Batch)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_store_read_reports.py
+++ b/tests/test_store_read_reports.py
@@ -1,12 +1,14 @@
 """What logs and metrics tell of failed reads of the platform's store."""
 
 import asyncio
+import types
 
 from aiohttp import web
 import pytest_asyncio
 
 from fireflyspindle import testing
 from fireflyspindle.platform import store_client
+from fireflyspindle.platform import timed_reads
 import platform_driver
 import test_platform_readers
 
@@ -15,7 +17,7 @@
 
 @pytest_asyncio.fixture
 async def stalling_store():
-    """A client of a store that sends part of a response and then stops."""
+    """Reads of a store that sends part of a response and then stops."""
 
     async def respond(request):
         response = web.StreamResponse(headers={"Content-Length": "1000"})
@@ -27,7 +29,8 @@
     app.add_routes([web.get("/log-read", respond)])
     server = testing.Server(app)
     client = store_client.StoreClient(await server.start())
-    yield client
+    shell = types.SimpleNamespace(spawn=asyncio.create_task)
+    yield timed_reads.TimedReads(shell, client)
     await client.close()
     await server.close()
 
@@ -35,7 +38,7 @@
 async def test_failed_read_tells_what_it_has_received(
     stalling_store, monkeypatch
 ):
-    monkeypatch.setattr(store_client, "RESPONSE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(timed_reads, "RESPONSE_TIMEOUT_S", 0.2)
     outcome = await stalling_store.read(TOPIC, 0)
     assert "100 bytes in 0.2 s" in outcome.reason
 
