Remove targets that left when a second outage ends in their grace period

Callers' requests went on to a target for as long as the host ran, after its entry in the store had been removed.

Cause: an entry that is removed soon after an outage is kept for a grace period, in which its target may register again. When another outage ended meanwhile, the timer of the first fired before the later end, did nothing, and was not set again; a removal is read only once.

The timer is set again for the later end while expired entries are left.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -180,13 +180,17 @@
 
 def on_reregistration_grace_expired(state: state_lib.GateState) -> None:
     """Removes the targets that did not register again after an outage."""
-    if state.now_us < _reregistration_deadline_us(state):
-        return
     expired = [
         target_id
         for target_id, registered in state.registered_targets.items()
         if registered.expired
     ]
+    deadline_us = _reregistration_deadline_us(state)
+    if state.now_us < deadline_us:
+        # Another outage has moved the end; the removal is not read again.
+        if expired:
+            state.timers.add(deadline_us, timers.ReregistrationGraceExpired())
+        return
     for target_id in expired:
         _remove_target(state, target_id)
     if expired:
