Don't take failures that only a reader has for an outage of the store

Cause: a host that reads the store itself while its reader reports failed reads took each of its own successes for the end of an outage, and began the grace period for entries anew that expired in it. A removal waited for that grace period, which never ended.

An outage counts from 1.5 s without a success on, the interval in which targets write their entries; shorter ones let no entry expire. Outages that follow each other keep a removed entry for three grace periods at most, so that a store whose reads fail and succeed by turns keeps no target that has left.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -32,6 +32,10 @@
 # least 8.5 per gate host; two are left for probes and closing connections.
 CONNECTIONS_PER_TARGET = 6
 
+# Longest time for which outages that follow each other keep the entry of a
+# target that was removed, in grace periods.
+MAX_GRACES = 3
+
 MISDIRECTED_STATUS = 421
 
 
@@ -134,7 +138,7 @@
         registered.leaving = registered.start in state.leaving_starts
         state.registered_targets[entry.target_id] = registered
     registered.entry = entry
-    registered.expired = False
+    registered.expired_us = None
     registered.warmup_until_us = state.now_us + entry.warmup_left_ms * 1000
     if entry.draining:
         target_statements.mark_leaving(state, registered, "it is draining")
@@ -157,9 +161,10 @@
     registered = state.registered_targets.get(target_id)
     if registered is None:
         return
-    deadline_us = _reregistration_deadline_us(state)
+    if registered.expired_us is None:
+        registered.expired_us = state.now_us
+    deadline_us = _reregistration_deadline_us(state, registered)
     if not registered.leaving and state.now_us < deadline_us:
-        registered.expired = True
         state.timers.add(deadline_us, timers.ReregistrationGraceExpired())
         return
     del state.registered_targets[target_id]
@@ -169,31 +174,42 @@
         )
 
 
-def _reregistration_deadline_us(state: state_lib.GateState) -> int:
-    """Returns the end of the grace period for entries lost in an outage."""
+def _reregistration_deadline_us(
+    state: state_lib.GateState, registered: store_state.RegisteredTarget
+) -> int:
+    """Returns the end of the grace period for an entry lost in an outage."""
     reads = state.store_reads[store_state.Source.TARGETS]
     settings = state.settings.store
     if reads.recovered_us is None or settings is None:
         return 0
-    return reads.recovered_us + settings.reregistration_grace_ms * 1000
+    grace_us = settings.reregistration_grace_ms * 1000
+    deadline_us = reads.recovered_us + grace_us
+    if registered.expired_us is None:
+        return deadline_us
+    return min(deadline_us, registered.expired_us + MAX_GRACES * grace_us)
 
 
 def on_reregistration_grace_expired(state: state_lib.GateState) -> None:
     """Removes the targets that did not register again after an outage."""
-    expired = [
-        target_id
+    deadlines_us = {
+        target_id: _reregistration_deadline_us(state, registered)
         for target_id, registered in state.registered_targets.items()
-        if registered.expired
+        if registered.expired_us is not None
+    }
+    due = [
+        target_id
+        for target_id, deadline_us in deadlines_us.items()
+        if deadline_us <= state.now_us
     ]
-    deadline_us = _reregistration_deadline_us(state)
-    if state.now_us < deadline_us:
-        # Another outage has moved the end; the removal is not read again.
-        if expired:
-            state.timers.add(deadline_us, timers.ReregistrationGraceExpired())
-        return
-    for target_id in expired:
+    for target_id in due:
         _remove_target(state, target_id)
-    if expired:
+        del deadlines_us[target_id]
+    if deadlines_us:
+        # Another outage has moved the end; the removals are not read again.
+        state.timers.add(
+            min(deadlines_us.values()), timers.ReregistrationGraceExpired()
+        )
+    if due:
         refresh_services(state)
 
 
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -22,6 +22,11 @@
 # Pause before reads that were suspended in an outage resume because a reader
 # relays a successful read: it usually relays the other sources as well.
 RELAYED_RESUME_DELAY_US = 100_000
+# Shortest time without a successful read in which entries of targets may have
+# expired: a target writes its entry every 1.5 s (`heartbeat-ms`), and the entry
+# lasts for three such intervals. Readers may report failures of their own for
+# longer, while the reads of this host succeed.
+MIN_OUTAGE_US = 1_500_000
 # Share of each pause that is random, so that the hosts of a fleet don't all
 # retry at the same moment after an outage.
 BACKOFF_JITTER = 0.5
@@ -142,7 +147,7 @@
         return
     reads.succeeded = True
     reads.pending = False
-    _record_success(state, source)
+    _record_success(state, source, state.now_us)
     following.on_own_read_succeeded(state)
     _resume_suspended_reads(state, 0)
     if not following.must_read_store(state, source):
@@ -214,11 +219,15 @@
 
 
 def _record_success(
-    state: state_lib.GateState, source: store_state.Source
+    state: state_lib.GateState, source: store_state.Source, ended_us: int
 ) -> None:
+    """Records a successful read of a source, which ended at a time."""
     reads = state.store_reads[source]
+    succeeded_us = reads.succeeded_us
+    reads.succeeded_us = max(ended_us, succeeded_us or ended_us)
     if reads.failures:
-        reads.recovered_us = state.now_us
+        if succeeded_us is None or ended_us >= succeeded_us + MIN_OUTAGE_US:
+            reads.recovered_us = state.now_us
         detail = (
             f"{source.value}: the store answers again after {reads.failures}"
             f" failed reads in"
@@ -239,7 +248,7 @@
     state.following.failure_reported_us = None
     if not following.is_primary_reader(state):
         reads.succeeded = True
-        _record_success(state, source)
+        _record_success(state, source, reads.relayed_us)
         reads.suspended = False
         if reads.pending and not following.must_read_store(state, source):
             reads.pending = False
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -137,8 +137,10 @@
         wait_ms: How long that read may long-poll the store.
         failures: Consecutive failed reads.
         failing_since_us: Time of the first of these failures.
-        recovered_us: Time of the first success after the last failures.
+        recovered_us: Time of the first success after the last failures that
+            may have been an outage of the store.
         succeeded: Whether a read ever succeeded.
+        succeeded_us: Time of the latest success, None before the first.
         suspended: Whether the next read is suspended until another source has
             been read successfully, or it is this one's turn to be retried.
         suspended_us: Time at which it was suspended.
@@ -160,6 +162,7 @@
     failing_since_us: int = 0
     recovered_us: int | None = None
     succeeded: bool = False
+    succeeded_us: int | None = None
     suspended: bool = False
     suspended_us: int = 0
     pending: bool = False
@@ -307,13 +310,14 @@
         entry: Its newest entry.
         leaving: Whether this start of the target is leaving.
         warmup_until_us: End of its warm-up after the start.
-        expired: Whether its entry was removed after an outage of the store.
+        expired_us: Time at which its entry was found removed after an outage of
+            the store; None while it has one.
     """
 
     entry: events.TargetRegistration
     leaving: bool = False
     warmup_until_us: int = 0
-    expired: bool = False
+    expired_us: int | None = None
 
     @property
     def start(self) -> events.TargetStart:
