Show that removed targets keep calls while only readers fail

Cause: a follower, or a reader after the first, that reads the store itself while its reader reports failed reads logs store_lost and store_regained by turns. Each store_regained starts the grace period for entries that expired in an outage anew (recovered_us), so that the removal of an entry waits. The timer that ends the grace period is not set again when it fires before the extended end, and a removal is read once: the target is then never removed.

Result: the 6 new cases fail on this code.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -121,6 +121,20 @@
     assert usable_ids(host) == ["i-0"]
 
 
+# The entry is removed once, so nothing else would end the grace period.
+def test_expired_target_is_removed_after_an_extended_grace_period(
+    make_published_host,
+):
+    host = make_published_host(targets=2)
+    host.feed(events.StoreReadFailed, "targets", "refused")
+    host.register(removed=["i-1"])
+    host.advance(1_000_000)
+    host.feed(events.StoreReadFailed, "targets", "refused")
+    host.register()
+    host.advance(10_000_000)
+    assert usable_ids(host) == ["i-0"]
+
+
 def test_full_read_after_an_outage_removes_missing_targets(
     make_published_host,
 ):
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -141,6 +141,58 @@
                     self.feed(events.StoreReadFailed, source.value, "503")
             self.advance(100_000)
 
+    def read_store_while_the_reader_fails(
+        self, duration_us, removed=(), failing=None
+    ):
+        """Advances time while the reader of each new stream reports failures.
+
+        Args:
+            duration_us: How long.
+            removed: Targets whose entries were removed; one read tells it.
+            failing: Source that this host can't read either, if any.
+        """
+        end_us = self.now_us + duration_us
+        reported_stream = None
+        unread_removals = list(removed)
+        while self.now_us < end_us:
+            if self.address is not None and self.stream != reported_stream:
+                reported_stream = self.stream
+                relayed = events.RelayedRead(self.stream, 0)
+                for source in store_state.Source:
+                    self.feed(
+                        events.StoreReadFailed, source.value, "503", relayed
+                    )
+            for source, reads in self.state.store_reads.items():
+                if source is failing:
+                    latency_us = READ_TIMEOUT_US
+                else:
+                    latency_us = reads.wait_ms * 1000
+                if not reads.pending or (
+                    self.now_us < reads.scheduled_us + latency_us
+                ):
+                    continue
+                self._end_own_read(source, unread_removals, source is failing)
+            self.advance(50_000)
+
+    def _end_own_read(self, source, unread_removals, fails):
+        if fails:
+            self.feed(events.StoreReadFailed, source.value, "no response")
+            return
+        match source:
+            case store_state.Source.CONFIGURATION:
+                self.feed(events.ConfigurationRead, None, self.next_offset)
+            case store_state.Source.TARGETS:
+                self.feed(
+                    events.TargetsRead,
+                    [],
+                    list(unread_removals),
+                    False,
+                    self.next_offset,
+                )
+                unread_removals.clear()
+            case store_state.Source.CRASHES:
+                self.feed(events.CrashesRead, {}, [], False, self.next_offset)
+
     def omit_records(self, source, next_offset):
         """Feeds a relayed read whose records the reader left out."""
         relayed = events.RelayedRead(self.stream, 0, from_offset=next_offset)
@@ -412,6 +464,40 @@
     assert list(host.state.registered_targets) == []
 
 
+# The readers are cut off from the store, and report that to a host whose own
+# reads succeed. It must not take this for an outage in which entries expire.
+@pytest.mark.parametrize("is_reader", [True, False])
+def test_removed_target_leaves_in_time_while_only_readers_are_cut_off(
+    is_reader,
+):
+    host = second_reader() if is_reader else FollowingHost()
+    host.relay_reads(
+        configured=published_host.document(),
+        entries=[published_host.entry(number) for number in range(2)],
+    )
+    host.read_store_while_the_reader_fails(6_000_000)
+    host.read_store_while_the_reader_fails(CHANGE_LIMIT_US, removed=["i-1"])
+    assert list(host.state.registered_targets) == ["i-0"]
+
+
+# One topic, or one large document, may go on failing after an outage. The
+# reads of the others must not wait for it.
+@pytest.mark.parametrize("failing", store_state.Source)
+def test_sources_are_read_in_time_although_another_one_keeps_failing(failing):
+    host = FollowingHost(is_reader=True, other_reader_addresses=())
+    others = [source for source in store_state.Source if source is not failing]
+    for source in [failing, *others, *others]:
+        host.feed(events.StoreReadFailed, source.value, "refused")
+    back_us = host.now_us
+    host.read_store_while_the_reader_fails(RECOVERY_LIMIT_US, failing=failing)
+    late = [
+        source.value
+        for source in others
+        if (host.state.store_reads[source].complete_until_us or 0) < back_us
+    ]
+    assert not late
+
+
 def second_reader(other_reader_addresses=("10.0.0.1:1", "10.0.0.2:1")):
     """Returns a reader with a higher address than the others."""
     return FollowingHost(
