Read a log that takes longer than the time limit of a read

Seen: a host never received a configuration from a log that took 8 s for a read, or over a link on which a page took 9 s to arrive.

Cause: each read had 7 s for head and body together, the same at every try, and each try dropped what was on its way.

Evidence: two tests got nothing in 16 and 12 s before; the log that took 8 s was asked again and again.

A read that has received nothing for 7 s is now repeated and the earlier try is kept; whichever answers first counts. A lost connection is thus noticed as early as before, a read that takes up to 60 s arrives, and data that still arrives puts the repetition off. At most two tries are in progress, and a new one starts no more often than before. The reducer learns of each repetition, so that it goes on taking the log for unavailable.

After: the page of 9 s arrives with one request, and the log that takes 8 s is read by the first one.

--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -1,15 +1,20 @@
 """Client of the log service, over HTTP with JSON."""
 
+from collections.abc import Callable
+
 import aiohttp
 import attrs
 
+from fireflyspindle.adapters import repeated_reads
+from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import json_documents
 
 READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
 APPEND_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = READ_WAIT_MS / 1000 + 2.0
+
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
 @attrs.define
@@ -46,7 +51,13 @@
         self._session = aiohttp.ClientSession()
 
     async def read(
-        self, stream: str, from_offset: int, *, wait: bool = True
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        wait: bool = True,
+        limits: effects.ReadLimits = effects.LOG_READ_LIMITS,
+        on_unanswered: Callable[[], None] = lambda: None,
     ) -> ReadResult | None:
         """Reads from an offset; None on failure.
 
@@ -54,22 +65,32 @@
             stream: Name of the stream.
             from_offset: First offset to read.
             wait: Whether to long-poll when there are no new records.
+            limits: Time limits of the read.
+            on_unanswered: Called for each further try while one is unanswered.
         """
         query = {
             "from": str(from_offset),
             "limit": str(READ_LIMIT_RECORDS),
             "wait_ms": str(READ_WAIT_MS if wait else 0),
         }
-        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        url = f"{self._base}/{stream}/records"
+        return await repeated_reads.first_answer(
+            lambda progress: self._read_once(url, query, progress),
+            limits,
+            on_unanswered,
+        )
+
+    async def _read_once(
+        self, url: str, query: dict[str, str], progress: repeated_reads.Try
+    ) -> ReadResult | None:
         try:
             async with self._session.get(
-                f"{self._base}/{stream}/records",
-                params=query,
-                timeout=timeout,
+                url, params=query, timeout=_NO_TIMEOUT
             ) as response:
                 if response.status != 200:
                     return None
-                return _parse_batch(await response.json())
+                body = await progress.read_body(response)
+                return _parse_batch(json_documents.parse(body))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         except json_documents.DECODE_ERRORS:
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -162,21 +162,47 @@
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
 
 
+@attrs.define(frozen=True)
+class ReadLimits:
+    """Time limits of a read whose duration the other side decides.
+
+    Attributes:
+        repeat_after_us: Time without data after which another try is started
+            beside the unanswered one.
+        retry_after_us: Time after a failed try for the same.
+        limit_us: Time without data after which the read fails.
+    """
+
+    repeat_after_us: int
+    retry_after_us: int
+    limit_us: int
+
+
+# A record has to be in force within 8 s. A read waits at the log for up to 5 s
+# and has 2 s for the rest; the limit bounds how slow a log may be.
+LOG_READ_LIMITS = ReadLimits(7_000_000, 2_000_000, 60_000_000)
+
+
 @attrs.define
 class ReadLog:
     """Read a stream of the log; the shell long-polls.
 
+    The shell reports `LogRead` or `LogReadFailed`, and before it
+    `LogReadUnanswered` for each further try that it starts.
+
     Attributes:
         stream: Name of the stream.
         from_offset: First offset requested.
         delay_us: Time to wait before the read.
         wait: Whether the read may wait for new records if there are none.
+        limits: Time limits of the read.
     """
 
     stream: str
     from_offset: int
     delay_us: int = 0
     wait: bool = True
+    limits: ReadLimits = LOG_READ_LIMITS
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -279,6 +279,14 @@
     stream: str
 
 
+@attrs.define
+class LogReadUnanswered:
+    """A read of a log stream is late; it is still in progress."""
+
+    now_us: int
+    stream: str
+
+
 class AppendOutcome(enum.Enum):
     """Outcome of an append, as far as it is known."""
 
@@ -686,6 +694,7 @@
     | TimerFired
     | LogRead
     | LogReadFailed
+    | LogReadUnanswered
     | AppendEnded
     | HostListRead
     | HostListReadFailed
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -57,3 +57,10 @@
         return
     delay_us = streams.retry_delay_us(state, event.stream)
     streams.read_next(state, event.stream, delay_us=delay_us)
+
+
+def on_read_unanswered(
+    state: state_lib.GateState, event: events.LogReadUnanswered
+) -> None:
+    """Counts a late read as a failure, though its answer still counts."""
+    streams.position(state, event.stream).consecutive_failures += 1
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -99,6 +99,8 @@
             log.on_read(state, event)
         case events.LogReadFailed():
             log.on_read_failed(state, event)
+        case events.LogReadUnanswered():
+            log.on_read_unanswered(state, event)
         case events.HostListRead():
             host_list.on_read(state, event)
         case events.HostListReadFailed():
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -111,7 +111,13 @@
     async def _read_log(self, effect: effects.ReadLog) -> None:
         await asyncio.sleep(effect.delay_us / 1e6)
         batch = await self.log.read(
-            effect.stream, effect.from_offset, wait=effect.wait
+            effect.stream,
+            effect.from_offset,
+            wait=effect.wait,
+            limits=effect.limits,
+            on_unanswered=lambda: self.submit(
+                events.LogReadUnanswered(self.now_us(), effect.stream)
+            ),
         )
         if batch is None:
             self.submit(events.LogReadFailed(self.now_us(), effect.stream))
--- /dev/null
+++ b/tests/test_slow_dependencies.py
@@ -0,0 +1,182 @@
+"""Dependencies that answer late, byte by byte, or fail in one thing only.
+
+A time limit must not cut off every try at the same point, or an answer that
+takes longer never arrives; and the failure of one thing must not end others.
+"""
+
+import asyncio
+
+from aiohttp import web
+import pytest_asyncio
+
+from fireflyspindle import testing
+from fireflyspindle.adapters import log_client
+from fireflyspindle.adapters import repeated_reads
+from fireflyspindle.core import configuration
+from fireflyspindle.core import effects
+
+QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
+READ_PAGE = {
+    "records": [{"offset": 0, "body": "x" * 2_000}],
+    "earliest": 0,
+    "next": 1,
+}
+HOST_LIST = {
+    "gates": [],
+    "targets": [{"host_id": "t", "address": "10.0.0.1:80", "leaving": True}],
+}
+
+
+@pytest_asyncio.fixture
+async def serve():
+    """Returns a function that serves a handler of every path."""
+    servers = []
+
+    async def start(handler):
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handler)
+        servers.append(testing.Server(app))
+        return await servers[-1].start()
+
+    yield start
+    for server in servers:
+        await server.close()
+
+
+@pytest_asyncio.fixture
+async def opened():
+    """Returns a list of clients that are closed after the test."""
+    clients = []
+    yield clients
+    for client in clients:
+        await client.close()
+
+
+def late(content, delay_s):
+    """Returns a handler that answers with JSON content after a delay."""
+
+    async def answer(_request):
+        await asyncio.sleep(delay_s)
+        return web.json_response(content)
+
+    return answer
+
+
+def trickling(content, duration_s, requests):
+    """Returns a handler whose body arrives in pieces over a duration."""
+
+    async def answer(request):
+        requests.append(request.path)
+        body = web.json_response(content).body
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        for position in range(0, len(body), len(body) // 20):
+            await response.write(body[position : position + len(body) // 20])
+            await asyncio.sleep(duration_s / 20)
+        return response
+
+    return answer
+
+
+async def first_result(read, within_s):
+    """Repeats a read after failures; returns its first result, or None."""
+    try:
+        async with asyncio.timeout(within_s):
+            while (outcome := await read()) is None:
+                await asyncio.sleep(0.1)
+            return outcome
+    except TimeoutError:
+        return None
+
+
+async def test_log_that_answers_after_the_time_limit_is_read(serve, opened):
+    # Guards against reads that are all given up at the same point.
+    address = await serve(late(READ_PAGE, 8.0))
+    log = log_client.LogClient(address)
+    opened.append(log)
+    read = await first_result(
+        lambda: log.read(configuration.STREAM, 0, wait=False), 16.0
+    )
+    assert read is not None
+    assert read.next_offset == 1
+
+
+async def test_page_of_the_log_that_still_arrives_is_not_cut_off(serve, opened):
+    # Guards against a limit that counts time instead of progress.
+    requests = []
+    address = await serve(trickling(READ_PAGE, 9.0, requests))
+    log = log_client.LogClient(address)
+    opened.append(log)
+    read = await first_result(
+        lambda: log.read(configuration.STREAM, 0, wait=False), 12.0
+    )
+    assert read is not None
+    assert len(requests) == 1
+
+
+async def test_lost_read_of_the_log_is_replaced_in_time(serve, opened):
+    # Guards against waiting for an answer that will not come: a record has to
+    # be in force within 8 s.
+    requests = []
+
+    async def answer_all_but_the_first(request):
+        requests.append(request.path)
+        if len(requests) == 1:
+            await asyncio.Event().wait()
+        return web.json_response(READ_PAGE)
+
+    log = log_client.LogClient(await serve(answer_all_but_the_first))
+    opened.append(log)
+    read = await first_result(lambda: log.read(configuration.STREAM, 0), 8.0)
+    assert read is not None
+
+
+async def test_response_that_trickles_for_ever_does_not_block_a_read():
+    # Guards against a broken server that is taken for a slow one for good.
+    tries = []
+
+    async def attempt(progress):
+        tries.append(progress)
+        while len(tries) == 1 or tries[0] is progress:
+            await asyncio.sleep(0.02)
+            progress.received_s = asyncio.get_running_loop().time()
+            progress.received_bytes += 1
+        return "whole"
+
+    async with asyncio.timeout(10.0):
+        assert await repeated_reads.first_answer(attempt, QUICK) == "whole"
+    assert len(tries) == 2
+
+
+async def test_failed_repetition_does_not_end_the_try_that_is_kept():
+    # Guards against a busy server whose refusal of a second request would end
+    # the first one, which it is still working on.
+    tries = []
+
+    async def attempt(progress):
+        tries.append(progress)
+        if len(tries) > 1:
+            return None
+        await asyncio.sleep(0.35)
+        return "late"
+
+    assert await repeated_reads.first_answer(attempt, QUICK) == "late"
+    assert 2 <= len(tries) <= 6
+
+
+async def test_read_without_any_data_fails_at_its_limit():
+    # Guards against a read that is never reported as failed.
+    in_progress = set()
+
+    async def attempt(progress):
+        in_progress.add(progress)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            in_progress.discard(progress)
+
+    async with asyncio.timeout(10.0):
+        assert await repeated_reads.first_answer(attempt, QUICK) is None
+    await asyncio.sleep(0)
+    assert not in_progress
