--- a/src/fireflyspindle/bench/fake_log.py
+++ b/src/fireflyspindle/bench/fake_log.py
@@ -35,6 +35,7 @@
     Attributes:
         streams: Streams by name.
         unreachable_for: Names of the gate hosts that cannot reach the log.
+        unreadable_streams: Names of the streams whose reads fail.
         extra_delay_us: Latency added to each request, in microseconds.
         losing_responses: Whether responses to appends may be lost.
         appends: Number of appends that took effect.
@@ -49,6 +50,7 @@
     ) -> None:
         self.streams: dict[str, Stream] = {}
         self.unreachable_for: set[str] = set()
+        self.unreadable_streams: set[str] = set()
         self.extra_delay_us = 0
         self.losing_responses = False
         self.appends = 0
@@ -127,7 +129,8 @@
         self.reads += 1
 
         def arrive() -> None:
-            if name in self.unreachable_for:
+            unreadable = request.stream in self.unreadable_streams
+            if unreadable or name in self.unreachable_for:
                 self._timeline.after(FAILURE_DELAY_US, fail)
                 return
             has_records = (
--- a/src/fireflyspindle/core/log.py
+++ b/src/fireflyspindle/core/log.py
@@ -64,3 +64,5 @@
 ) -> None:
     """Counts a late read as a failure, though its answer still counts."""
     streams.position(state, event.stream).consecutive_failures += 1
+    if event.stream == snapshots.STREAM:
+        recovery.on_snapshots_unavailable(state)
--- a/src/fireflyspindle/core/recovery.py
+++ b/src/fireflyspindle/core/recovery.py
@@ -2,7 +2,8 @@
 
 A host reads the first page of the configuration stream. If the stream is
 longer, or its first records have expired, the host reads the newest snapshot
-in the log and continues at the offset that the snapshot covers.
+in the log and continues at the offset that the snapshot covers. While it can't
+read snapshots, it reads on in a stream that still has every record.
 """
 
 import result
@@ -53,7 +54,7 @@
     position.next_offset = config.next_offset
     behind = config.next_offset < event.next_offset
     if config.lost_before_offset is not None or (
-        behind and not config.initialized
+        behind and not config.initialized and not _snapshots_unavailable(state)
     ):
         _request_snapshot(state)
         return
@@ -90,10 +91,12 @@
 
 
 def _request_snapshot(state: state_lib.GateState) -> None:
-    if state.recovery.read_purpose is ReadPurpose.NONE:
+    recovery = state.recovery
+    recovery.waits_for_snapshot = True
+    if recovery.read_purpose is ReadPurpose.NONE:
         _begin_recovery(state)
-        return
-    state.recovery.snapshot_requested = True
+    elif recovery.read_purpose is not ReadPurpose.RECOVER:
+        recovery.snapshot_requested = True
 
 
 def _begin_recovery(state: state_lib.GateState) -> None:
@@ -105,8 +108,21 @@
     )
 
 
+def _snapshots_unavailable(state: state_lib.GateState) -> bool:
+    position = streams.position(state, snapshots.STREAM)
+    return position.consecutive_failures > 0
+
+
+def on_snapshots_unavailable(state: state_lib.GateState) -> None:
+    """Goes on reading the configuration stream without a snapshot."""
+    lost = state.configuration.lost_before_offset is not None
+    if state.recovery.waits_for_snapshot and not lost:
+        _resume_reading(state)
+
+
 def on_snapshots_read_failed(state: state_lib.GateState) -> None:
     """Retries the read from the same offset, with backoff."""
+    on_snapshots_unavailable(state)
     recovery = state.recovery
     delay_us = streams.retry_delay_us(state, snapshots.STREAM)
     snapshot_writer.read_snapshots(
@@ -140,7 +156,7 @@
             snapshot_writer.read_snapshots(
                 state, read_purpose, recovery.scan_start_offset
             )
-        case ReadPurpose.RECOVER:
+        case ReadPurpose.RECOVER if recovery.waits_for_snapshot:
             _resume_reading(state)
         case ReadPurpose.CHECK:
             snapshot_writer.finish_check(state)
@@ -176,6 +192,7 @@
 
 
 def _resume_reading(state: state_lib.GateState) -> None:
+    state.recovery.waits_for_snapshot = False
     config = state.configuration
     position = streams.position(state, configuration.STREAM)
     position.next_offset = config.next_offset
--- a/src/fireflyspindle/core/recovery_state.py
+++ b/src/fireflyspindle/core/recovery_state.py
@@ -43,6 +43,8 @@
         next_offset: End of the snapshot stream at the last read.
         snapshot_requested: Whether to look for a snapshot once the
             outstanding read ends.
+        waits_for_snapshot: Whether no read of the configuration stream is
+            outstanding until a snapshot is found or can't be read.
         covered_offset: Newest offset known to be covered by a snapshot in
             the log, or reached when this host was initialized.
         new_snapshot_seen: Whether a new snapshot was read since the last
@@ -66,6 +68,7 @@
     scan_start_offset: int = 0
     next_offset: int = 0
     snapshot_requested: bool = False
+    waits_for_snapshot: bool = False
     covered_offset: int = 0
     new_snapshot_seen: bool = False
     unwritten_parts: list[snapshots.Part] = attrs.field(factory=list)
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -12,8 +12,10 @@
 from fireflyspindle import testing
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import repeated_reads
+from fireflyspindle.bench import fleet as fleet_lib
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
+from fireflyspindle.core import snapshots
 
 QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
 READ_PAGE = {
@@ -180,3 +182,17 @@
         assert await repeated_reads.first_answer(attempt, QUICK) is None
     await asyncio.sleep(0)
     assert not in_progress
+
+
+def test_long_configuration_is_read_while_snapshots_can_not_be():
+    # Guards against a host that never becomes ready because one stream of the
+    # log fails, though the other has every record.
+    fleet = fleet_lib.Fleet(seed=1)
+    fleet.log.unreadable_streams.add(snapshots.STREAM)
+    for number in range(1_203):
+        route = {"path_prefix": f"/{number}", "service": "s"}
+        fleet.publish("route", f"r{number}", route)
+    host = fleet.start_host()
+    fleet.run(60)
+    assert host.configuration.next_offset == 1_203
+    assert host.configuration.complete
