Read a host list that takes longer than the time limit of a read

Seen: a gate host never learnt from the host list that a target was leaving while the list took 3 s to be answered, or 4 s to arrive.

Cause: each read had 2 s for head and body together, the same at every try.

Reads of the list are repeated like those of the log: after 2 s without data another try starts, the earlier one is kept for up to 60 s, and the first answer counts. Silence is still counted for readiness while the read goes on.

After: both tests get the list, the one that arrives in 4 s with one request.

--- a/src/fireflyspindle/adapters/host_list.py
+++ b/src/fireflyspindle/adapters/host_list.py
@@ -1,13 +1,17 @@
 """Client of the platform's list of live and draining hosts."""
 
+from collections.abc import Callable
+
 import aiohttp
 import attrs
 import cattrs
 
+from fireflyspindle.adapters import repeated_reads
+from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import host_list
 from fireflyspindle.core import json_documents
 
-READ_TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 1024 * 1024
 
 _converter = cattrs.Converter()
@@ -42,12 +46,26 @@
         self._entity_tag = ""
         self._url = f"http://{address}/hosts"
         self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=READ_TIMEOUT_S),
+            timeout=aiohttp.ClientTimeout(total=None),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
-    async def read(self) -> Read | None:
-        """Returns the complete list, or None on failure or invalid content."""
+    async def read(
+        self,
+        limits: effects.ReadLimits = host_list.READ_LIMITS,
+        on_unanswered: Callable[[], None] = lambda: None,
+    ) -> Read | None:
+        """Returns the complete list, or None on failure or invalid content.
+
+        Args:
+            limits: Time limits of the read.
+            on_unanswered: Called for each further try while one is unanswered.
+        """
+        return await repeated_reads.first_answer(
+            self._read_once, limits, on_unanswered
+        )
+
+    async def _read_once(self, progress: repeated_reads.Try) -> Read | None:
         request_headers = (
             {"If-None-Match": self._entity_tag} if self._entity_tag else {}
         )
@@ -61,7 +79,7 @@
                     return None
                 if (response.content_length or 0) > MAX_LIST_BYTES:
                     return None
-                body = await response.read()
+                body = await progress.read_body(response)
                 return self._parse(body, response.headers.get("ETag", ""))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -346,13 +346,16 @@
 class ReadHostList:
     """Read the platform's host list.
 
-    The shell reports `HostListRead` or `HostListReadFailed`.
+    The shell reports `HostListRead` or `HostListReadFailed`, and before it
+    `HostListReadUnanswered` for each further try that it starts.
 
     Attributes:
         delay_us: Time to wait before the read.
+        limits: Time limits of the read.
     """
 
     delay_us: int
+    limits: ReadLimits
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -352,6 +352,13 @@
     now_us: int
 
 
+@attrs.define
+class HostListReadUnanswered:
+    """A read of the host list is late; it is still in progress."""
+
+    now_us: int
+
+
 @attrs.define
 class PeerMessageReceived:
     """A message from another gate host arrived.
@@ -698,6 +705,7 @@
     | AppendEnded
     | HostListRead
     | HostListReadFailed
+    | HostListReadUnanswered
     | PeerMessageReceived
     | ProbeEnded
     | StopRequested
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -105,6 +105,8 @@
             host_list.on_read(state, event)
         case events.HostListReadFailed():
             host_list.on_read_failed(state)
+        case events.HostListReadUnanswered():
+            host_list.on_read_unanswered(state)
         case events.PeerMessageReceived():
             membership.on_message(state, event)
         case events.ProbeEnded():
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -103,8 +103,8 @@
                 self.spawn(self._append_record(effect))
             case effects.SendToPeer(address, body):
                 self.spawn(self._peers.send(address, body))
-            case effects.ReadHostList(delay_us):
-                self.spawn(self._read_host_list(delay_us))
+            case effects.ReadHostList():
+                self.spawn(self._read_host_list(effect))
             case _:
                 super().execute_specific_effect(effect)
 
@@ -146,9 +146,12 @@
             )
         )
 
-    async def _read_host_list(self, delay_us: int) -> None:
-        await asyncio.sleep(delay_us / 1e6)
-        read = await self._host_list.read()
+    async def _read_host_list(self, effect: effects.ReadHostList) -> None:
+        await asyncio.sleep(effect.delay_us / 1e6)
+        read = await self._host_list.read(
+            effect.limits,
+            lambda: self.submit(events.HostListReadUnanswered(self.now_us())),
+        )
         if read is None:
             self.submit(events.HostListReadFailed(self.now_us()))
             return
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -10,11 +10,14 @@
 import pytest_asyncio
 
 from fireflyspindle import testing
+from fireflyspindle.adapters import host_list
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.bench import fleet as fleet_lib
 from fireflyspindle.core import configuration
 from fireflyspindle.core import effects
+from fireflyspindle.core import events
+from fireflyspindle.core import readiness
 from fireflyspindle.core import snapshots
 
 QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
@@ -184,6 +187,52 @@
     assert not in_progress
 
 
+async def test_host_list_that_takes_longer_than_its_limit_is_read(
+    serve, opened
+):
+    # Guards against leaving targets that are never learnt from the list.
+    client = host_list.HostListClient(await serve(late(HOST_LIST, 3.0)))
+    opened.append(client)
+    read = await first_result(client.read, 10.0)
+    assert read is not None
+    assert read.listed.targets[0].leaving
+
+
+async def test_host_list_that_still_arrives_is_not_cut_off(serve, opened):
+    # Guards against a long list that never passes a narrow link.
+    requests = []
+    client = host_list.HostListClient(
+        await serve(trickling(HOST_LIST, 4.0, requests))
+    )
+    opened.append(client)
+    read = await first_result(client.read, 10.0)
+    assert read is not None
+    assert len(requests) == 1
+
+
+def test_host_becomes_ready_though_the_host_list_stays_silent(make_host):
+    # Guards against a start that waits for a list that nobody serves.
+    host = make_host()
+    for _ in range(readiness.MAX_HOST_LIST_FAILURES):
+        assert readiness.not_ready_reason(host.state) is not None
+        emitted = host.feed(events.HostListReadUnanswered)
+        assert effects.ReadHostList not in map(type, emitted)
+    assert readiness.not_ready_reason(host.state) is None
+
+
+async def test_silent_host_list_is_reported_while_it_is_read(serve, opened):
+    # Guards against silence that the reducer is not told of.
+    async def stay_silent(_request):
+        await asyncio.Event().wait()
+
+    client = host_list.HostListClient(await serve(stay_silent))
+    opened.append(client)
+    unanswered = []
+    read = await client.read(QUICK, lambda: unanswered.append(True))
+    assert read is None
+    assert 2 <= len(unanswered) <= 15
+
+
 def test_long_configuration_is_read_while_snapshots_can_not_be():
     # Guards against a host that never becomes ready because one stream of the
     # log fails, though the other has every record.
