Keep appends that the log answers after 2 s

Seen: with a log that needs 3 s for an append and drops what its caller gives up, publishing a record was answered with 504 "unknown" after 7.0 s, at each of 3 tries with the same record id, and would be for ever.

Cause: each append was cancelled after 2 s, the same at every try.

Evidence: the new test found no record 3.5 s after the append before.

The outcome is still reported as unknown after 2 s, which claims and publishing rely on, but the append goes on for up to 60 s and the record is found by reading. A log may always have carried out such an append late. At most two appends go on at a time, since all of them reach the log when it is back.

--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -1,5 +1,6 @@
 """Client of the log service, over HTTP with JSON."""
 
+import asyncio
 from collections.abc import Callable
 
 import aiohttp
@@ -13,6 +14,11 @@
 READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
 APPEND_TIMEOUT_S = 2.0
+# Longest time for which an append goes on after its outcome was reported as
+# unknown, and the most such appends: after an outage of the log they all reach
+# it at once.
+MAX_APPEND_S = 60.0
+MAX_KEPT_APPENDS = 2
 
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
@@ -48,6 +54,7 @@
     ) -> None:
         self._base = f"http://{address}/streams"
         self._append_timeout_s = append_timeout_s
+        self._kept_appends: set[asyncio.Task[AppendResult]] = set()
         self._session = aiohttp.ClientSession()
 
     async def read(
@@ -99,11 +106,32 @@
     async def append(self, stream: str, body: str) -> AppendResult:
         """Appends a record, without retries.
 
+        An append without an answer in time goes on, because the log may drop
+        it when its connection closes, and so would the next one.
+
         Returns:
             DONE with the offset; REFUSED when the record is certainly not in
             the log; UNKNOWN when it may be there or may still be appended.
         """
-        timeout = aiohttp.ClientTimeout(total=self._append_timeout_s)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._append_once(stream, body))
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(task), self._append_timeout_s
+            )
+        except TimeoutError:
+            if len(self._kept_appends) < MAX_KEPT_APPENDS:
+                self._kept_appends.add(task)
+                task.add_done_callback(self._kept_appends.discard)
+            else:
+                task.cancel()
+            return AppendResult(events.AppendOutcome.UNKNOWN)
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+
+    async def _append_once(self, stream: str, body: str) -> AppendResult:
+        timeout = aiohttp.ClientTimeout(total=MAX_APPEND_S)
         try:
             async with self._session.post(
                 f"{self._base}/{stream}/records",
@@ -125,6 +153,8 @@
 
     async def close(self) -> None:
         """Closes every connection."""
+        for task in self._kept_appends:
+            task.cancel()
         await self._session.close()
 
 
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -187,6 +187,23 @@
     assert not in_progress
 
 
+async def test_append_that_the_log_answers_late_is_not_taken_back(opened):
+    # Guards against appends that are all cancelled before the log, which drops
+    # what its caller gave up, has carried out one.
+    stand_in = testing.StandInLog()
+    stand_in.delay_s = 3.0
+    server = testing.Server(stand_in.application())
+    log = log_client.LogClient(await server.start())
+    opened.append(log)
+    appended = await log.append(configuration.STREAM, "record")
+    assert appended.outcome is events.AppendOutcome.UNKNOWN
+    await asyncio.sleep(1.5)
+    stream = stand_in.streams.get(configuration.STREAM)
+    assert stream is not None and stream.bodies == ["record"]
+    await log.close()
+    await server.close()
+
+
 async def test_host_list_that_takes_longer_than_its_limit_is_read(
     serve, opened
 ):
