--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -103,22 +103,30 @@
         except json_documents.DECODE_ERRORS:
             return None
 
-    async def append(self, stream: str, body: str) -> AppendResult:
+    async def append(
+        self, stream: str, body: str, timeout_s: float | None = None
+    ) -> AppendResult:
         """Appends a record, without retries.
 
         An append without an answer in time goes on, because the log may drop
         it when its connection closes, and so would the next one.
 
+        Args:
+            stream: Name of the stream.
+            body: The record.
+            timeout_s: Time after which the outcome is unknown; None for that
+                of the client.
+
         Returns:
             DONE with the offset; REFUSED when the record is certainly not in
             the log; UNKNOWN when it may be there or may still be appended.
         """
         loop = asyncio.get_running_loop()
+        if timeout_s is None:
+            timeout_s = self._append_timeout_s
         task = loop.create_task(self._append_once(stream, body))
         try:
-            return await asyncio.wait_for(
-                asyncio.shield(task), self._append_timeout_s
-            )
+            return await asyncio.wait_for(asyncio.shield(task), timeout_s)
         except TimeoutError:
             if len(self._kept_appends) < MAX_KEPT_APPENDS:
                 self._kept_appends.add(task)
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -363,11 +363,18 @@
     """Append one record to a stream of the log.
 
     The shell reports `AppendEnded`.
+
+    Attributes:
+        append_id: Number of the append.
+        stream: Name of the stream.
+        body: The record.
+        timeout_us: Time after which the outcome is unknown.
     """
 
     append_id: int
     stream: str
     body: str
+    timeout_us: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/snapshot_writer.py
+++ b/src/fireflyspindle/core/snapshot_writer.py
@@ -18,6 +18,9 @@
 EARLY_CHECK_US = 10_000_000
 RETRY_CHECK_US = 10_000_000
 MAX_UNCOVERED_RECORDS = 1_000
+# Time for the append of a part. Nothing waits for it, and a snapshot is
+# abandoned if one of its parts is not known to be appended.
+APPEND_TIMEOUT_US = 60_000_000
 
 ReadPurpose = recovery_state.SnapshotReadPurpose
 
@@ -124,4 +127,4 @@
 
 def _write_next_part(state: state_lib.GateState) -> None:
     body = snapshots.encode(state.recovery.unwritten_parts[0])
-    streams.append(state, snapshots.STREAM, body)
+    streams.append(state, snapshots.STREAM, body, APPEND_TIMEOUT_US)
--- a/src/fireflyspindle/core/streams.py
+++ b/src/fireflyspindle/core/streams.py
@@ -5,6 +5,8 @@
 
 READ_RETRY_DELAY_US = 200_000
 MAX_READ_RETRY_DELAY_US = 2_000_000
+# Time after which the outcome of an append is unknown.
+APPEND_TIMEOUT_US = 2_000_000
 
 
 def position(state: state_lib.GateState, stream: str) -> state_lib.LogPosition:
@@ -24,12 +26,17 @@
     state.emit(effects.ReadLog(stream, from_offset, delay_us, wait))
 
 
-def append(state: state_lib.GateState, stream: str, body: str) -> int:
+def append(
+    state: state_lib.GateState,
+    stream: str,
+    body: str,
+    timeout_us: int = APPEND_TIMEOUT_US,
+) -> int:
     """Appends a record; returns the `append_id` of its `AppendEnded` event."""
     state.last_append_id += 1
     append_id = state.last_append_id
     state.pending_appends[append_id] = stream
-    state.emit(effects.AppendRecord(append_id, stream, body))
+    state.emit(effects.AppendRecord(append_id, stream, body, timeout_us))
     return append_id
 
 
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -136,7 +136,9 @@
         )
 
     async def _append_record(self, effect: effects.AppendRecord) -> None:
-        appended = await self.log.append(effect.stream, effect.body)
+        appended = await self.log.append(
+            effect.stream, effect.body, effect.timeout_us / 1e6
+        )
         self.submit(
             events.AppendEnded(
                 now_us=self.now_us(),
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -18,6 +18,8 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import readiness
+from fireflyspindle.core import recovery
+from fireflyspindle.core import snapshot_writer
 from fireflyspindle.core import snapshots
 
 QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
@@ -204,6 +206,48 @@
     await server.close()
 
 
+async def test_snapshot_is_written_to_a_log_that_answers_late(
+    make_host, opened
+):
+    # Guards against a snapshot of which the first part is appended again and
+    # again, and the others never, so that a new host finds none.
+    host = make_host()
+    state = host.state
+    targets = [{"address": f"10.1.0.{n}:80"} for n in range(100)]
+    for number in range(30):
+        host.publish("service", f"s{number}", {"targets": targets})
+    recovery.mark_initialized(state)
+    host.feed(events.LogRead, snapshots.STREAM, [], 0, 0, 0)
+    host.advance(2 * snapshot_writer.MAX_CHECK_INTERVAL_US)
+    emitted = host.feed(events.LogRead, snapshots.STREAM, [], 0, 0, 0)
+    stand_in = testing.StandInLog()
+    stand_in.answer_delay_s = 2.3
+    server = testing.Server(stand_in.application())
+    log = log_client.LogClient(await server.start())
+    opened.append(log)
+    parts = len(state.recovery.unwritten_parts)
+    assert parts > 1
+    for _ in range(parts):
+        [append] = [
+            effect
+            for effect in emitted
+            if isinstance(effect, effects.AppendRecord)
+        ]
+        appended = await log.append(
+            append.stream, append.body, append.timeout_us / 1e6
+        )
+        emitted = host.feed(
+            events.AppendEnded,
+            append.append_id,
+            appended.outcome,
+            appended.offset,
+        )
+    assert not state.recovery.unwritten_parts
+    assert len(stand_in.streams[snapshots.STREAM].bodies) == parts
+    await log.close()
+    await server.close()
+
+
 async def test_host_list_that_takes_longer_than_its_limit_is_read(
     serve, opened
 ):
