Don't write again the crash records that the store holds

Seen: with a store that carries out appends and answers them too late, a host appended the record of one crash 197 times in 10 s, in virtual time and with answers that fail at once. The queue never emptied, and the stored time of the crash moved on with each write, so that old evidence looked new.

Cause: only the answer of an append removed its records from the queue; records that the host itself read from the store did not. Each read of a record also began the next append at once, whatever was left of the pause after a failure.

What is read from the store is taken out of the queue; of the repetitions of a request only by a record that is no older. A failed append is followed by its pause, also when records are read.

How long an append may take is left as it is.

--- a/src/fireflyspindle/core/crash_evidence.py
+++ b/src/fireflyspindle/core/crash_evidence.py
@@ -133,6 +133,7 @@
     source = store_state.Source.CRASHES
     if not store_reads.should_apply(state, source, event):
         return
+    crash_records.on_read(state, event)
     changed = bool(event.records or event.removed)
     store_reads.on_read_succeeded(state, source, event, changed)
     removed = list(event.removed)
--- a/src/fireflyspindle/core/crash_state.py
+++ b/src/fireflyspindle/core/crash_state.py
@@ -83,6 +83,7 @@
         in_flight: Records that are being written.
         last_append_id: Number of the latest append.
         append_failures: Appends that failed since the latest success.
+        append_paused_until_us: Time of the next append after a failed one.
         report_scheduled: Whether a write of new crashes is scheduled.
         expiry_scheduled: Whether the next removal of old crashes is scheduled.
     """
@@ -100,5 +101,6 @@
     )
     last_append_id: int = 0
     append_failures: int = 0
+    append_paused_until_us: int = 0
     report_scheduled: bool = False
     expiry_scheduled: bool = False
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -9,12 +9,14 @@
 from aiohttp import web
 import pytest_asyncio
 
+import crash_fleet
 from fireflyspindle import testing
 from fireflyspindle.adapters import host_list
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.bench import fleet as fleet_lib
 from fireflyspindle.core import configuration
+from fireflyspindle.core import crash_records
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import readiness
@@ -294,6 +296,60 @@
     assert 2 <= len(unanswered) <= 15
 
 
+class CrashFleetWithSlowAppends(crash_fleet.CrashFleet):
+    """A store that carries out appends, each too late for the answer."""
+
+    appends = 0
+
+    def _appends(self, host):
+        written = {}
+        first = self._known.get(id(host), 0)
+        while first < len(host.effects):
+            effect = host.effects[first]
+            first += 1
+            self._known[id(host)] = first
+            if isinstance(effect, effects.AppendCrashes):
+                self.appends += 1
+                written |= effect.records
+                host.feed(
+                    events.CrashesAppended, effect.append_id, "no response"
+                )
+        return written
+
+
+def test_crash_record_that_the_store_took_is_not_written_again(
+    make_published_host,
+):
+    # Guards against the same records being appended for as long as the store
+    # answers appends too late.
+    fleet = CrashFleetWithSlowAppends(make_published_host, hosts=2)
+    fleet.crash_under(fleet.hosts[0])
+    fleet.share(10_000_000)
+    assert fleet.records
+    assert fleet.appends <= 2
+    assert not fleet.hosts[0].state.crashes.unsent
+
+
+def test_newer_repetition_of_a_request_is_written_though_an_older_one_is_read(
+    make_published_host,
+):
+    # Guards against evidence that expires while the request still comes.
+    fleet = crash_fleet.CrashFleet(make_published_host, hosts=1)
+    host = fleet.hosts[0]
+    fleet.crash_under(host)
+    fleet.share()
+    key = events.CrashKey(crash_fleet.FINGERPRINT)
+    host.state.crashes.suspects[key.fingerprint].repeated_us = host.now_us
+    crash_records.write(host.state, key, events.CrashRecord("s", 0))
+    older = events.CrashRecord("s", 5_000_000)
+    host.feed(events.CrashesRead, {key: older}, [], False, 9)
+    assert key in host.state.crashes.unsent | host.state.crashes.in_flight
+    host.feed(
+        events.CrashesRead, {key: events.CrashRecord("s", 0)}, [], False, 10
+    )
+    assert key not in host.state.crashes.unsent | host.state.crashes.in_flight
+
+
 def test_long_configuration_is_read_while_snapshots_can_not_be():
     # Guards against a host that never becomes ready because one stream of the
     # log fails, though the other has every record.
