Count the followers of a reader that answers after a second

Seen: a reader that took 1.5 s for each answer was never counted, in 4 counts. By the code the other readers leave it out 60 s after their start, so that the hosts behind it don't divide the budgets of probes and resends any more.

Cause: each question had 1 s, the same at every count, and a late answer was dropped, though a count is used for 60 s.

Evidence: the new test got no count before.

The question goes on after 1 s, is repeated after 4 s without an answer, as reads of the log are, and its answer is used by the next count. No count waits longer than before, so that one reader does not hold up the others.

After: the second count has the number.

--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -1,20 +1,34 @@
 """Receives the reads of the platform's store that a gate host relays."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
+import attrs
 
 from fireflyspindle.adapters import feed_lines
+from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.adapters import store_feed
+from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import host_count
 from fireflyspindle.core import json_documents
 
 # Hosts of the same or a neighbouring failure domain connect within a few
 # milliseconds.
 CONNECT_TIMEOUT_S = 0.5
-# Time for the response to a host count; a reader counts every 2 s.
+# Time for the response to a host count; a reader counts every 2 s. A later
+# response is used by the next count.
 COUNT_TIMEOUT_S = 1.0
+# A lost connection costs one or two counts. As long as the last count of a
+# reader is used, a late response is as good.
+COUNT_LIMITS = effects.ReadLimits(
+    repeat_after_us=4_000_000,
+    retry_after_us=2_000_000,
+    limit_us=host_count.READER_COUNT_RETENTION_US,
+)
+MAX_COUNT_AGE_S = host_count.READER_COUNT_RETENTION_US / 1e6
 # Time for the list of helpers, for which calls wait.
 HELPERS_TIMEOUT_S = 0.5
 # A failed request, or a response with other content than expected.
@@ -25,6 +39,23 @@
 )
 
 
+@attrs.define(frozen=True)
+class _Count:
+    """The response to a host count.
+
+    Attributes:
+        hosts: Number of hosts; None if it could not be read.
+        ended_s: Loop time at which it was read.
+    """
+
+    hosts: int | None
+    ended_s: float
+
+
+def _is_outdated(task: asyncio.Task[_Count], now_s: float) -> bool:
+    return task.done() and now_s > task.result().ended_s + MAX_COUNT_AGE_S
+
+
 class FeedClient:
     """Receives the streams of other gate hosts.
 
@@ -34,6 +65,7 @@
 
     def __init__(self, helper: events.HelperAddress | None = None) -> None:
         self._helper = helper
+        self._counts: dict[str, asyncio.Task[_Count]] = {}
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -96,11 +128,30 @@
 
         Returns:
             The number of its followers and itself; 0 if no process listens at
-            the address, None if there is no valid response in time.
+            the address, None if there is no valid response in time. A response
+            that comes later is returned by the next call.
         """
+        loop = asyncio.get_running_loop()
+        task = self._counts.get(address)
+        if task is None or _is_outdated(task, loop.time()):
+            task = loop.create_task(self._read_count(address))
+            self._counts[address] = task
+        await asyncio.wait({task}, timeout=COUNT_TIMEOUT_S)
+        if not task.done():
+            return None
+        del self._counts[address]
+        return task.result().hosts
+
+    async def _read_count(self, address: str) -> _Count:
+        hosts = await repeated_reads.first_answer(
+            lambda progress: self._read_count_once(address), COUNT_LIMITS
+        )
+        return _Count(hosts, asyncio.get_running_loop().time())
+
+    async def _read_count_once(self, address: str) -> int | None:
         try:
             content = await self._fetch(
-                address, store_feed.HOST_COUNT_PATH, {}, COUNT_TIMEOUT_S
+                address, store_feed.HOST_COUNT_PATH, {}, MAX_COUNT_AGE_S
             )
             return int(content["hosts"])
         except aiohttp.ClientConnectorError as error:
@@ -156,4 +207,6 @@
 
     async def close(self) -> None:
         """Closes every connection."""
+        for task in self._counts.values():
+            task.cancel()
         await self._session.close()
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -14,6 +14,7 @@
 from fireflyspindle.adapters import host_list
 from fireflyspindle.adapters import log_client
 from fireflyspindle.adapters import repeated_reads
+from fireflyspindle.adapters import store_feed_client
 from fireflyspindle.bench import fleet as fleet_lib
 from fireflyspindle.core import configuration
 from fireflyspindle.core import crash_records
@@ -296,6 +297,21 @@
     assert 2 <= len(unanswered) <= 15
 
 
+async def test_reader_that_counts_slowly_is_counted(serve, opened):
+    # Guards against a fleet that is taken for smaller than it is: budgets of
+    # probes and resends are divided by the count.
+    client = store_feed_client.FeedClient()
+    opened.append(client)
+    address = await serve(late({"hosts": 7}, 1.5))
+    for _ in range(4):
+        hosts = await client.count_hosts(address)
+        if hosts is not None:
+            break
+        # A reader counts every 2 s.
+        await asyncio.sleep(1.0)
+    assert hosts == 7
+
+
 class CrashFleetWithSlowAppends(crash_fleet.CrashFleet):
     """A store that carries out appends, each too late for the answer."""
 
