--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -12,6 +12,7 @@
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import helper_list
 from fireflyspindle.core import host_count
 from fireflyspindle.core import json_documents
 
@@ -29,8 +30,10 @@
     limit_us=host_count.READER_COUNT_RETENTION_US,
 )
 MAX_COUNT_AGE_S = host_count.READER_COUNT_RETENTION_US / 1e6
-# Time for the list of helpers, for which calls wait.
+# Time for the list of helpers, for which calls wait, and the longest after
+# lists that came too late: a list is used for 5 s.
 HELPERS_TIMEOUT_S = 0.5
+MAX_HELPERS_TIMEOUT_S = helper_list.LIFETIME_US / 1e6
 # A failed request, or a response with other content than expected.
 _FETCH_ERRORS = (
     aiohttp.ClientError,
@@ -66,6 +69,7 @@
     def __init__(self, helper: events.HelperAddress | None = None) -> None:
         self._helper = helper
         self._counts: dict[str, asyncio.Task[_Count]] = {}
+        self._helpers_timeouts_s: dict[str, float] = {}
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -175,17 +179,30 @@
         query = {}
         if cut_off and self._helper is not None:
             query["cut-off"] = self._helper.address
+        timeout_s = self._helpers_timeouts_s.get(address, HELPERS_TIMEOUT_S)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             content = await self._fetch(
-                address, store_feed.HELPERS_PATH, query, HELPERS_TIMEOUT_S
+                address, store_feed.HELPERS_PATH, query, timeout_s
             )
+            self._set_helpers_timeout(address, loop.time() - started_s)
             return [
                 events.HelperAddress(str(helper), str(failure_domain))
                 for helper, failure_domain in content["helpers"]
             ]
+        except TimeoutError:
+            self._set_helpers_timeout(address, timeout_s)
+            return None
         except _FETCH_ERRORS:
             return None
 
+    def _set_helpers_timeout(self, address: str, taken_s: float) -> None:
+        """Allows the next list twice the time that this one took."""
+        self._helpers_timeouts_s[address] = min(
+            MAX_HELPERS_TIMEOUT_S, max(HELPERS_TIMEOUT_S, 2 * taken_s)
+        )
+
     async def _fetch(
         self, address: str, path: str, query: dict[str, str], timeout_s: float
     ) -> Any:
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -312,6 +312,15 @@
     assert hosts == 7
 
 
+async def test_helpers_that_a_reader_lists_slowly_are_used(serve, opened):
+    # Guards against calls that are refused though other hosts could carry them.
+    client = store_feed_client.FeedClient()
+    opened.append(client)
+    address = await serve(late({"helpers": [["10.0.0.9:1", "a"]]}, 0.75))
+    lists = [await client.list_helpers(address, False) for _ in range(4)]
+    assert lists[1:] == 3 * [[events.HelperAddress("10.0.0.9:1", "a")]]
+
+
 class CrashFleetWithSlowAppends(crash_fleet.CrashFleet):
     """A store that carries out appends, each too late for the answer."""
 
