Take proofs of the configuration that readers send after 0.4 s

Seen: a host that can't reach the store, with readers whose answers take 0.6 s, lost its proof and answered requests with API keys with 503 until the links were faster, though each answer proved that its configuration was the newest.

Cause: each question had 0.4 s, the same at every try, and a late answer was dropped. A proof counts from the time of the question, so that no answer is too late before the limit on the age of proofs.

Evidence: the new test, in virtual time, found keys refused before.

Another reader is still asked after 0.4 s, which is now a field of the effect, and the answer that comes later is taken as well if it names the version in force.

After: keys are served for the 30 s of the test. A second test shows that a withdrawn key is not served beyond the limit meanwhile.

--- a/src/fireflyspindle/adapters/configuration_proof.py
+++ b/src/fireflyspindle/adapters/configuration_proof.py
@@ -14,9 +14,6 @@
 from fireflyspindle.core.organisations import proof
 
 PATH = "/configuration-proof"
-# Time for an answer. A reader on the same network answers within milliseconds;
-# another one is asked well before the proof is too old.
-ANSWER_TIMEOUT_S = 0.4
 
 
 class Gate(Protocol):
@@ -65,16 +62,18 @@
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
 
-    async def ask(self, reader: str) -> Answer:
+    async def ask(self, reader: str, limit_s: float) -> Answer:
         """Returns the answer of the reader at a control address."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             )
         try:
-            async with self._session.get(f"http://{reader}{PATH}") as response:
+            async with self._session.get(
+                f"http://{reader}{PATH}",
+                timeout=aiohttp.ClientTimeout(total=limit_s),
+            ) as response:
                 if response.status == 404:
                     return Answer(unsupported=True)
                 response.raise_for_status()
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -313,13 +313,18 @@
 class AskConfigurationProof:
     """Ask a reader how old its proof of the configuration is.
 
-    The shell reports `ConfigurationProofAnswered`, within a second.
+    The shell reports `ConfigurationProofAnswered`, and once more when the
+    answer comes after the time-out.
 
     Attributes:
         reader: Control address of the reader.
+        timeout_us: Time after which the reader counts as not answering.
+        limit_us: Time for which its answer is of use.
     """
 
     reader: str
+    timeout_us: int
+    limit_us: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -626,6 +626,7 @@
         age_us: Age of its proof when it answered; None if it has none or did
             not answer.
         unsupported: Whether the reader is of a build that gives no proofs.
+        late: Whether it was reported before that the reader did not answer.
     """
 
     now_us: int
@@ -633,6 +634,7 @@
     version: int | None = None
     age_us: int | None = None
     unsupported: bool = False
+    late: bool = False
 
 
 @attrs.define
--- a/src/fireflyspindle/core/organisations/proof.py
+++ b/src/fireflyspindle/core/organisations/proof.py
@@ -32,6 +32,10 @@
 # Pause before another reader is asked after a failure. When all have been
 # asked, the usual interval passes.
 RETRY_SHARE = 0.04
+# Time for an answer. A reader on the same network answers within milliseconds;
+# another one is asked well before the proof is too old. An answer that comes
+# later proves the same time as one that comes at once.
+ANSWER_TIMEOUT_US = 400_000
 # Random share of each interval, which spreads the questions of the fleet.
 INTERVAL_JITTER = 0.1
 # Age of the proof, as a share of the limit, from which this host reads the
@@ -124,6 +128,9 @@
     state: state_lib.GateState, event: events.ConfigurationProofAnswered
 ) -> None:
     """Takes the proof of a reader, or asks another one."""
+    if event.late:
+        _take_late_answer(state, event)
+        return
     proof = state.organisations.proof
     proof.asking = False
     proof.unsupported = event.unsupported
@@ -132,6 +139,17 @@
         _schedule(state, _interval_us(state))
 
 
+def _take_late_answer(
+    state: state_lib.GateState, event: events.ConfigurationProofAnswered
+) -> None:
+    """Takes the proof only: another reader may have been asked meanwhile."""
+    if event.age_us is None or event.version != state.rule_table.version:
+        return
+    _prove(state, event.sent_us - event.age_us)
+    if is_needed(state):
+        _schedule(state, _interval_us(state))
+
+
 def _take_answer(
     state: state_lib.GateState, event: events.ConfigurationProofAnswered
 ) -> None:
@@ -254,7 +272,11 @@
         proof.failed_asks = 0
     proof.asking = True
     reader = readers[proof.failed_asks % len(readers)]
-    state.emit(effects.AskConfigurationProof(reader))
+    state.emit(
+        effects.AskConfigurationProof(
+            reader, ANSWER_TIMEOUT_US, limit_us(state) or 0
+        )
+    )
 
 
 def _interval_us(state: state_lib.GateState) -> int:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -1,5 +1,6 @@
 """A gate host on the platform."""
 
+import asyncio
 import time
 
 from aiohttp import web
@@ -258,8 +259,8 @@
                 | effects.AppendCrashes()
             ):
                 self._store_sync.execute_effect(effect)
-            case effects.AskConfigurationProof(reader):
-                self.spawn(self._ask_configuration_proof(reader))
+            case effects.AskConfigurationProof():
+                self.spawn(self._ask_configuration_proof(effect))
             case (
                 quota_messages.RequestQuotaPermits()
                 | quota_messages.AnswerQuotaRequest()
@@ -270,9 +271,23 @@
             case _:
                 super().execute_specific_effect(effect)
 
-    async def _ask_configuration_proof(self, reader: str) -> None:
+    async def _ask_configuration_proof(
+        self, effect: effects.AskConfigurationProof
+    ) -> None:
         sent_us = self.now_us()
-        answer = await self._proofs.ask(reader)
+        task = asyncio.create_task(
+            self._proofs.ask(effect.reader, effect.limit_us / 1e6)
+        )
+        try:
+            await asyncio.wait({task}, timeout=effect.timeout_us / 1e6)
+            late = not task.done()
+            if late:
+                self.submit(
+                    events.ConfigurationProofAnswered(self.now_us(), sent_us)
+                )
+            answer = await task
+        finally:
+            task.cancel()
         self.submit(
             events.ConfigurationProofAnswered(
                 self.now_us(),
@@ -280,6 +295,7 @@
                 answer.version,
                 answer.age_us,
                 answer.unsupported,
+                late,
             )
         )
 
--- a/tests/proof_fleet.py
+++ b/tests/proof_fleet.py
@@ -269,11 +269,17 @@
         answered = []
 
         def answer(*fields, **named):
-            if not answered:
-                answered.append(True)
-                host.feed(
-                    events.ConfigurationProofAnswered, sent_us, *fields, **named
-                )
+            late = bool(answered)
+            if late and not fields:
+                return
+            answered.append(True)
+            host.feed(
+                events.ConfigurationProofAnswered,
+                sent_us,
+                *fields,
+                late=late,
+                **named,
+            )
 
         def reach():
             cut = (reader.number, host.number) in self.cut_links
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -24,6 +24,7 @@
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_writer
 from fireflyspindle.core import snapshots
+import proof_fleet
 
 QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
 READ_PAGE = {
@@ -321,6 +322,32 @@
     assert lists[1:] == 3 * [[events.HelperAddress("10.0.0.9:1", "a")]]
 
 
+def test_key_is_served_while_readers_answer_after_the_time_limit(monkeypatch):
+    # Guards against proofs that are all dropped because each comes late.
+    fleet = proof_fleet.Fleet(hosts=6)
+    fleet.run(6_000_000)
+    follower = fleet.hosts[3]
+    assert follower.may_serve("old")
+    monkeypatch.setattr(proof_fleet, "LINK_US", 300_000)
+    follower.cut_from_store = True
+    for _ in range(30):
+        fleet.run(1_000_000)
+        assert follower.may_serve("old")
+
+
+def test_key_is_withdrawn_in_time_while_answers_are_late(monkeypatch):
+    # Guards against a late answer that proves more than it did when it was
+    # given: the age of the proof has to count from the question.
+    fleet = proof_fleet.Fleet(hosts=6)
+    fleet.run(6_000_000)
+    monkeypatch.setattr(proof_fleet, "LINK_US", 300_000)
+    fleet.run(3_000_000)
+    fleet.write(proof_fleet.document(2, "kept"))
+    fleet.hosts[3].cut_from_store = True
+    fleet.run(proof_fleet.REVOCATION_MS * 1000)
+    assert not any(host.may_serve("old") for host in fleet.hosts)
+
+
 class CrashFleetWithSlowAppends(crash_fleet.CrashFleet):
     """A store that carries out appends, each too late for the answer."""
 
