List what slow feeds and slow appends to the store never deliver

A follower that reaches no store replaces its reader after 0.5 s, before the first line of a feed with 0.3 s for each piece of data has arrived, for ever. An append to the store is given up after 1.2 s, though the store queues appends for up to 2 s.

--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from aiohttp import web
+import attrs
 import pytest_asyncio
 
 import crash_fleet
@@ -24,6 +25,10 @@
 from fireflyspindle.core import recovery
 from fireflyspindle.core import snapshot_writer
 from fireflyspindle.core import snapshots
+from fireflyspindle.platform import host as host_lib
+from fireflyspindle.platform import store_client
+from fireflyspindle.testing import tcp_proxy
+import platform_driver
 import proof_fleet
 
 QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
@@ -322,6 +327,39 @@
     assert lists[1:] == 3 * [[events.HelperAddress("10.0.0.9:1", "a")]]
 
 
+async def test_host_without_store_is_configured_over_a_slow_feed(monkeypatch):
+    # Guards against a reader that is replaced before its first line, which
+    # takes 0.6 s here, has arrived, whichever reader it is.
+    monkeypatch.setattr(tcp_proxy, "DELAY_S", 0.3)
+    async with platform_driver.reader_and_follower() as (_, reader, _):
+        proxy = tcp_proxy.TcpProxy(reader.settings.control_address)
+        proxy.fault = tcp_proxy.Fault.DELAY
+        host = host_lib.PlatformHost(
+            attrs.evolve(
+                reader.settings,
+                host_id="far",
+                store_address=testing.free_address(),
+                control_address="127.0.0.1:0",
+                reader_addresses=(await proxy.start(),),
+            )
+        )
+        await host.start()
+        configured = False
+        try:
+            async with asyncio.timeout(5.0):
+                while host.state.rule_table.version != 1:
+                    await asyncio.sleep(0.02)
+                configured = True
+        except TimeoutError:
+            pass
+        finally:
+            host.request_stop()
+            host.request_stop()
+            await host.wait_closed()
+            await proxy.close()
+        assert configured
+
+
 def test_key_is_served_while_readers_answer_after_the_time_limit(monkeypatch):
     # Guards against proofs that are all dropped because each comes late.
     fleet = proof_fleet.Fleet(hosts=6)
@@ -382,6 +420,22 @@
     assert not fleet.hosts[0].state.crashes.unsent
 
 
+async def test_append_to_a_store_whose_queue_is_long_is_carried_out(opened):
+    # Guards against appends that are all given up before their turn: the store
+    # queues up to 2 s of them.
+    stand_in = testing.StandInStore()
+    stand_in.delay_s = 1.8
+    server = testing.Server(stand_in.application())
+    client = store_client.StoreClient(await server.start())
+    opened.append(client)
+    for _ in range(3):
+        if not await client.append("keyed.gate-crashes", {"key": b"value"}):
+            break
+    assert stand_in.topics["keyed.gate-crashes"].records
+    await client.close()
+    await server.close()
+
+
 def test_newer_repetition_of_a_request_is_written_though_an_older_one_is_read(
     make_published_host,
 ):
