Find targets reachable that answer checks after a tenth of a second

Seen: four hosts with five targets, real processes on one machine. After a cut of 3 s in which the targets reset all connections, each piece of data took 0.06 s, so that targets answered in 0.12 s: 480 of 480 calls in the next 12 s were refused with 503, at every host. Without the cut, 100 of 100 calls of one host were served with the same delay. With 0.01 s, 52 of 480 were refused.

Cause: hosts that took all targets for lost ended that belief only after checks that were answered within 0.1 s, the same at every check. The hosts could carry no calls for each other either, so that none was sent. A check without an answer also discarded the answers to later ones.

Evidence: the new test failed with answers after 0.12 and 0.45 s and passed with 0.005 s, in virtual time.

The limit of a check is twice the time that the latest one took, from 0.1 s up to 1 s, and a field of the effect. An unanswered check counts only against answers to checks that were sent before it. The limit of ordinary probes, which calls wait for, stays.

--- a/src/fireflyspindle/adapters/probe_client.py
+++ b/src/fireflyspindle/adapters/probe_client.py
@@ -53,7 +53,7 @@
         header_profile: Header names used by targets.
         pool: Pool to take connections from and return them to; without it,
             each probe opens its own connection.
-        timeout_s: Time limit of a probe.
+        timeout_s: Time limit of a probe whose effect states none.
     """
 
     def __init__(
@@ -78,8 +78,11 @@
         """
         if self._now_us() > effect.not_after_us:
             return None
+        timeout_s = self._timeout_s
+        if effect.timeout_us is not None:
+            timeout_s = effect.timeout_us / 1e6
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with asyncio.timeout(timeout_s):
                 head = await self._send(effect)
         except ConnectionRefusedError:
             return events.FailureReason.REFUSED
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -393,6 +393,7 @@
         not_after_us: Monotonic time after which the probe must not be sent;
             the shell then reports it as failed.
         new_connection: Whether the probe needs a connection of its own.
+        timeout_us: Time limit of the probe; None for the usual one.
     """
 
     probe_id: int
@@ -400,6 +401,7 @@
     path: str
     not_after_us: int
     new_connection: bool = False
+    timeout_us: int | None = None
 
 
 @attrs.define
--- a/src/fireflyspindle/core/probes.py
+++ b/src/fireflyspindle/core/probes.py
@@ -14,6 +14,7 @@
     call_id: int = 0,
     *,
     checks_reachability: bool = False,
+    timeout_us: int | None = None,
 ) -> int:
     """Sends a load probe to a target; returns the number of the probe.
 
@@ -25,6 +26,7 @@
         call_id: Number of the call that waits for the load, or 0.
         checks_reachability: Whether the probe checks that the target is
             reachable, on a new connection.
+        timeout_us: Time limit of the probe; None for the usual one.
     """
     target.load.probed_us = state.now_us
     target_limits.on_probe_sent(state, service, target)
@@ -48,6 +50,7 @@
             path,
             state.now_us + max_delay_us,
             new_connection=checks_reachability,
+            timeout_us=timeout_us,
         )
     )
     return state.last_probe_id
--- a/src/fireflyspindle/core/reachability.py
+++ b/src/fireflyspindle/core/reachability.py
@@ -29,7 +29,11 @@
 # detects a broken path as well.
 SUSPICIOUS_TARGETS = 2
 CHECK_INTERVAL_US = 100_000
-CHECK_TIMEOUT_US = 100_000
+# Longest time limit of a check. The limit follows the time that checks take:
+# targets that answer them late may answer all calls.
+MAX_CHECK_TIMEOUT_US = 1_000_000
+# Longest time for which a check waits to be sent.
+MAX_CHECK_DELAY_US = 100_000
 # Consecutive answers to checks after which targets count as reachable.
 ANSWERS_TO_REGAIN = 3
 
@@ -84,9 +88,10 @@
         on_answered(state, service)
     if not probe.checks_reachability:
         return
+    _adapt_check_timeout(state, probe, answered)
     for group in (state.reachability, service.reachability):
         if group.lost:
-            group.check_answers = group.check_answers + 1 if answered else 0
+            _count_check(group, probe, answered)
     if state.reachability.check_answers >= ANSWERS_TO_REGAIN:
         _regain(state, state.reachability, "targets", _all_services(state))
     if service.reachability.check_answers >= ANSWERS_TO_REGAIN:
@@ -94,6 +99,33 @@
         _regain(state, service.reachability, name, [service])
 
 
+def _adapt_check_timeout(
+    state: state_lib.GateState, probe: state_lib.Probe, answered: bool
+) -> None:
+    group = state.reachability
+    shortest_us = reachability_state.CHECK_TIMEOUT_US
+    if not answered:
+        # One that is refused at once must not shorten the limit.
+        shortest_us = group.check_timeout_us
+    taken_us = state.now_us - probe.sent_us
+    group.check_timeout_us = min(
+        MAX_CHECK_TIMEOUT_US, max(shortest_us, 2 * taken_us)
+    )
+
+
+def _count_check(
+    group: reachability_state.Reachability,
+    probe: state_lib.Probe,
+    answered: bool,
+) -> None:
+    if answered:
+        group.check_answers += 1
+        group.check_answered_us = max(group.check_answered_us, probe.sent_us)
+    elif probe.sent_us >= group.check_answered_us:
+        # An earlier one may have been lost before the path was back.
+        group.check_answers = 0
+
+
 def _on_failed(
     state: state_lib.GateState,
     service: state_lib.ServiceState,
@@ -212,8 +244,9 @@
         state,
         checked_service,
         target,
-        CHECK_TIMEOUT_US,
+        MAX_CHECK_DELAY_US,
         checks_reachability=True,
+        timeout_us=state.reachability.check_timeout_us,
     )
 
 
--- a/src/fireflyspindle/core/reachability_state.py
+++ b/src/fireflyspindle/core/reachability_state.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+# Shortest time limit of a check whether targets are reachable.
+CHECK_TIMEOUT_US = 100_000
+
 
 @attrs.define
 class Reachability:
@@ -14,6 +17,8 @@
         lost_us: Time at which no target was found reachable; None while some
             are.
         check_answers: Consecutive answers to checks since then.
+        check_answered_us: Time at which the latest of them was sent.
+        check_timeout_us: Time limit of a check.
     """
 
     answered_us: int = 0
@@ -21,6 +26,8 @@
     silent_us: int = 0
     lost_us: int | None = None
     check_answers: int = 0
+    check_answered_us: int = 0
+    check_timeout_us: int = CHECK_TIMEOUT_US
 
     @property
     def lost(self) -> bool:
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 import attrs
+import pytest
 import pytest_asyncio
 
 import crash_fleet
@@ -33,6 +34,7 @@
 from fireflyspindle.testing import tcp_proxy
 import platform_driver
 import proof_fleet
+import published_driver
 
 QUICK = effects.ReadLimits(100_000, 60_000, 1_500_000)
 READ_PAGE = {
@@ -419,6 +421,34 @@
     assert shell.events[1].grant.granted == {"acme": 2}
 
 
+@pytest.mark.parametrize("round_trip_us", [5_000, 120_000, 450_000])
+def test_targets_that_answer_checks_late_are_found_reachable(
+    make_published_host, round_trip_us
+):
+    # Guards against calls that are refused for ever after a cut because the
+    # way to the targets has become longer than the limit of a check.
+    host = make_published_host(targets=6)
+    host.lose_targets()
+    seen = len(host.effects)
+    due = []
+    for _ in range(600):
+        host.advance(5_000)
+        for effect in host.effects[seen:]:
+            if isinstance(effect, effects.ProbeTarget):
+                limit_us = effect.timeout_us or 100_000
+                answered = round_trip_us < limit_us
+                taken_us = min(round_trip_us, limit_us)
+                due.append((host.now_us + taken_us, effect, answered))
+        seen = len(host.effects)
+        for ended in [each for each in due if each[0] <= host.now_us]:
+            due.remove(ended)
+            report = published_driver.load() if ended[2] else None
+            host.feed(events.ProbeEnded, ended[1].probe_id, report)
+        if not host.state.reachability.lost:
+            break
+    assert not host.state.reachability.lost
+
+
 def test_key_is_served_while_readers_answer_after_the_time_limit(monkeypatch):
     # Guards against proofs that are all dropped because each comes late.
     fleet = proof_fleet.Fleet(hosts=6)
