--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -1,15 +1,26 @@
 """Client of the log service, over HTTP with JSON."""
 
+import asyncio
+from collections.abc import Callable
+
 import aiohttp
 import attrs
 
+from fireflyspindle.adapters import repeated_reads
+from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import json_documents
 
 READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
 APPEND_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = READ_WAIT_MS / 1000 + 2.0
+# Longest time for which an append goes on after its outcome was reported as
+# unknown, and the most such appends: after an outage of the log they all reach
+# it at once.
+MAX_APPEND_S = 60.0
+MAX_KEPT_APPENDS = 2
+
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
 @attrs.define
@@ -43,10 +54,17 @@
     ) -> None:
         self._base = f"http://{address}/streams"
         self._append_timeout_s = append_timeout_s
+        self._kept_appends: set[asyncio.Task[AppendResult]] = set()
         self._session = aiohttp.ClientSession()
 
     async def read(
-        self, stream: str, from_offset: int, *, wait: bool = True
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        wait: bool = True,
+        limits: effects.ReadLimits = effects.LOG_READ_LIMITS,
+        on_unanswered: Callable[[], None] = lambda: None,
     ) -> ReadResult | None:
         """Reads from an offset; None on failure.
 
@@ -54,35 +72,74 @@
             stream: Name of the stream.
             from_offset: First offset to read.
             wait: Whether to long-poll when there are no new records.
+            limits: Time limits of the read.
+            on_unanswered: Called for each further try while one is unanswered.
         """
         query = {
             "from": str(from_offset),
             "limit": str(READ_LIMIT_RECORDS),
             "wait_ms": str(READ_WAIT_MS if wait else 0),
         }
-        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        url = f"{self._base}/{stream}/records"
+        return await repeated_reads.first_answer(
+            lambda progress: self._read_once(url, query, progress),
+            limits,
+            on_unanswered,
+        )
+
+    async def _read_once(
+        self, url: str, query: dict[str, str], progress: repeated_reads.Try
+    ) -> ReadResult | None:
         try:
             async with self._session.get(
-                f"{self._base}/{stream}/records",
-                params=query,
-                timeout=timeout,
+                url, params=query, timeout=_NO_TIMEOUT
             ) as response:
                 if response.status != 200:
                     return None
-                return _parse_batch(await response.json())
+                body = await progress.read_body(response)
+                return _parse_batch(json_documents.parse(body))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         except json_documents.DECODE_ERRORS:
             return None
 
-    async def append(self, stream: str, body: str) -> AppendResult:
+    async def append(
+        self, stream: str, body: str, timeout_s: float | None = None
+    ) -> AppendResult:
         """Appends a record, without retries.
 
+        An append without an answer in time goes on, because the log may drop
+        it when its connection closes, and so would the next one.
+
+        Args:
+            stream: Name of the stream.
+            body: The record.
+            timeout_s: Time after which the outcome is unknown; None for that
+                of the client.
+
         Returns:
             DONE with the offset; REFUSED when the record is certainly not in
             the log; UNKNOWN when it may be there or may still be appended.
         """
-        timeout = aiohttp.ClientTimeout(total=self._append_timeout_s)
+        loop = asyncio.get_running_loop()
+        if timeout_s is None:
+            timeout_s = self._append_timeout_s
+        task = loop.create_task(self._append_once(stream, body))
+        try:
+            return await asyncio.wait_for(asyncio.shield(task), timeout_s)
+        except TimeoutError:
+            if len(self._kept_appends) < MAX_KEPT_APPENDS:
+                self._kept_appends.add(task)
+                task.add_done_callback(self._kept_appends.discard)
+            else:
+                task.cancel()
+            return AppendResult(events.AppendOutcome.UNKNOWN)
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+
+    async def _append_once(self, stream: str, body: str) -> AppendResult:
+        timeout = aiohttp.ClientTimeout(total=MAX_APPEND_S)
         try:
             async with self._session.post(
                 f"{self._base}/{stream}/records",
@@ -104,6 +161,8 @@
 
     async def close(self) -> None:
         """Closes every connection."""
+        for task in self._kept_appends:
+            task.cancel()
         await self._session.close()
 
 
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -1,22 +1,39 @@
 """Receives the reads of the platform's store that a gate host relays."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
+import attrs
 
 from fireflyspindle.adapters import feed_lines
+from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.adapters import store_feed
+from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import helper_list
+from fireflyspindle.core import host_count
 from fireflyspindle.core import json_documents
 
 # Hosts of the same or a neighbouring failure domain connect within a few
 # milliseconds.
 CONNECT_TIMEOUT_S = 0.5
-# Time for the response to a host count; a reader counts every 2 s.
+# Time for the response to a host count; a reader counts every 2 s. A later
+# response is used by the next count.
 COUNT_TIMEOUT_S = 1.0
-# Time for the list of helpers, for which calls wait.
+# A lost connection costs one or two counts. As long as the last count of a
+# reader is used, a late response is as good.
+COUNT_LIMITS = effects.ReadLimits(
+    repeat_after_us=4_000_000,
+    retry_after_us=2_000_000,
+    limit_us=host_count.READER_COUNT_RETENTION_US,
+)
+MAX_COUNT_AGE_S = host_count.READER_COUNT_RETENTION_US / 1e6
+# Time for the list of helpers, for which calls wait, and the longest after
+# lists that came too late: a list is used for 5 s.
 HELPERS_TIMEOUT_S = 0.5
+MAX_HELPERS_TIMEOUT_S = helper_list.LIFETIME_US / 1e6
 # A failed request, or a response with other content than expected.
 _FETCH_ERRORS = (
     aiohttp.ClientError,
@@ -25,6 +42,23 @@
 )
 
 
+@attrs.define(frozen=True)
+class _Count:
+    """The response to a host count.
+
+    Attributes:
+        hosts: Number of hosts; None if it could not be read.
+        ended_s: Loop time at which it was read.
+    """
+
+    hosts: int | None
+    ended_s: float
+
+
+def _is_outdated(task: asyncio.Task[_Count], now_s: float) -> bool:
+    return task.done() and now_s > task.result().ended_s + MAX_COUNT_AGE_S
+
+
 class FeedClient:
     """Receives the streams of other gate hosts.
 
@@ -34,6 +68,8 @@
 
     def __init__(self, helper: events.HelperAddress | None = None) -> None:
         self._helper = helper
+        self._counts: dict[str, asyncio.Task[_Count]] = {}
+        self._helpers_timeouts_s: dict[str, float] = {}
         self._session = aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
@@ -96,11 +132,30 @@
 
         Returns:
             The number of its followers and itself; 0 if no process listens at
-            the address, None if there is no valid response in time.
+            the address, None if there is no valid response in time. A response
+            that comes later is returned by the next call.
         """
+        loop = asyncio.get_running_loop()
+        task = self._counts.get(address)
+        if task is None or _is_outdated(task, loop.time()):
+            task = loop.create_task(self._read_count(address))
+            self._counts[address] = task
+        await asyncio.wait({task}, timeout=COUNT_TIMEOUT_S)
+        if not task.done():
+            return None
+        del self._counts[address]
+        return task.result().hosts
+
+    async def _read_count(self, address: str) -> _Count:
+        hosts = await repeated_reads.first_answer(
+            lambda progress: self._read_count_once(address), COUNT_LIMITS
+        )
+        return _Count(hosts, asyncio.get_running_loop().time())
+
+    async def _read_count_once(self, address: str) -> int | None:
         try:
             content = await self._fetch(
-                address, store_feed.HOST_COUNT_PATH, {}, COUNT_TIMEOUT_S
+                address, store_feed.HOST_COUNT_PATH, {}, MAX_COUNT_AGE_S
             )
             return int(content["hosts"])
         except aiohttp.ClientConnectorError as error:
@@ -124,17 +179,30 @@
         query = {}
         if cut_off and self._helper is not None:
             query["cut-off"] = self._helper.address
+        timeout_s = self._helpers_timeouts_s.get(address, HELPERS_TIMEOUT_S)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         try:
             content = await self._fetch(
-                address, store_feed.HELPERS_PATH, query, HELPERS_TIMEOUT_S
+                address, store_feed.HELPERS_PATH, query, timeout_s
             )
+            self._set_helpers_timeout(address, loop.time() - started_s)
             return [
                 events.HelperAddress(str(helper), str(failure_domain))
                 for helper, failure_domain in content["helpers"]
             ]
+        except TimeoutError:
+            self._set_helpers_timeout(address, timeout_s)
+            return None
         except _FETCH_ERRORS:
             return None
 
+    def _set_helpers_timeout(self, address: str, taken_s: float) -> None:
+        """Allows the next list twice the time that this one took."""
+        self._helpers_timeouts_s[address] = min(
+            MAX_HELPERS_TIMEOUT_S, max(HELPERS_TIMEOUT_S, 2 * taken_s)
+        )
+
     async def _fetch(
         self, address: str, path: str, query: dict[str, str], timeout_s: float
     ) -> Any:
@@ -156,4 +224,6 @@
 
     async def close(self) -> None:
         """Closes every connection."""
+        for task in self._counts.values():
+            task.cancel()
         await self._session.close()
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -162,21 +162,47 @@
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
 
 
+@attrs.define(frozen=True)
+class ReadLimits:
+    """Time limits of a read whose duration the other side decides.
+
+    Attributes:
+        repeat_after_us: Time without data after which another try is started
+            beside the unanswered one.
+        retry_after_us: Time after a failed try for the same.
+        limit_us: Time without data after which the read fails.
+    """
+
+    repeat_after_us: int
+    retry_after_us: int
+    limit_us: int
+
+
+# A record has to be in force within 8 s. A read waits at the log for up to 5 s
+# and has 2 s for the rest; the limit bounds how slow a log may be.
+LOG_READ_LIMITS = ReadLimits(7_000_000, 2_000_000, 60_000_000)
+
+
 @attrs.define
 class ReadLog:
     """Read a stream of the log; the shell long-polls.
 
+    The shell reports `LogRead` or `LogReadFailed`, and before it
+    `LogReadUnanswered` for each further try that it starts.
+
     Attributes:
         stream: Name of the stream.
         from_offset: First offset requested.
         delay_us: Time to wait before the read.
         wait: Whether the read may wait for new records if there are none.
+        limits: Time limits of the read.
     """
 
     stream: str
     from_offset: int
     delay_us: int = 0
     wait: bool = True
+    limits: ReadLimits = LOG_READ_LIMITS
 
 
 @attrs.define
@@ -287,13 +313,18 @@
 class AskConfigurationProof:
     """Ask a reader how old its proof of the configuration is.
 
-    The shell reports `ConfigurationProofAnswered`, within a second.
+    The shell reports `ConfigurationProofAnswered`, and once more when the
+    answer comes after the time-out.
 
     Attributes:
         reader: Control address of the reader.
+        timeout_us: Time after which the reader counts as not answering.
+        limit_us: Time for which its answer is of use.
     """
 
     reader: str
+    timeout_us: int
+    limit_us: int
 
 
 @attrs.define
@@ -320,13 +351,16 @@
 class ReadHostList:
     """Read the platform's host list.
 
-    The shell reports `HostListRead` or `HostListReadFailed`.
+    The shell reports `HostListRead` or `HostListReadFailed`, and before it
+    `HostListReadUnanswered` for each further try that it starts.
 
     Attributes:
         delay_us: Time to wait before the read.
+        limits: Time limits of the read.
     """
 
     delay_us: int
+    limits: ReadLimits
 
 
 @attrs.define
@@ -334,11 +368,18 @@
     """Append one record to a stream of the log.
 
     The shell reports `AppendEnded`.
+
+    Attributes:
+        append_id: Number of the append.
+        stream: Name of the stream.
+        body: The record.
+        timeout_us: Time after which the outcome is unknown.
     """
 
     append_id: int
     stream: str
     body: str
+    timeout_us: int
 
 
 @attrs.define
@@ -352,6 +393,7 @@
         not_after_us: Monotonic time after which the probe must not be sent;
             the shell then reports it as failed.
         new_connection: Whether the probe needs a connection of its own.
+        timeout_us: Time limit of the probe; None for the usual one.
     """
 
     probe_id: int
@@ -359,6 +401,7 @@
     path: str
     not_after_us: int
     new_connection: bool = False
+    timeout_us: int | None = None
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -279,6 +279,14 @@
     stream: str
 
 
+@attrs.define
+class LogReadUnanswered:
+    """A read of a log stream is late; it is still in progress."""
+
+    now_us: int
+    stream: str
+
+
 class AppendOutcome(enum.Enum):
     """Outcome of an append, as far as it is known."""
 
@@ -344,6 +352,13 @@
     now_us: int
 
 
+@attrs.define
+class HostListReadUnanswered:
+    """A read of the host list is late; it is still in progress."""
+
+    now_us: int
+
+
 @attrs.define
 class PeerMessageReceived:
     """A message from another gate host arrived.
@@ -611,6 +626,7 @@
         age_us: Age of its proof when it answered; None if it has none or did
             not answer.
         unsupported: Whether the reader is of a build that gives no proofs.
+        late: Whether it was reported before that the reader did not answer.
     """
 
     now_us: int
@@ -618,6 +634,7 @@
     version: int | None = None
     age_us: int | None = None
     unsupported: bool = False
+    late: bool = False
 
 
 @attrs.define
@@ -686,9 +703,11 @@
     | TimerFired
     | LogRead
     | LogReadFailed
+    | LogReadUnanswered
     | AppendEnded
     | HostListRead
     | HostListReadFailed
+    | HostListReadUnanswered
     | PeerMessageReceived
     | ProbeEnded
     | StopRequested
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -99,10 +99,14 @@
             log.on_read(state, event)
         case events.LogReadFailed():
             log.on_read_failed(state, event)
+        case events.LogReadUnanswered():
+            log.on_read_unanswered(state, event)
         case events.HostListRead():
             host_list.on_read(state, event)
         case events.HostListReadFailed():
             host_list.on_read_failed(state)
+        case events.HostListReadUnanswered():
+            host_list.on_read_unanswered(state)
         case events.PeerMessageReceived():
             membership.on_message(state, event)
         case events.ProbeEnded():
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -103,15 +103,21 @@
                 self.spawn(self._append_record(effect))
             case effects.SendToPeer(address, body):
                 self.spawn(self._peers.send(address, body))
-            case effects.ReadHostList(delay_us):
-                self.spawn(self._read_host_list(delay_us))
+            case effects.ReadHostList():
+                self.spawn(self._read_host_list(effect))
             case _:
                 super().execute_specific_effect(effect)
 
     async def _read_log(self, effect: effects.ReadLog) -> None:
         await asyncio.sleep(effect.delay_us / 1e6)
         batch = await self.log.read(
-            effect.stream, effect.from_offset, wait=effect.wait
+            effect.stream,
+            effect.from_offset,
+            wait=effect.wait,
+            limits=effect.limits,
+            on_unanswered=lambda: self.submit(
+                events.LogReadUnanswered(self.now_us(), effect.stream)
+            ),
         )
         if batch is None:
             self.submit(events.LogReadFailed(self.now_us(), effect.stream))
@@ -130,7 +136,9 @@
         )
 
     async def _append_record(self, effect: effects.AppendRecord) -> None:
-        appended = await self.log.append(effect.stream, effect.body)
+        appended = await self.log.append(
+            effect.stream, effect.body, effect.timeout_us / 1e6
+        )
         self.submit(
             events.AppendEnded(
                 now_us=self.now_us(),
@@ -140,9 +148,12 @@
             )
         )
 
-    async def _read_host_list(self, delay_us: int) -> None:
-        await asyncio.sleep(delay_us / 1e6)
-        read = await self._host_list.read()
+    async def _read_host_list(self, effect: effects.ReadHostList) -> None:
+        await asyncio.sleep(effect.delay_us / 1e6)
+        read = await self._host_list.read(
+            effect.limits,
+            lambda: self.submit(events.HostListReadUnanswered(self.now_us())),
+        )
         if read is None:
             self.submit(events.HostListReadFailed(self.now_us()))
             return
