Let an append to the store go on after its outcome is taken for unknown

Cause: each append had 1.2 s, the same at every try.

The outcome is still taken for unknown after 1.2 s, but the append goes on for up to 60 s, two at most at a time. Appends to the log of the project's own interface did the same already; both use late_appends now. Claims are the exception: they are given up after 2 s, as before those changes, since what the index forgets rests on records that land soon after they were formed (docs/design/claims.md).

--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -1,11 +1,11 @@
 """Client of the log service, over HTTP with JSON."""
 
-import asyncio
 from collections.abc import Callable
 
 import aiohttp
 import attrs
 
+from fireflyspindle.adapters import late_appends
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -14,12 +14,7 @@
 READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
 APPEND_TIMEOUT_S = 2.0
-# Longest time for which an append goes on after its outcome was reported as
-# unknown, and the most such appends: after an outage of the log they all reach
-# it at once.
-MAX_APPEND_S = 60.0
-MAX_KEPT_APPENDS = 2
-
+APPEND_LIMIT_S = 60.0
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
@@ -54,7 +49,9 @@
     ) -> None:
         self._base = f"http://{address}/streams"
         self._append_timeout_s = append_timeout_s
-        self._kept_appends: set[asyncio.Task[AppendResult]] = set()
+        self._late_appends: late_appends.LateAppends[AppendResult] = (
+            late_appends.LateAppends()
+        )
         self._session = aiohttp.ClientSession()
 
     async def read(
@@ -104,42 +101,37 @@
             return None
 
     async def append(
-        self, stream: str, body: str, timeout_s: float | None = None
+        self,
+        stream: str,
+        body: str,
+        timeout_s: float | None = None,
+        limit_s: float = APPEND_LIMIT_S,
     ) -> AppendResult:
         """Appends a record, without retries.
 
-        An append without an answer in time goes on, because the log may drop
-        it when its connection closes, and so would the next one.
-
         Args:
             stream: Name of the stream.
             body: The record.
             timeout_s: Time after which the outcome is unknown; None for that
                 of the client.
+            limit_s: Time after which the append is given up.
 
         Returns:
             DONE with the offset; REFUSED when the record is certainly not in
             the log; UNKNOWN when it may be there or may still be appended.
         """
-        loop = asyncio.get_running_loop()
         if timeout_s is None:
             timeout_s = self._append_timeout_s
-        task = loop.create_task(self._append_once(stream, body))
-        try:
-            return await asyncio.wait_for(asyncio.shield(task), timeout_s)
-        except TimeoutError:
-            if len(self._kept_appends) < MAX_KEPT_APPENDS:
-                self._kept_appends.add(task)
-                task.add_done_callback(self._kept_appends.discard)
-            else:
-                task.cancel()
-            return AppendResult(events.AppendOutcome.UNKNOWN)
-        except asyncio.CancelledError:
-            task.cancel()
-            raise
+        return await self._late_appends.wait(
+            self._append_once(stream, body, max(timeout_s, limit_s)),
+            timeout_s,
+            AppendResult(events.AppendOutcome.UNKNOWN),
+        )
 
-    async def _append_once(self, stream: str, body: str) -> AppendResult:
-        timeout = aiohttp.ClientTimeout(total=MAX_APPEND_S)
+    async def _append_once(
+        self, stream: str, body: str, limit_s: float
+    ) -> AppendResult:
+        timeout = aiohttp.ClientTimeout(total=limit_s)
         try:
             async with self._session.post(
                 f"{self._base}/{stream}/records",
@@ -161,8 +153,7 @@
 
     async def close(self) -> None:
         """Closes every connection."""
-        for task in self._kept_appends:
-            task.cancel()
+        self._late_appends.close()
         await self._session.close()
 
 
--- a/src/fireflyspindle/core/claim_batches.py
+++ b/src/fireflyspindle/core/claim_batches.py
@@ -115,7 +115,13 @@
     )
     del claims.outcome_updates[:MAX_BATCH_ROWS]
     claims.counters.appends += 1
-    append_id = streams.append(state, STREAM, claim_records.encode(batch))
+    # Claims must not land long after they were formed (docs/design/claims.md).
+    append_id = streams.append(
+        state,
+        STREAM,
+        claim_records.encode(batch),
+        limit_us=streams.APPEND_TIMEOUT_US,
+    )
     claims.in_flight_batch = claim_state.InFlightBatch(append_id, batch)
 
 
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -374,12 +374,14 @@
         stream: Name of the stream.
         body: The record.
         timeout_us: Time after which the outcome is unknown.
+        limit_us: Time after which the append is given up.
     """
 
     append_id: int
     stream: str
     body: str
     timeout_us: int
+    limit_us: int
 
 
 @attrs.define
--- a/src/fireflyspindle/core/snapshot_writer.py
+++ b/src/fireflyspindle/core/snapshot_writer.py
@@ -18,9 +18,9 @@
 EARLY_CHECK_US = 10_000_000
 RETRY_CHECK_US = 10_000_000
 MAX_UNCOVERED_RECORDS = 1_000
-# Time for the append of a part. Nothing waits for it, and a snapshot is
-# abandoned if one of its parts is not known to be appended.
-APPEND_TIMEOUT_US = 60_000_000
+# Nothing waits for the append of a part, and a snapshot is abandoned if one of
+# its parts is not known to be appended.
+APPEND_TIMEOUT_US = streams.APPEND_LIMIT_US
 
 ReadPurpose = recovery_state.SnapshotReadPurpose
 
--- a/src/fireflyspindle/core/streams.py
+++ b/src/fireflyspindle/core/streams.py
@@ -5,8 +5,10 @@
 
 READ_RETRY_DELAY_US = 200_000
 MAX_READ_RETRY_DELAY_US = 2_000_000
-# Time after which the outcome of an append is unknown.
+# Time after which the outcome of an append is unknown, and after which it is
+# given up.
 APPEND_TIMEOUT_US = 2_000_000
+APPEND_LIMIT_US = 60_000_000
 
 
 def position(state: state_lib.GateState, stream: str) -> state_lib.LogPosition:
@@ -31,12 +33,15 @@
     stream: str,
     body: str,
     timeout_us: int = APPEND_TIMEOUT_US,
+    limit_us: int = APPEND_LIMIT_US,
 ) -> int:
     """Appends a record; returns the `append_id` of its `AppendEnded` event."""
     state.last_append_id += 1
     append_id = state.last_append_id
     state.pending_appends[append_id] = stream
-    state.emit(effects.AppendRecord(append_id, stream, body, timeout_us))
+    state.emit(
+        effects.AppendRecord(append_id, stream, body, timeout_us, limit_us)
+    )
     return append_id
 
 
--- a/src/fireflyspindle/gate.py
+++ b/src/fireflyspindle/gate.py
@@ -137,7 +137,10 @@
 
     async def _append_record(self, effect: effects.AppendRecord) -> None:
         appended = await self.log.append(
-            effect.stream, effect.body, effect.timeout_us / 1e6
+            effect.stream,
+            effect.body,
+            effect.timeout_us / 1e6,
+            effect.limit_us / 1e6,
         )
         self.submit(
             events.AppendEnded(
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -9,14 +9,17 @@
 import aiohttp
 import attrs
 
+from fireflyspindle.adapters import late_appends
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import json_documents
 
 # Longest time without data on a connection. It ends reads that nobody waits for
 # any more; `timed_reads` has the limits of those that matter.
 MAX_SILENCE_S = 300.0
-# Time for the response to an append.
+# Time after which the outcome of an append is unknown, and after which it is
+# given up. The store queues appends for up to 2 s.
 APPEND_TIMEOUT_S = 1.2
+APPEND_LIMIT_S = 60.0
 # Largest total size of the records of one read, in kilobytes as the store
 # counts them.
 MAX_READ_KB = 1_024
@@ -92,6 +95,9 @@
             connector=aiohttp.TCPConnector(socket_factory=_keepalive_socket),
             auto_decompress=False,
         )
+        self._late_appends: late_appends.LateAppends[str] = (
+            late_appends.LateAppends()
+        )
 
     async def read(
         self,
@@ -212,12 +218,17 @@
         body = b"".join(
             _encode_record(key, value) for key, value in records.items()
         )
+        return await self._late_appends.wait(
+            self._append(topic, body), APPEND_TIMEOUT_S, "no response in time"
+        )
+
+    async def _append(self, topic: str, body: bytes) -> str:
         try:
             async with self._session.post(
                 self._base_url + "/log-append",
                 params={"topic": topic, "part": "0"},
                 data=body,
-                timeout=aiohttp.ClientTimeout(total=APPEND_TIMEOUT_S),
+                timeout=aiohttp.ClientTimeout(total=APPEND_LIMIT_S),
             ) as response:
                 await response.read()
                 if response.status == 200:
@@ -249,6 +260,7 @@
 
     async def close(self) -> None:
         """Closes the session and its connections."""
+        self._late_appends.close()
         await self._session.close()
 
 
