Give a silent reader more time before it is replaced once more

A host that reached no store, and readers only over links that need more than half a second for the first lines, was never configured: callers got 503.

Cause: a reader without data was replaced after 0.5 s, the same at every try, and with it went what was on its way.

The time doubles with each reader that is replaced, up to 8 s, until one relays a successful read.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -40,8 +40,11 @@
 STARTUP_RETRY_US = 50_000
 STARTUP_RETRY_PERIOD_US = 2_000_000
 RETRY_US = 500_000
-# Minimum time with one reader before a silent one is replaced.
+# Minimum time with one reader before a silent one is replaced. It doubles with
+# each reader that is replaced until one relays a successful read: a feed may
+# need longer for its first lines, whichever reader it comes from.
 MIN_FOLLOW_US = 500_000
+MAX_FOLLOW_DOUBLINGS = 4
 # Time for which a report of failed reads counts. It covers one attempt to
 # follow a reader that is down.
 FAILURE_REPORT_TIMEOUT_US = 2 * MIN_FOLLOW_US
@@ -212,7 +215,7 @@
     if not _candidates(state):
         return
     times_us = [
-        follow.stream_started_us + MIN_FOLLOW_US,
+        _replaceable_us(follow),
         follow.own_reads_allowed_us,
     ]
     for source in store_state.FREQUENT_SOURCES:
@@ -241,15 +244,22 @@
         return
     if follow.address is None:
         _follow_preferred(state)
-    elif state.now_us >= follow.stream_started_us + MIN_FOLLOW_US and any(
+    elif state.now_us >= _replaceable_us(follow) and any(
         _is_overdue(state, source, SILENCE_TIMEOUT_US)
         for source in store_state.FREQUENT_SOURCES
     ):
+        follow.replaced_readers += 1
         _mark_avoided(state, follow.address)
         _follow_preferred(state)
     schedule_check(state)
 
 
+def _replaceable_us(follow: store_state.FollowState) -> int:
+    """Returns the time from which a silent reader may be replaced."""
+    doublings = min(follow.replaced_readers, MAX_FOLLOW_DOUBLINGS)
+    return follow.stream_started_us + (MIN_FOLLOW_US << doublings)
+
+
 def _settings(state: state_lib.GateState) -> store_state.StoreSettings:
     settings = state.settings.store
     assert settings is not None
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -246,6 +246,7 @@
     reads = state.store_reads[source]
     reads.relayed_us = state.now_us - relayed.age_us
     state.following.failure_reported_us = None
+    state.following.replaced_readers = 0
     if not following.is_primary_reader(state):
         reads.succeeded = True
         _record_success(state, source, reads.relayed_us)
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -206,6 +206,8 @@
         address: Control address of the followed reader, or None.
         connected: Whether that reader has answered.
         stream_started_us: Start of the stream.
+        replaced_readers: Silent readers that were replaced since one relayed a
+            successful read.
         unlimited_size: Whether the stream has no limit on the total size of
             the records that are relayed.
         own_reads_allowed_us: Earliest time at which this host may read the
@@ -221,6 +223,7 @@
     address: str | None = None
     connected: bool = False
     stream_started_us: int = 0
+    replaced_readers: int = 0
     unlimited_size: bool = False
     own_reads_allowed_us: int = 0
     next_check_us: int | None = None
