--- a/src/fireflyspindle/adapters/host_list.py
+++ b/src/fireflyspindle/adapters/host_list.py
@@ -6,6 +6,7 @@
 import attrs
 import cattrs
 
+from fireflyspindle.adapters import read_progress
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -65,7 +66,7 @@
             self._read_once, limits, on_unanswered
         )
 
-    async def _read_once(self, progress: repeated_reads.Try) -> Read | None:
+    async def _read_once(self, progress: read_progress.Progress) -> Read | None:
         request_headers = (
             {"If-None-Match": self._entity_tag} if self._entity_tag else {}
         )
--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -6,6 +6,7 @@
 import attrs
 
 from fireflyspindle.adapters import late_appends
+from fireflyspindle.adapters import read_progress
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
@@ -85,7 +86,7 @@
         )
 
     async def _read_once(
-        self, url: str, query: dict[str, str], progress: repeated_reads.Try
+        self, url: str, query: dict[str, str], progress: read_progress.Progress
     ) -> ReadResult | None:
         try:
             async with self._session.get(
--- a/src/fireflyspindle/adapters/repeated_reads.py
+++ b/src/fireflyspindle/adapters/repeated_reads.py
@@ -8,9 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
-import aiohttp
-import attrs
-
+from fireflyspindle.adapters import read_progress
 from fireflyspindle.core import effects
 
 # Tries in progress at the same time.
@@ -19,33 +17,8 @@
 _Result = TypeVar("_Result")
 
 
-@attrs.define(eq=False)
-class Try:
-    """Progress of one try.
-
-    Attributes:
-        started_s: Loop time of its start.
-        received_s: Loop time of the latest data, or of its start.
-        received_bytes: Size of the data.
-    """
-
-    started_s: float
-    received_s: float
-    received_bytes: int = 0
-
-    async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        """Returns the body of a response and records its progress."""
-        loop = asyncio.get_running_loop()
-        body = bytearray()
-        async for piece in response.content.iter_any():
-            body += piece
-            self.received_s = loop.time()
-            self.received_bytes = len(body)
-        return bytes(body)
-
-
 async def first_answer(
-    attempt: Callable[[Try], Awaitable[_Result | None]],
+    attempt: Callable[[read_progress.Progress], Awaitable[_Result | None]],
     limits: effects.ReadLimits,
     on_unanswered: Callable[[], None] = lambda: None,
 ) -> _Result | None:
@@ -85,10 +58,12 @@
 
     def __init__(
         self,
-        attempt: Callable[[Try], Awaitable[_Result | None]],
+        attempt: Callable[[read_progress.Progress], Awaitable[_Result | None]],
         limits: effects.ReadLimits,
     ) -> None:
-        self.in_progress: dict[asyncio.Task[_Result | None], Try] = {}
+        self.in_progress: dict[
+            asyncio.Task[_Result | None], read_progress.Progress
+        ] = {}
         self._attempt = attempt
         self._limits = limits
         self._loop = asyncio.get_running_loop()
@@ -105,13 +80,12 @@
             )[0]
             del self.in_progress[newest]
             newest.cancel()
-        now_s = self._loop.time()
-        progress = Try(now_s, now_s)
+        progress = read_progress.Progress()
         task = self._loop.create_task(self._run(progress))
         self.in_progress[task] = progress
         self._failed_s = None
 
-    async def _run(self, progress: Try) -> _Result | None:
+    async def _run(self, progress: read_progress.Progress) -> _Result | None:
         return await self._attempt(progress)
 
     async def wait(self) -> _Result | None:
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -1,15 +1,14 @@
 """HTTP client of the platform's store."""
 
-import asyncio
 import base64
 import binascii
 import socket
 from typing import Any
 
 import aiohttp
-import attrs
 
 from fireflyspindle.adapters import late_appends
+from fireflyspindle.adapters import read_progress
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import json_documents
 
@@ -39,49 +38,6 @@
 _OFFSET_BYTES = 8
 
 
-def _loop_time_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
-@attrs.define
-class Progress:
-    """What a read has received so far.
-
-    Attributes:
-        started_s: Loop time at which it started.
-        received_s: Loop time at which it last received data.
-        received_bytes: Size of the parts of bodies that it has received.
-    """
-
-    started_s: float = attrs.field(factory=_loop_time_s)
-    received_s: float = attrs.field(
-        default=attrs.Factory(lambda self: self.started_s, takes_self=True)
-    )
-    received_bytes: int = 0
-
-    def on_received(self, size_bytes: int) -> None:
-        """Records that data has arrived."""
-        self.received_s = _loop_time_s()
-        self.received_bytes += size_bytes
-
-    def elapsed_s(self) -> float:
-        """Returns the time since the start."""
-        return _loop_time_s() - self.started_s
-
-    def silent_s(self) -> float:
-        """Returns the time since data arrived, or since the start."""
-        return _loop_time_s() - self.received_s
-
-    def describe_timeout(self) -> str:
-        """Returns why the read failed, for one that ran out of time."""
-        if not self.received_bytes:
-            return f"no response in time, after {self.elapsed_s():.1f} s"
-        return (
-            f"no complete response in time: {self.received_bytes} bytes in"
-            f" {self.elapsed_s():.1f} s"
-        )
-
-
 class StoreClient:
     """Reads and appends to keyed topics of the platform's store.
 
@@ -105,7 +61,7 @@
         from_offset: int | None,
         first_offset: int = 0,
         wait_ms: int = 0,
-        progress: Progress | None = None,
+        progress: read_progress.Progress | None = None,
     ) -> (
         store_records.Batch
         | store_records.HistoryDropped
@@ -124,7 +80,7 @@
             progress: Told what arrives. The read has no other limit in time
                 than `MAX_SILENCE_S`.
         """
-        progress = progress or Progress()
+        progress = progress or read_progress.Progress()
         try:
             if from_offset is None:
                 return await self._list_newest(topic, first_offset, progress)
@@ -139,7 +95,11 @@
             )
 
     async def _read_from(
-        self, topic: str, offset: int, wait_ms: int, progress: Progress
+        self,
+        topic: str,
+        offset: int,
+        wait_ms: int,
+        progress: read_progress.Progress,
     ) -> (
         store_records.Batch
         | store_records.HistoryDropped
@@ -169,7 +129,7 @@
         )
 
     async def _list_newest(
-        self, topic: str, first_offset: int, progress: Progress
+        self, topic: str, first_offset: int, progress: read_progress.Progress
     ) -> store_records.Batch | store_records.ReadFailed:
         """Lists the newest record of every key.
 
@@ -243,7 +203,7 @@
         self,
         path: str,
         query: dict[str, str],
-        progress: Progress,
+        progress: read_progress.Progress,
     ) -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=MAX_SILENCE_S, sock_read=MAX_SILENCE_S
@@ -251,12 +211,7 @@
         async with self._session.get(
             self._base_url + path, params=query, timeout=timeout
         ) as response:
-            progress.on_received(0)
-            body = bytearray()
-            async for part in response.content.iter_any():
-                body += part
-                progress.on_received(len(part))
-            return response.status, bytes(body)
+            return response.status, await progress.read_body(response)
 
     async def close(self) -> None:
         """Closes the session and its connections."""
--- a/src/fireflyspindle/platform/timed_reads.py
+++ b/src/fireflyspindle/platform/timed_reads.py
@@ -12,6 +12,7 @@
 import attrs
 
 from fireflyspindle.adapters import data_path
+from fireflyspindle.adapters import read_progress
 from fireflyspindle.adapters import store_records
 from fireflyspindle.platform import store_client
 
@@ -49,7 +50,7 @@
         task: The task that reads.
     """
 
-    progress: store_client.Progress
+    progress: read_progress.Progress
     on_late: Callable[[Outcome], None]
     outcome: Outcome | None = None
     task: asyncio.Task[None] | None = None
@@ -90,7 +91,7 @@
             on_late: Called with the outcome if the read succeeds after it has
                 failed here, unless a newer one did before.
         """
-        read = _Read(store_client.Progress(), on_late)
+        read = _Read(read_progress.Progress(), on_late)
         task = self._shell.spawn(
             self._complete(read, topic, from_offset, first_offset, wait_ms)
         )
@@ -151,7 +152,7 @@
             late.task.cancel()
 
 
-def _time_left_s(progress: store_client.Progress, wait_s: float) -> float:
+def _time_left_s(progress: read_progress.Progress, wait_s: float) -> float:
     """Returns the time until a read fails unless more data arrives."""
     return min(
         max(wait_s - progress.elapsed_s(), -progress.silent_s())
