--- a/tests/platform_driver.py
+++ b/tests/platform_driver.py
@@ -105,25 +105,32 @@
     )
 
 
-def document(version):
+def document(version, **fields):
     """Returns a configuration with one route of each kind."""
     routes = {
         "r-1": (IDEMPOTENT, "idempotent"),
         "r-2": (STRICT, "non_idempotent"),
     }
     return platform_documents.configuration_document(
-        version, "dossier.example", routes
+        version, "dossier.example", routes, **fields
     )
 
 
 @contextlib.asynccontextmanager
-async def running(*behaviours, control_address=""):
-    """Runs a gate host with one scripted server for each behaviour."""
+async def running(*behaviours, control_address="", grace_s=6, **fields):
+    """Runs a gate host with one scripted server for each behaviour.
+
+    Args:
+        *behaviours: Behaviours of the servers.
+        control_address: Control address of the host.
+        grace_s: Time between SIGTERM and SIGKILL.
+        **fields: Fields of the configuration.
+    """
     store = testing.StandInStore()
     store_server = testing.Server(store.application())
     store_address = await store_server.start()
     servers = [testing.ScriptedTarget(behaviour) for behaviour in behaviours]
-    store.write(store_lib.CONFIGURATION_TOPIC, "config", document(1))
+    store.write(store_lib.CONFIGURATION_TOPIC, "config", document(1, **fields))
     for number, server in enumerate(servers):
         address = await server.start()
         store.write(
@@ -140,7 +147,7 @@
             readiness_address="127.0.0.1:0",
             store_address=store_address,
             control_address=control_address,
-            bounds=settings_lib.Bounds(retry_slack=62.0),
+            bounds=settings_lib.Bounds(grace_s=grace_s, retry_slack=62.0),
         )
     )
     await host.start()
--- a/tests/published_driver.py
+++ b/tests/published_driver.py
@@ -90,7 +90,7 @@
 class PublishedHost(driver.Host):
     """A gate host with a configuration and registered targets."""
 
-    def __init__(self, targets=4, seed=0, rules=(), **store):
+    def __init__(self, targets=4, seed=0, rules=(), drain=None, **store):
         self.settings = store_state.StoreSettings(
             **{
                 "probes_per_s": 600.0,
@@ -100,7 +100,10 @@
             }
         )
         core_settings = state_lib.CoreSettings(
-            host_id="gate-1", failure_domain=DOMAIN, store=self.settings
+            host_id="gate-1",
+            failure_domain=DOMAIN,
+            store=self.settings,
+            **(drain or {}),
         )
         self.state = state_lib.new(core_settings, seed)
         self.now_us = 1_000_000
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -22,7 +22,12 @@
 
 @pytest.fixture
 def host(make_host):
-    return make_host(drain_grace_ms=GRACE_MS, drain_limit_ms=LIMIT_MS)
+    host = make_host(drain_grace_ms=GRACE_MS, drain_limit_ms=LIMIT_MS)
+    # Answers are known to take 10 ms: a stopping host refuses calls of services
+    # whose answer times are not known.
+    for _ in range(100):
+        host.state.services["s"].load.latencies.add(10_000)
+    return host
 
 
 def request_stop(host):
