Fix: requests were sent though a stopping host ends before the answer

Callers saw, in a planned stop of one host, a 502 for requests that a target was at work on, among them requests that may run once.

Cause: nothing that begins a send looked at the time that is left until the end of the stop. A first send, a repeat, a hedge and a relay began up to the last moment, and were cut at the end.

A call that can't be sent is refused with 503 "stopping" as it arrives, and tells a relaying host that it was not carried; one that another attempt may have run is never told "not run", and one with an attempt in flight keeps it. A request with a key is refused after the look at its claim, which tells whether a copy may have run. The choice of a target for a waiting call passes over those that are too slow for the time left.

--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -101,6 +101,20 @@
     )
 
 
+def refuse_stopping(state: state_lib.GateState, call: state_lib.Call) -> None:
+    """Refuses a call that can't be answered before this host ends."""
+    fail_call(
+        state,
+        call,
+        failure_status(call),
+        "stopping",
+        "this gate host stops before the call can be answered; retry on"
+        " another one",
+        jittered_retry_after_ms(state, 0),
+        not_carried=call.relayed and not call.may_have_run,
+    )
+
+
 def failure_status(call: state_lib.Call) -> int:
     """Returns the status of a failed call; 503 states that it never ran."""
     return 502 if call.may_have_run else 503
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -8,6 +8,7 @@
 from fireflyspindle.core import hedging
 from fireflyspindle.core import load as load_lib
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
@@ -22,24 +23,31 @@
 
 def begin(
     state: state_lib.GateState, call: state_lib.Call, target: targets.Target
-) -> None:
+) -> bool:
     """Sends an attempt of a call to a target, if its key is still valid.
 
-    This is the last check of an evacuation: a call for an evacuated target is
+    This is the last check of an evacuation and of the end of a planned stop: a
+    call for an evacuated target, or one that can't be answered in time, is
     refused, unless another attempt of it is in flight.
 
+    Returns:
+        False if nothing was sent and the call goes on with the attempt that it
+        has.
+
     Raises:
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
     if not sending.may_send(state, call):
-        return
+        return not call.attempts
+    if not stop_limit.may_send(state, call, target):
+        return _refuse_stopping(state, call)
     if quota_send_check.wait_if_expired(state, call):
-        return
+        return True
     service = state.services[call.service]
     if not evacuation_domains.may_receive(state, target):
         _refuse_evacuated(state, call, target)
-        return
+        return not call.attempts
     expected_slowdown, near_capacity = 1.0, False
     if call.route:
         expected_slowdown = forecast.expected_slowdown(state, service, target)
@@ -52,6 +60,17 @@
     _record_step(state, call, attempt)
     _send(state, call, attempt)
     hedging.schedule(state, call)
+    return True
+
+
+def _refuse_stopping(state: state_lib.GateState, call: state_lib.Call) -> bool:
+    """Refuses a call; False if it keeps an attempt that is in flight."""
+    if call.attempts:
+        call.record_step(state.now_us, "not_hedged", error="stopping")
+        return False
+    call.probe_round = None
+    answers.refuse_stopping(state, call)
+    return True
 
 
 def _refuse_evacuated(
@@ -73,17 +92,23 @@
     service: state_lib.ServiceState,
     call: state_lib.Call,
     helper: targets.Target,
-) -> None:
+) -> bool:
     """Sends a call to a gate host that carries it, if its key is valid.
 
+    Returns:
+        False if nothing was sent and the call goes on with the attempt that it
+        has.
+
     Raises:
         AssertionError: A non-repeatable request would be sent although it
             may have run or may still run.
     """
     if not sending.may_send(state, call):
-        return
+        return not call.attempts
+    if not stop_limit.may_start(state, call):
+        return _refuse_stopping(state, call)
     if quota_send_check.wait_if_expired(state, call):
-        return
+        return True
     attempt = _add(state, service, call, helper)
     attempt.relayed = True
     call.record_step(
@@ -95,6 +120,7 @@
         helpers=len(state.helpers.by_address),
     )
     _send(state, call, attempt)
+    return True
 
 
 def _add(
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -20,6 +20,7 @@
 from fireflyspindle.core import relays
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import suspects
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_statements
@@ -75,6 +76,11 @@
         hedging.on_arrived(state, service)
     if crashing_requests.refuse(state, call):
         return
+    keyed = bool(event.idempotency_key) and not call.repeatable
+    if not keyed and not stop_limit.may_start(state, call):
+        # The claim of a key tells whether another copy may have run.
+        answers.refuse_stopping(state, call)
+        return
     quota_admission.admit(state, call, event)
 
 
--- a/src/fireflyspindle/core/claims.py
+++ b/src/fireflyspindle/core/claims.py
@@ -17,6 +17,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 
 _CALLER_OUTCOMES = {
     claim_records.ClaimOutcome.COMPLETE: effects.Outcome.COMPLETE,
@@ -120,12 +121,15 @@
     elif entry is not None and not entry.free:
         _wait(state, call, call_claim)
         _answer_waiters(state, call_claim.key.key_id, entry)
+    elif pending is not None and pending.call_id is not None:
+        _wait(state, call, call_claim)
+    elif not stop_limit.may_start(state, call):
+        call.may_have_run = call_claim.other_copies
+        answers.refuse_stopping(state, call)
     elif pending is None:
         _start_claim(state, call, call_claim)
-    elif pending.call_id is None:
-        _reassign_claim(state, call, call_claim, pending)
     else:
-        _wait(state, call, call_claim)
+        _reassign_claim(state, call, call_claim, pending)
 
 
 def _refuse_reused_key(
--- a/src/fireflyspindle/core/dispatch_queue.py
+++ b/src/fireflyspindle/core/dispatch_queue.py
@@ -17,6 +17,7 @@
 from fireflyspindle.core import reachability
 from fireflyspindle.core import relays
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
@@ -134,6 +135,8 @@
             )
         ):
             continue
+        if not stop_limit.may_send(state, call, target):
+            continue
         if forecast.has_free_slot(state, service, target):
             return target
     return None
@@ -156,6 +159,8 @@
     ):
         if expected_us * SLOW_TARGET_MARGIN > left_us:
             continue
+        if not stop_limit.may_send(state, call, target):
+            continue
         if not forecast.has_free_slot(state, service, target):
             continue
         if forecast.has_recent_report(state, target, RECENT_REPORT_US):
--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -28,7 +28,8 @@
     state.emit(effects.CloseAfterAnswers())
     grace_us = state.settings.drain_grace_ms * 1000
     limit_us = state.settings.drain_limit_ms * 1000
-    state.timers.add(event.now_us + limit_us, timers.DrainDeadline())
+    state.stop_limit_us = event.now_us + limit_us
+    state.timers.add(state.stop_limit_us, timers.DrainDeadline())
     if grace_us:
         state.timers.add(event.now_us + grace_us, timers.DrainGraceExpired())
         return
--- a/src/fireflyspindle/core/hedges/checks.py
+++ b/src/fireflyspindle/core/hedges/checks.py
@@ -13,6 +13,7 @@
 from fireflyspindle.core import reachability
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import suspects
 from fireflyspindle.core import target_limits
 from fireflyspindle.core import target_selection
@@ -41,6 +42,8 @@
     end_us = state.now_us + forecast.processing_time_us(service, call)
     if end_us > call.deadline_us:
         return hedge_state.Cause.DEADLINE
+    if not stop_limit.may_start(state, call):
+        return hedge_state.Cause.STOPPING
     if not retries.may_send_again(state, call):
         return hedge_state.Cause.MAX_ATTEMPTS
     return _service_refusal(state, service)
--- a/src/fireflyspindle/core/hedges/hedge_state.py
+++ b/src/fireflyspindle/core/hedges/hedge_state.py
@@ -18,6 +18,7 @@
     MAX_ATTEMPTS = "max_attempts"
     SUSPECT = "suspect"
     DEADLINE = "deadline"
+    STOPPING = "stopping"
     CALLS_WAITING = "calls_waiting"
     TARGETS_LOST = "targets_lost"
     LOAD = "load"
--- a/src/fireflyspindle/core/hedges/sending.py
+++ b/src/fireflyspindle/core/hedges/sending.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import placement
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import targets
 from fireflyspindle.core.hedges import budget as budget_lib
 from fireflyspindle.core.hedges import checks
@@ -124,7 +125,10 @@
     call: state_lib.Call,
     target: targets.Target,
 ) -> None:
-    """Sends a hedge unless the quota of the organisation forbids it."""
+    """Sends a hedge unless the end of a stop or the quota forbids it."""
+    if not stop_limit.may_send(state, call, target):
+        _withdraw(state, service, call, hedge_state.Cause.STOPPING)
+        return
     if not quota_permits.take_for_hedge(state, call):
         _withdraw(state, service, call, hedge_state.Cause.QUOTA)
         return
--- a/src/fireflyspindle/core/hedging.py
+++ b/src/fireflyspindle/core/hedging.py
@@ -12,6 +12,7 @@
 from fireflyspindle.core import placement
 from fireflyspindle.core import retries
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import suspects
 from fireflyspindle.core import target_selection
 from fireflyspindle.core import targets
@@ -133,6 +134,8 @@
     """Sends a hedge within the share of the service's policy."""
     if not domains.may_receive(state, target):
         sending.refuse(state, call, hedge_state.Cause.TARGET_EVACUATED)
+    elif not stop_limit.may_send(state, call, target):
+        sending.refuse(state, call, hedge_state.Cause.STOPPING)
     elif not service.hedge_budget.spend():
         sending.refuse(state, call, hedge_state.Cause.HEDGE_BUDGET)
     elif not quota_permits.take_for_hedge(state, call):
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -83,8 +83,7 @@
 ) -> bool:
     if target is None:
         return False
-    attempts.begin(state, call, target)
-    return True
+    return attempts.begin(state, call, target)
 
 
 def choose_target(
--- a/src/fireflyspindle/core/relays.py
+++ b/src/fireflyspindle/core/relays.py
@@ -41,8 +41,7 @@
         return False
     service.waiting_calls.pop(call.call_id, None)
     call.relays += 1
-    attempts.begin_relay(state, service, call, helper.target)
-    return True
+    return attempts.begin_relay(state, service, call, helper.target)
 
 
 def _choose_helper(
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -3,6 +3,7 @@
 from fireflyspindle.core import fleet
 from fireflyspindle.core import placement
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import suspects
 from fireflyspindle.core import target_selection
 from fireflyspindle.core.organisations import authorisation
@@ -25,7 +26,7 @@
 
 
 def may_send_again(state: state_lib.GateState, call: state_lib.Call) -> bool:
-    """Whether the limits and deadline of a call allow another attempt."""
+    """Whether a call's limits and the time left allow another attempt."""
     counted_attempts = call.sent_attempts
     if call.route:
         counted_attempts -= call.unreached_attempts
@@ -35,7 +36,7 @@
         return False
     if not authorisation.may_resend(state, call):
         return False
-    return state.now_us < call.deadline_us
+    return state.now_us < call.deadline_us and stop_limit.may_start(state, call)
 
 
 def charge_budget(
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -460,6 +460,7 @@
         host_list_reads: Successful reads of the host list.
         host_list_failures: Failed reads of the host list.
         stopping: Whether a planned stop has begun.
+        stop_limit_us: Time at which a planned stop ends, once it has begun.
         listening: Whether new connections of callers are accepted.
         probe_slots: Leases on the right to probe.
         probes: Probes in flight by number.
@@ -517,6 +518,7 @@
     host_list_reads: int = 0
     host_list_failures: int = 0
     stopping: bool = False
+    stop_limit_us: int | None = None
     listening: bool = True
     probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
     probes: dict[int, Probe] = attrs.field(factory=dict)
