Fix: calls waited until the end of a stop for a 503

Callers saw, in a planned stop, no answer for up to 5.2 s and then a 503, which could have been said when the request came or when its last chance had passed.

A stopping host checks its waiting calls at the stop request, when the latest start of one passes, and every 50 ms, as new answers move that time. A call whose latest start has passed is refused: 503 "stopping", or 502 where an earlier attempt may have run. Copies that wait for the outcome of another request with their key go on waiting: they are not sent.

--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -3,19 +3,26 @@
 The first request to stop makes the host not ready and notifies its peers. The
 platform's load balancer reacts with a delay, so the host still accepts calls
 during a grace period. Then it closes its listening address, finishes the
-calls in flight, and exits. A second request ends the grace period. At the
-hard limit the remaining attempts are cancelled, and every call without an
+calls in flight, and exits. A second request ends the grace period. A call that
+waits until it can no longer be answered before the hard limit is refused. At
+the hard limit the remaining attempts are cancelled, and every call without an
 answer is answered as not run or unknown.
 """
 
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
 from fireflyspindle.core import claim_batches
+from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import stop_limit
 from fireflyspindle.core import timers
 
+# Most time between two checks of the calls that wait: new answers change the
+# time at which they have to be sent.
+CHECK_INTERVAL_US = 50_000
+
 
 def on_stop_requested(
     state: state_lib.GateState, event: events.StopRequested
@@ -30,6 +37,7 @@
     limit_us = state.settings.drain_limit_ms * 1000
     state.stop_limit_us = event.now_us + limit_us
     state.timers.add(state.stop_limit_us, timers.DrainDeadline())
+    on_check_due(state)
     if grace_us:
         state.timers.add(event.now_us + grace_us, timers.DrainGraceExpired())
         return
@@ -43,6 +51,32 @@
         state.emit(effects.StopListening())
 
 
+def on_check_due(state: state_lib.GateState) -> None:
+    """Refuses the waiting calls that can't be answered before the limit."""
+    assert state.stop_limit_us is not None
+    next_check_us = state.now_us + CHECK_INTERVAL_US
+    for call in list(state.calls.values()):
+        latest_us = stop_limit.latest_start_us(state, call)
+        if latest_us is None or not _waits_to_be_sent(call):
+            continue
+        if state.now_us > latest_us:
+            answers.refuse_stopping(state, call)
+        else:
+            next_check_us = min(next_check_us, latest_us + 1)
+    if next_check_us < state.stop_limit_us:
+        state.timers.add(next_check_us, timers.StopCheckDue())
+
+
+def _waits_to_be_sent(call: state_lib.Call) -> bool:
+    """Whether a call waits here, except for the outcome of another copy."""
+    if call.phase is not state_lib.CallPhase.WAITING or call.attempts:
+        return False
+    return (
+        call.claim is None
+        or call.claim.phase is not claim_state.ClaimPhase.WAITING
+    )
+
+
 def exit_if_drained(state: state_lib.GateState) -> None:
     """Exits once the last call and the last claim append have ended."""
     if not state.stopping or state.listening or state.calls:
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -179,6 +179,8 @@
                 drain.on_grace_expired(state)
             case timers.DrainDeadline():
                 drain.on_deadline(state)
+            case timers.StopCheckDue():
+                drain.on_check_due(state)
             case _:
                 _fire_background(state, timer)
 
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -120,6 +120,11 @@
     """The hard limit of a planned stop has passed."""
 
 
+@attrs.define
+class StopCheckDue:
+    """A check of the calls that wait at a stopping host is due."""
+
+
 @attrs.define
 class GossipRoundDue:
     """A round of messages to peers is due."""
@@ -166,6 +171,7 @@
     | QuotaCheckDue
     | DrainGraceExpired
     | DrainDeadline
+    | StopCheckDue
     | GossipRoundDue
     | SnapshotCheckDue
     | ClaimsDue
