Fix: a host with a short grace-s took requests until it ended

Callers saw 502 for requests that a host with grace-s of 3 took up to 2.6 s after SIGTERM: the time for new requests was 2.8 s, whatever the time until SIGKILL. With grace-s up to 0.4 the limit of the stop was 0 or below.

The time for new requests is 2.8 s, but at most half of the limit of the stop. The limit lies 0.4 s before SIGKILL, but at most half of grace-s, and stays above 0. Settings with grace-s of 6 and more are as before.

--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -44,11 +44,19 @@
 # Longest wait of a read of crashes, as a fraction of the time in which all
 # hosts must know of them.
 CRASH_WAIT_FRACTION = 0.5
-# Time for which a stopping host still accepts connections: the load balancer
-# checks readiness once a second and removes a host after two failed checks.
+# Most time for which a stopping host still accepts connections: the load
+# balancer checks readiness once a second and removes a host after two failed
+# checks.
 DRAIN_GRACE_MS = 2_800
-# Time before SIGKILL at which a stopping host aborts the remaining calls.
+# Most of the time until the host ends in which it accepts connections; the rest
+# is for their requests.
+DRAIN_GRACE_SHARE = 0.5
+# Time before SIGKILL at which a stopping host aborts the remaining calls, and
+# its most as a share of the time until SIGKILL.
 SIGKILL_MARGIN_MS = 400
+SIGKILL_MARGIN_SHARE = 0.5
+# Fewest milliseconds until a stopping host ends; half of it is still above 0.
+MIN_DRAIN_LIMIT_MS = 2
 
 # Largest body that is buffered for a retry; requests usually have a few
 # kilobytes.
@@ -318,11 +326,14 @@
 ) -> state_lib.CoreSettings:
     bounds = settings.bounds
     apply_bound_ms = min(bounds.drain_ms, bounds.config_apply_ms)
+    drain_limit_ms = _drain_limit_ms(bounds)
     return state_lib.CoreSettings(
         host_id=settings.host_id,
         failure_domain=settings.failure_domain,
-        drain_grace_ms=DRAIN_GRACE_MS,
-        drain_limit_ms=int(bounds.grace_s * 1000) - SIGKILL_MARGIN_MS,
+        drain_grace_ms=min(
+            DRAIN_GRACE_MS, int(drain_limit_ms * DRAIN_GRACE_SHARE)
+        ),
+        drain_limit_ms=drain_limit_ms,
         store=store_state.StoreSettings(
             min_read_interval_ms=max(0, int(apply_bound_ms) - READ_MARGIN_MS),
             apply_limit_ms=int(bounds.config_apply_ms),
@@ -355,6 +366,13 @@
     )
 
 
+def _drain_limit_ms(bounds: settings_lib.Bounds) -> int:
+    """Returns the time after which a stopping host aborts the calls left."""
+    kill_ms = bounds.grace_s * 1000
+    margin_ms = min(SIGKILL_MARGIN_MS, kill_ms * SIGKILL_MARGIN_SHARE)
+    return max(MIN_DRAIN_LIMIT_MS, int(kill_ms - margin_ms))
+
+
 def _quota_tolerance(
     bounds: settings_lib.Bounds,
 ) -> store_state.QuotaTolerance | None:
