Fix: a grace time beyond the limit of a stop was accepted

With limits.drain_grace_ms above limits.drain_limit_ms the stop ended while the host still took calls: they were cut at the limit. The settings were accepted.

They are refused now; the error names both keys and the most that may be given. The defaults and the examples are valid as before.

--- a/src/fireflyspindle/settings.py
+++ b/src/fireflyspindle/settings.py
@@ -219,7 +219,11 @@
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return result.Err([f"not TOML: {error}"])
-    return validation.build(Settings, raw, "").and_then(_check_log_retention)
+    return (
+        validation.build(Settings, raw, "")
+        .and_then(_check_log_retention)
+        .and_then(_check_drain_grace)
+    )
 
 
 def _check_log_retention(
@@ -241,6 +245,22 @@
     )
 
 
+def _check_drain_grace(
+    settings: Settings,
+) -> result.Result[Settings, list[str]]:
+    """Checks that a planned stop does not end within its grace time."""
+    limits = settings.limits
+    if limits.drain_grace_ms <= limits.drain_limit_ms:
+        return result.Ok(settings)
+    return result.Err(
+        [
+            f"limits.drain_grace_ms: found {limits.drain_grace_ms}; give at"
+            f" most {limits.drain_limit_ms}, or a longer"
+            f" limits.drain_limit_ms = {limits.drain_limit_ms}"
+        ]
+    )
+
+
 def load(path: pathlib.Path) -> result.Result[Settings, list[str]]:
     """Reads settings from a file."""
     try:
