Fix: a request whose body ended after the last call of a stop got no answer

A stopping host that has no call left waits up to 5 s for bodies that callers still send. A request whose body came in that time was passed on, and 5 s after the last call its connection was closed without an answer, while the target was at work and limits.drain_limit_ms (60 s) was far.

The wait for calls goes on until the limit of the stop, at which the host answers each of them; bodies are waited for as long as before.

Evidence: test_request_whose_body_ends_after_the_last_call_is_answered failed before (no answer) and passes.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -93,14 +93,19 @@
         """
         await self.server.start_relays(address, accepting)
 
-    async def wait_idle(self) -> None:
+    async def wait_idle(self, calls_limit_s: float) -> None:
         """Waits until no body is being buffered and no call is in flight.
 
-        Returns after SETTLE_LIMIT_S at the latest.
+        Args:
+            calls_limit_s: Longest wait for calls. Bodies are waited for
+                `SETTLE_LIMIT_S` at the longest, and so are calls at the least.
         """
-        end_s = time.monotonic() + SETTLE_LIMIT_S
+        started_s = time.monotonic()
         while self.server.receiving or self.exchanges:
-            if time.monotonic() > end_s:
+            limit_s = SETTLE_LIMIT_S
+            if self.exchanges:
+                limit_s = max(limit_s, calls_limit_s)
+            if time.monotonic() > started_s + limit_s:
                 return
             await asyncio.sleep(POLL_S)
 
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -64,7 +64,7 @@
     async def wait_exit(self) -> None:
         """Waits until every response is delivered, then cancels every task."""
         await self._exit.wait()
-        await self.data_path.wait_idle()
+        await self.data_path.wait_idle(self._time_left_s())
         await self.data_path.close_server(self._delivery_limit_s())
         if self._timer is not None:
             self._timer.cancel()
@@ -74,9 +74,13 @@
         self.data_path.close()
 
     def _delivery_limit_s(self) -> float:
+        """Returns the time in which callers may receive their responses."""
+        return max(MIN_DELIVERY_S, self._time_left_s())
+
+    def _time_left_s(self) -> float:
         """Returns the time left until the limit of the planned stop."""
         left_us = (self._stop_limit_us or 0) - self.now_us()
-        return max(MIN_DELIVERY_S, left_us / 1e6)
+        return max(0.0, left_us / 1e6)
 
     def now_us(self) -> int:
         """Returns the monotonic time."""
