Tell followers how long a relayed read took

A follower could refuse a proper request with 404 though the route was in the store: a read that took up to 2.4 s beyond its wait, because its data arrived slowly, was taken for complete until its end.

--- a/src/fireflyspindle/adapters/feed_lines.py
+++ b/src/fireflyspindle/adapters/feed_lines.py
@@ -43,6 +43,7 @@
         own: Whether the followed host made the read itself.
         gate_hosts: Number of gate hosts of the fleet; None if it has not
             changed or is unknown.
+        delay_ms: Time that the read took beyond its wait at the store.
     """
 
     source: str
@@ -50,6 +51,7 @@
     outcome: store_records.Batch | store_records.ReadFailed
     own: bool
     gate_hosts: int | None = None
+    delay_ms: int = 0
 
 
 def _encode_record(record: store_records.Record) -> list[Any]:
@@ -100,12 +102,16 @@
                 bool(content["whole"]),
                 int(content["from-offset"]),
             )
+        # The age of a late read includes its delay, as hosts of older builds
+        # know nothing of delays.
+        late_ms = max(0, int(content.get("late-ms", 0)))
         return RelayedOutcome(
             str(content["source"]),
-            int(content["age-ms"]),
+            int(content["age-ms"]) - late_ms,
             outcome,
             bool(content["own"]),
             _decode_gate_hosts(content),
+            max(0, int(content.get("delay-ms", 0))) + late_ms,
         )
     except json_documents.DECODE_ERRORS as error:
         raise ValueError(f"line {line[:100]!r} can't be read") from error
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -38,6 +38,8 @@
 # Longest time for which the records of one read, sent to all followers, may
 # fill the link of this host.
 MAX_FAN_OUT_S = 0.5
+# Shortest delay of a read that followers are told of.
+MIN_DELAY_US = 50_000
 # Rate of that link if the settings don't state it.
 DEFAULT_LINK_MBPS = 5.0
 
@@ -61,6 +63,8 @@
         reads: Number of reads recorded.
         ended_us: Time at which the latest read ended.
         succeeded_us: Time at which the latest successful read ended.
+        delay_us: Time that it took beyond its wait at the store.
+        late_us: The same of a late read; `succeeded_us` is earlier by it.
         failed: Why the latest read failed, if it did.
         own: Whether this host made the latest read.
         encoded: Batches as sent to the followers since the latest change, by
@@ -73,6 +77,8 @@
     reads: int = 0
     ended_us: int = 0
     succeeded_us: int = 0
+    delay_us: int = 0
+    late_us: int = 0
     failed: store_records.ReadFailed | None = None
     own: bool = True
     encoded: dict[tuple[int | None, bool], _EncodedBatch] = attrs.field(
@@ -230,6 +236,7 @@
         age_us: int = 0,
         own: bool = True,
         delay_us: int = 0,
+        late_us: int = 0,
     ) -> None:
         """Records the outcome of a read and sends it to the followers.
 
@@ -240,8 +247,9 @@
             own: Whether this host made the read. Reads of another host are
                 relayed once, so that they can't circulate among hosts that
                 follow each other.
-            delay_us: Time that a late read took beyond its wait at the store.
-                What it read may be that much older.
+            delay_us: Time that the read took beyond its wait at the store.
+            late_us: The same of a late read, for which it counts as age:
+                followers of older builds don't know of delays.
         """
         source = self._sources[name]
         failed: store_records.ReadFailed | None = None
@@ -259,7 +267,9 @@
         source.failed = failed
         source.own = own
         if failed is None:
-            source.succeeded_us = ended_us - delay_us
+            source.succeeded_us = ended_us - late_us
+            source.delay_us = delay_us
+            source.late_us = late_us
         self._notify()
 
     def add_records(self, name: str, batch: store_records.Batch) -> None:
@@ -401,6 +411,10 @@
             next_offset = batch.next_offset
             batch = store_records.Batch([], next_offset, False, next_offset)
             records = feed_lines.encode_records([], deflate=False)
+        if source.delay_us >= MIN_DELAY_US:
+            fields["delay-ms"] = -(-source.delay_us // 1000)
+        if source.late_us:
+            fields["late-ms"] = -(-source.late_us // 1000)
         offsets[name] = batch.next_offset
         fields["from-offset"] = batch.from_offset
         fields["next-offset"] = batch.next_offset
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -431,11 +431,13 @@
         stream: Number of the stream that delivered it.
         age_us: Time since the read ended.
         from_offset: Offset from which the delivered records are complete.
+        delay_us: Time that the read took beyond its wait at the store.
     """
 
     stream: int
     age_us: int
     from_offset: int = 0
+    delay_us: int = 0
 
 
 @attrs.define
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -181,8 +181,8 @@
     if event.relayed is None:
         started_us = reads.own_read_start_us(event)
     else:
-        age_us = event.relayed.age_us + settings.wait_us(source)
-        started_us = state.now_us - age_us
+        taken_us = settings.wait_us(source) + event.relayed.delay_us
+        started_us = state.now_us - event.relayed.age_us - taken_us
     previous_us = reads.complete_until_us
     if previous_us is None or previous_us < started_us:
         reads.complete_until_us = started_us
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -135,7 +135,7 @@
         )
         # The read has ended, so `CancelStoreRead` has nothing left to cancel.
         self._read_tasks.pop(effect.source, None)
-        self._on_read(effect, outcome)
+        self._on_read(effect, outcome, started_us)
 
     def _on_late_read(
         self,
@@ -150,13 +150,14 @@
             f"{effect.source}: the store answered a read after {elapsed_ms} ms",
             code="store_slow",
         )
-        self._on_read(effect, outcome, started_us)
+        self._on_read(effect, outcome, started_us, is_late=True)
 
     def _on_read(
         self,
         effect: effects.ReadStore,
         outcome: timed_reads.Outcome,
-        late_start_us: int | None = None,
+        started_us: int,
+        is_late: bool = False,
     ) -> None:
         now_us = self._shell.now_us()
         if isinstance(outcome, store_records.HistoryDropped):
@@ -166,11 +167,15 @@
                 )
             )
             return
-        delay_us = 0
-        if late_start_us is not None:
-            delay_us = now_us - late_start_us - effect.wait_ms * 1000
-        self.feed.record_read(effect.source, outcome, delay_us=delay_us)
+        delay_us = max(0, now_us - started_us - effect.wait_ms * 1000)
+        self.feed.record_read(
+            effect.source,
+            outcome,
+            delay_us=0 if is_late else delay_us,
+            late_us=delay_us if is_late else 0,
+        )
         source = store_state.Source(effect.source)
+        late_start_us = started_us if is_late else None
         self._shell.submit(self._decode(source, outcome, None, late_start_us))
 
     async def _follow_reader(self, effect: effects.FollowReader) -> None:
@@ -214,11 +219,17 @@
                 from_offset = 0
                 if isinstance(outcome, store_records.Batch):
                     from_offset = outcome.from_offset
-                relayed = events.RelayedRead(stream, age_ms * 1000, from_offset)
+                relayed = events.RelayedRead(
+                    stream, age_ms * 1000, from_offset, item.delay_ms * 1000
+                )
                 source = store_state.Source(name)
                 if followed.relays and own:
                     self.feed.record_read(
-                        name, outcome, relayed.age_us, own=False
+                        name,
+                        outcome,
+                        relayed.age_us,
+                        own=False,
+                        delay_us=relayed.delay_us,
                     )
                 elif isinstance(outcome, store_records.Batch):
                     self.feed.add_records(name, outcome)
--- a/tests/test_platform_readers.py
+++ b/tests/test_platform_readers.py
@@ -11,6 +11,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import fleet as fleet_lib
 from fireflyspindle.core import host_count
+from fireflyspindle.core import store_state
 from fireflyspindle.platform import host as host_lib
 from fireflyspindle.testing import platform_documents
 from fireflyspindle.testing import store as store_lib
@@ -193,3 +194,37 @@
         )
         for proxy in proxies:
             await proxy.close()
+
+
+# Guards against a follower that takes a relayed read for newer than it is: it
+# would refuse requests for routes that were added while the response arrived.
+async def test_relayed_read_is_complete_until_its_start_at_a_slow_link():
+    source = store_state.Source.CONFIGURATION
+    started_us = []
+
+    def slow_down(host):
+        client = host._store_sync._timed_reads._client
+        read = client.read
+
+        async def read_slowly(topic, *arguments):
+            start_us = host.now_us()
+            outcome = await read(topic, *arguments)
+            progress = arguments[-1]
+            # Data arrives all the time, so that the read is not late.
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                progress.received_s = asyncio.get_running_loop().time()
+            if topic == store_lib.CONFIGURATION_TOPIC:
+                started_us.append(start_us)
+            return outcome
+
+        client.read = read_slowly
+
+    async with platform_driver.reader_and_follower() as (_, reader, follower):
+        slow_down(reader)
+        slow_down(follower)
+        while len(started_us) < 4:
+            await asyncio.sleep(0.05)
+            reads = follower.state.store_reads[source]
+            if started_us:
+                assert reads.complete_until_us <= max(started_us) + 100_000
