Find the reader that reads the store after a long outage

A host whose own reads failed went back and forth between two readers of its own failure domain that were cut off too, and never tried the one that was not.

Cause: gave each reader more time when it reported failures, too, until that time exceeded the one for which a lost reader is avoided.

Only a reader from which nothing has arrived gets more time, and a lost one is avoided until each of the others has had its time. Checks when own reads are due no longer rest on the time that a reader gets.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -40,9 +40,9 @@
 STARTUP_RETRY_US = 50_000
 STARTUP_RETRY_PERIOD_US = 2_000_000
 RETRY_US = 500_000
-# Minimum time with one reader before a silent one is replaced. It doubles with
-# each reader that is replaced until one relays a successful read: a feed may
-# need longer for its first lines, whichever reader it comes from.
+# Minimum time with one reader before a silent or failing one is replaced. It
+# doubles with each reader from which no read arrived, until one relays a
+# successful read: a feed may need longer, whichever reader it comes from.
 MIN_FOLLOW_US = 500_000
 MAX_FOLLOW_DOUBLINGS = 4
 # Time for which a report of failed reads counts. It covers one attempt to
@@ -170,6 +170,8 @@
     }
     if follow.address not in _candidates(state):
         stop(state)
+        if _candidates(state):
+            _follow_preferred(state)
     check_stream(state)
 
 
@@ -218,19 +220,16 @@
         _replaceable_us(follow),
         follow.own_reads_allowed_us,
     ]
-    for source in store_state.FREQUENT_SOURCES:
-        reads = state.store_reads[source]
-        if reads.relayed_us is not None:
-            overdue_us = reads.relayed_us + _settings(state).wait_us(source)
+    for source, reads in state.store_reads.items():
+        if reads.relayed_us is None:
+            continue
+        overdue_us = reads.relayed_us + _settings(state).wait_us(source)
+        if source in store_state.FREQUENT_SOURCES:
             times_us.append(overdue_us + SILENCE_TIMEOUT_US)
-            times_us.append(overdue_us + _own_read_slack_us(state))
+        times_us.append(overdue_us + _own_read_slack_us(state))
     check_times_us = [at_us for at_us in times_us if at_us > state.now_us]
     if follow.address is None:
-        starting = (
-            state.now_us < follow.own_reads_allowed_us + STARTUP_RETRY_PERIOD_US
-        )
-        pause_us = STARTUP_RETRY_US if starting else RETRY_US
-        check_times_us.append(state.now_us + pause_us)
+        check_times_us.append(state.now_us + _retry_pause_us(state))
     at_us = min(check_times_us, default=state.now_us + MIN_FOLLOW_US)
     if follow.next_check_us is None or at_us < follow.next_check_us:
         follow.next_check_us = at_us
@@ -243,21 +242,37 @@
     if not _candidates(state):
         return
     if follow.address is None:
-        _follow_preferred(state)
+        if state.now_us >= follow.stream_started_us + _retry_pause_us(state):
+            _follow_preferred(state)
     elif state.now_us >= _replaceable_us(follow) and any(
         _is_overdue(state, source, SILENCE_TIMEOUT_US)
         for source in store_state.FREQUENT_SOURCES
     ):
-        follow.replaced_readers += 1
+        if not follow.has_reported:
+            follow.silent_readers += 1
         _mark_avoided(state, follow.address)
         _follow_preferred(state)
     schedule_check(state)
 
 
+def _retry_pause_us(state: state_lib.GateState) -> int:
+    """Returns the pause between attempts to follow."""
+    follow = state.following
+    starting = (
+        state.now_us < follow.own_reads_allowed_us + STARTUP_RETRY_PERIOD_US
+    )
+    return STARTUP_RETRY_US if starting else RETRY_US
+
+
+def _follow_time_us(follow: store_state.FollowState) -> int:
+    """Returns the minimum time with one reader."""
+    doublings = min(follow.silent_readers, MAX_FOLLOW_DOUBLINGS)
+    return MIN_FOLLOW_US << doublings
+
+
 def _replaceable_us(follow: store_state.FollowState) -> int:
     """Returns the time from which a silent reader may be replaced."""
-    doublings = min(follow.replaced_readers, MAX_FOLLOW_DOUBLINGS)
-    return follow.stream_started_us + (MIN_FOLLOW_US << doublings)
+    return follow.stream_started_us + _follow_time_us(follow)
 
 
 def _settings(state: state_lib.GateState) -> store_state.StoreSettings:
@@ -309,9 +324,14 @@
 
 
 def _mark_avoided(state: state_lib.GateState, address: str) -> None:
-    reader = state.following.readers.get(address)
-    if reader is not None:
-        reader.avoided_until_us = state.now_us + LOST_READER_AVOIDANCE_US
+    """Prefers other readers until each of them has had its time."""
+    follow = state.following
+    reader = follow.readers.get(address)
+    if reader is None:
+        return
+    others_us = len(follow.readers) * _follow_time_us(follow)
+    avoidance_us = max(LOST_READER_AVOIDANCE_US, others_us)
+    reader.avoided_until_us = state.now_us + avoidance_us
 
 
 def _domain_distance(state: state_lib.GateState, address: str) -> int:
@@ -351,6 +371,7 @@
     follow.stream_number += 1
     follow.address = address
     follow.connected = False
+    follow.has_reported = False
     follow.stream_started_us = state.now_us
     follow.unlimited_size = unlimited_size
     offsets = {}
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -246,7 +246,8 @@
     reads = state.store_reads[source]
     reads.relayed_us = state.now_us - relayed.age_us
     state.following.failure_reported_us = None
-    state.following.replaced_readers = 0
+    state.following.silent_readers = 0
+    state.following.has_reported = True
     if not following.is_primary_reader(state):
         reads.succeeded = True
         _record_success(state, source, reads.relayed_us)
@@ -374,6 +375,7 @@
     """Handles a failed read of the reader."""
     reads = state.store_reads[source]
     state.following.failure_reported_us = state.now_us
+    state.following.has_reported = True
     if following.is_primary_reader(state):
         return
     _log_first_failure(state, source, f"reported by the reader: {reason}")
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -206,8 +206,9 @@
         address: Control address of the followed reader, or None.
         connected: Whether that reader has answered.
         stream_started_us: Start of the stream.
-        replaced_readers: Silent readers that were replaced since one relayed a
-            successful read.
+        has_reported: Whether the outcome of a read has arrived on the stream.
+        silent_readers: Readers that were replaced before any outcome arrived,
+            since one relayed a successful read.
         unlimited_size: Whether the stream has no limit on the total size of
             the records that are relayed.
         own_reads_allowed_us: Earliest time at which this host may read the
@@ -223,7 +224,8 @@
     address: str | None = None
     connected: bool = False
     stream_started_us: int = 0
-    replaced_readers: int = 0
+    has_reported: bool = False
+    silent_readers: int = 0
     unlimited_size: bool = False
     own_reads_allowed_us: int = 0
     next_check_us: int | None = None
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -834,3 +834,26 @@
     host.feed(events.CrashesRead, {}, [], False, 0)
     assert {read.source for read in host.own_reads()} == {"crashes"}
     assert host.own_reads()[-1].wait_ms == 1_500
+
+
+# Guards against a host that goes back and forth between two readers of its own
+# failure domain, which are cut off too, and never tries one that is not. Its
+# own reads fail.
+@pytest.mark.parametrize("outage_s", [0, 2, 4, 10, 30])
+def test_reader_that_reads_the_store_is_found_after_an_outage(outage_s):
+    host = FollowingHost(seed=1)
+    host.relay_reads(configured=published_host.document())
+    reading = READERS[-1]
+    end_us = host.now_us + outage_s * 1_000_000
+    while host.now_us < end_us or host.address != reading:
+        assert host.now_us < end_us + 2 * RECOVERY_LIMIT_US
+        if not host.state.following.connected:
+            near = host.address != reading
+            host.connect_reader(published_host.DOMAIN if near else "far")
+        relayed = events.RelayedRead(host.stream, 0)
+        for source, reads in host.state.store_reads.items():
+            host.feed(events.StoreReadFailed, source.value, "503", relayed)
+            due_us = reads.scheduled_us + READ_TIMEOUT_US
+            if reads.pending and host.now_us >= due_us:
+                host.feed(events.StoreReadFailed, source.value, "no response")
+        host.advance(50_000)
