Keep a second late read, so that one without an answer holds up no other

After a silent store of minutes, a store that answered slowly was not read for up to five minutes more: one read without an answer kept the only place for late reads, with a limit that had doubled all the while.

A second late read has always the shortest limit, so that one that is answered within 5 s counts at once. The limit of the first is twice the time of the latest late success, instead of staying as long as an outage has made it.

--- a/src/fireflyspindle/platform/timed_reads.py
+++ b/src/fireflyspindle/platform/timed_reads.py
@@ -2,8 +2,8 @@
 
 A read that brings nothing for a while counts as failed, so that the next one
 soon notices when the store is back. It is not cancelled: a store or a link that
-needs longer than the limit would otherwise never be read. One such late read of
-each topic is kept until it is answered or a newer read has succeeded.
+needs longer than the limit would otherwise never be read. Such late reads are
+kept until one is answered or a newer read has succeeded.
 """
 
 import asyncio
@@ -29,6 +29,8 @@
 # read in the end.
 FIRST_LATE_LIMIT_S = 5.0
 LATE_RECEIVE_FACTOR = 4
+# Most late reads of a topic.
+MAX_LATE = 2
 # Shortest time that is waited for.
 TIMER_RESOLUTION_S = 0.001
 
@@ -55,9 +57,21 @@
     outcome: Outcome | None = None
     task: asyncio.Task[None] | None = None
 
+    def is_given_up(self, limit_s: float) -> bool:
+        """Whether it has been without data, or in progress, for too long."""
+        return (
+            self.progress.silent_s() >= limit_s
+            or self.progress.elapsed_s() >= LATE_RECEIVE_FACTOR * limit_s
+        )
+
+    def cancel(self) -> None:
+        """Ends the read."""
+        if self.task is not None:
+            self.task.cancel()
+
 
 class TimedReads:
-    """Reads topics of the store and keeps a late read of each.
+    """Reads topics of the store and keeps late reads.
 
     Args:
         shell: Shell that runs the reads.
@@ -69,7 +83,7 @@
     ) -> None:
         self._shell = shell
         self._client = client
-        self._late: dict[str, _Read] = {}
+        self._late: dict[str, list[_Read]] = {}
         self._late_limits_s: dict[str, float] = {}
 
     async def read(
@@ -123,33 +137,40 @@
         read.outcome = await self._client.read(
             topic, from_offset, first_offset, wait_ms, read.progress
         )
-        if self._late.get(topic) is not read:
+        late = self._late.get(topic, [])
+        if read not in late:
             return
-        del self._late[topic]
+        late.remove(read)
         if not isinstance(read.outcome, store_records.ReadFailed):
+            self._drop(topic)
+            self._late_limits_s[topic] = max(
+                FIRST_LATE_LIMIT_S, 2 * read.progress.elapsed_s()
+            )
             read.on_late(read.outcome)
 
     def _keep(self, topic: str, read: _Read) -> None:
-        """Keeps a late read, or cancels it if an older one is to be kept."""
+        """Keeps a late read, or cancels it if older ones are to be kept.
+
+        The first one of a topic has a limit that doubles. The second one has
+        always the shortest, so that a read without an answer does not keep the
+        place of others for long.
+        """
         assert read.task is not None
-        older = self._late.get(topic)
-        if older is not None:
-            limit_s = self._late_limits_s.get(topic, FIRST_LATE_LIMIT_S)
-            if (
-                older.progress.silent_s() < limit_s
-                and older.progress.elapsed_s() < LATE_RECEIVE_FACTOR * limit_s
-            ):
-                read.task.cancel()
-                return
-            self._drop(topic)
+        late = self._late.setdefault(topic, [])
+        limit_s = self._late_limits_s.get(topic, FIRST_LATE_LIMIT_S)
+        if late and late[0].is_given_up(limit_s):
+            late.pop(0).cancel()
             self._late_limits_s[topic] = 2 * limit_s
-        if not read.task.done():
-            self._late[topic] = read
+        if len(late) == MAX_LATE and late[-1].is_given_up(FIRST_LATE_LIMIT_S):
+            late.pop().cancel()
+        if len(late) == MAX_LATE:
+            read.cancel()
+        elif not read.task.done():
+            late.append(read)
 
     def _drop(self, topic: str) -> None:
-        late = self._late.pop(topic, None)
-        if late is not None and late.task is not None:
-            late.task.cancel()
+        for read in self._late.pop(topic, []):
+            read.cancel()
 
 
 def _time_left_s(progress: read_progress.Progress, wait_s: float) -> float:
