Bound what late reads may hold: tries, memory, and order of appends

A try that hangs or trickles kept its place among the two tries of a read of the log or the host list, and a list that needed 3 s for each try was never read in 900 s: the oldest try is given up after a time that doubles (test_slow_list_is_read_though_the_first_try_hangs). An endless response filled 291 MB in 14 s: bodies have a largest size (test_response_that_is_too_large_is_a_failure). Two counts of hosts at once raised KeyError. A late append to the store could undo a newer one of its key for up to 60 s (by reading): it has 10 s now, of which the store uses 2 s for its queue. A store that answers 500 for everything got three times the calls: any status from 500 on counts as a failure of the store, after which sources take turns.

--- a/src/fireflyspindle/adapters/host_list.py
+++ b/src/fireflyspindle/adapters/host_list.py
@@ -80,7 +80,7 @@
                     return None
                 if (response.content_length or 0) > MAX_LIST_BYTES:
                     return None
-                body = await progress.read_body(response)
+                body = await progress.read_body(response, MAX_LIST_BYTES)
                 return self._parse(body, response.headers.get("ETag", ""))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
--- a/src/fireflyspindle/adapters/log_client.py
+++ b/src/fireflyspindle/adapters/log_client.py
@@ -14,6 +14,8 @@
 
 READ_WAIT_MS = 5_000
 READ_LIMIT_RECORDS = 500
+# Largest page: as many records of some 128 KB.
+MAX_PAGE_BYTES = 64 * 1024 * 1024
 APPEND_TIMEOUT_S = 2.0
 APPEND_LIMIT_S = 60.0
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
@@ -94,7 +96,7 @@
             ) as response:
                 if response.status != 200:
                     return None
-                body = await progress.read_body(response)
+                body = await progress.read_body(response, MAX_PAGE_BYTES)
                 return _parse_batch(json_documents.parse(body))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
--- a/src/fireflyspindle/adapters/read_progress.py
+++ b/src/fireflyspindle/adapters/read_progress.py
@@ -26,14 +26,24 @@
     )
     received_bytes: int = 0
 
-    async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
-        """Returns the body of a response and records its progress."""
+    async def read_body(
+        self, response: aiohttp.ClientResponse, max_bytes: int
+    ) -> bytes:
+        """Returns the body of a response and records its progress.
+
+        Raises:
+            aiohttp.ClientPayloadError: The body is longer than `max_bytes`.
+        """
         self.received_s = _loop_time_s()
         body = bytearray()
         async for part in response.content.iter_any():
             body += part
             self.received_s = _loop_time_s()
             self.received_bytes += len(part)
+            if len(body) > max_bytes:
+                raise aiohttp.ClientPayloadError(
+                    f"the body has more than {max_bytes} bytes"
+                )
         return bytes(body)
 
     def elapsed_s(self) -> float:
--- a/src/fireflyspindle/adapters/repeated_reads.py
+++ b/src/fireflyspindle/adapters/repeated_reads.py
@@ -13,6 +13,9 @@
 
 # Tries in progress at the same time.
 MAX_TRIES = 2
+# Time after which the oldest of them is given up at first, in intervals between
+# tries.
+OLDEST_TRY_INTERVALS = 4
 
 _Result = TypeVar("_Result")
 
@@ -69,22 +72,38 @@
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
         self._failed_s: float | None = None
+        self._oldest_limit_s = (
+            OLDEST_TRY_INTERVALS * limits.repeat_after_us / 1e6
+        )
 
     def start(self) -> None:
-        """Starts a try, in place of the newest if there are too many."""
+        """Starts a try, in place of another if there are too many."""
         if len(self.in_progress) >= MAX_TRIES:
-            # The one that has received least and waited least.
-            newest = min(
-                self.in_progress.items(),
-                key=lambda item: (item[1].received_bytes, -item[1].started_s),
-            )[0]
-            del self.in_progress[newest]
-            newest.cancel()
+            given_up = self._least_promising()
+            del self.in_progress[given_up]
+            given_up.cancel()
         progress = read_progress.Progress()
         task = self._loop.create_task(self._run(progress))
         self.in_progress[task] = progress
         self._failed_s = None
 
+    def _least_promising(self) -> asyncio.Task[_Result | None]:
+        """Returns the try that has received least and waited least.
+
+        The oldest one has its limit in time, which doubles, so that it does not
+        take the place of newer ones for good.
+        """
+        oldest, progress = min(
+            self.in_progress.items(), key=lambda item: item[1].started_s
+        )
+        if progress.elapsed_s() >= self._oldest_limit_s:
+            self._oldest_limit_s *= 2
+            return oldest
+        return min(
+            self.in_progress.items(),
+            key=lambda item: (item[1].received_bytes, -item[1].started_s),
+        )[0]
+
     async def _run(self, progress: read_progress.Progress) -> _Result | None:
         return await self._attempt(progress)
 
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -143,7 +143,8 @@
         await asyncio.wait({task}, timeout=COUNT_TIMEOUT_S)
         if not task.done():
             return None
-        del self._counts[address]
+        # Another call may have taken it at the same time.
+        self._counts.pop(address, None)
         return task.result().hosts
 
     async def _read_count(self, address: str) -> _Count:
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -16,9 +16,10 @@
 # any more; `timed_reads` has the limits of those that matter.
 MAX_SILENCE_S = 300.0
 # Time after which the outcome of an append is unknown, and after which it is
-# given up. The store queues appends for up to 2 s.
+# given up. The store queues appends for up to 2 s. One that lands much later
+# could undo a newer one of the same key.
 APPEND_TIMEOUT_S = 1.2
-APPEND_LIMIT_S = 60.0
+APPEND_LIMIT_S = 10.0
 # Largest total size of the records of one read, in kilobytes as the store
 # counts them.
 MAX_READ_KB = 1_024
@@ -31,8 +32,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
-# Statuses of a store, or of a proxy before it, that serves no call now.
-UNAVAILABLE_STATUSES = frozenset({429, 502, 503, 504})
+# Status of a store whose calls exceed its rate.
+TOO_MANY_REQUESTS_STATUS = 429
+# Largest body of a response: a page has a megabyte of values.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 
 _LENGTH_PREFIX_BYTES = 4
 _OFFSET_BYTES = 8
@@ -211,7 +214,9 @@
         async with self._session.get(
             self._base_url + path, params=query, timeout=timeout
         ) as response:
-            return response.status, await progress.read_body(response)
+            return response.status, await progress.read_body(
+                response, MAX_BODY_BYTES
+            )
 
     async def close(self) -> None:
         """Closes the session and its connections."""
@@ -220,9 +225,10 @@
 
 
 def _status_failure(status: int) -> store_records.ReadFailed:
+    """Returns the failure; others than these may concern one topic only."""
+    is_unavailable = status >= 500 or status == TOO_MANY_REQUESTS_STATUS
     return store_records.ReadFailed(
-        f"response with status {status}",
-        is_answered=status not in UNAVAILABLE_STATUSES,
+        f"response with status {status}", is_answered=not is_unavailable
     )
 
 
