Let the stand-ins refuse, delay and take as long as a test sets

A proxy could not refuse the requests of one host with a status while the store serves the others, and each delay was 0.05 s. `Fault.REFUSE` and the attributes `delay_s` and `refuse_status` do both.

The stand-in server worked equally long on each request. A request can now state its time in a header, and the server tells when the latest run of a request ends and which requests arrived.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -39,7 +39,9 @@
 # Routes of a configuration that is too large for readers to relay.
 LARGE_CONFIGURATION_ROUTES = 700
 PROXY_FAULTS = [
-    fault for fault in tcp_proxy.Fault if fault is not tcp_proxy.Fault.NONE
+    fault
+    for fault in tcp_proxy.Fault
+    if fault not in (tcp_proxy.Fault.NONE, tcp_proxy.Fault.REFUSE)
 ]
 
 
--- a/src/fireflyspindle/testing/platform_server.py
+++ b/src/fireflyspindle/testing/platform_server.py
@@ -5,10 +5,13 @@
 import hashlib
 
 from aiohttp import web
+import attrs
 
 from fireflyspindle.platform import header_profile
 
 NOT_EXECUTED_HEADERS = {header_profile.NOT_EXECUTED: "1"}
+# Header in which a request states how many milliseconds it takes to run.
+WORK_MS = "X-Stand-In-Work-Ms"
 
 
 def response_body(request_id: str) -> bytes:
@@ -16,17 +19,34 @@
     return hashlib.sha256(request_id.encode()).hexdigest().encode()
 
 
+@attrs.define(frozen=True)
+class Work:
+    """The latest run of a request.
+
+    Attributes:
+        start_s: Loop time at which it started.
+        end_s: Loop time at which it ends unless its connection closes before.
+    """
+
+    start_s: float
+    end_s: float
+
+
 class StandInServer:
     """Runs requests in slots and counts the runs of each.
 
     Attributes:
         server_id: Id of this incarnation of the server.
         slots: Requests that run at once; as many more may wait.
-        service_time_s: Time that a request takes to run.
+        service_time_s: Time that a request takes to run, unless it states a
+            time of its own in the header `WORK_MS`.
         failing: Whether requests get status 500 after they have run.
         limit_per_s: Limit on requests that it states with its answers, or None.
-        runs: Number of runs by request id.
+        runs: Number of runs by request id; by method and path of requests
+            without one.
+        work: Latest run by request id.
         arrivals_s: Loop time at which each request arrived.
+        arrival_ids: Id of each request that arrived, in the same order.
     """
 
     def __init__(
@@ -38,7 +58,9 @@
         self.failing = False
         self.limit_per_s: float | None = None
         self.runs: collections.Counter[str] = collections.Counter()
+        self.work: dict[str, Work] = {}
         self.arrivals_s: list[float] = []
+        self.arrival_ids: list[str] = []
         self._in_flight = 0
         self._slot_semaphore = asyncio.Semaphore(slots)
 
@@ -73,6 +95,9 @@
     async def _on_request(self, request: web.Request) -> web.Response:
         self.arrivals_s.append(asyncio.get_running_loop().time())
         request_id = request.headers.get(header_profile.REQUEST_ID, "")
+        # Without an id, the first line tells who sent the request.
+        name = request_id or f"{request.method} {request.path}"
+        self.arrival_ids.append(name)
         id_header = {header_profile.REQUEST_ID: request_id}
         expected_instance = request.headers.get(header_profile.TARGET_INSTANCE)
         if expected_instance not in (None, self.server_id):
@@ -88,8 +113,8 @@
         self._in_flight += 1
         try:
             async with self._slot_semaphore:
-                self.runs[request_id] += 1
-                await asyncio.sleep(self.service_time_s)
+                self.runs[name] += 1
+                await self._run(request, name)
         finally:
             self._in_flight -= 1
         state_headers = {
@@ -102,3 +127,10 @@
             headers=id_header | state_headers | self._limit_header(),
             body=response_body(request_id),
         )
+
+    async def _run(self, request: web.Request, name: str) -> None:
+        work_ms = request.headers.get(WORK_MS)
+        work_s = self.service_time_s if work_ms is None else int(work_ms) / 1000
+        now_s = asyncio.get_running_loop().time()
+        self.work[name] = Work(now_s, now_s + work_s)
+        await asyncio.sleep(work_s)
--- a/src/fireflyspindle/testing/tcp_proxy.py
+++ b/src/fireflyspindle/testing/tcp_proxy.py
@@ -5,7 +5,9 @@
 import enum
 
 READ_BYTES = 64 * 1024
-DELAY_S = 0.05
+# Delay of data where a test sets no other.
+DEFAULT_DELAY_S = 0.05
+POLL_INTERVAL_S = 0.05
 
 
 class Fault(enum.Enum):
@@ -13,11 +15,13 @@
 
     Attributes:
         NONE: Data is forwarded unchanged.
-        DELAY: Each piece of data is delayed by `DELAY_S`.
+        DELAY: Each piece of data is delayed by `delay_s` of the proxy.
         SILENCE: Data in both directions is held back until the fault changes.
         ONE_WAY: Responses are held back until the fault changes.
         RESET: Connections are aborted at the next data in either direction.
         RESET_ANSWERS: Connections are aborted at the next response data.
+        REFUSE: Requests are answered with `refuse_status` of the proxy and
+            aren't forwarded. A request must fit into one piece of data.
     """
 
     NONE = "none"
@@ -26,6 +30,7 @@
     ONE_WAY = "one_way"
     RESET = "reset"
     RESET_ANSWERS = "reset_answers"
+    REFUSE = "refuse"
 
 
 class TcpProxy:
@@ -34,10 +39,14 @@
     Attributes:
         fault: Fault applied to all data from now on; a reset aborts each
             connection when it next receives data.
+        delay_s: Delay of each piece of data during `Fault.DELAY`.
+        refuse_status: Status of the answers during `Fault.REFUSE`.
     """
 
     def __init__(self, upstream: str) -> None:
         self.fault = Fault.NONE
+        self.delay_s = DEFAULT_DELAY_S
+        self.refuse_status = 503
         self._upstream = upstream
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -61,8 +70,8 @@
             return
         self._writers |= {writer, upstream_writer}
         await asyncio.gather(
-            self._forward(reader, upstream_writer, is_response=False),
-            self._forward(upstream_reader, writer, is_response=True),
+            self._forward(reader, upstream_writer, refusals=writer),
+            self._forward(upstream_reader, writer),
         )
         self._writers -= {writer, upstream_writer}
 
@@ -70,13 +79,24 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        *,
-        is_response: bool,
+        refusals: asyncio.StreamWriter | None = None,
     ) -> None:
+        """Forwards data in one direction.
+
+        Args:
+            reader: Where the data comes from.
+            writer: Where it goes.
+            refusals: Where requests are refused; None for responses.
+        """
+        is_response = refusals is None
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(READ_BYTES):
                 if not await self._apply_fault(is_response=is_response):
                     break
+                if refusals is not None and self.fault is Fault.REFUSE:
+                    refusals.write(self._refusal())
+                    await refusals.drain()
+                    continue
                 writer.write(data)
                 await writer.drain()
         writer.transport.abort()
@@ -85,7 +105,7 @@
         """Applies the fault to received data; returns whether to forward it."""
         match self.fault:
             case Fault.DELAY:
-                await asyncio.sleep(DELAY_S)
+                await asyncio.sleep(self.delay_s)
             case Fault.RESET:
                 return False
             case Fault.RESET_ANSWERS:
@@ -99,9 +119,13 @@
                 pass
         return True
 
+    def _refusal(self) -> bytes:
+        head = f"HTTP/1.1 {self.refuse_status} Refused\r\nContent-Length: 0\r\n"
+        return f"{head}\r\n".encode()
+
     async def _wait_until_cleared(self, fault: Fault) -> None:
         while self.fault is fault:
-            await asyncio.sleep(DELAY_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def close(self) -> None:
         """Closes the port and every connection."""
