Give each gate host of the soak its own path to the store

The soak had one proxy before the store, for all hosts alike. A store that serves some hosts only, answers later than 1.2 s, or fails reads of one topic did not occur in it. Its check of configurations skipped every status but 200 and 404, so a route that was answered 503 for ever passed.

Paths of some hosts, or of exactly the readers, are now refused, silenced, cut or slow; the store is slow; reads of one topic fail, at times around an outage.

A host in touch must serve the newest version: five probes in a row without an answer that was passed on, later than 2 s after it was due, are a violation. A host with a disturbed path is excused, others are not. While the store answers after up to 1.5 s for 10 s or more, a version is due after twice the delay and 3 s. Failing reads of the crash topic excuse nothing.

Arrivals at a server that left count unless they came by a host with a disturbed path. `soak_servers.py` takes the servers out of `soak.py`.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -19,8 +19,8 @@
 from fireflyspindle.bench import soak_callers
 from fireflyspindle.bench import soak_checks
 from fireflyspindle.bench import soak_gates
-from fireflyspindle.testing import platform_documents
-from fireflyspindle.testing import platform_server
+from fireflyspindle.bench import soak_servers
+from fireflyspindle.bench import soak_store
 from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
 
@@ -36,8 +36,6 @@
 # Limits that servers state, in requests per second, and for how long.
 SERVER_LIMITS_PER_S = (0.5, 2.0, 5.0, 20.0)
 SERVER_LIMIT_S = 6.0
-# Routes of a configuration that is too large for readers to relay.
-LARGE_CONFIGURATION_ROUTES = 700
 PROXY_FAULTS = [
     fault
     for fault in tcp_proxy.Fault
@@ -45,28 +43,6 @@
 ]
 
 
-@attrs.define(eq=False)
-class Server:
-    """One server behind its proxy.
-
-    Attributes:
-        stand_in: The server's application.
-        web_server: HTTP server of the application.
-        proxy: Fault-injecting proxy in front of the server.
-        address: Address of the proxy.
-        started_ms: Start time that the server registers, in milliseconds.
-        last_fault_s: Loop time at which the last fault of its proxy ended;
-            infinite during a fault.
-    """
-
-    stand_in: platform_server.StandInServer
-    web_server: testing.Server
-    proxy: tcp_proxy.TcpProxy
-    address: str
-    started_ms: int
-    last_fault_s: float = -1e9
-
-
 @attrs.define
 class Report:
     """Results of a soak run."""
@@ -108,16 +84,18 @@
         self._other_build = other_build
         self._store = testing.StandInStore()
         self._gates: list[soak_gates.Gate] = []
-        self._servers: list[Server] = []
-        self._all_servers: list[Server] = []
+        self._servers: list[soak_servers.Server] = []
+        self._all_servers: list[soak_servers.Server] = []
         self._version = 1
-        self._last_store_fault_s = -1e9
         self._last_pause_s = -1e9
         self._fault_tasks: list[asyncio.Task[None]] = []
         self._planned_stops: list[soak_checks.Span] = []
         self._fault_spans: list[soak_checks.Span] = []
+        self._store_faults = soak_store.StoreFaults(
+            self._store, seed, self._record_fault, self._write_next_version
+        )
         self._configuration_check = soak_checks.ConfigurationCheck(
-            lambda: self._last_store_fault_s
+            self._store_faults.observation
         )
 
     async def run(self) -> Report:
@@ -136,10 +114,8 @@
         return asyncio.get_running_loop().time()
 
     async def _start(self, directory: pathlib.Path) -> None:
-        self._store_server = testing.Server(self._store.application())
-        self._store_proxy = tcp_proxy.TcpProxy(await self._store_server.start())
-        store_address = await self._store_proxy.start()
-        self._configure()
+        store_address = await self._store_faults.start()
+        self._configure(self._size_random.choice(soak_callers.EXTRA_ROUTES))
         for _ in range(self._server_count):
             await self._add_server()
         self._gates = await soak_gates.make_gates(
@@ -152,33 +128,27 @@
         )
         await self.callers.wait_served(START_TIMEOUT_S)
 
-    def _configure(self) -> None:
-        extra_routes = self._size_random.choice([0, LARGE_CONFIGURATION_ROUTES])
+    def _write_next_version(self, extra_routes: int) -> None:
+        self._version += 1
+        self._configure(extra_routes)
+
+    def _configure(self, extra_routes: int) -> None:
         document = soak_callers.document(self._version, extra_routes)
         self._store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
         self._configuration_check.on_written(self._version)
 
     async def _add_server(self) -> None:
-        number = len(self._all_servers)
-        stand_in = platform_server.StandInServer(f"i-{number}")
-        web_server = testing.Server(stand_in.application())
-        proxy = tcp_proxy.TcpProxy(await web_server.start())
-        address = await proxy.start()
-        server = Server(stand_in, web_server, proxy, address, 1_000 + number)
+        server = await soak_servers.start_server(len(self._all_servers))
         self._servers.append(server)
         self._all_servers.append(server)
-        self._register(server, "ready")
-
-    def _register(self, server: Server, state: str) -> None:
-        entry = platform_documents.target_entry(
-            server.address, state, server.started_ms
-        )
-        key = server.stand_in.server_id
-        self._store.write(store_lib.TARGETS_TOPIC, key, entry)
+        server.register(self._store, "ready")
 
     async def _run_faults(self) -> None:
         caller_task = asyncio.create_task(self.callers.run())
-        limit_task = asyncio.create_task(self._limit_servers())
+        background_tasks = [
+            asyncio.create_task(self._limit_servers()),
+            asyncio.create_task(self._store_faults.run(self._gates)),
+        ]
         poll_tasks = [
             asyncio.create_task(
                 self._configuration_check.poll(gate.observation)
@@ -190,9 +160,12 @@
             await self._inject_fault()
             pause_s = FAULT_SPACING_S * self._random.random() * 2
             await asyncio.sleep(pause_s)
-        limit_task.cancel()
-        await asyncio.gather(limit_task, return_exceptions=True)
+        for task in background_tasks:
+            task.cancel()
+        await asyncio.gather(*background_tasks, return_exceptions=True)
         await asyncio.gather(*self._fault_tasks)
+        await self._store_faults.wait()
+        await self._store_faults.run_phase(self._kill)
         await asyncio.sleep(RECOVERY_S)
         before = self.callers.counts()
         await asyncio.sleep(RECOVERY_S)
@@ -204,6 +177,9 @@
         await asyncio.gather(*poll_tasks, return_exceptions=True)
         self._check(before, after)
 
+    def _record_fault(self, description: str) -> None:
+        self.report.faults.append(f"{self._now_s():.2f} {description}")
+
     async def _inject_fault(self) -> None:
         faults = [
             self._kill,
@@ -219,8 +195,7 @@
             self._harm_feed,
         ]
         chosen = self._random.choice(faults)
-        at_s = self._now_s()
-        self.report.faults.append(f"{at_s:.2f} {chosen.__name__[1:]}")
+        self._record_fault(chosen.__name__[1:])
         self._fault_tasks.append(asyncio.create_task(chosen()))
 
     @contextlib.contextmanager
@@ -258,6 +233,7 @@
     async def _stop_planned(self) -> None:
         gate = self._random.choice(self._gates)
         start_s = self._now_s()
+        gate.observation.last_stop_s = float("inf")
         gate.send_signal(signal.SIGHUP)
         gate.send_signal(signal.SIGTERM)
         address = gate.observation.address
@@ -272,6 +248,7 @@
         self._planned_stops.append(stop)
         await gate.start()
         gate.observation.last_fault_s = self._now_s()
+        gate.observation.last_stop_s = self._now_s()
 
     async def _pause(self) -> None:
         gate = self._random.choice(self._gates)
@@ -303,19 +280,14 @@
         server.last_fault_s = self._now_s()
 
     async def _harm_store(self) -> None:
-        self._store_proxy.fault = self._random.choice(PROXY_FAULTS)
-        await self._store_outage()
-        self._store_proxy.fault = tcp_proxy.Fault.NONE
+        fault = self._random.choice(PROXY_FAULTS)
+        duration_s = self._random.uniform(*soak_store.OUTAGE_S)
+        await self._store_faults.harm(fault, duration_s)
 
     async def _refuse_store(self) -> None:
-        self._store.refuse_status = self._random.choice([429, 503])
-        await self._store_outage()
-        self._store.refuse_status = None
-
-    async def _store_outage(self) -> None:
-        self._last_store_fault_s = float("inf")
-        await asyncio.sleep(self._random.uniform(0.5, 3.0))
-        self._last_store_fault_s = self._now_s()
+        status = self._random.choice(soak_store.REFUSE_STATUSES)
+        duration_s = self._random.uniform(*soak_store.OUTAGE_S)
+        await self._store_faults.refuse(status, duration_s)
 
     async def _forget(self) -> None:
         self._store.forget(store_lib.TARGETS_TOPIC)
@@ -323,7 +295,7 @@
 
     async def _change(self) -> None:
         self._version += self._random.randint(1, 3)
-        self._configure()
+        self._configure(self._size_random.choice(soak_callers.EXTRA_ROUTES))
 
     async def _fail_server(self) -> None:
         server = self._random.choice(self._servers).stand_in
@@ -349,40 +321,53 @@
             last_fault_s = max(self._last_pause_s, server.last_fault_s)
             if restarted or last_fault_s >= start_s:
                 continue
-            most = soak_checks.most_arrivals(
-                server.stand_in.arrivals_s, start_s, self._now_s()
+            self.report.violations += server.check_limit(
+                limit_per_s, start_s, self._now_s()
             )
-            if most > soak_checks.allowed_arrivals(limit_per_s):
-                self.report.violations.append(
-                    f"limit: {server.stand_in.server_id} received {most}"
-                    f" requests in {soak_checks.LIMIT_WINDOW_S:g} s, with a"
-                    f" limit of {limit_per_s:g} per second"
-                )
 
     async def _replace(self) -> None:
         """Replaces a server: drains it, or removes it without notice."""
         server = self._servers.pop(self._random.randrange(len(self._servers)))
         await self._add_server()
         if self._random.random() < 0.5:
-            self._register(server, "draining")
+            server.register(self._store, "draining")
         else:
-            key = server.stand_in.server_id
-            self._store.write(store_lib.TARGETS_TOPIC, key, None)
+            server.remove(self._store)
         start_s = self._now_s()
         await asyncio.sleep(DRAIN_LIMIT_S + soak_checks.MARGIN_S)
         limit_s = self._now_s()
         await asyncio.sleep(DRAIN_LIMIT_S)
         last_fault_s = max(
-            self._last_store_fault_s, self._last_pause_s, server.last_fault_s
+            self._store_faults.observation.last_disturbed_s,
+            self._last_pause_s,
+            server.last_fault_s,
         )
         undisturbed = last_fault_s < start_s - RECOVERY_S
-        late = [at_s for at_s in server.stand_in.arrivals_s if at_s > limit_s]
+        late = server.arrivals_after(
+            limit_s,
+            lambda request_id: self._reached_store(
+                request_id, start_s - RECOVERY_S
+            ),
+        )
         if undisturbed and late:
             self.report.violations.append(
                 f"leaving: {server.stand_in.server_id} received a request"
                 f" {late[0] - start_s:.2f} s after it left"
             )
 
+    def _reached_store(self, request_id: str, since_s: float) -> bool:
+        """Returns whether the gate host of a request reached the store."""
+        if request_id in self.callers.results:
+            address = self.callers.results[request_id].address
+        else:
+            addresses = self._configuration_check.probe_addresses
+            address = addresses.get(request_id, "")
+        return all(
+            gate.observation.last_path_fault_s < since_s
+            for gate in self._gates
+            if gate.observation.address == address
+        )
+
     def _check(self, before: tuple[int, int], after: tuple[int, int]) -> None:
         report = self.report
         report.calls, report.served = after
@@ -393,14 +378,14 @@
                 " last fault"
             )
         report.violations += self.callers.violations
-        runs: dict[str, int] = {}
-        for server in self._all_servers:
-            for request_id, count in server.stand_in.runs.items():
-                runs[request_id] = runs.get(request_id, 0) + count
+        runs = soak_servers.count_runs(self._all_servers)
         report.violations += self.callers.check_runs(runs)
         report.violations += self._configuration_check.violations
         report.violations += soak_checks.find_requests_cut_by_stops(
-            self.callers.results, runs, self._planned_stops, self._fault_spans
+            self.callers.results,
+            runs,
+            self._planned_stops,
+            self._fault_spans,
         )
         report.violations += soak_checks.find_requests_without_answer(
             self.callers.results, self._fault_spans
@@ -420,9 +405,9 @@
             gate.send_signal(signal.SIGKILL)
             await gate.wait()
             await gate.control_proxy.close()
+            await gate.store_proxy.close()
         for server in self._all_servers:
             await server.proxy.close()
             with contextlib.suppress(RuntimeError):
                 await server.web_server.close()
-        await self._store_proxy.close()
-        await self._store_server.close()
+        await self._store_faults.close()
--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -23,6 +23,9 @@
 # 400 requests a second, which three gate hosts on one core each can serve.
 CALLER_COUNT = 12
 MAX_PAUSE_S = 0.02
+# Numbers of further routes in a configuration; one with the larger number is
+# too large for readers to relay.
+EXTRA_ROUTES = (0, 700)
 # Prefix of the ids of requests that only check the active configuration.
 PROBE_PREFIX = "probe"
 # Share of the sends that pipeline requests, and most requests of one; share of
@@ -59,7 +62,10 @@
 
 
 def request(
-    method: str, path: str, request_id: str, body: bytes = b""
+    method: str,
+    path: str,
+    request_id: str,
+    body: bytes = b"",
 ) -> bytes:
     """Returns the bytes of a request."""
     length = f"Content-Length: {len(body)}\r\n" if body else ""
@@ -215,7 +221,11 @@
                 False, 0, address, now_s, now_s + CALLER_TIMEOUT_S
             )
         data = b"".join(
-            request("GET", REPEATABLE_PREFIX + request_id, request_id)
+            request(
+                "GET",
+                REPEATABLE_PREFIX + request_id,
+                request_id,
+            )
             for request_id in request_ids
         )
         status = 0
--- a/src/fireflyspindle/bench/soak_checks.py
+++ b/src/fireflyspindle/bench/soak_checks.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import bisect
-from collections.abc import Callable
 import itertools
 
 import attrs
@@ -27,6 +26,21 @@
 LIMIT_FROM_S = 3.0
 LIMIT_KNOWN_S = 0.5
 PROBE_TIMEOUT_S = 1.0
+# While the store answers with a delay of up to `MAX_SLOW_DELAY_S`, and nothing
+# else has disturbed a gate host for `SLOW_FREE_S`, it applies a configuration
+# within `SLOW_FACTOR` times the delay plus `SLOW_ADDEND_S`. Slower answers
+# excuse it.
+MAX_SLOW_DELAY_S = 1.5
+SLOW_FREE_S = 10.0
+SLOW_FACTOR = 2.0
+SLOW_ADDEND_S = 3.0
+# Statuses of the newest version's route which show that a request was passed on
+# or was to be; and the time and the number of probes in a row without one of
+# them after which the version counts as not served. A few probes wait for a
+# server that was just harmed.
+PASSED_ON_STATUSES = frozenset({200, 500, 502})
+UNSERVED_S = 2.0
+UNSERVED_PROBES = 5
 
 
 @attrs.define(eq=False)
@@ -38,12 +52,62 @@
         starts: Number of starts.
         last_fault_s: End of its last fault; infinite during a fault.
         newest_served: Newest version whose route it served since its start.
+        last_path_fault_s: The same as `last_fault_s` for its path to the store.
+        last_stop_s: The same for planned stops, until the start that follows.
+        last_passed_on_s: Time of the last probe of the newest version's route
+            that was passed on.
+        unserved_probes: Probes of that route in a row that were not.
     """
 
     address: str
     starts: int = 0
     last_fault_s: float = -1e9
     newest_served: int = 0
+    last_path_fault_s: float = -1e9
+    last_stop_s: float = -1e9
+    last_passed_on_s: float = -1e9
+    unserved_probes: int = 0
+
+
+@attrs.define(eq=False)
+class StoreObservation:
+    """State of the store as all gate hosts observe it.
+
+    Attributes:
+        last_fault_s: End of its last fault; infinite during a fault.
+        slow_since_s: Time since which its answers are delayed; None if they
+            aren't.
+        slow_delay_s: The delay.
+        last_slow_s: End of the last time with delays.
+    """
+
+    last_fault_s: float = -1e9
+    slow_since_s: float | None = None
+    slow_delay_s: float = 0.0
+    last_slow_s: float = -1e9
+
+    @property
+    def last_disturbed_s(self) -> float:
+        """End of the last fault or delay; infinite during either."""
+        if self.slow_since_s is not None:
+            return float("inf")
+        return max(self.last_fault_s, self.last_slow_s)
+
+    def due_s(self, written_s: float, last_fault_s: float) -> float:
+        """Returns when a gate host must have applied a version.
+
+        Args:
+            written_s: Time at which the store acknowledged the version.
+            last_fault_s: End of the last fault of the gate host.
+        """
+        if self.slow_since_s is None:
+            fault_s = max(last_fault_s, self.last_disturbed_s)
+            return max(written_s + APPLY_LIMIT_S, fault_s + FAULT_FREE_S)
+        if self.slow_delay_s > MAX_SLOW_DELAY_S:
+            return float("inf")
+        fault_s = max(last_fault_s, self.last_fault_s, self.slow_since_s)
+        limit_s = SLOW_FACTOR * self.slow_delay_s + SLOW_ADDEND_S
+        return max(written_s + limit_s, fault_s + SLOW_FREE_S)
 
 
 class ConfigurationCheck:
@@ -52,16 +116,17 @@
     It requests routes that each exist in only one version.
 
     Args:
-        last_store_fault_s: Returns the end of the last fault of the store;
-            infinite during a fault.
+        store: State of the store.
 
     Attributes:
-        violations: Versions that were applied late or reverted.
+        violations: Versions that were applied late, reverted or not served.
+        probe_addresses: Gate host that each probe was sent to, by request id.
     """
 
-    def __init__(self, last_store_fault_s: Callable[[], float]) -> None:
+    def __init__(self, store: StoreObservation) -> None:
         self.violations: list[str] = []
-        self._last_store_fault_s = last_store_fault_s
+        self.probe_addresses: dict[str, str] = {}
+        self._store = store
         self._written_s: dict[int, float] = {}
         self._probe_numbers = itertools.count(1)
 
@@ -83,9 +148,12 @@
         starts, sent_s = gate.starts, _now_s()
         status = await self._fetch_status(gate.address, version)
         newest = max(self._written_s)
-        if status not in (200, 404) or gate.starts != starts:
+        if gate.starts != starts:
             return
-        self.check_response(gate, version, newest, status, sent_s)
+        if status in (200, 404):
+            self.check_response(gate, version, newest, status, sent_s)
+        if version == newest:
+            self.check_served(gate, version, status, sent_s)
 
     def check_response(
         self,
@@ -117,19 +185,52 @@
             self.violations.append(
                 f"configuration: {observed} after serving version {newest}"
             )
-        last_fault_s = max(gate.last_fault_s, self._last_store_fault_s())
-        due_s = max(
-            self._written_s[newest] + APPLY_LIMIT_S, last_fault_s + FAULT_FREE_S
-        )
-        if sent_s > due_s + MARGIN_S:
+        if sent_s > self._due_s(gate, newest) + MARGIN_S:
             late_s = sent_s - self._written_s[newest]
             self.violations.append(
                 f"configuration: {observed} {late_s:.2f} s after version"
                 f" {newest} was written"
             )
 
+    def _due_s(self, gate: GateObservation, version: int) -> float:
+        last_fault_s = max(gate.last_fault_s, gate.last_path_fault_s)
+        return self._store.due_s(self._written_s[version], last_fault_s)
+
+    def check_served(
+        self, gate: GateObservation, version: int, status: int, sent_s: float
+    ) -> None:
+        """Checks that a gate host in touch serves the newest version.
+
+        Args:
+            gate: Gate host that the route was requested from.
+            version: Newest version.
+            status: Status; 0 if there was no complete response.
+            sent_s: Time at which the request was sent.
+        """
+        if status in PASSED_ON_STATUSES:
+            gate.last_passed_on_s = sent_s
+            gate.unserved_probes = 0
+            return
+        gate.unserved_probes += 1
+        due_s = max(
+            self._due_s(gate, version),
+            gate.last_stop_s + FAULT_FREE_S,
+            gate.last_passed_on_s + UNSERVED_S,
+        )
+        if gate.unserved_probes < UNSERVED_PROBES or sent_s <= due_s + MARGIN_S:
+            return
+        late_s = sent_s - self._written_s[version]
+        self.violations.append(
+            f"not served: at {sent_s:.2f} {gate.address} returned {status} for"
+            f" version {version}'s route {late_s:.2f} s after it was written,"
+            f" {sent_s - due_s:.2f} s late"
+        )
+        # Reported again only after it was not served for as long once more.
+        gate.last_passed_on_s = sent_s
+
     async def _fetch_status(self, address: str, version: int) -> int:
         request_id = f"{soak_callers.PROBE_PREFIX}{next(self._probe_numbers)}"
+        self.probe_addresses[request_id] = address
         head = soak_callers.request(
             "GET", f"/version-{version}/{request_id}", request_id
         )
@@ -230,7 +331,8 @@
         faults: Faults that may hold up a response.
     """
     return [
-        f"answer: {request_id} got none in {soak_callers.CALLER_TIMEOUT_S:g} s"
+        f"answer: {request_id}, sent to {result.address} at"
+        f" {result.sent_s:.2f}, got none in {soak_callers.CALLER_TIMEOUT_S:g} s"
         for request_id, result in results.items()
         if not result.status
         and result.ended_s - result.sent_s >= soak_callers.CALLER_TIMEOUT_S
--- a/src/fireflyspindle/bench/soak_gates.py
+++ b/src/fireflyspindle/bench/soak_gates.py
@@ -49,6 +49,7 @@
         observation: State as the checks observe it.
         control_proxy: Proxy through which other gate hosts reach its control
             address.
+        store_proxy: Proxy through which this gate host reaches the store.
         log: File with the output of the process.
         other_build: Sources of another build, which every second start uses.
         process: The process, once it has been started.
@@ -58,6 +59,7 @@
     settings: pathlib.Path
     observation: soak_checks.GateObservation
     control_proxy: tcp_proxy.TcpProxy
+    store_proxy: tcp_proxy.TcpProxy
     log: pathlib.Path
     other_build: pathlib.Path | None = None
     process: asyncio.subprocess.Process | None = None
@@ -127,6 +129,7 @@
             reader if reader == control else proxy_addresses[reader]
             for reader in readers
         ]
+        store_proxy = tcp_proxy.TcpProxy(store_address)
         settings.write_text(
             SETTINGS_TEMPLATE.format(
                 number=number,
@@ -134,7 +137,7 @@
                 ready=testing.free_address(),
                 control=control,
                 readers=json.dumps(reader_addresses),
-                store=store_address,
+                store=await store_proxy.start(),
             )
         )
         gate = Gate(
@@ -142,6 +145,7 @@
             settings,
             soak_checks.GateObservation(address),
             proxies[control],
+            store_proxy,
             directory / f"gate-{number}.log",
             other_build,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,13 +7,17 @@
 import pytest_asyncio
 
 from fireflyspindle import testing
+from fireflyspindle.adapters import store_records
 from fireflyspindle.bench import commands
 from fireflyspindle.bench import soak
 from fireflyspindle.bench import soak_callers
 from fireflyspindle.bench import soak_checks
 from fireflyspindle.bench import soak_gates
+from fireflyspindle.bench import soak_store
 from fireflyspindle.platform import header_profile
+from fireflyspindle.platform import store_client
 from fireflyspindle.testing import platform_server
+from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
 
 # Seeds that have failed in short runs, with the cause.
@@ -98,7 +102,7 @@
 async def configuration_check():
     """Versions 1 and 2, the second written 10 s ago."""
     now_s = asyncio.get_running_loop().time()
-    check = soak_checks.ConfigurationCheck(lambda: -1e9)
+    check = soak_checks.ConfigurationCheck(soak_checks.StoreObservation())
     check._written_s = {1: now_s - 60, 2: now_s - 10}
     return check
 
@@ -125,22 +129,94 @@
     assert len(configuration_check.violations) == violations
 
 
-@pytest.mark.parametrize("fault_of_store", [True, False])
+@pytest.mark.parametrize("place", ["store", "path", "host"])
 async def test_configuration_may_be_late_after_a_fault(
-    configuration_check, fault_of_store
+    configuration_check, place
 ):
     fault_s = configuration_check._written_s[2] + 1.0
     gate = soak_checks.GateObservation("g")
-    if fault_of_store:
-        configuration_check._last_store_fault_s = lambda: fault_s
-    else:
-        gate.last_fault_s = fault_s
+    match place:
+        case "store":
+            configuration_check._store.last_fault_s = fault_s
+        case "path":
+            gate.last_path_fault_s = fault_s
+        case _:
+            gate.last_fault_s = fault_s
     configuration_check.check_response(gate, 2, 2, 404, fault_s + 3.4)
     assert configuration_check.violations == []
     configuration_check.check_response(gate, 2, 2, 404, fault_s + 3.6)
     assert len(configuration_check.violations) == 1
 
 
+# A check that skips 503 and lost answers misses a host that never serves a
+# version.
+@pytest.mark.parametrize(
+    ("status", "after_s", "probes", "violations"),
+    [
+        (503, 3.0, 5, 1),
+        (0, 3.0, 5, 1),
+        (404, 3.0, 5, 1),
+        (504, 3.0, 5, 1),
+        (503, 2.4, 5, 0),
+        (503, 3.0, 4, 0),
+        (500, 3.0, 5, 0),
+        (200, 3.0, 5, 0),
+    ],
+)
+async def test_version_that_is_not_served_is_a_violation(
+    configuration_check, status, after_s, probes, violations
+):
+    gate = soak_checks.GateObservation("g")
+    sent_s = configuration_check._written_s[2] + after_s
+    for _ in range(probes):
+        configuration_check.check_served(gate, 2, status, sent_s)
+    assert len(configuration_check.violations) == violations
+
+
+@pytest.mark.parametrize(
+    ("field", "after_s", "violations"),
+    [
+        ("last_stop_s", 3.4, 0),
+        ("last_stop_s", 3.6, 1),
+        ("last_path_fault_s", 3.4, 0),
+        ("last_path_fault_s", 3.6, 1),
+        ("last_passed_on_s", 2.4, 0),
+        ("last_passed_on_s", 2.6, 1),
+    ],
+)
+async def test_version_may_not_be_served_after_a_fault(
+    configuration_check, field, after_s, violations
+):
+    at_s = configuration_check._written_s[2] + 3.0
+    gate = soak_checks.GateObservation("g")
+    setattr(gate, field, at_s)
+    for _ in range(5):
+        configuration_check.check_served(gate, 2, 503, at_s + after_s)
+    assert len(configuration_check.violations) == violations
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "slow_since_s", "last_fault_s", "due_s"),
+    [
+        # Long after the start of the slowness and the last fault.
+        (1.0, 0.0, 0.0, 105.0),
+        (1.5, 0.0, 0.0, 106.0),
+        (1.6, 0.0, 0.0, float("inf")),
+        # Soon after either.
+        (1.0, 99.0, 0.0, 109.0),
+        (1.0, 0.0, 98.0, 108.0),
+        (1.0, None, 0.0, 102.0),
+    ],
+)
+def test_slow_store_extends_the_limit_on_configurations(
+    delay_s, slow_since_s, last_fault_s, due_s
+):
+    store = soak_checks.StoreObservation(
+        slow_since_s=slow_since_s, slow_delay_s=delay_s
+    )
+    assert store.due_s(100.0, last_fault_s) == due_s
+
+
 @pytest.mark.parametrize(
     ("status", "runs", "sent_s", "ended_s", "faults", "violations"),
     [
@@ -167,6 +243,18 @@
     assert len(actual) == violations
 
 
+def make_gate(directory, number=0):
+    """Returns a gate host whose process has not been started."""
+    return soak_gates.Gate(
+        name=f"gate-{number}",
+        settings=directory / "settings",
+        observation=soak_checks.GateObservation("g"),
+        control_proxy=tcp_proxy.TcpProxy("127.0.0.1:1"),
+        store_proxy=tcp_proxy.TcpProxy("127.0.0.1:1"),
+        log=directory / "log",
+    )
+
+
 async def test_gate_host_ended_by_two_faults_starts_once(tmp_path, monkeypatch):
     class Running:
         returncode = None
@@ -178,13 +266,7 @@
 
     created = []
     monkeypatch.setattr(asyncio, "create_subprocess_exec", create)
-    gate = soak_gates.Gate(
-        name="gate-0",
-        settings=tmp_path / "settings",
-        observation=soak_checks.GateObservation("g"),
-        control_proxy=tcp_proxy.TcpProxy("127.0.0.1:1"),
-        log=tmp_path / "log",
-    )
+    gate = make_gate(tmp_path)
     await asyncio.gather(gate.start(), gate.start())
     assert len(created) == 1
     assert gate.observation.starts == 1
@@ -230,3 +312,59 @@
     faults = [soak_checks.Span("", fault_s, fault_s + 1)]
     found = soak_checks.find_requests_without_answer(results, faults)
     assert len(found) == violations
+
+
+@pytest_asyncio.fixture
+async def clients():
+    """A store and the clients of two hosts, with the proxies before each."""
+    store = testing.StandInStore()
+    store.write(store_lib.CONFIGURATION_TOPIC, "config", {})
+    server = testing.Server(store.application())
+    address = await server.start()
+    proxies = [tcp_proxy.TcpProxy(address) for _ in range(2)]
+    clients = [
+        store_client.StoreClient(await proxy.start()) for proxy in proxies
+    ]
+    yield store, proxies, clients
+    for client in clients:
+        await client.close()
+    for proxy in proxies:
+        await proxy.close()
+    await server.close()
+
+
+# A store that refuses some hosts while it serves others was not injected.
+@pytest.mark.parametrize("fault", soak_store.PATH_FAULTS)
+async def test_cut_path_leaves_the_paths_of_others(clients, fault):
+    _, proxies, (cut, other) = clients
+    topic = store_lib.CONFIGURATION_TOPIC
+    proxies[0].fault = fault
+    cut_read = asyncio.create_task(cut.read(topic, 0))
+    assert isinstance(await other.read(topic, 0), store_records.Batch)
+    if fault in (tcp_proxy.Fault.SILENCE, tcp_proxy.Fault.ONE_WAY):
+        assert not (await asyncio.wait([cut_read], timeout=0.3))[0]
+        cut_read.cancel()
+    else:
+        outcome = await cut_read
+        assert isinstance(outcome, store_records.ReadFailed)
+        assert (fault is tcp_proxy.Fault.REFUSE) == ("503" in outcome.reason)
+    proxies[0].fault = tcp_proxy.Fault.NONE
+    assert isinstance(await cut.read(topic, 0), store_records.Batch)
+
+
+@pytest.mark.parametrize("offset", [0, None])
+async def test_reads_of_one_topic_fail_alone(clients, offset):
+    store, _, (client, _) = clients
+    store.topic_statuses = {store_lib.TARGETS_TOPIC: 404}
+    failed = await client.read(store_lib.TARGETS_TOPIC, offset)
+    assert isinstance(failed, store_records.ReadFailed)
+    served = await client.read(store_lib.CONFIGURATION_TOPIC, offset)
+    assert isinstance(served, store_records.Batch)
+
+
+def test_paths_of_the_readers_are_cut_alone_at_times(tmp_path):
+    faults = soak_store.StoreFaults(testing.StandInStore(), 1, print, print)
+    faults._gates = [make_gate(tmp_path, number) for number in range(5)]
+    names = [[gate.name for gate in faults._choose_gates()] for _ in range(100)]
+    assert names.count(["gate-0", "gate-1", "gate-2"]) >= 10
+    assert all(1 <= len(chosen) <= 4 for chosen in names)
