Let requests of the soak be at work when a planned stop ends

Servers worked 0.02 s on each request and every host had 6 s to stop, so no request was at work at the end of a stop.

A 502 or 504 of a host in a planned stop, while its server works and before the deadline, is a violation. A request that arrived at a server and got no answer in a stop counts as cut even if the server did not run it. A stop that needs SIGKILL is reported among the faults. A 3xx or 4xx on a route that every version has is a violation too, unless it promises that the request has not run.

Hosts take and pass on requests which they can't finish before the end of a stop.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -28,11 +28,12 @@
 RECOVERY_S = 5.0
 # Minimum share of calls served after recovery.
 MIN_SERVED_SHARE = 0.9
-# Limits on draining a server (`drain-ms`) and on a planned stop (`grace-s`).
+# Limit on draining a server (`drain-ms`).
 DRAIN_LIMIT_S = 2.0
-STOP_LIMIT_S = 6.0
 START_TIMEOUT_S = 10.0
 FAULT_SPACING_S = 0.7
+# Bounds of the pause between planned stops of gate hosts with a short grace.
+SHORT_STOP_PAUSE_S = (2.0, 6.0)
 # Limits that servers state, in requests per second, and for how long.
 SERVER_LIMITS_PER_S = (0.5, 2.0, 5.0, 20.0)
 SERVER_LIMIT_S = 6.0
@@ -78,6 +79,7 @@
         self._random = random.Random(seed)
         self._size_random = random.Random(seed)
         self._limit_random = random.Random(seed)
+        self._stop_random = random.Random(seed)
         self._seconds = seconds
         self._host_count = hosts
         self._server_count = servers
@@ -148,6 +150,7 @@
         background_tasks = [
             asyncio.create_task(self._limit_servers()),
             asyncio.create_task(self._store_faults.run(self._gates)),
+            asyncio.create_task(self._stop_with_short_grace()),
         ]
         poll_tasks = [
             asyncio.create_task(
@@ -230,17 +233,38 @@
             await gate.wait()
             await gate.start()
 
+    async def _stop_with_short_grace(self) -> None:
+        """Stops gate hosts while some requests have no time left to end."""
+        gates = [
+            gate
+            for gate in self._gates
+            if gate.grace_s == soak_gates.SHORT_GRACE_S
+        ]
+        while gates:
+            pause_s = self._stop_random.uniform(*SHORT_STOP_PAUSE_S)
+            await asyncio.sleep(pause_s)
+            gate = self._stop_random.choice(gates)
+            self._record_fault(f"stop of {gate.name}")
+            address = gate.observation.address
+            self._fault_tasks += [
+                asyncio.create_task(self._stop_gate(gate)),
+                asyncio.create_task(self.callers.send_long_requests(address)),
+            ]
+
     async def _stop_planned(self) -> None:
-        gate = self._random.choice(self._gates)
+        await self._stop_gate(self._random.choice(self._gates))
+
+    async def _stop_gate(self, gate: soak_gates.Gate) -> None:
         start_s = self._now_s()
         gate.observation.last_stop_s = float("inf")
         gate.send_signal(signal.SIGHUP)
         gate.send_signal(signal.SIGTERM)
         address = gate.observation.address
         try:
-            async with asyncio.timeout(STOP_LIMIT_S):
+            async with asyncio.timeout(gate.grace_s):
                 await gate.wait()
         except TimeoutError:
+            self._record_fault(f"SIGKILL of {gate.name} after {gate.grace_s} s")
             with self._recorded_fault(address):
                 gate.send_signal(signal.SIGKILL)
                 await gate.wait()
@@ -383,7 +407,13 @@
         report.violations += self._configuration_check.violations
         report.violations += soak_checks.find_requests_cut_by_stops(
             self.callers.results,
-            runs,
+            soak_servers.count_arrivals(self._all_servers),
+            self._planned_stops,
+            self._fault_spans,
+        )
+        report.violations += soak_checks.find_own_answers_in_stops(
+            self.callers.results,
+            soak_servers.latest_work(self._all_servers),
             self._planned_stops,
             self._fault_spans,
         )
--- a/src/fireflyspindle/bench/soak_callers.py
+++ b/src/fireflyspindle/bench/soak_callers.py
@@ -34,6 +34,14 @@
 MAX_PIPELINED = 6
 LATE_BODY_SHARE = 0.3
 BODY = b"booking" * 300
+# Share of the single requests that take long to run, and how long. They end
+# before the deadline, and some are at work when a planned stop ends. With more,
+# they occupy most of the slots of four servers.
+LONG_SHARE = 0.02
+LONG_MS = (500, 1_900)
+# Requests sent to a host with a short grace that stops, and the time between.
+STOP_REQUESTS = 8
+STOP_REQUEST_SPACING_S = 0.3
 # Statuses which guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -66,9 +74,12 @@
     path: str,
     request_id: str,
     body: bytes = b"",
+    work_ms: int | None = None,
 ) -> bytes:
-    """Returns the bytes of a request."""
+    """Returns the bytes of a request; it may state how long it takes."""
     length = f"Content-Length: {len(body)}\r\n" if body else ""
+    if work_ms is not None:
+        length += f"{platform_server.WORK_MS}: {work_ms}\r\n"
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"{header_profile.REQUEST_ID}: {request_id}\r\n"
@@ -110,6 +121,7 @@
         self._random = randomness
         # Apart, so that the faults of a seed stay what they were.
         self._pipeline_random = random.Random(len(addresses))
+        self._work_random = random.Random(len(addresses))
         self.results: dict[str, CallResult] = {}
         self._served = 0
         self._request_numbers = itertools.count(1)
@@ -134,17 +146,34 @@
                 while await self._send_on_new_connection(address) != 200:
                     await asyncio.sleep(MAX_PAUSE_S)
 
-    async def _send_on_new_connection(self, address: str) -> int:
+    async def _send_on_new_connection(
+        self, address: str, work_ms: int | None = None
+    ) -> int:
         try:
             connection = await testing.connect(address)
         except OSError:
             return 0
         status = await self._send_request(
-            connection, address, at_most_once=False
+            connection, address, at_most_once=False, work_ms=work_ms
         )
         connection.close()
         return status
 
+    async def send_long_requests(self, address: str) -> None:
+        """Sends requests that take long to a host that stops.
+
+        Each uses a connection of its own, and their times are spread over a
+        stop with a short grace. The other callers rarely connect to a host in
+        its stop.
+        """
+        requests = []
+        for _ in range(STOP_REQUESTS):
+            await asyncio.sleep(STOP_REQUEST_SPACING_S)
+            work_ms = self._work_random.randint(*LONG_MS)
+            sent = self._send_on_new_connection(address, work_ms)
+            requests.append(asyncio.create_task(sent))
+        await asyncio.gather(*requests)
+
     async def run(self) -> None:
         """Sends requests until `stop` is called."""
         await asyncio.gather(*(self._run_caller() for _ in range(CALLER_COUNT)))
@@ -180,15 +209,28 @@
             await asyncio.sleep(MAX_PAUSE_S * self._random.random())
 
     async def _send_request(
-        self, connection: testing.RawCaller, address: str, *, at_most_once: bool
+        self,
+        connection: testing.RawCaller,
+        address: str,
+        *,
+        at_most_once: bool,
+        work_ms: int | None = None,
     ) -> int:
         """Sends a request.
 
+        Args:
+            connection: Connection to the host.
+            address: Address of the host.
+            at_most_once: Whether the request may run at most once.
+            work_ms: Time that it takes to run; chosen if it is None.
+
         Returns:
             The status, or 0 if the connection can't be used further.
         """
+        if work_ms is None:
+            work_ms = self._choose_work_ms()
         if not at_most_once:
-            return await self._send_pipelined(connection, address, 1)
+            return await self._send_pipelined(connection, address, 1, work_ms)
         late = self._pipeline_random.random() < LATE_BODY_SHARE
         request_id = self._next_id()
         data = request(
@@ -196,6 +238,7 @@
             AT_MOST_ONCE_PREFIX + request_id,
             request_id,
             BODY if late else b"",
+            work_ms,
         )
         result = CallResult(True, 0, address, asyncio.get_running_loop().time())
         self.results[request_id] = result
@@ -206,7 +249,11 @@
         return await self._read_response(connection, data, request_id)
 
     async def _send_pipelined(
-        self, connection: testing.RawCaller, address: str, count: int
+        self,
+        connection: testing.RawCaller,
+        address: str,
+        count: int,
+        work_ms: int | None = None,
     ) -> int:
         """Sends repeatable requests at once and reads their responses.
 
@@ -225,6 +272,7 @@
                 "GET",
                 REPEATABLE_PREFIX + request_id,
                 request_id,
+                work_ms=work_ms,
             )
             for request_id in request_ids
         )
@@ -241,6 +289,11 @@
                 result.ended_s = ended_s
         return status
 
+    def _choose_work_ms(self) -> int | None:
+        if self._work_random.random() >= LONG_SHARE:
+            return None
+        return self._work_random.randint(*LONG_MS)
+
     def _next_id(self) -> str:
         return f"soak{next(self._request_numbers)}"
 
@@ -302,6 +355,14 @@
                 violations.append(
                     f"{request_id}: got status {result.status} but ran"
                 )
+            if (
+                300 <= result.status < 500
+                and result.status not in NOT_RUN_STATUSES
+            ):
+                violations.append(
+                    f"{request_id}: got status {result.status} on a route that"
+                    " every version has"
+                )
             if result.status == 200 and not count:
                 violations.append(f"{request_id}: got status 200 but never ran")
         unsent = [
--- a/src/fireflyspindle/bench/soak_checks.py
+++ b/src/fireflyspindle/bench/soak_checks.py
@@ -9,6 +9,7 @@
 from fireflyspindle import testing
 from fireflyspindle.bench import soak_callers
 from fireflyspindle.platform import header_profile
+from fireflyspindle.testing import platform_server
 
 # Limit on applying a configuration (`config-apply-ms`), and a margin for
 # delays of the soak itself.
@@ -25,6 +26,8 @@
 LIMIT_SLACK = 5.0
 LIMIT_FROM_S = 3.0
 LIMIT_KNOWN_S = 0.5
+# A gate host may answer 504 this long before the deadline of the caller.
+DEADLINE_MARGIN_S = 0.2
 PROBE_TIMEOUT_S = 1.0
 # While the store answers with a delay of up to `MAX_SLOW_DELAY_S`, and nothing
 # else has disturbed a gate host for `SLOW_FREE_S`, it applies a configuration
@@ -305,7 +308,7 @@
 
     Args:
         results: Result of each call, by request id.
-        runs: Number of runs, by request id.
+        runs: Number of times that a server received each, by request id.
         stops: Planned stops, from the signal to the end of the process.
         faults: Faults that may interrupt a request.
     """
@@ -321,6 +324,45 @@
     return violations
 
 
+def find_own_answers_in_stops(
+    results: dict[str, soak_callers.CallResult],
+    work: dict[str, platform_server.Work],
+    stops: list[Span],
+    faults: list[Span],
+) -> list[str]:
+    """Returns violations for gate hosts that answered in a server's place.
+
+    Servers of the soak send neither 502 nor 504. The rule of the platform is
+    less strict: it excuses requests at work in the last sixth of `grace-s`.
+
+    Args:
+        results: Result of each call, by request id.
+        work: Latest run of each, by request id.
+        stops: Planned stops, from the signal to the end of the process.
+        faults: Faults that may interrupt a request.
+    """
+    violations = []
+    for request_id, result in results.items():
+        run = work.get(request_id)
+        if result.status not in (502, 504) or run is None:
+            continue
+        deadline_s = result.sent_s + soak_callers.DEADLINE_MS / 1000
+        at_work = run.start_s <= result.ended_s < run.end_s
+        if not at_work or result.ended_s >= deadline_s - DEADLINE_MARGIN_S:
+            continue
+        during = [stop for stop in stops if stop.overlaps(result)]
+        if during and not any(fault.overlaps(result) for fault in faults):
+            stop = during[0]
+            violations.append(
+                f"stop: {request_id} got {result.status} from"
+                f" {result.address} {result.ended_s - stop.start_s:.2f} s after"
+                f" SIGTERM, sent {result.sent_s - stop.start_s:.2f} s after it;"
+                f" its server was at work for {run.end_s - result.ended_s:.2f}"
+                " s more"
+            )
+    return violations
+
+
 def find_requests_without_answer(
     results: dict[str, soak_callers.CallResult], faults: list[Span]
 ) -> list[str]:
--- a/src/fireflyspindle/bench/soak_gates.py
+++ b/src/fireflyspindle/bench/soak_gates.py
@@ -15,6 +15,11 @@
 
 # Gate hosts that read the store for all gate hosts, as on the platform.
 READER_COUNT = 3
+# Time between SIGTERM and SIGKILL (`grace-s`), short for one of three gate
+# hosts, so that requests are at work when a planned stop ends.
+GRACE_S = 6
+SHORT_GRACE_S = 3
+SHORT_GRACE_STEP = 3
 
 SETTINGS_TEMPLATE = """
 [self]
@@ -31,7 +36,7 @@
 [terms.contract-params]
 drain-ms = 2000
 config-apply-ms = 2000
-grace-s = 6
+grace-s = {grace_s}
 retry-budget-ratio = 0.2
 retry-slack = 60
 budget-window-s = 10
@@ -50,6 +55,7 @@
         control_proxy: Proxy through which other gate hosts reach its control
             address.
         store_proxy: Proxy through which this gate host reaches the store.
+        grace_s: Time between SIGTERM and SIGKILL.
         log: File with the output of the process.
         other_build: Sources of another build, which every second start uses.
         process: The process, once it has been started.
@@ -60,6 +66,7 @@
     observation: soak_checks.GateObservation
     control_proxy: tcp_proxy.TcpProxy
     store_proxy: tcp_proxy.TcpProxy
+    grace_s: float
     log: pathlib.Path
     other_build: pathlib.Path | None = None
     process: asyncio.subprocess.Process | None = None
@@ -130,6 +137,8 @@
             for reader in readers
         ]
         store_proxy = tcp_proxy.TcpProxy(store_address)
+        has_short_grace = number % SHORT_GRACE_STEP == 1
+        grace_s = SHORT_GRACE_S if has_short_grace else GRACE_S
         settings.write_text(
             SETTINGS_TEMPLATE.format(
                 number=number,
@@ -138,6 +147,7 @@
                 control=control,
                 readers=json.dumps(reader_addresses),
                 store=await store_proxy.start(),
+                grace_s=grace_s,
             )
         )
         gate = Gate(
@@ -146,6 +156,7 @@
             soak_checks.GateObservation(address),
             proxies[control],
             store_proxy,
+            grace_s,
             directory / f"gate-{number}.log",
             other_build,
         )
--- a/src/fireflyspindle/bench/soak_servers.py
+++ b/src/fireflyspindle/bench/soak_servers.py
@@ -100,3 +100,24 @@
     for server in servers:
         runs.update(server.stand_in.runs)
     return runs
+
+
+def count_arrivals(servers: Iterable[Server]) -> dict[str, int]:
+    """Returns the number of arrivals at servers by request id."""
+    arrivals: collections.Counter[str] = collections.Counter()
+    for server in servers:
+        arrivals.update(server.stand_in.arrival_ids)
+    return arrivals
+
+
+def latest_work(
+    servers: Iterable[Server],
+) -> dict[str, platform_server.Work]:
+    """Returns the run that started last by request id."""
+    latest: dict[str, platform_server.Work] = {}
+    for server in servers:
+        for request_id, run in server.stand_in.work.items():
+            other = latest.setdefault(request_id, run)
+            if run.start_s > other.start_s:
+                latest[request_id] = run
+    return latest
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -63,6 +63,8 @@
         (True, 421, {"q": 1}, ["got status 421 but ran"]),
         (True, 502, {"q": 1}, []),
         (False, 200, {}, ["never ran"]),
+        (True, 404, {}, ["got status 404"]),
+        (False, 401, {}, ["got status 401"]),
         (True, 0, {"q": 1}, []),
         (True, 0, {"x": 1}, ["ran but was never sent"]),
     ],
@@ -243,6 +245,33 @@
     assert len(actual) == violations
 
 
+@pytest.mark.parametrize(
+    ("status", "ended_s", "work_end_s", "faults", "violations"),
+    [
+        (502, 11.0, 11.5, [], 1),
+        (504, 11.0, 11.5, [], 1),
+        # The server had ended its work.
+        (502, 11.6, 11.5, [], 0),
+        # The deadline had come.
+        (504, 12.4, 12.6, [], 0),
+        (503, 11.0, 11.5, [], 0),
+        (200, 11.0, 11.5, [], 0),
+        (502, 11.0, 11.5, [("", 10.0, 10.7)], 0),
+    ],
+)
+def test_own_answer_while_a_server_works_is_a_violation(
+    status, ended_s, work_end_s, faults, violations
+):
+    result = soak_callers.CallResult(False, status, "g", 10.5, ended_s)
+    actual = soak_checks.find_own_answers_in_stops(
+        {"q": result},
+        {"q": platform_server.Work(10.6, work_end_s)},
+        [soak_checks.Span("g", 10.0, 13.0)],
+        [soak_checks.Span(*fault) for fault in faults],
+    )
+    assert len(actual) == violations
+
+
 def make_gate(directory, number=0):
     """Returns a gate host whose process has not been started."""
     return soak_gates.Gate(
@@ -251,6 +280,7 @@
         observation=soak_checks.GateObservation("g"),
         control_proxy=tcp_proxy.TcpProxy("127.0.0.1:1"),
         store_proxy=tcp_proxy.TcpProxy("127.0.0.1:1"),
+        grace_s=6,
         log=directory / "log",
     )
 
