--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -290,6 +290,29 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("sent_s", "ended_s", "violations"),
+    [
+        (11.2, 12.6, 0),
+        # Before the last sixth of the grace.
+        (11.2, 12.4, 1),
+        # Sent when the host had no time left for it.
+        (11.7, 12.6, 1),
+    ],
+)
+def test_work_at_the_end_of_a_stop_is_excused_if_it_was_sent_early(
+    sent_s, ended_s, violations
+):
+    result = soak_callers.CallResult(False, 502, "g", sent_s, ended_s)
+    actual = soak_checks.find_own_answers_in_stops(
+        {"q": result},
+        {"q": platform_server.Work(sent_s, 13.5)},
+        [soak_checks.Span("g", 10.0, 13.0, 3.0)],
+        [],
+    )
+    assert len(actual) == violations
+
+
 async def test_gate_host_ended_by_two_faults_starts_once(tmp_path, monkeypatch):
     class Running:
         returncode = None
