--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -332,12 +332,12 @@
     assert lists[1:] == 3 * [[events.HelperAddress("10.0.0.9:1", "a")]]
 
 
-async def test_host_without_store_is_configured_over_a_slow_feed(monkeypatch):
+async def test_host_without_store_is_configured_over_a_slow_feed():
     # Guards against a reader that is replaced before its first line, which
     # takes 0.6 s here, has arrived, whichever reader it is.
-    monkeypatch.setattr(tcp_proxy, "DELAY_S", 0.3)
     async with platform_driver.reader_and_follower() as (_, reader, _):
         proxy = tcp_proxy.TcpProxy(reader.settings.control_address)
+        proxy.delay_s = 0.3
         proxy.fault = tcp_proxy.Fault.DELAY
         host = host_lib.PlatformHost(
             attrs.evolve(
