Check in the fleet that no late host takes itself for up to date

A host answers 404 only if it believes that it has read every record older than the limit for changes. The fleet in virtual time checked versions only, not this belief. It now fails for each late host that would answer 404. Links may build up queues, and reads may be cut at a number of records, for further tests.

--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -22,6 +22,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
+from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
 from fireflyspindle.platform import store_client
 from fireflyspindle.platform import store_decoder
@@ -33,6 +34,8 @@
 CONTACT_US = 3_000_000
 APPLY_LIMIT_US = 2_000_000
 CHECK_INTERVAL_S = 0.02
+# Growth of the delay on a link that gets more than it carries, in s per s.
+QUEUE_GROWTH = 0.3
 # Size of a document that readers omit; its text does not compress.
 LARGE_BYTES = 9_000
 CONFIGURATION_TOPIC = store_sync.TOPIC_BY_SOURCE[
@@ -193,11 +196,35 @@
     acknowledged_us: int
 
 
+@attrs.define(frozen=True)
+class FalseClaim:
+    """A host that took an older version for the newest one.
+
+    Attributes:
+        at_us: Time at which it was seen.
+        host: Number of the host.
+        held: Version in force.
+        newest: Newest version that was older than the limit for changes, so
+            that a request for one of its routes was refused for good.
+        acknowledged_us: Time at which the store acknowledged that one.
+        complete_until_us: Time up to which the host claimed to know all.
+    """
+
+    at_us: int
+    host: int
+    held: int
+    newest: int
+    acknowledged_us: int
+    complete_until_us: int
+
+
 class Fleet:
     """Hosts and a store that a plan harms.
 
     Attributes:
         late: Versions that were not in force in time, once for each host.
+        false_claims: Hosts that would have refused requests for routes that
+            are there, at each look.
         reverted: Hosts that went back to an older version, with both versions.
         trace: Time, host and what was fed to it or what it asked for.
     """
@@ -208,6 +235,7 @@
         self.topics = collections.defaultdict(list)
         self.acknowledged_us: dict[int, int] = {}
         self.late: list[Late] = []
+        self.false_claims: list[FalseClaim] = []
         self.reverted: list[tuple[int, int, int]] = []
         self.trace: list[tuple[int, int, object]] = []
         self._held: dict[tuple[int, int], int] = {}
@@ -238,6 +266,19 @@
         """Returns how reads by a host fail now, or None."""
         return self.path_fault(host) or self._active_how("store", host)
 
+    def line_delay_s(self, reader: int) -> float:
+        """Returns by how much the lines of a reader are delayed now."""
+        return sum(
+            min(
+                fault.delay_us / 1e6,
+                (self.now_us - fault.start_us) / 1e6 * QUEUE_GROWTH,
+            )
+            for fault in self.plan.faults
+            if fault.kind == "delay"
+            and reader in fault.hosts
+            and fault.start_us <= self.now_us < fault.end_us
+        )
+
     def path_fault(self, host: int) -> str | None:
         """Returns how the path of a host to the store fails, or None."""
         return self._active_how("path", host)
@@ -355,14 +396,19 @@
             self._changes[host.number].append((self.now_us, host.version))
         if host.version < previous:
             self.reverted.append((host.number, previous, host.version))
-        if not self.in_touch(host.number):
-            return
         before_us = self.now_us - APPLY_LIMIT_US
         due = max(
-            version
-            for version, at_us in self.acknowledged_us.items()
-            if at_us <= before_us
+            (
+                version
+                for version, at_us in self.acknowledged_us.items()
+                if at_us <= before_us
+            ),
+            default=0,
         )
+        if host.version < due and host.running.is_set():
+            self._check_claim(host, due)
+        if not self.in_touch(host.number):
+            return
         if host.version < due and (host.number, due) not in self._reported:
             self._reported.add((host.number, due))
             self.late.append(
@@ -375,6 +421,25 @@
                 )
             )
 
+    def _check_claim(self, host: Host, due: int) -> None:
+        """Notes a late host that takes itself for up to date."""
+        source = store_state.Source.CONFIGURATION
+        complete_us = host.state.store_reads[source].complete_until_us
+        if not host.version or complete_us is None:
+            return
+        host.state.now_us = self.now_us
+        if store_reads.is_up_to_date(host.state, source):
+            self.false_claims.append(
+                FalseClaim(
+                    self.now_us,
+                    host.number,
+                    host.version,
+                    due,
+                    self.acknowledged_us[due],
+                    complete_us,
+                )
+            )
+
     def applied_us(self, host: int, version: int) -> int:
         """Returns when a host was first seen with a version or a newer one."""
         return next(
--- a/tests/configuration_network.py
+++ b/tests/configuration_network.py
@@ -17,6 +17,7 @@
 LINK_LATENCY_S = 0.001
 # Time between two looks at a link that is cut or a stream that is stalled.
 POLL_INTERVAL_S = 0.01
+CONNECT_TIMEOUT_S = store_feed_client.CONNECT_TIMEOUT_S
 
 
 @attrs.define(frozen=True)
@@ -28,13 +29,16 @@
             have no path to the store. "link": there is no link between these
             hosts and the readers in `readers`. "down", "freeze": the processes
             are killed or suspended. "reset", "stall": the streams to these
-            hosts end, or deliver nothing more.
+            hosts end, or deliver nothing more. "delay": a queue builds up on
+            the links of these hosts, so that what they relay arrives later,
+            by `delay_us` at most.
         start_us: Start.
         end_us: End.
         hosts: Numbers of the hosts.
         how: Of reads and connections: "refuse" fails them at once, "reset"
             also those in progress; "hang" leaves them without an answer.
         readers: Numbers of the readers, for "link".
+        delay_us: Longest delay of a line, for "delay".
     """
 
     kind: str
@@ -43,6 +47,7 @@
     hosts: tuple[int, ...]
     how: str = "hang"
     readers: tuple[int, ...] = ()
+    delay_us: int = 0
 
     def disturbs(self, host: int) -> bool:
         """Whether a host is not in touch because of the fault."""
@@ -63,6 +68,7 @@
         writes: Time of each new version, and whether it is large.
         domains: Failure domain of each host.
         missed_wakes: Share of the waiting reads that miss a record.
+        records_per_read: Most records of a read; the store limits its size.
     """
 
     hosts: int
@@ -71,6 +77,7 @@
     writes: list[tuple[int, bool]]
     domains: list[str]
     missed_wakes: float = 0.0
+    records_per_read: int | None = None
 
 
 class _Selector(selectors.SelectSelector):
@@ -131,7 +138,10 @@
         while True:
             sent_s, line = await self._lines.get()
             now_s = self.fleet.loop.time()
-            await asyncio.sleep(sent_s + LINK_LATENCY_S - now_s)
+            latency_s = LINK_LATENCY_S + self.fleet.line_delay_s(
+                self.reader.number
+            )
+            await asyncio.sleep(sent_s + latency_s - now_s)
             await self._wait_while_cut()
             if self.stalled:
                 continue
@@ -174,8 +184,10 @@
         reader = self.fleet.hosts[int(yarl.URL(url).host.split(".")[3])]
         await asyncio.sleep(LINK_LATENCY_S)
         cut = self.fleet.link_fault(self.host.number, reader.number)
+        if self.fleet.line_delay_s(reader.number) > CONNECT_TIMEOUT_S:
+            cut = "hang"
         if cut == "hang":
-            await asyncio.sleep(store_feed_client.CONNECT_TIMEOUT_S)
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
         await self.host.running.wait()
         if cut or not reader.alive:
             raise aiohttp.ClientConnectionError("no connection")
@@ -246,8 +258,15 @@
 
     def _batch(self, records, from_offset):
         if from_offset is not None:
-            newer = records[from_offset:]
-            return store_records.Batch(newer, len(records), False, from_offset)
+            newer = records[from_offset:][: self.fleet.plan.records_per_read]
+            next_offset = from_offset + len(newer)
+            return store_records.Batch(
+                newer,
+                next_offset,
+                False,
+                from_offset,
+                is_complete=next_offset == len(records),
+            )
         newest = {record.key: record for record in records}
         live = [record for record in newest.values() if record.value]
         next_offset = max((record.offset + 1 for record in live), default=0)
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -56,8 +56,10 @@
 
 
 def check(fleet):
-    """Fails if a host in touch was late, or if one went back."""
+    """Fails if a host in touch was late, went back or claimed too much."""
     assert not fleet.reverted
+    claims = "\n".join(map(str, fleet.false_claims[:20]))
+    assert not fleet.false_claims, f"{claims}\n{fleet.plan.faults}"
     late = "\n".join(map(str, fleet.late))
     assert not fleet.late, f"{late}\n{fleet.plan.faults}"
     return fleet
