Test (failing) that followers know how long a relayed read was on its way

Callers get a 404 from an old version, and new routes are not served, at calm hosts that follow a reader on whose link packets wait.

Cause: a relayed read counts as new from the time at which its line arrives, minus the age that the reader states when it writes the line. The time in the reader's send queue, on the link and in the follower's socket is not counted. As a line still arrives every 0.8 s, no silence is noticed either: the followers neither look for another reader nor read the store.

--- /dev/null
+++ b/tests/test_claimed_age.py
@@ -0,0 +1,62 @@
+"""Hosts know how old their configuration is, also after unusual reads.
+
+A host refuses a request for good, with 404, only if it has read every record
+that is older than the limit for changes.
+"""
+
+import pytest
+
+import configuration_fleet as fleet_lib
+import configuration_network as network
+
+S = 1_000_000
+HOSTS = 9
+READERS = tuple(range(network.READERS))
+FAULT_US = 10 * S
+END_US = 26 * S
+
+
+def run_fleet(faults, seed=1, write_interval_us=S * 7 // 10, **plan):
+    """Runs hosts that get a new version every now and then."""
+    return fleet_lib.Fleet(
+        network.Plan(
+            hosts=HOSTS,
+            end_us=END_US,
+            faults=faults,
+            writes=[
+                (at_us, False)
+                for at_us in range(3 * S, END_US, write_interval_us)
+            ],
+            domains=[f"d{number % 3}" for number in range(HOSTS)],
+            **plan,
+        ),
+        seed,
+    ).run()
+
+
+def describe(fleet):
+    """Returns how many false claims each host made, and the first ones."""
+    by_host = {
+        host: sum(claim.host == host for claim in fleet.false_claims)
+        for host in range(HOSTS)
+    }
+    first = "\n".join(map(str, fleet.false_claims[:5]))
+    return f"late: {len(fleet.late)}; false claims by host: {by_host}\n{first}"
+
+
+# A reader whose link gets more than it carries goes on relaying reads, each of
+# them seconds old when it arrives.
+@pytest.mark.parametrize("delay_us", [2 * S, 3 * S, 4 * S])
+@pytest.mark.parametrize("slow", [READERS[:1], READERS])
+def test_followers_know_how_long_a_read_was_on_its_way(slow, delay_us):
+    queue = network.Fault("delay", FAULT_US, END_US, slow, delay_us=delay_us)
+    fleet = run_fleet([queue])
+    assert not fleet.false_claims, describe(fleet)
+
+
+def test_followers_leave_a_reader_whose_reads_arrive_late():
+    queue = network.Fault(
+        "delay", FAULT_US, END_US, READERS[:1], delay_us=4 * S
+    )
+    fleet = run_fleet([queue])
+    assert not fleet.late, describe(fleet)
