Test (failing) that a read which the store cut is not taken for complete

Callers get a 404 for routes that are there while a host catches up on more records than the store returns at once (1,024 KiB).

Cause: a successful read counts as complete up to its start, whether or not it reached the end of the topic (`Batch.is_complete`). The proof of the configuration heeds that, the age does not, and the feed doesn't relay it. The next read also waits for the pause that collects bursts of changes: 1.4 s at a follower, 0.25 s at a reader.

--- a/tests/test_claimed_age.py
+++ b/tests/test_claimed_age.py
@@ -8,12 +8,17 @@
 
 import configuration_fleet as fleet_lib
 import configuration_network as network
+from fireflyspindle.core import effects
+from fireflyspindle.core import events
+import published_driver as published_host
+import test_outdated_configuration as outdated
 
 S = 1_000_000
 HOSTS = 9
 READERS = tuple(range(network.READERS))
 FAULT_US = 10 * S
 END_US = 26 * S
+REFUSED_FOR_NOW = (503, "configuration_outdated")
 
 
 def run_fleet(faults, seed=1, write_interval_us=S * 7 // 10, **plan):
@@ -60,3 +65,39 @@
     )
     fleet = run_fleet([queue])
     assert not fleet.late, describe(fleet)
+
+
+# The store limits the size of a response, so that a host that has missed many
+# records needs several reads.
+@pytest.mark.parametrize("harmed", [range(HOSTS), READERS])
+def test_read_that_does_not_reach_the_end_of_the_topic_is_not_complete(harmed):
+    cut = network.Fault("path", FAULT_US, FAULT_US + 5 * S, tuple(harmed))
+    fleet = run_fleet([cut], write_interval_us=S // 4, records_per_read=2)
+    assert not fleet.false_claims, describe(fleet)
+
+
+def test_rest_of_a_long_topic_is_read_at_once(make_published_host):
+    host = make_published_host()
+    document = published_host.document()
+    reads = len(host.effects_of(effects.ReadStore))
+    host.feed(
+        events.ConfigurationRead,
+        document,
+        host.next_offset + 1,
+        is_complete=False,
+    )
+    (read,) = host.effects_of(effects.ReadStore)[reads:]
+    assert read.delay_us == 0
+
+
+def test_route_in_the_unread_rest_of_a_topic_is_not_refused_for_good(
+    make_published_host,
+):
+    host = make_published_host()
+    host.feed(
+        events.ConfigurationRead,
+        published_host.document(),
+        host.next_offset + 1,
+        is_complete=False,
+    )
+    assert outdated.refusal_of(host) == REFUSED_FOR_NOW
