Test (failing) that an old version does not refuse a request without a key

Callers without a key get a 401, after which they don't come back, from a host that knows that its configuration may be out of date. A newer one may have made the route public or need no keys at all.

Cause: `authorisation._unknown_key` answers requests without any key before it looks at the age of the configuration. Requests with an unknown key get 503 in the same place. The case fails: 401 where 503 is due.

--- a/tests/test_claimed_age.py
+++ b/tests/test_claimed_age.py
@@ -4,13 +4,16 @@
 that is older than the limit for changes.
 """
 
+import attrs
 import pytest
 
 import configuration_fleet as fleet_lib
 import configuration_network as network
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import published
 import published_driver as published_host
+import test_following
 import test_outdated_configuration as outdated
 
 S = 1_000_000
@@ -101,3 +104,16 @@
         is_complete=False,
     )
     assert outdated.refusal_of(host) == REFUSED_FOR_NOW
+
+
+# A newer configuration may have made the route public.
+def test_request_without_a_key_is_not_refused_for_good_by_an_old_version():
+    host = test_following.FollowingHost()
+    organisation = published.Organisation("o", frozenset({"digest"}))
+    document = attrs.evolve(
+        published_host.document(), organisations=(organisation,)
+    )
+    host.relay_reads(configured=document, entries=[published_host.entry(0)])
+    assert outdated.refusal_of(host, "/s/x") == (401, "unknown_key")
+    outdated.hear_nothing(host)
+    assert outdated.refusal_of(host, "/s/x") == REFUSED_FOR_NOW
