Count the transit time of relayed reads as part of their age

Callers of calm hosts got 404 for routes that were there, and versions were not in force in time, while a reader's link carried less than it got: its lines arrived regularly, each of them seconds old.

Cause: the reader states the age of a read when it writes the line.

Why it works: each line states the sender's clock. The first line is sent after the follower has connected, and both clocks run at the same rate, so that the time on the way of each line is bounded from above. It is added to the age, which both the belief and the search for another reader rest on. Lines of builds that don't state it count as before.

--- a/src/fireflyspindle/adapters/feed_lines.py
+++ b/src/fireflyspindle/adapters/feed_lines.py
@@ -26,10 +26,13 @@
     Attributes:
         failure_domain: Failure domain of the followed host.
         gate_hosts: Number of gate hosts of the fleet; None if unknown.
+        sent_ms: Time at which the line was sent, by the sender's clock; None
+            from hosts of builds that don't state it.
     """
 
     failure_domain: str
     gate_hosts: int | None = None
+    sent_ms: int | None = None
 
 
 @attrs.define(frozen=True)
@@ -38,12 +41,14 @@
 
     Attributes:
         source: Name of the source.
-        age_ms: Time since the read ended.
+        age_ms: Time since the read ended, when the line was sent.
         outcome: Records that were not sent before, or the failure.
         own: Whether the followed host made the read itself.
         gate_hosts: Number of gate hosts of the fleet; None if it has not
             changed or is unknown.
         delay_ms: Time that the read took beyond its wait at the store.
+        sent_ms: Time at which the line was sent, by the sender's clock; None
+            from hosts of builds that don't state it.
     """
 
     source: str
@@ -52,6 +57,7 @@
     own: bool
     gate_hosts: int | None = None
     delay_ms: int = 0
+    sent_ms: int | None = None
 
 
 def _encode_record(record: store_records.Record) -> list[Any]:
@@ -90,7 +96,9 @@
         content = json_documents.parse(line)
         if "failure-domain" in content:
             return StreamStarted(
-                str(content["failure-domain"]), _decode_gate_hosts(content)
+                str(content["failure-domain"]),
+                _decode_gate_hosts(content),
+                _decode_sent_ms(content),
             )
         outcome: store_records.Batch | store_records.ReadFailed
         if "failed" in content:
@@ -112,6 +120,7 @@
             bool(content["own"]),
             _decode_gate_hosts(content),
             max(0, int(content.get("delay-ms", 0))) + late_ms,
+            _decode_sent_ms(content),
         )
     except json_documents.DECODE_ERRORS as error:
         raise ValueError(f"line {line[:100]!r} can't be read") from error
@@ -122,6 +131,11 @@
     return None if gate_hosts is None else int(gate_hosts)
 
 
+def _decode_sent_ms(content: dict[str, Any]) -> int | None:
+    sent_ms = content.get("sent-ms")
+    return None if sent_ms is None else int(sent_ms)
+
+
 def _decode_rows(content: dict[str, Any]) -> list[list[Any]]:
     """Returns the rows of the records in a line.
 
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -5,7 +5,8 @@
 source: the records that the follower lacks, often none, or why the read
 failed. While reads fail, a new follower first gets the records of the latest
 successful read, so that a host can start during an outage. A line also has the
-number of gate hosts when it is new to the follower.
+number of gate hosts when it is new to the follower, and the time at which it
+was sent, so that the follower knows how long it was on its way.
 
 Records are compressed for followers that ask for it: entries of targets, and
 routes, resemble each other. Records whose total size is too large for the
@@ -339,6 +340,7 @@
         first_line = {
             "failure-domain": self._failure_domain,
             "gate-hosts": gate_hosts,
+            "sent-ms": self._now_us() // 1000,
         }
         await response.write(feed_lines.encode_line(first_line))
         written = dict.fromkeys(self._sources, 0)
@@ -385,10 +387,11 @@
         yield {**fields, "failed": source.failed.reason}, b""
 
     def _line_fields(self, name: str, read_ended_us: int) -> dict[str, Any]:
-        age_ms = (self._now_us() - read_ended_us) // 1000
+        now_us = self._now_us()
         return {
             "source": name,
-            "age-ms": age_ms,
+            "age-ms": (now_us - read_ended_us) // 1000,
+            "sent-ms": now_us // 1000,
             "own": self._sources[name].own,
         }
 
--- a/src/fireflyspindle/adapters/store_feed_client.py
+++ b/src/fireflyspindle/adapters/store_feed_client.py
@@ -1,7 +1,8 @@
 """Receives the reads of the platform's store that a gate host relays."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+import types
 from typing import Any
 
 import aiohttp
@@ -10,6 +11,7 @@
 from fireflyspindle.adapters import feed_lines
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.adapters import store_feed
+from fireflyspindle.adapters import transit_times
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import helper_list
@@ -63,14 +65,23 @@
     """Receives the streams of other gate hosts.
 
     Args:
+        now_us: Clock that also advances while the host is suspended.
         helper: Where this host takes calls of other gate hosts, if it does.
     """
 
-    def __init__(self, helper: events.HelperAddress | None = None) -> None:
+    def __init__(
+        self,
+        now_us: Callable[[], int],
+        helper: events.HelperAddress | None = None,
+    ) -> None:
+        self._now_us = now_us
         self._helper = helper
         self._counts: dict[str, asyncio.Task[_Count]] = {}
         self._helpers_timeouts_s: dict[str, float] = {}
+        tracing = aiohttp.TraceConfig()
+        tracing.on_connection_create_end.append(self._on_connected)
         self._session = aiohttp.ClientSession(
+            trace_configs=[tracing],
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
@@ -84,6 +95,9 @@
     ) -> AsyncIterator[feed_lines.StreamStarted | feed_lines.RelayedOutcome]:
         """Yields the lines of a host's stream until it ends.
 
+        Ages of reads include the longest time for which a line may have been
+        on its way.
+
         Args:
             address: Control address of the host, "ip:port".
             offsets: First unread offset of each source; None for a full
@@ -117,15 +131,35 @@
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
+        transit = transit_times.TransitTimes(self._now_us())
         async with self._session.get(
             f"http://{address}{store_feed.PATH}",
             params=query,
             timeout=timeout,
             read_bufsize=feed_lines.MAX_LINE_BYTES,
             raise_for_status=True,
+            trace_request_ctx=transit,
         ) as response:
             async for line in response.content:
-                yield feed_lines.decode_line(line)
+                item = feed_lines.decode_line(line)
+                if item.sent_ms is not None:
+                    transit_ms = transit.longest_ms(
+                        item.sent_ms, self._now_us()
+                    )
+                    if isinstance(item, feed_lines.RelayedOutcome):
+                        age_ms = item.age_ms + transit_ms
+                        item = attrs.evolve(item, age_ms=age_ms)
+                yield item
+
+    async def _on_connected(
+        self,
+        _session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        _params: aiohttp.TraceConnectionCreateEndParams,
+    ) -> None:
+        transit = context.trace_request_ctx
+        if transit is not None:
+            transit.requested_us = self._now_us()
 
     async def count_hosts(self, address: str) -> int | None:
         """Returns how many gate hosts a reader counts.
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -69,7 +69,7 @@
         if relay_address:
             helper = events.HelperAddress(relay_address, failure_domain)
         self._relay_address = relay_address
-        self._feed_client = store_feed_client.FeedClient(helper)
+        self._feed_client = store_feed_client.FeedClient(shell.now_us, helper)
         self._read_tasks: dict[str, asyncio.Task[None]] = {}
         self._follow_task: asyncio.Task[None] | None = None
 
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -110,7 +110,7 @@
         with (
             mock.patch.object(store_client, "StoreClient", lambda _: store),
             mock.patch.object(
-                store_feed_client, "FeedClient", lambda _: client
+                store_feed_client, "FeedClient", lambda *_: client
             ),
         ):
             self.sync = store_sync.StoreSync(self, "", domain, address)
--- a/tests/configuration_network.py
+++ b/tests/configuration_network.py
@@ -205,6 +205,7 @@
 
     def __init__(self, session: Session) -> None:
         self._helper = None
+        self._now_us = session.host.now_us
         self._session = session
 
 
--- a/tests/record_conversations.py
+++ b/tests/record_conversations.py
@@ -83,7 +83,7 @@
 
     server = await asyncio.start_server(respond, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    client = store_feed_client.FeedClient(HELPER)
+    client = store_feed_client.FeedClient(lambda: 0, HELPER)
     for offsets in ({}, {"configuration": 2, "targets": 6}):
         with contextlib.suppress(Exception):
             async for _ in client.follow(address, offsets):
--- a/tests/test_older_builds.py
+++ b/tests/test_older_builds.py
@@ -33,7 +33,7 @@
 
     server = await asyncio.start_server(respond, "127.0.0.1", 0)
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    client = store_feed_client.FeedClient(recorder.HELPER)
+    client = store_feed_client.FeedClient(lambda: 0, recorder.HELPER)
     items = [item async for item in client.follow(address, {})]
     await client.close()
     server.close()
--- a/tests/test_slow_dependencies.py
+++ b/tests/test_slow_dependencies.py
@@ -311,7 +311,7 @@
 async def test_reader_that_counts_slowly_is_counted(serve, opened):
     # Guards against a fleet that is taken for smaller than it is: budgets of
     # probes and resends are divided by the count.
-    client = store_feed_client.FeedClient()
+    client = store_feed_client.FeedClient(lambda: 0)
     opened.append(client)
     address = await serve(late({"hosts": 7}, 1.5))
     for _ in range(4):
@@ -325,7 +325,7 @@
 
 async def test_helpers_that_a_reader_lists_slowly_are_used(serve, opened):
     # Guards against calls that are refused though other hosts could carry them.
-    client = store_feed_client.FeedClient()
+    client = store_feed_client.FeedClient(lambda: 0)
     opened.append(client)
     address = await serve(late({"helpers": [["10.0.0.9:1", "a"]]}, 0.75))
     lists = [await client.list_helpers(address, False) for _ in range(4)]
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -5,6 +5,7 @@
 import json
 import random
 import string
+from unittest import mock
 import zlib
 
 import aiohttp
@@ -54,13 +55,19 @@
     return json.dumps(fields).encode() + b"\n"
 
 
+def encode_line_unstamped(content, member=b""):
+    """Encodes a line as hosts of builds before `sent-ms` do."""
+    line = json.dumps({**content, "sent-ms": None}).encode()
+    return (line[:-1] + b"," + member + b"}" if member else line) + b"\n"
+
+
 class ServedFeed:
     """A feed on an HTTP server, with a client."""
 
     def __init__(self):
         self.now_us = 5_000_000
         self.feed = store_feed.Feed("a", (SOURCE,), lambda: self.now_us)
-        self.client = store_feed_client.FeedClient()
+        self.client = store_feed_client.FeedClient(self.client_now_us)
         app = web.Application()
         app.add_routes(self.feed.routes())
         self.server = testing.Server(app)
@@ -69,9 +76,15 @@
     async def follow(self, offset=None):
         """Returns the stream of a follower, after its first line."""
         lines = self.client.follow(self.address, {SOURCE: offset})
-        assert await anext(lines) == feed_lines.StreamStarted("a")
+        first = await anext(lines)
+        sent_ms = self.now_us // 1000
+        assert first == feed_lines.StreamStarted("a", None, sent_ms)
         return lines
 
+    def client_now_us(self):
+        """Returns the time by the client's clock, which differs."""
+        return self.now_us + 7_000_000_000
+
 
 @pytest_asyncio.fixture
 async def served():
@@ -105,6 +118,31 @@
     await lines.aclose()
 
 
+# A line that waited on its way would tell of a read that looks recent, and the
+# follower would answer 404 for routes that are there.
+async def test_age_of_a_read_includes_the_transit_time_of_its_line(served):
+    lines = await served.follow()
+    for transit_us in (0, 3_000_000, 1_000_000):
+        served.feed.record_read(SOURCE, batch(next_offset=0), age_us=250_000)
+        # The server writes the line now; the client has not read it yet.
+        await asyncio.sleep(0.05)
+        served.now_us += transit_us
+        item = await anext(lines)
+        assert item.age_ms == 250 + transit_us // 1000
+    await lines.aclose()
+
+
+async def test_reader_that_does_not_state_when_it_sent_a_line_is_followed(
+    served,
+):
+    served.feed.record_read(SOURCE, batch(next_offset=0))
+    with mock.patch.object(feed_lines, "encode_line", encode_line_unstamped):
+        lines = served.client.follow(served.address, {SOURCE: None})
+        assert await anext(lines) == feed_lines.StreamStarted("a")
+        assert (await anext(lines)).age_ms == 0
+        await lines.aclose()
+
+
 async def test_follower_slightly_behind_receives_the_missing_records(served):
     served.feed.record_read(
         SOURCE,
@@ -246,7 +284,7 @@
     app = web.Application()
     app.add_routes([web.get(store_feed.HOST_COUNT_PATH, respond)])
     server = testing.Server(app)
-    client = store_feed_client.FeedClient()
+    client = store_feed_client.FeedClient(lambda: 0)
     assert await client.count_hosts(await server.start()) is None
     await client.close()
     await server.close()
@@ -255,7 +293,8 @@
 async def test_number_of_gate_hosts_is_sent_when_it_changes(served):
     served.feed.gate_hosts = 14
     lines = served.client.follow(served.address, {SOURCE: None})
-    assert await anext(lines) == feed_lines.StreamStarted("a", 14)
+    started = feed_lines.StreamStarted("a", 14, served.now_us // 1000)
+    assert await anext(lines) == started
     received = []
     for gate_hosts in (14, 17, 17):
         served.feed.gate_hosts = gate_hosts
@@ -364,7 +403,8 @@
         SOURCE, batch(*rows, next_offset=1_000, is_snapshot=True)
     )
     lines = served.client.follow(served.address, {SOURCE: None}, unlimited=True)
-    assert await anext(lines) == feed_lines.StreamStarted("a")
+    started = feed_lines.StreamStarted("a", None, served.now_us // 1000)
+    assert await anext(lines) == started
     assert len((await anext(lines)).outcome.records) == 1_000
     await lines.aclose()
 
@@ -410,7 +450,7 @@
     app = web.Application()
     app.add_routes([web.get(store_feed.PATH, respond)])
     server = testing.Server(app)
-    client = store_feed_client.FeedClient()
+    client = store_feed_client.FeedClient(lambda: 0)
     with pytest.raises(ValueError, match=r"can't be read|Expecting value"):
         async for _ in client.follow(await server.start(), {SOURCE: None}):
             pass
@@ -449,7 +489,7 @@
         events.HelperAddress(f"10.0.0.{number}:7620", "b")
         for number in range(2, 5)
     ]
-    clients = [store_feed_client.FeedClient(host) for host in hosts]
+    clients = [store_feed_client.FeedClient(lambda: 0, host) for host in hosts]
     streams = []
     for client in clients:
         lines = client.follow(address, {SOURCE: None})
@@ -483,7 +523,7 @@
 async def test_list_of_helpers_is_short(served):
     clients = [
         store_feed_client.FeedClient(
-            events.HelperAddress(f"10.0.0.{number}:7620", "b")
+            lambda: 0, events.HelperAddress(f"10.0.0.{number}:7620", "b")
         )
         for number in range(2 * store_feed.MAX_LISTED_HELPERS)
     ]
