Don't take a read that the store cut for complete

Callers got 404 for routes of records that a host had not read yet: the store limits the size of a response, and after a cut-off the rest of a long topic took several reads, each after the pause for bursts of changes.

Cause: only the proof of API keys looked at whether a read reached the end of its topic. The time up to which a host knows every record did not, and a feed's line did not tell followers.

Why it works: such a read leaves that time as it was and says that records are missing, which turns 404 into 503; the next read starts at once. Lines say "more", which older builds ignore.

--- a/src/fireflyspindle/adapters/feed_lines.py
+++ b/src/fireflyspindle/adapters/feed_lines.py
@@ -109,6 +109,7 @@
                 int(content["next-offset"]),
                 bool(content["whole"]),
                 int(content["from-offset"]),
+                is_complete=not content.get("more", False),
             )
         # The age of a late read includes its delay, as hosts of older builds
         # know nothing of delays.
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -68,6 +68,8 @@
         late_us: The same of a late read; `succeeded_us` is earlier by it.
         failed: Why the latest read failed, if it did.
         own: Whether this host made the latest read.
+        is_complete: Whether the latest successful read reached the end of the
+            topic.
         encoded: Batches as sent to the followers since the latest change, by
             first offset and whether they are compressed.
     """
@@ -82,6 +84,7 @@
     late_us: int = 0
     failed: store_records.ReadFailed | None = None
     own: bool = True
+    is_complete: bool = True
     encoded: dict[tuple[int | None, bool], _EncodedBatch] = attrs.field(
         factory=dict
     )
@@ -254,10 +257,12 @@
         """
         source = self._sources[name]
         failed: store_records.ReadFailed | None = None
+        is_complete = source.is_complete
         match outcome:
             case store_records.Batch():
                 if not source.apply(outcome):
                     return
+                is_complete = outcome.is_complete
             case store_records.ReadFailed():
                 failed = outcome
         ended_us = self._now_us() - age_us
@@ -267,6 +272,7 @@
         source.ended_us = ended_us
         source.failed = failed
         source.own = own
+        source.is_complete = is_complete
         if failed is None:
             source.succeeded_us = ended_us - late_us
             source.delay_us = delay_us
@@ -418,6 +424,8 @@
             fields["delay-ms"] = -(-source.delay_us // 1000)
         if source.late_us:
             fields["late-ms"] = -(-source.late_us // 1000)
+        if not source.is_complete:
+            fields["more"] = True
         offsets[name] = batch.next_offset
         fields["from-offset"] = batch.from_offset
         fields["next-offset"] = batch.next_offset
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -482,6 +482,7 @@
         is_snapshot: Whether the read covers all existing entries.
         next_offset: First offset that has not been read.
         relayed: Origin of the read if a reader relayed it.
+        is_complete: Whether the read reached the end of the topic.
         late_start_us: Start of a read by this host that succeeded after it had
             failed for want of data in time; None for any other read.
     """
@@ -492,6 +493,7 @@
     is_snapshot: bool
     next_offset: int
     relayed: RelayedRead | None = None
+    is_complete: bool = True
     late_start_us: int | None = None
 
 
@@ -506,6 +508,7 @@
         is_snapshot: Whether the read covers all existing records.
         next_offset: First offset that has not been read.
         relayed: Origin of the read if a reader relayed it.
+        is_complete: Whether the read reached the end of the topic.
         late_start_us: Start of a read by this host that succeeded after it had
             failed for want of data in time; None for any other read.
     """
@@ -516,6 +519,7 @@
     is_snapshot: bool
     next_offset: int
     relayed: RelayedRead | None = None
+    is_complete: bool = True
     late_start_us: int | None = None
 
 
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -155,7 +155,7 @@
     settings = state.settings.store
     assert settings is not None
     delay_us = 0
-    if changed:
+    if changed and event.is_complete:
         spacing_ms = settings.min_read_interval_ms
         if state.following.is_reader:
             spacing_ms = min(spacing_ms, following.READER_READ_SPACING_MS)
@@ -173,9 +173,13 @@
 
     That is the start of the read, for a relayed one the earliest possible. A
     read may wait, miss a record meanwhile (docs/limits.md), and its response
-    may be read late by a frozen host.
+    may be read late by a frozen host. A read that the store cut tells nothing
+    of the records behind its end.
     """
     reads = state.store_reads[source]
+    reads.has_unread_records = not event.is_complete
+    if not event.is_complete:
+        return
     settings = state.settings.store
     assert settings is not None
     if event.relayed is None:
@@ -206,13 +210,17 @@
     """Whether this host has read what it has to know by now.
 
     That is every record that is older than the time limit for changes. It is
-    not up to date either while it lacks records that a reader has left out, or
-    the newest of which it can't decode.
+    not up to date either while it lacks records that a reader has left out or
+    that the store did not send yet, or the newest of which it can't decode.
     """
     settings = state.settings.store
     assert settings is not None
     reads = state.store_reads[source]
-    if reads.has_relay_gap or reads.has_undecodable_record:
+    if (
+        reads.has_relay_gap
+        or reads.has_unread_records
+        or reads.has_undecodable_record
+    ):
         return False
     age_us = state.now_us - complete_until_us(state, source)
     return age_us <= settings.apply_limit_ms * 1000
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -150,6 +150,8 @@
         has_relay_gap: Whether the reader left out records of this source.
         complete_until_us: Time up to which every record is known; None before
             the first successful read.
+        has_unread_records: Whether the latest read was cut by the store, so
+            that newer records are known to exist.
         has_undecodable_record: Whether the newest configuration could not be
             decoded, so that an older one is in force.
     """
@@ -169,6 +171,7 @@
     relayed_us: int | None = None
     has_relay_gap: bool = False
     complete_until_us: int | None = None
+    has_unread_records: bool = False
     has_undecodable_record: bool = False
 
     def own_read_start_us(self, event: events.StoreRead) -> int:
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -153,6 +153,7 @@
             is_snapshot=batch.is_snapshot,
             next_offset=batch.next_offset,
             relayed=relayed,
+            is_complete=batch.is_complete,
         )
 
     def _crashes_read(
@@ -186,6 +187,7 @@
             is_snapshot=batch.is_snapshot,
             next_offset=batch.next_offset,
             relayed=relayed,
+            is_complete=batch.is_complete,
         )
 
     def _log_undecodable(
