Don't refuse a call without an API key for good by an old version

On sites with organisations, a host that was late answered 401 to a request without a key, for a route that a newer version had made public.

Cause: the check for a missing key came before the question whether the version may be outdated; the one for an unknown key came after it.

Why it works: both checks come after that question now; the caller gets 503 and asks another host.

--- a/src/fireflyspindle/core/organisations/authorisation.py
+++ b/src/fireflyspindle/core/organisations/authorisation.py
@@ -44,15 +44,12 @@
     """Refuses a call without a known key.
 
     A caller does not come back after a 401, so it is only told so if a newer
-    configuration with its key can't exist.
+    configuration that allows the call can't exist: one with its key, or one in
+    which the route needs none.
     """
     version = state.rule_table.version
     if event.relayed:
         return _differs(f"version {version} here has no such API key")
-    if not event.key_digest:
-        return refusals.Refusal(
-            401, "unknown_key", "give one header Authorization: Bearer KEY"
-        )
     up_to_date = store_reads.is_up_to_date(
         state, store_state.Source.CONFIGURATION
     )
@@ -60,8 +57,12 @@
         return refusals.Refusal(
             503,
             "configuration_outdated",
-            f"version {version} does not have the API key, and this gate host"
-            " may not know the newest version",
+            f"version {version} does not allow the call without another API"
+            " key, and this gate host may not know the newest version",
+        )
+    if not event.key_digest:
+        return refusals.Refusal(
+            401, "unknown_key", "give one header Authorization: Bearer KEY"
         )
     return refusals.Refusal(
         401, "unknown_key", f"version {version} does not have the API key"
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -13,6 +13,7 @@
 
 APPLY_LIMIT_US = 2_000_000
 CONFIGURATION = store_state.Source.CONFIGURATION
+ANSWER = effects.AnswerCaller
 
 
 @pytest.fixture
@@ -27,7 +28,8 @@
 
 def refusal_of(host, path="/added/x"):
     """Returns the status and error that a request is refused with."""
-    call_id = 1 + max(host.state.calls, default=0)
+    answered = [answer.call_id for answer in host.effects_of(ANSWER)]
+    call_id = 1 + max([*host.state.calls, *answered], default=0)
     host.call_arrives(call_id, path=path)
     answer = host.gate_answer(call_id)
     return answer.status, answer.error
