Replace long streams between hosts, as the clocks of two hosts drift

Cause: a bound that is measured once, at the start of a stream without end.

Evidence: by calculation; test_long_stream_is_replaced_by_a_new_one fails before.

Why it works: a stream ends after 4 to 5 minutes, in which clocks that differ by 200 ppm drift by 60 ms. The next one, from the same reader, starts at the same offsets and measures anew.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -48,6 +48,11 @@
 # Time for which a report of failed reads counts. It covers one attempt to
 # follow a reader that is down.
 FAILURE_REPORT_TIMEOUT_US = 2 * MIN_FOLLOW_US
+# Time after which a stream is replaced by a new one from the same reader, and
+# the share of it that is random. The transit times of its lines rest on the
+# rates of two clocks, which differ by up to 0.2 ms a second.
+STREAM_LIFETIME_US = 300_000_000
+STREAM_LIFETIME_JITTER = 0.2
 # Time for which other readers are preferred over one that was lost.
 LOST_READER_AVOIDANCE_US = 3_000_000
 
@@ -218,6 +223,7 @@
         return
     times_us = [
         _replaceable_us(follow),
+        follow.stream_end_us,
         follow.own_reads_allowed_us,
     ]
     for source, reads in state.store_reads.items():
@@ -252,6 +258,8 @@
             follow.silent_readers += 1
         _mark_avoided(state, follow.address)
         _follow_preferred(state)
+    elif state.now_us >= follow.stream_end_us:
+        _follow(state, follow.address, follow.unlimited_size)
     schedule_check(state)
 
 
@@ -373,6 +381,8 @@
     follow.connected = False
     follow.has_reported = False
     follow.stream_started_us = state.now_us
+    jitter = 1 - STREAM_LIFETIME_JITTER * state.random.random()
+    follow.stream_end_us = state.now_us + int(STREAM_LIFETIME_US * jitter)
     follow.unlimited_size = unlimited_size
     offsets = {}
     for source, reads in state.store_reads.items():
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -209,6 +209,7 @@
         address: Control address of the followed reader, or None.
         connected: Whether that reader has answered.
         stream_started_us: Start of the stream.
+        stream_end_us: Time at which a new stream replaces it.
         has_reported: Whether the outcome of a read has arrived on the stream.
         silent_readers: Readers that were replaced before any outcome arrived,
             since one relayed a successful read.
@@ -227,6 +228,7 @@
     address: str | None = None
     connected: bool = False
     stream_started_us: int = 0
+    stream_end_us: int = 0
     has_reported: bool = False
     silent_readers: int = 0
     unlimited_size: bool = False
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -245,6 +245,18 @@
     assert list(host.state.registered_targets) == ["i-0"]
 
 
+# The clocks of two hosts drift apart, and with them the transit times of lines.
+def test_long_stream_is_replaced_by_a_new_one_of_the_same_reader():
+    host = FollowingHost()
+    host.relay_reads(configured=published_host.document())
+    address = host.address
+    host.relay_empty_reads_for(following.STREAM_LIFETIME_US + READ_WAIT_US)
+    followed = host.effects_of(effects.FollowReader)
+    assert [effect.address for effect in followed] == [address, address]
+    assert followed[1].from_offsets["configuration"] == host.next_offset
+    assert host.own_reads() == []
+
+
 def test_primary_reader_reads_all_sources_and_follows_no_host():
     host = FollowingHost(is_reader=True)
     assert [read.source for read in host.own_reads()] == [
