Bound the answers in a planned stop by the longest recent ones of a route

Callers of a service with quick and slow requests got 502 for requests that were sent late in a stop and cut at its end: with grace-s of 6 and work of 4 s after 16 quick answers 4 of 32 requests, and 20 waited up to 4.4 s for a 503.

The time that an answer needs was taken as 2.2 times the mean of the service's answers, "four standard deviations of 0.3". That is a property of some servers, not of users' services. It also ignored the calls at work.

Each service now keeps, for each route, the times from the send of an attempt to the end of its answer: the longest one of the latest 256 to 512 answers, and the sends of those in flight. The next of n + 1 answers of one kind is the longest with a probability of 1 / (n + 1), whatever the distribution. With fewer than 8 answers, or while an attempt outlasts all recent ones, nothing is known, and a call starts only if its deadline lies before the end. Attempts that were given up count with their time, not as answers; nor do failures. Waiting calls are looked at when the longest time grows and when an attempt outlasts it.

Tests: those that set the mean or the histogram of a service now set its longest answer to the same 2.2 times, so that every time and bound that they check is unchanged. The test of a waiting call filled its target with reports that an earlier one outdated; it now does so with calls. The relay test first ends the attempts by which its host lost its targets.

--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -141,6 +141,7 @@
     )
     capacity.on_attempt_begun(service, call)
     call.attempts[attempt.number] = attempt
+    stop_limit.on_sent(state, call, attempt)
     call.last_target = target.spec.address
     call.tried_targets.add(target.spec.key)
     targets.on_attempt_started(target, state.now_us)
@@ -248,9 +249,21 @@
     state: state_lib.GateState,
     call: state_lib.Call,
     attempt: state_lib.Attempt,
+    *,
+    is_complete: bool = False,
 ) -> None:
-    """Removes an ended attempt from its call and its target."""
+    """Removes an ended attempt from its call and its target.
+
+    Args:
+        state: State of the gate host.
+        call: The call.
+        attempt: Its attempt.
+        is_complete: Whether its whole answer was forwarded.
+    """
     del call.attempts[attempt.number]
+    stop_limit.on_attempt_ended(
+        state, call, attempt, is_answer=is_complete and attempt.answered
+    )
     targets.on_attempt_ended(attempt.target, state.now_us)
     capacity.on_attempt_ended(state, attempt.service, call)
     load_lib.on_attempt_ended(attempt.target.load, attempt.started_us)
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -105,6 +105,9 @@
         attempts.record_answer(state, call, attempt, event)
     crash_evidence.on_answered(state, call, attempt, event)
     attempt.declined = event.not_run
+    attempt.answered = (
+        not event.not_run and event.status < attempts.SERVER_ERROR_STATUS
+    )
     call.record_step(
         state.now_us,
         "answered",
@@ -280,7 +283,9 @@
     call = state.calls.get(event.call_id)
     if call is None or event.attempt not in call.attempts:
         return
-    attempts.release(state, call, call.attempts[event.attempt])
+    attempts.release(
+        state, call, call.attempts[event.attempt], is_complete=True
+    )
     call.phase = state_lib.CallPhase.ANSWERED
     answers.finish_if_done(state, call)
 
--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -9,6 +9,7 @@
 answer is answered as not run or unknown.
 """
 
+from fireflyspindle.core import answer_times
 from fireflyspindle.core import answers
 from fireflyspindle.core import attempts
 from fireflyspindle.core import claim_batches
@@ -19,8 +20,8 @@
 from fireflyspindle.core import stop_limit
 from fireflyspindle.core import timers
 
-# Most time between two checks of the calls that wait: new answers change the
-# time at which they have to be sent.
+# Most time between two checks of the calls that wait. Checks that are due
+# because of what is learnt about answer times come earlier.
 CHECK_INTERVAL_US = 50_000
 
 
@@ -37,6 +38,7 @@
     limit_us = state.settings.drain_limit_ms * 1000
     state.stop_limit_us = event.now_us + limit_us
     state.timers.add(state.stop_limit_us, timers.DrainDeadline())
+    state.stop_check_at_us = event.now_us
     on_check_due(state)
     if grace_us:
         state.timers.add(event.now_us + grace_us, timers.DrainGraceExpired())
@@ -52,10 +54,20 @@
 
 
 def on_check_due(state: state_lib.GateState) -> None:
-    """Refuses the waiting calls that can't be answered before the limit."""
-    assert state.stop_limit_us is not None
+    """Refuses the waiting calls that can't be answered before the limit.
+
+    Timers that were replaced by an earlier check are ignored.
+    """
+    if state.stop_check_at_us is None or state.now_us < state.stop_check_at_us:
+        return
+    state.stop_check_at_us = None
     next_check_us = state.now_us + CHECK_INTERVAL_US
     for call in list(state.calls.values()):
+        times = stop_limit.times_of(state, call)
+        if times is not None:
+            outlasted_us = answer_times.outlasted_at_us(times)
+            if outlasted_us is not None and outlasted_us > state.now_us:
+                next_check_us = min(next_check_us, outlasted_us)
         latest_us = stop_limit.latest_start_us(state, call)
         if latest_us is None or not _waits_to_be_sent(call):
             continue
@@ -63,8 +75,7 @@
             answers.refuse_stopping(state, call)
         else:
             next_check_us = min(next_check_us, latest_us + 1)
-    if next_check_us < state.stop_limit_us:
-        state.timers.add(next_check_us, timers.StopCheckDue())
+    stop_limit.schedule_check(state, next_check_us)
 
 
 def _waits_to_be_sent(call: state_lib.Call) -> bool:
--- a/src/fireflyspindle/core/published.py
+++ b/src/fireflyspindle/core/published.py
@@ -143,6 +143,7 @@
     version: int | None = None
     _rules: dict[str, dict[str, Rule]] = attrs.field(factory=dict)
     _split_points: dict[str, float] = attrs.field(factory=dict)
+    _names: frozenset[str] = frozenset()
 
     def replace_rules(self, document: Document) -> None:
         """Replaces all rules with those of a newer document."""
@@ -150,11 +151,11 @@
         self._rules = {}
         for rule in document.rules:
             self._rules.setdefault(rule.host, {})[rule.path_prefix] = rule
-        names = {rule.name for rule in document.rules}
+        self._names = frozenset(rule.name for rule in document.rules)
         self._split_points = {
             name: point
             for name, point in self._split_points.items()
-            if name in names
+            if name in self._names
         }
 
     def find(self, host: str, path: str) -> Rule | None:
@@ -169,6 +170,10 @@
                 return rule
         return None
 
+    def has_name(self, name: str) -> bool:
+        """Whether a rule of that name is active."""
+        return name in self._names
+
     def choose_part(self, rule: Rule, start: float) -> Part:
         """Returns the service of the split for the next call of a rule.
 
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from fireflyspindle.core import answer_times as answer_times_lib
 from fireflyspindle.core import budgets
 from fireflyspindle.core import claim_state
 from fireflyspindle.core import configuration as configuration_lib
@@ -86,6 +87,7 @@
         expected_slowdown: Expected processing time, relative to the usual time.
         near_capacity: Whether the target's slots were nearly all in use.
         declined: Whether the target stated that it did not run the request.
+        answered: Whether the head of an answer of the service has arrived.
         relayed: Whether the target is a gate host that carries the call.
         hedge: Whether it was sent while another attempt was in flight, within
             the operator's limit.
@@ -98,6 +100,7 @@
     expected_slowdown: float = 1.0
     near_capacity: bool = False
     declined: bool = False
+    answered: bool = False
     relayed: bool = False
     hedge: bool = False
 
@@ -344,6 +347,7 @@
             first.
         failure_share: Moving average of the share of failed attempts.
         hedges: Hedges within the operator's limit.
+        answer_times: Times of its answers, by route.
     """
 
     name: str
@@ -384,6 +388,9 @@
     hedges: hedge_state.ServiceHedges = attrs.field(
         factory=hedge_state.ServiceHedges
     )
+    answer_times: dict[str, answer_times_lib.AnswerTimes] = attrs.field(
+        factory=dict
+    )
 
 
 @attrs.define
@@ -461,6 +468,8 @@
         host_list_failures: Failed reads of the host list.
         stopping: Whether a planned stop has begun.
         stop_limit_us: Time at which a planned stop ends, once it has begun.
+        stop_check_at_us: Time of the next check of the calls that wait at a
+            stopping host, or None.
         listening: Whether new connections of callers are accepted.
         probe_slots: Leases on the right to probe.
         probes: Probes in flight by number.
@@ -519,6 +528,7 @@
     host_list_failures: int = 0
     stopping: bool = False
     stop_limit_us: int | None = None
+    stop_check_at_us: int | None = None
     listening: bool = True
     probe_slots: ProbeSlots = attrs.field(factory=ProbeSlots)
     probes: dict[int, Probe] = attrs.field(factory=dict)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,6 +10,7 @@
 from fireflyspindle import headers
 from fireflyspindle import settings as settings_lib
 from fireflyspindle import testing
+from fireflyspindle.core import answer_times
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 
@@ -25,8 +26,9 @@
     host = make_host(drain_grace_ms=GRACE_MS, drain_limit_ms=LIMIT_MS)
     # Answers are known to take 10 ms: a stopping host refuses calls of services
     # whose answer times are not known.
-    for _ in range(100):
-        host.state.services["s"].load.latencies.add(10_000)
+    host.state.services["s"].answer_times[""] = answer_times.AnswerTimes(
+        answers=100, longest_us=10_000
+    )
     return host
 
 
--- a/tests/test_quick_and_slow_work_in_a_stop.py
+++ b/tests/test_quick_and_slow_work_in_a_stop.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fireflyspindle.core import answer_times
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 import platform_driver
@@ -20,12 +21,12 @@
 SECOND_US = late_in_a_stop.SECOND_US
 REPEATABLE = late_in_a_stop.REPEATABLE
 QUICK_US = 10_000
-FULL = published_driver.slow_loads(in_flight=4, slowdown=1.0)
 
 assert_refused = late_in_a_stop.assert_refused
 sends_of = late_in_a_stop.sends_of
 slow_rule = late_in_a_stop.slow_rule
 stop = late_in_a_stop.stop
+make_stopping_host = late_in_a_stop.make_stopping_host
 
 
 @pytest.fixture
@@ -94,15 +95,16 @@
     make_host, repeatable
 ):
     # It was held until its deadline or the end of the stop.
-    host = make_host(repeatable)
+    host = make_host(repeatable, targets=1)
     stop(host)
-    assert host.arrive_and_send(1)
-    host.call_arrives(2)
-    published_driver.answer_probes(host, FULL, QUICK_US // 2)
-    assert list(host.service().waiting_calls) == [2]
-    assert host.gate_answer(2) is None
-    published_driver.answer_probes(host, FULL, QUICK_US)
-    assert_refused(host, 2)
+    for call_id in range(1, 5):
+        assert host.arrive_and_send(call_id)
+    host.call_arrives(5)
+    host.advance(QUICK_US)
+    assert list(host.service().waiting_calls) == [5]
+    assert host.gate_answer(5) is None
+    host.advance(1)
+    assert_refused(host, 5)
 
 
 @pytest.mark.parametrize(
@@ -212,6 +214,8 @@
         rules=[slow_rule()],
         drain=late_in_a_stop.DRAIN,
     )
+    while any(call.attempts for call in host.state.calls.values()):
+        host.fail_attempts(events.FailureReason.DISCONNECTED, sent=True)
     for number in range(1, 17):
         test_relays.relay(host, number)
         host.advance(QUICK_US)
@@ -226,3 +230,83 @@
     host.call_arrives(21)
     assert not sends_of(host, 21)
     assert_refused(host, 21)
+
+
+def times_of(host, route="r"):
+    """Returns the answer times of a route."""
+    return host.service().answer_times[route]
+
+
+@pytest.mark.parametrize("answers", [7, 8])
+def test_few_answers_do_not_bound_the_next_one(make_host, answers):
+    host = make_host(answers=answers)
+    stop(host)
+    assert host.arrive_and_send(1, deadline_ms=5_500)
+    host.call_arrives(2)
+    if answers == 8:
+        assert sends_of(host, 2)
+    else:
+        assert_refused(host, 2)
+
+
+@pytest.mark.parametrize(
+    ("status", "not_run"), [(500, False), (503, False), (503, True)]
+)
+def test_failures_are_no_samples_of_the_answers(make_host, status, not_run):
+    # A service that fails fast tells nothing of its work.
+    host = make_host(answers=0)
+    for call_id in range(1, 21):
+        assert host.arrive_and_send(call_id)
+        host.advance(QUICK_US)
+        host.answer(call_id, 1, status=status, not_run=not_run)
+        host.fail_attempts(events.FailureReason.DISCONNECTED, sent=True)
+        host.finish(call_id)
+    assert times_of(host).answers == 0
+    stop(host)
+    host.call_arrives(30)
+    assert_refused(host, 30)
+
+
+def test_old_outlier_is_forgotten_after_two_generations(make_host):
+    # One request that hung must not count for the whole life of a host.
+    size = answer_times.GENERATION_ANSWERS
+    host = make_host(repeatable=True, answers=0)
+    run(host, [1], work_us=3 * SECOND_US)
+    run(host, range(2, 2 * size))
+    assert times_of(host).recent_longest_us == 3 * SECOND_US
+    run(host, [2 * size])
+    assert times_of(host).recent_longest_us == QUICK_US
+    assert times_of(host).is_known
+
+
+def test_answer_times_of_dropped_routes_are_forgotten(make_host):
+    # They would grow with every change of the configuration.
+    host = make_host()
+    assert host.arrive_and_send(1)
+    for number in range(2, 7):
+        rule = slow_rule(name=f"r{number}")
+        host.configure(published_driver.document(number, [rule]))
+        run(host, [number])
+    assert set(host.service().answer_times) == {"r", "r6"}
+    host.answer(1, 1)
+    host.finish(1)
+    host.configure(published_driver.document(7, [slow_rule(name="r7")]))
+    run(host, [7])
+    assert set(host.service().answer_times) == {"r7"}
+    assert not times_of(host, "r7").started_us
+
+
+def test_hedge_is_not_sent_while_its_call_outlasts_every_answer(
+    make_stopping_host,
+):
+    # The call may be slow work, which its hedge would be as well.
+    host = make_stopping_host(targets=6, stopped=False)
+    times = times_of(host)
+    times.longest_us = SECOND_US
+    stop(host)
+    assert host.arrive_and_send(1)
+    host.service().resend_budget.earn(host.now_us)
+    host.advance(3 * SECOND_US // 2)
+    while host.state.probes:
+        host.answer_probes()
+    assert len(sends_of(host, 1)) == 1
--- a/tests/test_requests_late_in_a_stop.py
+++ b/tests/test_requests_late_in_a_stop.py
@@ -11,6 +11,7 @@
 from fireflyspindle import settings as settings_lib
 from fireflyspindle import testing
 from fireflyspindle.adapters import data_path
+from fireflyspindle.core import answer_times
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import helper_list
@@ -32,9 +33,10 @@
 SECOND_US = 1_000_000
 LIMIT_US = 5_600_000
 DRAIN = {"drain_grace_ms": 5_550, "drain_limit_ms": LIMIT_US // 1000}
-# Time in which 4 standard deviations of the processing time, and the way of the
-# answer, leave room for an answer of WORK_US.
+# Mean time of the work, and the longest answers that were seen as a multiple of
+# it. With the way of the answer a call of WORK_US needs 2.3 s.
 WORK_US = SECOND_US
+LONGEST_FACTOR = 2.2
 MAX_NEEDED_US = 2_500_000
 REPEATABLE = pytest.mark.parametrize("repeatable", [True, False])
 
@@ -59,7 +61,9 @@
                 **fields,
             }
         )
-        host.service().averages.processing_time_us = work_us
+        if work_us:
+            host.service().averages.processing_time_us = work_us
+            set_answer_times(host.service(), work_us)
         if stopped:
             stop(host)
         return host
@@ -67,6 +71,14 @@
     return make
 
 
+def set_answer_times(service, work_us, route="r"):
+    """Lets a service have given answers, the longest of LONGEST_FACTOR."""
+    service.answer_times[route] = answer_times.AnswerTimes(
+        answers=answer_times.MIN_ANSWERS,
+        longest_us=int(LONGEST_FACTOR * work_us),
+    )
+
+
 def stop(host):
     """Requests a planned stop."""
     host.feed(events.StopRequested)
@@ -199,7 +211,7 @@
     host.call_arrives(1)
     full = published_driver.slow_loads(in_flight=4, slowdown=1.0)
     published_driver.answer_probes(host, full, 60_000)
-    host.service().averages.processing_time_us = 3 * SECOND_US
+    set_answer_times(host.service(), 3 * SECOND_US)
     published_driver.answer_probes(host, full, 200_000)
     assert_refused(host, 1)
 
@@ -215,7 +227,7 @@
             organisations=host.state.organisations.by_name.values(),
         )
     )
-    host.service().averages.processing_time_us = WORK_US
+    set_answer_times(host.service(), WORK_US)
     stop(host)
     host.advance(LIMIT_US - 2_350_000)
     test_quotas.arrive(host, 1)
@@ -301,6 +313,7 @@
     make_hedging_host,
 ):
     host = make_hedging_host(rules=[slow_rule()], drain=DRAIN)
+    set_answer_times(host.service(), 100_000)
     stop(host)
     host.advance(LIMIT_US - 380_000)
     host.arrive_and_send(1)
@@ -317,7 +330,7 @@
     host = test_relays.cut_off_host(
         make_published_host, rules=[slow_rule()], drain=DRAIN
     )
-    host.service().averages.processing_time_us = WORK_US
+    set_answer_times(host.service(), WORK_US)
     stop(host)
     test_relays.relay(host, 1)
     host.advance(LIMIT_US - 2 * SECOND_US)
@@ -361,8 +374,7 @@
 def own_host(make_host, latency_us=SECOND_US):
     """Returns a stopping host of the project's own interface."""
     host = make_host(**DRAIN)
-    for _ in range(200):
-        host.state.services["s"].load.latencies.add(latency_us)
+    set_answer_times(host.state.services["s"], latency_us, route="")
     stop(host)
     return host
 
@@ -526,6 +538,7 @@
         [service] = platform.host.state.services.values()
         service.averages.processing_time_us = 800_000
         service.averages.slowdown = 1.0
+        set_answer_times(service, 800_000, route="r-2")
         platform.host.request_stop()
         sending = []
         for number in range(28):
