Let the links between hosts of a soak fill up

Until now a proxy delayed each piece of data after the one before, which slows a stream down until it counts as silent. On a full link the pieces arrive at their pace, but late: this is the fault under which hosts took old reads for recent.

--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -18,6 +18,7 @@
 from fireflyspindle import testing
 from fireflyspindle.bench import soak_callers
 from fireflyspindle.bench import soak_checks
+from fireflyspindle.bench import soak_feeds
 from fireflyspindle.bench import soak_gates
 from fireflyspindle.bench import soak_servers
 from fireflyspindle.bench import soak_store
@@ -97,6 +98,7 @@
         self._store_faults = soak_store.StoreFaults(
             self._store, seed, self._record_fault, self._write_next_version
         )
+        self._full_links = soak_feeds.FullLinks(seed, self._record_fault)
         self._configuration_check = soak_checks.ConfigurationCheck(
             self._store_faults.observation
         )
@@ -152,6 +154,7 @@
             asyncio.create_task(self._limit_servers()),
             asyncio.create_task(self._store_faults.run(self._gates)),
             asyncio.create_task(self._stop_with_short_grace()),
+            asyncio.create_task(self._full_links.run(self._gates)),
         ]
         poll_tasks = [
             asyncio.create_task(
--- a/src/fireflyspindle/testing/tcp_proxy.py
+++ b/src/fireflyspindle/testing/tcp_proxy.py
@@ -9,6 +9,8 @@
 DEFAULT_DELAY_S = 0.05
 POLL_INTERVAL_S = 0.05
 
+_Queue = asyncio.Queue[tuple[float, bytes]]
+
 
 class Fault(enum.Enum):
     """Faults that a proxy can inject.
@@ -41,12 +43,15 @@
             connection when it next receives data.
         delay_s: Delay of each piece of data during `Fault.DELAY`.
         refuse_status: Status of the answers during `Fault.REFUSE`.
+        queue_s: Time that each piece of data waits in the queue of its
+            direction, beside the others, as on a link that is full.
     """
 
     def __init__(self, upstream: str) -> None:
         self.fault = Fault.NONE
         self.delay_s = DEFAULT_DELAY_S
         self.refuse_status = 503
+        self.queue_s = 0.0
         self._upstream = upstream
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -89,6 +94,9 @@
             refusals: Where requests are refused; None for responses.
         """
         is_response = refusals is None
+        loop = asyncio.get_running_loop()
+        queue: _Queue = asyncio.Queue()
+        sender: asyncio.Task[None] | None = None
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(READ_BYTES):
                 if not await self._apply_fault(is_response=is_response):
@@ -97,8 +105,18 @@
                     refusals.write(self._refusal())
                     await refusals.drain()
                     continue
-                writer.write(data)
-                await writer.drain()
+                if sender is None and not self.queue_s:
+                    writer.write(data)
+                    await writer.drain()
+                    continue
+                if sender is None:
+                    sender = loop.create_task(_send(queue, writer))
+                if sender.done():
+                    break
+                queue.put_nowait((loop.time() + self.queue_s, data))
+        if sender is not None:
+            queue.put_nowait((loop.time() + self.queue_s, b""))
+            await sender
         writer.transport.abort()
 
     async def _apply_fault(self, *, is_response: bool) -> bool:
@@ -133,3 +151,16 @@
             self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
+
+
+async def _send(queue: _Queue, writer: asyncio.StreamWriter) -> None:
+    """Sends each piece of data at its time, until an empty one."""
+    loop = asyncio.get_running_loop()
+    with contextlib.suppress(ConnectionError):
+        while True:
+            at_s, data = await queue.get()
+            await asyncio.sleep(max(0.0, at_s - loop.time()))
+            if not data:
+                return
+            writer.write(data)
+            await writer.drain()
