Keep trailers out of the next request, and read behind offered upgrades

Callers saw: behind a request whose body in chunks has trailers, the last trailer became the first header of the next request on the connection. That one was refused with 400 (Host, deadline, Connection: close) or 417 (Expect), or was run under the id of the trailer, or carried its Authorization. Requests read together with one that offers an upgrade (h2c, websocket) were dropped and never answered.

Cause: the parser of aiohttp keeps the name and value of the last trailer until the next header comes, and drops what it has read behind a request with an Upgrade that the connection does not switch to. What it holds back behind a request can't be got back from it.

It is now fed up to the end of each request only, and replaced behind a body in chunks or an offered upgrade. Where a request ends is still its decision: pieces end at each place where a head or a body in chunks may end, and at the end of a body of a stated length.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -77,8 +77,9 @@
     ) -> None:
         super().__init__(loop, buffer)
         self.relays = relays
-        self._requests = request_parser.RequestParser(self, loop)
-        self._parser = self._requests.parser
+        self._requests = request_parser.RequestParser(
+            self, loop, self._use_parser
+        )
         self._head_started_s: float | None = None
         self.stage_started_s = loop.time()
         self.pending: collections.deque[PendingRequest] = collections.deque()
@@ -90,6 +91,10 @@
         # When the time limit of a stage was last checked.
         self._undelivered_bytes = 0
 
+    def _use_parser(self, parser: http.HttpRequestParser) -> None:
+        """Sets the parser that is paused with the connection."""
+        self._parser = parser
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers with the server."""
         super().connection_made(transport)
@@ -146,7 +151,7 @@
         self, message: http.RawRequestMessage, payload: streams.StreamReader
     ) -> None:
         pending = self._add_pending(payload)
-        if message.should_close or self._requests.upgraded:
+        if message.should_close or message.method == "CONNECT":
             self._accepts_requests = False
         error = self._server.head_limits.check(message)
         if error is not None:
--- a/src/fireflyspindle/adapters/request_parser.py
+++ b/src/fireflyspindle/adapters/request_parser.py
@@ -1,16 +1,21 @@
 """Parses the requests on a caller's connection one at a time."""
 
 import asyncio
+from collections.abc import Callable
 
-from aiohttp import base_protocol
 from aiohttp import http
 from aiohttp import streams
 from aiohttp import web
 
 from fireflyspindle.adapters import head_limits as head_limits_lib
 from fireflyspindle.adapters import overhead
+from fireflyspindle.adapters import shared_buffer
 
 READ_BUFFER_BYTES = 64 * 1024
+# End of each head and of each body in chunks.
+_SECTION_END = b"\r\n\r\n"
+# Bytes in which it may begin, and one before.
+_SECTION_END_START_BYTES = 4
 
 Request = tuple[http.RawRequestMessage, streams.StreamReader]
 
@@ -18,34 +23,58 @@
 class RequestParser:
     """Stops at the end of each request, and holds back the bytes behind it.
 
+    The parser of the HTTP library gets no byte behind the request that it
+    parses. It would take the last trailer for a header of the next request, and
+    drop what is behind a request that asks for an upgrade. Such requests
+    therefore end its use, too.
+
     Attributes:
-        parser: The parser of the HTTP library.
         stopped: Whether the last call of `feed` ended at the end of a request.
             There may then be further requests in the bytes that are held back;
             the next call parses them.
-        upgraded: Whether the bytes behind the latest request are not HTTP/1.1.
     """
 
     def __init__(
         self,
-        protocol: base_protocol.BaseProtocol,
+        protocol: shared_buffer.ReceivingProtocol,
         loop: asyncio.AbstractEventLoop,
+        use: Callable[[http.HttpRequestParser], None],
     ) -> None:
+        """Initializes the parser.
+
+        Args:
+            protocol: Protocol that is paused when a body is not consumed.
+            loop: Event loop.
+            use: Called with the library's parser, and with each later one.
+        """
         self.stopped = False
-        self.upgraded = False
-        self.parser = http.HttpRequestParser(
-            protocol,
-            loop,
+        self._protocol = protocol
+        self._loop = loop
+        self._use = use
+        self._held = b""
+        # Last bytes parsed, in which the end of a section may begin.
+        self._recent = b""
+        # Whether the library's parser may hold back bytes of a body.
+        self._interrupted = False
+        self._message: http.RawRequestMessage | None = None
+        self._body: streams.StreamReader = streams.EMPTY_PAYLOAD
+        self._body_left_bytes = 0
+        self._overhead = overhead.OverheadMeter()
+        self._renew()
+
+    def _renew(self) -> None:
+        """Replaces the parser of the HTTP library."""
+        self._parser = http.HttpRequestParser(
+            self._protocol,
+            self._loop,
             READ_BUFFER_BYTES,
             payload_exception=web.RequestPayloadError,
             auto_decompress=False,
             max_line_size=head_limits_lib.PARSED_LINE_BYTES,
             max_headers=head_limits_lib.PARSED_HEADERS,
             max_field_size=head_limits_lib.PARSED_LINE_BYTES,
-            max_msg_queue_size=1,
         )
-        self._body: streams.StreamReader = streams.EMPTY_PAYLOAD
-        self._overhead = overhead.OverheadMeter()
+        self._use(self._parser)
 
     @property
     def body_complete(self) -> bool:
@@ -63,29 +92,99 @@
             HttpProcessingError: The bytes are malformed, or there are too many
                 that belong to no body.
         """
-        was_complete = self.body_complete
         self.stopped = False
-        if was_complete:
-            self.parser.message_consumed()
+        request = self._parse(b"") if self._interrupted else None
+        window = self._recent + self._held + data
+        start = first = len(self._recent)
+        self._recent = self._held = b""
+        while start < len(window) and not (self.stopped or self._interrupted):
+            end = self._piece_end(window, start)
+            request = self._parse(window[start:end]) or request
+            start = end
+        self._check_overhead(start - first)
+        if not self.stopped:
+            recent_start = max(0, start - _SECTION_END_START_BYTES)
+            self._recent = window[recent_start:start]
+        self._held = window[start:]
+        return request
+
+    def _piece_end(self, window: bytes, start: int) -> int:
+        """Returns the end of the bytes that the library may parse next."""
+        message = self._message
+        if message is not None and not message.chunked:
+            if "Content-Length" in message.headers:
+                return min(start + self._body_left_bytes, len(window))
+            return len(window)
+        at = max(0, start - _SECTION_END_START_BYTES)
+        while (at := window.find(_SECTION_END, at)) >= 0:
+            end = at + len(_SECTION_END)
+            if end > start and self._may_end_section(window, at):
+                return end
+            at += 2
+        return len(window)
+
+    def _may_end_section(self, window: bytes, line_end: int) -> bool:
+        """Whether a line before an empty one may be the last of its section.
+
+        A head may be preceded by empty lines. A body in chunks ends with the
+        line of the last chunk or with a trailer; the data of chunks may hold
+        such lines as well, but the library's parser does not end a body there.
+
+        Args:
+            window: The line, and bytes around it.
+            line_end: Position behind the line.
+        """
+        line_start = window.rfind(b"\n", 0, line_end) + 1
+        if line_start == 0:
+            # The line may have begun earlier.
+            return True
+        if self._message is None:
+            return line_start < line_end
+        return (
+            window.startswith(b"0", line_start)
+            or window.find(b":", line_start, line_end) >= 0
+        )
+
+    def _parse(self, data: bytes) -> Request | None:
+        had_body = not self.body_complete
         try:
-            requests, self.upgraded, _ = self.parser.feed_data(data)
-            self._check_overhead(requests, len(data))
+            requests, _, _ = self._parser.feed_data(data)
         except http.HttpProcessingError as error:
             self._fail_body(error)
             raise
-        self.stopped = self.body_complete and bool(requests or not was_complete)
+        if requests:
+            self._start(*requests[0])
+        else:
+            self._body_left_bytes -= len(data)
+        body_complete = self.body_complete
+        self._interrupted = self._protocol.reads_paused and not body_complete
+        self.stopped = body_complete and bool(requests or had_body)
+        if self.stopped:
+            self._end()
         return requests[0] if requests else None
 
-    def _check_overhead(
-        self, requests: list[Request], received_bytes: int
+    def _start(
+        self, message: http.RawRequestMessage, body: streams.StreamReader
     ) -> None:
-        if requests:
-            self._body = requests[0][1]
-            self._overhead.start_message(self._body)
-        self._overhead.add(received_bytes)
+        """Starts a request, whose head is complete and whose body is not."""
+        self._message = message
+        self._body = body
+        self._body_left_bytes = int(message.headers.get("Content-Length", "0"))
+        self._overhead.start_message(body)
+
+    def _end(self) -> None:
+        """Ends a request, whose body is complete."""
+        message, self._message = self._message, None
+        if message is not None and (message.chunked or message.upgrade):
+            self._renew()
+
+    def _check_overhead(self, parsed_bytes: int) -> None:
+        self._overhead.add(parsed_bytes)
         if self._overhead.exceeded:
             detail = "too many bytes that belong to no body"
-            raise http.HttpProcessingError(code=400, message=detail)
+            error = http.HttpProcessingError(code=400, message=detail)
+            self._fail_body(error)
+            raise error
 
     def _fail_body(self, error: http.HttpProcessingError) -> None:
         """Fails the reader of a body that can't be completed."""
--- a/src/fireflyspindle/adapters/shared_buffer.py
+++ b/src/fireflyspindle/adapters/shared_buffer.py
@@ -21,6 +21,11 @@
         super().__init__(loop)
         self._receive_buffer = buffer
 
+    @property
+    def reads_paused(self) -> bool:
+        """Whether reading is paused until received data has been consumed."""
+        return self._reading_paused
+
     def get_buffer(self, _sizehint: int) -> bytearray:
         """Returns the buffer to read into."""
         return self._receive_buffer
--- a/src/fireflyspindle/adapters/target_connection.py
+++ b/src/fireflyspindle/adapters/target_connection.py
@@ -105,11 +105,6 @@
         """The head of the response in progress, once it has arrived."""
         return self._response.message if self._response is not None else None
 
-    @property
-    def reads_paused(self) -> bool:
-        """Whether reading is paused until received data has been consumed."""
-        return self._reading_paused
-
     def begin(self, handler: ResponseHandler, data: bytes, method: str) -> None:
         """Writes a request, or its head, and expects the response."""
         assert self.transport is not None
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -244,6 +244,91 @@
     assert set(statuses) <= {b"100", b"200"}
 
 
+def chunked_request(*trailers, name="c1"):
+    """Returns a request with a body in chunks and trailers."""
+    head = platform_driver.request(
+        platform_driver.STRICT,
+        "Transfer-Encoding: chunked",
+        method="POST",
+        name=name,
+    )
+    lines = b"".join(line.encode() + b"\r\n" for line in trailers)
+    return head + b"2;a=b\r\nab\r\n0\r\n" + lines + b"\r\n"
+
+
+async def ask_in_turn(platform, requests, pipelined):
+    """Sends requests on one connection; returns the statuses."""
+    caller = await platform.caller()
+    responses = []
+    if pipelined:
+        caller.writer.write(b"".join(requests))
+    async with asyncio.timeout(LIMIT_S):
+        for request in requests:
+            responses.append(await caller.ask(b"" if pipelined else request))
+    caller.close()
+    return [response and status(response) for response in responses]
+
+
+@pytest.mark.parametrize("pipelined", [False, True])
+@pytest.mark.parametrize(
+    "trailer",
+    [
+        "Host: another.example",
+        f"{header_profile.REQUEST_ID}: another",
+        f"{header_profile.DEADLINE_MS}: none",
+        "Authorization: Bearer another",
+        "Expect: another",
+        "Connection: close",
+    ],
+)
+async def test_trailer_is_no_header_of_the_next_request(trailer, pipelined):
+    # The last trailer became the first header of the next request, which was
+    # refused or run under another id.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        statuses = await ask_in_turn(
+            platform,
+            [
+                chunked_request("X-Sum: 1", trailer),
+                platform_driver.request(name="q2"),
+            ],
+            pipelined,
+        )
+        assert statuses == [b"200", b"200"]
+        name, _, value = trailer.partition(": ")
+        for received in platform.requests:
+            assert value.encode() not in received.values(name)
+        ids = [r.values(header_profile.REQUEST_ID) for r in platform.requests]
+    assert sorted(ids) == [[b"c1"], [b"q2"]]
+
+
+@pytest.mark.parametrize("body", [b"", b"0\r\n\r\n"])
+@pytest.mark.parametrize("protocol", ["h2c", "websocket"])
+async def test_requests_behind_one_that_offers_an_upgrade_are_answered(
+    protocol, body
+):
+    # What was read behind such a request was dropped.
+    requests = [
+        platform_driver.request(
+            platform_driver.IDEMPOTENT + "1",
+            "Connection: Upgrade, HTTP2-Settings",
+            f"Upgrade: {protocol}",
+            "HTTP2-Settings: AAMAAABkAAQAAP__",
+            method="PUT" if body else "GET",
+            body=body,
+            name=f"q{number}",
+        )
+        for number in range(3)
+    ]
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        statuses = await ask_in_turn(platform, requests, pipelined=True)
+        assert {r.body for r in platform.requests} == {body}
+    assert statuses == [b"200"] * 3
+
+
 def moved_document(version, moved):
     """Returns a configuration; `moved` is that to which a few things changed.
 
