Answer a request without a key with 503 at an outdated host

Callers saw: 401 for a request without an API key from a host that could not read the store, though a newer configuration may have made its route public or removed the organisations. Callers don't come back after a 401.

Cause: the check of whether a newer configuration may exist came behind the refusal of requests without a key.

Evidence: the new test gets [401, 401] before, [401, 503] now.

--- a/src/fireflyspindle/core/organisations/authorisation.py
+++ b/src/fireflyspindle/core/organisations/authorisation.py
@@ -44,18 +44,18 @@
     """Refuses a call without a known key.
 
     A caller does not come back after a 401, so it is only told so if a newer
-    configuration with its key can't exist.
+    configuration with its key, or one that needs none, can't exist.
     """
     version = state.rule_table.version
     if event.relayed:
         return _differs(f"version {version} here has no such API key")
-    if not event.key_digest:
-        return refusals.Refusal(
-            401, "unknown_key", "give one header Authorization: Bearer KEY"
-        )
     up_to_date = store_reads.is_up_to_date(
         state, store_state.Source.CONFIGURATION
     )
+    if not event.key_digest and up_to_date:
+        return refusals.Refusal(
+            401, "unknown_key", "give one header Authorization: Bearer KEY"
+        )
     if not up_to_date or not proof.is_current(state):
         return refusals.Refusal(
             503,
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -192,6 +192,32 @@
         assert not platform.requests
 
 
+async def become_outdated(platform):
+    """Waits until a host that can't read the store may be outdated."""
+    platform.store.refuse_status = 503
+    unknown = platform_driver.request("/unknown/1")
+    response = await platform.send_request(unknown)
+    while status(response) != b"503":
+        await asyncio.sleep(0.05)
+        response = await platform.send_request(unknown)
+
+
+async def test_missing_key_is_no_fault_of_the_caller_at_an_outdated_host():
+    # A newer configuration may make the route public.
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(platform_driver.server_behaviour()) as platform,
+    ):
+        document = platform_driver.document(2)
+        document["tenants"] = [{"name": "acme", "api-keys": ["key-1"]}]
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+        await wire.until(lambda: platform.host.state.rule_table.version == 2)
+        current = await platform.send_request(platform_driver.request())
+        await become_outdated(platform)
+        outdated = await platform.send_request(platform_driver.request())
+    assert [status(current), status(outdated)] == [b"401", b"503"]
+
+
 @pytest.mark.parametrize(
     ("target", "host"),
     [
