Don't refuse by limits that may be outdated, nor with a body for HEAD

Callers saw: 400 for a long head and 413 for a large body from a host that could not read the store, though a newer configuration may have raised the limits; the same 400 for a line of over 64 KiB before the first configuration, and from hosts that carry a relayed call by lower limits. A refusal of a HEAD request was followed by a body.

Cause: the server for callers' connections did not know how old its limits are. Refusals before a call wrote their body for any method.

A refusal by a limit is now 503 configuration_outdated unless the limits are known to be current, by the same measure as for 404 (is_up_to_date). A body in chunks that exceeds such a limit on its way ends with 502, since a part of it has been sent. The limits on heads don't apply to relayed calls; the host that relays them has applied its own.

--- a/src/fireflyspindle/adapters/caller_connection.py
+++ b/src/fireflyspindle/adapters/caller_connection.py
@@ -153,11 +153,6 @@
         pending = self._add_pending(payload)
         if message.should_close or message.method == "CONNECT":
             self._accepts_requests = False
-        error = self._server.head_limits.check(message)
-        if error is not None:
-            self._accepts_requests = False
-            self._server.on_malformed(pending, error)
-            return
         self._server.on_request(pending, message, payload)
 
     def _continue_parsing(self) -> None:
--- a/src/fireflyspindle/adapters/exchange.py
+++ b/src/fireflyspindle/adapters/exchange.py
@@ -1,7 +1,7 @@
 """State of one request while it passes through a gate host."""
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import http
@@ -35,6 +35,8 @@
         body_prefix: Bytes of a streamed body that were read before the call
             was opened.
         body_limit_bytes: Largest body that is forwarded.
+        body_limit_is_current: Returns whether no newer configuration can have
+            raised that limit.
         caller: The request on the caller's connection; None once it has been
             answered or the caller has disconnected.
         header_profile: Header names used by callers and targets.
@@ -56,6 +58,7 @@
     body_prefix: bytes = b""
     attempts: "dict[int, target_client.Attempt]" = attrs.field(factory=dict)
     too_large: bool = False
+    body_limit_is_current: Callable[[], bool] = lambda: True
     relayed: bool = False
     fingerprint: str = ""
 
--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from aiohttp import http
+from aiohttp import http_exceptions
 from aiohttp import streams
 import result
 
@@ -68,6 +69,8 @@
         idle_limit_s: Time after which an idle connection is closed.
         head_limits: Limits on request heads.
         body_limits: Limits on request bodies.
+        limits_are_current: Returns whether these limits are known to be those
+            of the newest configuration.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         self.idle_limit_s = caller_connection.IDLE_LIMIT_S
         self.head_limits = head_limits_lib.HeadLimits()
         self.body_limits = body_limits
+        self.limits_are_current: Callable[[], bool] = lambda: True
         self._initial_body_limits = body_limits
         self._shell = shell
         self._header_profile = header_profile
@@ -240,14 +244,23 @@
     ) -> None:
         """Rejects malformed bytes."""
         detail = error.message.strip() or "the request is not HTTP/1.1"
-        refusal = refusals.Refusal(400, "bad_http", detail)
-        self._refuse(pending, refusal)
+        over_limit = isinstance(error, http_exceptions.LineTooLong)
+        refusal = refusals.Refusal(400, "bad_http", detail, over_limit)
+        self._refuse(pending, refusal, "")
 
     def _refuse(
-        self, pending: PendingRequest, refusal: refusals.Refusal
+        self, pending: PendingRequest, refusal: refusals.Refusal, method: str
     ) -> None:
+        """Rejects a request before it is a call.
+
+        A caller does not come back after a 4xx, so it is only told that its
+        request exceeds a limit if no newer configuration can have raised it.
+        """
+        if refusal.over_limit and not self.limits_are_current():
+            detail = f"{refusal.detail}; a newer configuration may allow more"
+            refusal = refusals.Refusal(503, "configuration_outdated", detail)
         self._shell.on_refused(refusal.error)
-        responses.refuse(pending, refusal)
+        responses.refuse(pending, refusal, head_only=method == "HEAD")
 
     def on_request(
         self,
@@ -256,6 +269,12 @@
         payload: streams.StreamReader,
     ) -> None:
         """Serves one request of a caller."""
+        # The host that relays a call has applied the limits on its head.
+        if not pending.connection.relays:
+            too_large = self.head_limits.check(message)
+            if too_large is not None:
+                self._refuse(pending, too_large, message.method)
+                return
         parsed = requests.read(
             message,
             next(self._call_ids),
@@ -265,7 +284,7 @@
         )
         match parsed:
             case result.Err(refusal):
-                self._refuse(pending, refusal)
+                self._refuse(pending, refusal, message.method)
             case result.Ok(event):
                 event.relayed = pending.connection.relays
                 if event.relayed:
@@ -339,7 +358,7 @@
                     self.body_limits.buffered_bytes
                 )
                 refusal = refusals.Refusal(413, "body_too_large", detail)
-                self._refuse(pending, refusal)
+                self._refuse(pending, refusal, message.method)
                 return
             keyed_requests.set_digest(event, message.method, message.path, body)
         if not event.request_id:
@@ -355,6 +374,7 @@
             body_prefix=body_prefix,
             payload=payload,
             body_limit_bytes=self._body_limit_bytes(pending),
+            body_limit_is_current=self.limits_are_current,
             caller=pending,
             header_profile=self._header_profile,
             relayed=event.relayed,
--- a/src/fireflyspindle/adapters/head_limits.py
+++ b/src/fireflyspindle/adapters/head_limits.py
@@ -3,6 +3,8 @@
 from aiohttp import http
 import attrs
 
+from fireflyspindle.core import refusals
+
 # Limits unless others are configured; the defaults of aiohttp.
 LINE_BYTES = 8_190
 HEADER_COUNT = 128
@@ -29,17 +31,15 @@
     timeout_s: float = TIMEOUT_S
     header_count: int = HEADER_COUNT
 
-    def check(
-        self, message: http.RawRequestMessage
-    ) -> http.HttpProcessingError | None:
-        """Returns the error of a head that exceeds the limits, if it does."""
+    def check(self, message: http.RawRequestMessage) -> refusals.Refusal | None:
+        """Returns the refusal of a head that exceeds the limits, if it does."""
         if len(message.raw_headers) > self.header_count:
             detail = f"the head has more than {self.header_count} headers"
-            return http.HttpProcessingError(code=400, message=detail)
+            return refusals.Refusal(400, "bad_http", detail, over_limit=True)
         sizes = [
             max(len(name), len(value)) for name, value in message.raw_headers
         ]
         if max([len(message.path), *sizes]) <= self.line_bytes:
             return None
         detail = f"a line of the head exceeds {self.line_bytes} bytes"
-        return http.HttpProcessingError(code=400, message=detail)
+        return refusals.Refusal(400, "bad_http", detail, over_limit=True)
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -112,7 +112,7 @@
         detail = (
             f"the body has {content_length} bytes; give at most {limit_bytes}"
         )
-        return refusals.Refusal(413, "body_too_large", detail)
+        return refusals.Refusal(413, "body_too_large", detail, over_limit=True)
     return None
 
 
--- a/src/fireflyspindle/adapters/responses.py
+++ b/src/fireflyspindle/adapters/responses.py
@@ -35,11 +35,19 @@
 
 
 def refuse(
-    pending: pending_request.PendingRequest, refusal: refusals.Refusal
+    pending: pending_request.PendingRequest,
+    refusal: refusals.Refusal,
+    *,
+    head_only: bool,
 ) -> None:
     """Rejects a request before it is sent to a target.
 
     The connection is closed, unless a request behind it has been accepted.
+
+    Args:
+        pending: The request.
+        refusal: Why it is rejected.
+        head_only: Whether the response has no body.
     """
     body = {
         "outcome": effects.Outcome.NOT_RUN.value,
@@ -53,7 +61,7 @@
         lines.append(_CLOSE)
     if pending.connection.relays:
         lines.append(_relay_outcome_line(headers.NOT_CARRIED))
-    pending.write(_local_response(refusal.status, lines, body, head_only=False))
+    pending.write(_local_response(refusal.status, lines, body, head_only))
     pending.finish(keep_alive)
 
 
@@ -66,7 +74,7 @@
         return
     exchange.caller = None
     status, error, detail = effect.status, effect.error, effect.detail
-    if exchange.too_large:
+    if exchange.too_large and exchange.body_limit_is_current():
         status, error = HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large"
         detail = f"the body exceeds {exchange.body_limit_bytes} bytes"
     keep_alive = caller.keep_alive_after()
--- a/src/fireflyspindle/core/refusals.py
+++ b/src/fireflyspindle/core/refusals.py
@@ -11,8 +11,11 @@
         status: HTTP status.
         error: Short machine-readable code.
         detail: Human-readable explanation.
+        over_limit: Whether a configuration with higher limits would allow the
+            request.
     """
 
     status: int
     error: str
     detail: str
+    over_limit: bool = False
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -201,20 +201,29 @@
 
 
 def is_up_to_date(
-    state: state_lib.GateState, source: store_state.Source
+    state: state_lib.GateState,
+    source: store_state.Source,
+    now_us: int | None = None,
 ) -> bool:
     """Whether this host has read what it has to know by now.
 
     That is every record that is older than the time limit for changes. It is
     not up to date either while it lacks records that a reader has left out, or
     the newest of which it can't decode.
+
+    Args:
+        state: State of the gate host.
+        source: A source of which a read has succeeded.
+        now_us: Monotonic time, if it is not that of the latest event.
     """
     settings = state.settings.store
     assert settings is not None
     reads = state.store_reads[source]
     if reads.has_relay_gap or reads.has_undecodable_record:
         return False
-    age_us = state.now_us - complete_until_us(state, source)
+    if now_us is None:
+        now_us = state.now_us
+    age_us = now_us - complete_until_us(state, source)
     return age_us <= settings.apply_limit_ms * 1000
 
 
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -126,6 +126,7 @@
             line_bytes=head_limits.PARSED_LINE_BYTES,
             header_count=head_limits.PARSED_HEADERS,
         )
+        self.data_path.server.limits_are_current = self._limits_are_current
         await self.data_path.start(
             self.settings.callers_address, accepting=False
         )
@@ -307,6 +308,16 @@
             )
         )
 
+    def _limits_are_current(self) -> bool:
+        """Whether no newer configuration than the one in force is due."""
+        return self.state.rule_table.version is not None and (
+            store_reads.is_up_to_date(
+                self.state,
+                store_state.Source.CONFIGURATION,
+                self.now_us(),
+            )
+        )
+
     def _apply_caller_limits(self, limits: published.CallerLimits) -> None:
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -202,6 +202,40 @@
         response = await platform.send_request(unknown)
 
 
+async def test_limits_that_may_be_outdated_are_no_fault_of_the_caller():
+    # They were refused with 400 and 413, after which a caller gives up.
+    size = 1_500_000
+    path = platform_driver.STRICT
+    chunks = platform_driver.request(
+        path, "Transfer-Encoding: chunked", method="POST"
+    ) + b"%x\r\n%b\r\n0\r\n\r\n" % (size, b"b" * size)
+    over_limits = [
+        long_request(20_000),
+        long_request(70_000),
+        platform_driver.request(path, "X-1: " + "v" * 20_000),
+        platform_driver.request(path, method="POST", body=b"b" * size),
+        chunks,
+    ]
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(platform_driver.server_behaviour()) as platform,
+    ):
+        current = [
+            status(await platform.send_request(request))
+            for request in over_limits
+        ]
+        await become_outdated(platform)
+        outdated = [
+            status(await platform.send_request(request))
+            for request in over_limits
+        ]
+        allowed = await platform.send_request(long_request())
+    assert current == [b"400"] * 3 + [b"413"] * 2
+    # A part of the body in chunks has been sent to a server.
+    assert outdated == [b"503"] * 4 + [b"502"]
+    assert status(allowed) == b"200"
+
+
 async def test_missing_key_is_no_fault_of_the_caller_at_an_outdated_host():
     # A newer configuration may make the route public.
     async with (
@@ -218,6 +252,25 @@
     assert [status(current), status(outdated)] == [b"401", b"503"]
 
 
+async def test_refusal_of_a_head_request_has_no_body():
+    # A caller takes the bytes behind such a response for another one.
+    request = platform_driver.request(
+        platform_driver.IDEMPOTENT + "1",
+        "Content-Length: 2000000",
+        method="HEAD",
+    )
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        caller = await platform.caller()
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(request, body_expected=False)
+            rest = await caller.reader.read()
+        caller.close()
+    assert status(response) == b"413"
+    assert rest == b""
+
+
 @pytest.mark.parametrize(
     ("target", "host"),
     [
