Accept deadlines of 0 and with fractions on the users' platform

Callers saw: 400 for X-Fireflyspindle-Deadline-Ms of "0", "0.0" or "800.5". It states how many milliseconds a caller will wait; a caller that computes what is left of its time sends such values.

Cause: only whole milliseconds from 1 were accepted. Any decimal number is now; a request without time left gets 503 and reaches no server. Values that are no such number still get 400, and nothing changes for callers of the project's own interface, whose format is documented.

Evidence: the seven cases of the new tests get 400 before; 200, and 503 for 0, now.

--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -1,5 +1,7 @@
 """Parsing and validation of the head of a caller's request."""
 
+import re
+
 from aiohttp import http
 import attrs
 import result
@@ -16,6 +18,7 @@
 # Longer deadlines are shortened where they are not bounded: int() refuses
 # thousands of digits.
 UNBOUNDED_DEADLINE_MS = 10**12
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
 @attrs.define(frozen=True)
@@ -61,15 +64,15 @@
     deadline_us = None
     text = request_headers.get(header_profile.deadline_ms)
     if text is not None:
-        deadline_ms = _parse_deadline_ms(text)
-        accepted = "whole milliseconds from 1"
         if header_profile.bounds_deadlines:
-            accepted += f" to {MAX_DEADLINE_MS}"
-            if deadline_ms is not None and deadline_ms > MAX_DEADLINE_MS:
-                deadline_ms = None
-        if deadline_ms is None:
+            left_us = _parse_bounded_deadline(text)
+            accepted = f"whole milliseconds from 1 to {MAX_DEADLINE_MS}"
+        else:
+            left_us = _parse_deadline(text)
+            accepted = "milliseconds, a decimal number of 0 or more"
+        if left_us is None:
             return _bad_header(header_profile.deadline_ms, text, accepted)
-        deadline_us = now_us + deadline_ms * 1000
+        deadline_us = now_us + left_us
     request_id = ""
     if header_profile.callers_choose_ids:
         request_id = request_headers.get(header_profile.request_id, "")
@@ -146,14 +149,29 @@
     return result.Ok(event)
 
 
-def _parse_deadline_ms(text: str) -> int | None:
-    """Returns a deadline, shortened if it is very long; None if invalid."""
+def _parse_bounded_deadline(text: str) -> int | None:
+    """Returns a deadline in microseconds from now; None if invalid."""
     if not text.isascii() or not text.isdecimal():
         return None
     digits = text.lstrip("0")
-    if len(digits) >= len(str(UNBOUNDED_DEADLINE_MS)):
-        return UNBOUNDED_DEADLINE_MS
-    return int(digits) if digits else None
+    if not digits or len(digits) > len(str(MAX_DEADLINE_MS)):
+        return None
+    deadline_ms = int(digits)
+    return deadline_ms * 1000 if deadline_ms <= MAX_DEADLINE_MS else None
+
+
+def _parse_deadline(text: str) -> int | None:
+    """Returns a deadline in microseconds from now; None if invalid.
+
+    It is shortened if it is very long.
+    """
+    if not _DECIMAL.fullmatch(text):
+        return None
+    whole, _, fraction = text.partition(".")
+    whole = whole.lstrip("0")
+    if len(whole) >= len(str(UNBOUNDED_DEADLINE_MS)):
+        return UNBOUNDED_DEADLINE_MS * 1000
+    return int(whole + fraction[:3].ljust(3, "0"))
 
 
 def _route_path(message: http.RawRequestMessage) -> str:
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -146,7 +146,8 @@
             key and the other headers defined by the gate mean anything in a
             request. If not, they are forwarded like any other header.
         bounds_deadlines: Whether the deadline that a caller may state is
-            bounded. If not, routes bound the time of every call.
+            bounded, in whole milliseconds. If not, it is any decimal number,
+            and routes bound the time of every call.
         callers_choose_ids: Whether callers choose the ids of their requests.
         requires_id_echo: Whether targets always echo the id; an answer with
             another id is then skipped, and one without an id is rejected.
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -123,6 +123,46 @@
     assert status(response) == b"200"
 
 
+def request_within(deadline):
+    """Returns a request with a deadline."""
+    return platform_driver.request().replace(
+        b"Ms: 3000", b"Ms: " + deadline.encode()
+    )
+
+
+@pytest.mark.parametrize(
+    ("deadline", "at_most_ms"),
+    [
+        ("800.5", 800),
+        ("0800.250", 800),
+        ("1500.", 1500),
+        ("2499." + "9" * 5_000, 2499),
+    ],
+    ids=["half", "zeros", "point", "digits"],
+)
+async def test_deadlines_with_fractions_are_accepted(deadline, at_most_ms):
+    # They were refused with 400.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        response = await platform.send_request(request_within(deadline))
+        (received,) = platform.requests
+    assert status(response) == b"200"
+    (left_ms,) = received.values(header_profile.DEADLINE_MS)
+    assert at_most_ms - 500 < int(left_ms) <= at_most_ms
+
+
+@pytest.mark.parametrize("deadline", ["0", "0.0", "000"])
+async def test_request_without_time_left_is_not_run(deadline):
+    # It was refused with 400, which says that the caller is wrong.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        response = await platform.send_request(request_within(deadline))
+        assert status(response) == b"503"
+        assert not platform.requests
+
+
 @pytest.mark.parametrize(
     "request_id",
     [
