--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -123,6 +123,82 @@
     assert status(response) == b"200"
 
 
+def request_within(deadline):
+    """Returns a request with a deadline."""
+    return platform_driver.request().replace(
+        b"Ms: 3000", b"Ms: " + deadline.encode()
+    )
+
+
+@pytest.mark.parametrize(
+    ("deadline", "at_most_ms"),
+    [
+        ("800.5", 800),
+        ("0800.250", 800),
+        ("1500.", 1500),
+        ("2499." + "9" * 5_000, 2499),
+    ],
+    ids=["half", "zeros", "point", "digits"],
+)
+async def test_deadlines_with_fractions_are_accepted(deadline, at_most_ms):
+    # They were refused with 400.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        response = await platform.send_request(request_within(deadline))
+        (received,) = platform.requests
+    assert status(response) == b"200"
+    (left_ms,) = received.values(header_profile.DEADLINE_MS)
+    assert at_most_ms - 500 < int(left_ms) <= at_most_ms
+
+
+@pytest.mark.parametrize("deadline", ["0", "0.0", "000"])
+async def test_request_without_time_left_is_not_run(deadline):
+    # It was refused with 400, which says that the caller is wrong.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        response = await platform.send_request(request_within(deadline))
+        assert status(response) == b"503"
+        assert not platform.requests
+
+
+@pytest.mark.parametrize(
+    "request_id",
+    [
+        b"with a space",
+        b"a\tb",
+        b'{"a": [1, 2]}',
+        "zw\u00f6lf".encode(),
+        b"latin-1 \xe9\xff",
+        b"i" * 4_000,
+    ],
+    ids=["space", "tab", "JSON", "UTF-8", "Latin-1", "long"],
+)
+async def test_ids_of_any_form_are_accepted(request_id):
+    # The platform prescribes no form; such requests were refused with 400.
+    async with platform_driver.running(
+        platform_driver.server_behaviour(answer_as_named)
+    ) as platform:
+        request = platform_driver.request(name="q1").replace(
+            b": q1\r\n", b": " + request_id + b"\r\n"
+        )
+        response = await platform.send_request(request)
+        (received,) = platform.requests
+    assert status(response) == b"200"
+    assert received.values(header_profile.REQUEST_ID) == [request_id]
+    assert response.values(header_profile.REQUEST_ID) == [request_id]
+
+
+async def answer_as_named(request, writer):
+    """Answers a request whose id may have any bytes."""
+    (request_id,) = request.values(header_profile.REQUEST_ID)
+    named = b"%b: %b\r\n" % (header_profile.REQUEST_ID.encode(), request_id)
+    writer.write(
+        b"HTTP/1.1 200 OK\r\n" + named + b"Content-Length: 2\r\n\r\nok"
+    )
+
+
 @contextlib.asynccontextmanager
 async def host_without_a_configuration():
     """Runs a second host, which can't read the store yet."""
@@ -192,6 +268,85 @@
         assert not platform.requests
 
 
+async def become_outdated(platform):
+    """Waits until a host that can't read the store may be outdated."""
+    platform.store.refuse_status = 503
+    unknown = platform_driver.request("/unknown/1")
+    response = await platform.send_request(unknown)
+    while status(response) != b"503":
+        await asyncio.sleep(0.05)
+        response = await platform.send_request(unknown)
+
+
+async def test_limits_that_may_be_outdated_are_no_fault_of_the_caller():
+    # They were refused with 400 and 413, after which a caller gives up.
+    size = 1_500_000
+    path = platform_driver.STRICT
+    chunks = platform_driver.request(
+        path, "Transfer-Encoding: chunked", method="POST"
+    ) + b"%x\r\n%b\r\n0\r\n\r\n" % (size, b"b" * size)
+    over_limits = [
+        long_request(20_000),
+        long_request(70_000),
+        platform_driver.request(path, "X-1: " + "v" * 20_000),
+        platform_driver.request(path, method="POST", body=b"b" * size),
+        chunks,
+    ]
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(platform_driver.server_behaviour()) as platform,
+    ):
+        current = [
+            status(await platform.send_request(request))
+            for request in over_limits
+        ]
+        await become_outdated(platform)
+        outdated = [
+            status(await platform.send_request(request))
+            for request in over_limits
+        ]
+        allowed = await platform.send_request(long_request())
+    assert current == [b"400"] * 3 + [b"413"] * 2
+    # A part of the body in chunks has been sent to a server.
+    assert outdated == [b"503"] * 4 + [b"502"]
+    assert status(allowed) == b"200"
+
+
+async def test_missing_key_is_no_fault_of_the_caller_at_an_outdated_host():
+    # A newer configuration may make the route public.
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(platform_driver.server_behaviour()) as platform,
+    ):
+        document = platform_driver.document(2)
+        document["tenants"] = [{"name": "acme", "api-keys": ["key-1"]}]
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+        await wire.until(lambda: platform.host.state.rule_table.version == 2)
+        current = await platform.send_request(platform_driver.request())
+        await become_outdated(platform)
+        outdated = await platform.send_request(platform_driver.request())
+    assert [status(current), status(outdated)] == [b"401", b"503"]
+
+
+async def test_refusal_of_a_head_request_has_no_body():
+    # A caller takes the bytes behind such a response for another one.
+    request = platform_driver.request(
+        platform_driver.IDEMPOTENT + "1",
+        "Content-Length: 2000000",
+        method="HEAD",
+    )
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        caller = await platform.caller()
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(request, body_expected=False)
+            rest = await caller.reader.read()
+        caller.close()
+    assert status(response) == b"413"
+    assert rest == b""
+
+
 @pytest.mark.parametrize(
     ("target", "host"),
     [
@@ -244,6 +399,91 @@
     assert set(statuses) <= {b"100", b"200"}
 
 
+def chunked_request(*trailers, name="c1"):
+    """Returns a request with a body in chunks and trailers."""
+    head = platform_driver.request(
+        platform_driver.STRICT,
+        "Transfer-Encoding: chunked",
+        method="POST",
+        name=name,
+    )
+    lines = b"".join(line.encode() + b"\r\n" for line in trailers)
+    return head + b"2;a=b\r\nab\r\n0\r\n" + lines + b"\r\n"
+
+
+async def ask_in_turn(platform, requests, pipelined):
+    """Sends requests on one connection; returns the statuses."""
+    caller = await platform.caller()
+    responses = []
+    if pipelined:
+        caller.writer.write(b"".join(requests))
+    async with asyncio.timeout(LIMIT_S):
+        for request in requests:
+            responses.append(await caller.ask(b"" if pipelined else request))
+    caller.close()
+    return [response and status(response) for response in responses]
+
+
+@pytest.mark.parametrize("pipelined", [False, True])
+@pytest.mark.parametrize(
+    "trailer",
+    [
+        "Host: another.example",
+        f"{header_profile.REQUEST_ID}: another",
+        f"{header_profile.DEADLINE_MS}: none",
+        "Authorization: Bearer another",
+        "Expect: another",
+        "Connection: close",
+    ],
+)
+async def test_trailer_is_no_header_of_the_next_request(trailer, pipelined):
+    # The last trailer became the first header of the next request, which was
+    # refused or run under another id.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        statuses = await ask_in_turn(
+            platform,
+            [
+                chunked_request("X-Sum: 1", trailer),
+                platform_driver.request(name="q2"),
+            ],
+            pipelined,
+        )
+        assert statuses == [b"200", b"200"]
+        name, _, value = trailer.partition(": ")
+        for received in platform.requests:
+            assert value.encode() not in received.values(name)
+        ids = [r.values(header_profile.REQUEST_ID) for r in platform.requests]
+    assert sorted(ids) == [[b"c1"], [b"q2"]]
+
+
+@pytest.mark.parametrize("body", [b"", b"0\r\n\r\n"])
+@pytest.mark.parametrize("protocol", ["h2c", "websocket"])
+async def test_requests_behind_one_that_offers_an_upgrade_are_answered(
+    protocol, body
+):
+    # What was read behind such a request was dropped.
+    requests = [
+        platform_driver.request(
+            platform_driver.IDEMPOTENT + "1",
+            "Connection: Upgrade, HTTP2-Settings",
+            f"Upgrade: {protocol}",
+            "HTTP2-Settings: AAMAAABkAAQAAP__",
+            method="PUT" if body else "GET",
+            body=body,
+            name=f"q{number}",
+        )
+        for number in range(3)
+    ]
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        statuses = await ask_in_turn(platform, requests, pipelined=True)
+        assert {r.body for r in platform.requests} == {body}
+    assert statuses == [b"200"] * 3
+
+
 def moved_document(version, moved):
     """Returns a configuration; `moved` is that to which a few things changed.
 
