--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,7 +37,8 @@
 
 def check_report(report):
     """Checks that a run had faults and no violation."""
-    assert report.violations == []
+    seen = [*report.violations, "faults:", *report.faults]
+    assert report.violations == [], "\n".join(seen)
     assert report.served > 0
     assert report.faults
 
