Let one reader lead the others in the soak

No caller saw anything: soaks ran without a primary reader, which the platform always has. Readers compare their own address with those of the others, and in a soak the others' proxies had addresses that come before every own one, so that each reader followed the other two.

Cause: proxies got ports of 127.0.0.1, hosts addresses of their process. Evidence: by reading; the lines of the first reader are not followed. Why it works: hosts and proxies now have addresses in the same order.

--- a/src/fireflyspindle/bench/soak_gates.py
+++ b/src/fireflyspindle/bench/soak_gates.py
@@ -171,12 +171,15 @@
 ) -> list[Gate]:
     """Returns gate hosts; the first `READER_COUNT` read the store for all."""
     proxies = {}
+    proxy_addresses = {}
     for _ in range(count):
+        # Readers agree by address on which one leads: their own addresses and
+        # those of their proxies have to be in the same order.
         control = testing.free_address()
         proxies[control] = tcp_proxy.TcpProxy(control)
-    proxy_addresses = {
-        control: await proxy.start() for control, proxy in proxies.items()
-    }
+        proxy_addresses[control] = await proxies[control].start(
+            testing.free_address()
+        )
     readers = list(proxy_addresses)[:READER_COUNT]
     gates = []
     for number, control in enumerate(proxy_addresses):
--- a/src/fireflyspindle/testing/tcp_proxy.py
+++ b/src/fireflyspindle/testing/tcp_proxy.py
@@ -56,9 +56,12 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> str:
-        """Listens on a loopback port and returns its address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, address: str = "127.0.0.1:0") -> str:
+        """Listens on a loopback address, and returns it with its port."""
+        host, _, port_text = address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port_text)
+        )
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
