Route by the target's authority, host names with a last dot and addresses

Callers saw: 404 for "Host: dossier.example." (the same name, fully qualified), for a host that is an IPv6 address, for a target in absolute form beside another Host header, and for one in HTTP/1.0 without that header.

Cause: the host was what stands before the first colon of the Host header. RFC 9112, section 3.2.2: a server ignores that header if the target has an authority. Targets now get that authority as their Host header as well.

--- a/src/fireflyspindle/adapters/message_heads.py
+++ b/src/fireflyspindle/adapters/message_heads.py
@@ -1,6 +1,6 @@
 """Heads of forwarded HTTP/1.1 messages, built from the received bytes."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import functools
 
 from aiohttp import http
@@ -42,22 +42,27 @@
             for none.
     """
     path = message.path
-    if not path.startswith("/") and message.url.absolute:
+    removed_names = {removed} if removed else set()
+    host = "" if "Host" in message.headers else target
+    authority = target_authority(message)
+    if authority is not None:
         path = message.url.raw_path_qs
+        removed_names.add(b"host")
+        host = authority
     lines = [
         message.method.encode("ascii"),
         b" ",
         field_bytes(path),
         b" HTTP/1.1\r\n",
     ]
-    if "Host" not in message.headers:
-        lines.append(b"Host: %b\r\n" % target.encode("ascii"))
+    if host:
+        lines.append(b"Host: %b\r\n" % field_bytes(host))
     _add_forwarded_headers(
         lines,
         message,
         header_profile.reserved_prefix,
         header_profile.forwarded_to_targets,
-        removed,
+        removed_names,
     )
     lines += gateway_lines
     _add_framing(lines, length, chunked)
@@ -98,7 +103,7 @@
     message: Message,
     reserved_prefix: bytes,
     forwarded: frozenset[bytes],
-    removed: bytes = b"",
+    removed: Collection[bytes] = (),
 ) -> None:
     values = message.headers.getall("Connection", None)
     connection_tokens = _connection_tokens(values) if values else frozenset()
@@ -108,7 +113,7 @@
             connection_tokens and name.lower() in connection_tokens
         ):
             continue
-        if removed and name.lower() == removed:
+        if removed and name.lower() in removed:
             continue
         lines += (prefix, value, b"\r\n")
 
@@ -126,6 +131,16 @@
     return name + b": "
 
 
+def target_authority(message: http.RawRequestMessage) -> str | None:
+    """Returns the host and port of a target in absolute form, or None.
+
+    They take the place of the Host header (RFC 9112, section 3.2.2).
+    """
+    if message.path.startswith("/") or not message.url.absolute:
+        return None
+    return message.url.raw_authority.rpartition("@")[2]
+
+
 def field_bytes(value: str) -> bytes:
     """Returns the received bytes of a part of a head."""
     return value.encode("utf-8", "surrogateescape")
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -9,6 +9,7 @@
 from fireflyspindle import headers
 from fireflyspindle.adapters import api_key_headers
 from fireflyspindle.adapters import keyed_requests
+from fireflyspindle.adapters import message_heads
 from fireflyspindle.core import events
 from fireflyspindle.core import refusals
 
@@ -82,7 +83,7 @@
         now_us=now_us,
         call_id=call_id,
         path=_route_path(message),
-        host=request_headers.get("Host", "").partition(":")[0].lower(),
+        host=_route_host(message),
         request_id=request_id,
         repeatable=message.method in REPEATABLE_METHODS,
         deadline_us=deadline_us,
@@ -174,6 +175,17 @@
     return int(whole + fraction[:3].ljust(3, "0"))
 
 
+def _route_host(message: http.RawRequestMessage) -> str:
+    """Returns the name of the host, in lower case and without a last dot."""
+    authority = message_heads.target_authority(message)
+    if authority is None:
+        authority = message.headers.get("Host", "")
+    if authority.startswith("["):
+        name, bracket, _ = authority.partition("]")
+        return name.lower() + bracket
+    return authority.partition(":")[0].lower().removesuffix(".")
+
+
 def _route_path(message: http.RawRequestMessage) -> str:
     path = message.path
     if not path.startswith("/") and message.url.absolute:
--- a/src/fireflyspindle/platform/configuration_document.py
+++ b/src/fireflyspindle/platform/configuration_document.py
@@ -76,7 +76,7 @@
         parts = (published.Part(action["service"], 1),)
     return published.Rule(
         name=raw["name"],
-        host=host.lower(),
+        host=host.lower().removesuffix("."),
         path_prefix=raw["match"]["path-prefix"],
         parts=parts,
         repeatable=_is_repeatable(raw["route-kind"]),
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -354,6 +354,12 @@
         ("/read/%2F%ff%00/../..;x", "Dossier.EXAMPLE"),
         ("//dossier.example//x", "dossier.example:8080"),
         ("http://Dossier.Example:80/read/1?x=1", "dossier.example:80"),
+        ("http://dossier.example/read/1", "another.example"),
+        ("http://dossier.example", "dossier.example"),
+        ("http://dossier.example?x=1", "dossier.example"),
+        ("/read/1", "Dossier.Example."),
+        ("/read/1", "dossier.example.:8080"),
+        ("/read/1", "dossier.example:"),
     ],
 )
 async def test_odd_but_proper_targets_and_host_names_are_routed(target, host):
@@ -424,6 +430,38 @@
     return [response and status(response) for response in responses]
 
 
+async def test_target_in_absolute_form_needs_no_host_header_in_http_1_0():
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        target = "http://dossier.example" + platform_driver.IDEMPOTENT
+        response = await platform.send_request(
+            platform_driver.request(target)
+            .replace(b"HTTP/1.1", b"HTTP/1.0")
+            .replace(b"Host: dossier.example\r\n", b"")
+        )
+        (received,) = platform.requests
+    assert status(response) == b"200"
+    assert received.values("Host") == [b"dossier.example"]
+
+
+@pytest.mark.parametrize("host", ["[2001:db8::1]", "[2001:DB8::1]:8080"])
+async def test_host_that_is_an_address_is_routed(host):
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        document = platform_driver.document(2)
+        document["listeners"][0]["host"] = "[2001:db8::1]"
+        platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+        await wire.until(lambda: platform.host.state.rule_table.version == 2)
+        response = await platform.send_request(
+            platform_driver.request().replace(
+                b"dossier.example\r\n", host.encode() + b"\r\n"
+            )
+        )
+    assert status(response) == b"200"
+
+
 @pytest.mark.parametrize("pipelined", [False, True])
 @pytest.mark.parametrize(
     "trailer",
