Accept lists of expectations; test the limit on relayed heads

Callers saw: 417 for a header Expect that is empty or names 100-continue twice. The field is a list (RFC 9110, section 10.1.1).

Callers of HTTP/1.0 get no interim response any more, which they don't know. Another expectation still gets 417.

Evidence: three of the four cases of the new test get 417 before, none now.

--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -304,7 +304,7 @@
             body = payload.read_nowait(-1)
             self._open_call(pending, message, payload, event, body)
             return
-        if "Expect" in message.headers:
+        if requests.expects_continue(message):
             pending.write(caller_connection.CONTINUE)
         content_length = message.headers.get("Content-Length")
         limit_bytes = self.body_limits.buffered_bytes
--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -19,6 +19,7 @@
 # Longer deadlines are shortened where they are not bounded: int() refuses
 # thousands of digits.
 UNBOUNDED_DEADLINE_MS = 10**12
+_CONTINUE = "100-continue"
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
@@ -97,9 +98,9 @@
 def _body_refusal(
     message: http.RawRequestMessage, limit_bytes: int
 ) -> refusals.Refusal | None:
-    expected = message.headers.get("Expect", "100-continue")
-    if expected.lower() != "100-continue":
-        detail = f'header Expect is {expected[:40]!r}; give "100-continue"'
+    unknown = _expectations(message) - {_CONTINUE}
+    if unknown:
+        detail = f'header Expect has {min(unknown)[:40]!r}; give "{_CONTINUE}"'
         return refusals.Refusal(417, "bad_header", detail)
     transfer_coding = message.headers.get("Transfer-Encoding", "chunked")
     if transfer_coding.lower() != "chunked":
@@ -116,6 +117,22 @@
     return None
 
 
+def expects_continue(message: http.RawRequestMessage) -> bool:
+    """Whether a caller may wait for an interim response with its body."""
+    if message.version < http.HttpVersion11:
+        # Such a caller knows no interim responses.
+        return False
+    return _CONTINUE in _expectations(message)
+
+
+def _expectations(message: http.RawRequestMessage) -> set[str]:
+    """Returns the members of the header Expect, a list that may be empty."""
+    if "Expect" not in message.headers:
+        return set()
+    members = ",".join(message.headers.getall("Expect")).lower().split(",")
+    return {member.strip(" \t") for member in members} - {""}
+
+
 def _with_own_headers(
     event: events.CallArrived, message: http.RawRequestMessage
 ) -> result.Result[events.CallArrived, refusals.Refusal]:
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -199,6 +199,31 @@
     )
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        "Expect:",
+        "Expect: 100-continue, 100-continue",
+        "Expect: 100-Continue ,",
+        "Expect: 100-continue\r\nExpect: 100-continue",
+    ],
+)
+async def test_lists_of_expectations_are_accepted(line):
+    # The field is a list, which may be empty and repeat its only member.
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        caller = await platform.caller()
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(
+                platform_driver.request(
+                    platform_driver.STRICT, line, method="POST", body=b"ab"
+                )
+            )
+        caller.close()
+    assert status(response) == b"200"
+
+
 @contextlib.asynccontextmanager
 async def host_without_a_configuration():
     """Runs a second host, which can't read the store yet."""
@@ -535,6 +560,7 @@
     if not moved:
         return document
     document["limits"]["max-body-bytes"] = 2_000_000
+    document["limits"]["max-header-bytes"] = 32_768
     rules = document["listeners"][0]["rules"]
     new_rule = copy.deepcopy(rules[0])
     new_rule["match"]["path-prefix"] = NEW_ROUTE
@@ -634,6 +660,16 @@
     )
 
 
+async def test_head_limit_of_a_helper_does_not_reach_the_caller():
+    async with relaying_to_an_older_configuration() as fleet:
+        request = long_request(20_000)
+        path = platform_driver.STRICT + "1?" + "q" * 20_000
+        response = await fleet.send(
+            fleet.hosts[0], platform_driver.request(path, method="POST")
+        )
+    assert status(response) == b"200"
+
+
 async def test_helper_does_not_run_a_call_at_the_service_that_had_the_route():
     async with relaying_to_an_older_configuration() as fleet:
         await fleet.send(fleet.hosts[0], platform_driver.request(name="q1"))
