--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -662,7 +662,6 @@
 
 async def test_head_limit_of_a_helper_does_not_reach_the_caller():
     async with relaying_to_an_older_configuration() as fleet:
-        request = long_request(20_000)
         path = platform_driver.STRICT + "1?" + "q" * 20_000
         response = await fleet.send(
             fleet.hosts[0], platform_driver.request(path, method="POST")
