--- a/src/fireflyspindle/adapters/requests.py
+++ b/src/fireflyspindle/adapters/requests.py
@@ -9,6 +9,7 @@
 from fireflyspindle import headers
 from fireflyspindle.adapters import api_key_headers
 from fireflyspindle.adapters import keyed_requests
+from fireflyspindle.adapters import message_heads
 from fireflyspindle.core import events
 from fireflyspindle.core import refusals
 
@@ -18,6 +19,7 @@
 # Longer deadlines are shortened where they are not bounded: int() refuses
 # thousands of digits.
 UNBOUNDED_DEADLINE_MS = 10**12
+_CONTINUE = "100-continue"
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
@@ -82,7 +84,7 @@
         now_us=now_us,
         call_id=call_id,
         path=_route_path(message),
-        host=request_headers.get("Host", "").partition(":")[0].lower(),
+        host=_route_host(message),
         request_id=request_id,
         repeatable=message.method in REPEATABLE_METHODS,
         deadline_us=deadline_us,
@@ -96,9 +98,9 @@
 def _body_refusal(
     message: http.RawRequestMessage, limit_bytes: int
 ) -> refusals.Refusal | None:
-    expected = message.headers.get("Expect", "100-continue")
-    if expected.lower() != "100-continue":
-        detail = f'header Expect is {expected[:40]!r}; give "100-continue"'
+    unknown = _expectations(message) - {_CONTINUE}
+    if unknown:
+        detail = f'header Expect has {min(unknown)[:40]!r}; give "{_CONTINUE}"'
         return refusals.Refusal(417, "bad_header", detail)
     transfer_coding = message.headers.get("Transfer-Encoding", "chunked")
     if transfer_coding.lower() != "chunked":
@@ -115,6 +117,22 @@
     return None
 
 
+def expects_continue(message: http.RawRequestMessage) -> bool:
+    """Whether a caller may wait for an interim response with its body."""
+    if message.version < http.HttpVersion11:
+        # Such a caller knows no interim responses.
+        return False
+    return _CONTINUE in _expectations(message)
+
+
+def _expectations(message: http.RawRequestMessage) -> set[str]:
+    """Returns the members of the header Expect, a list that may be empty."""
+    if "Expect" not in message.headers:
+        return set()
+    members = ",".join(message.headers.getall("Expect")).lower().split(",")
+    return {member.strip(" \t") for member in members} - {""}
+
+
 def _with_own_headers(
     event: events.CallArrived, message: http.RawRequestMessage
 ) -> result.Result[events.CallArrived, refusals.Refusal]:
@@ -174,6 +192,17 @@
     return int(whole + fraction[:3].ljust(3, "0"))
 
 
+def _route_host(message: http.RawRequestMessage) -> str:
+    """Returns the name of the host, in lower case and without a last dot."""
+    authority = message_heads.target_authority(message)
+    if authority is None:
+        authority = message.headers.get("Host", "")
+    if authority.startswith("["):
+        name, bracket, _ = authority.partition("]")
+        return name.lower() + bracket
+    return authority.partition(":")[0].lower().removesuffix(".")
+
+
 def _route_path(message: http.RawRequestMessage) -> str:
     path = message.path
     if not path.startswith("/") and message.url.absolute:
