Refuse unknown routes also before the first complete read

A host whose first configuration came with a read that the store cut closed the connection of each caller that asked for a route it did not have: the text of the refusal needs the time up to which all versions are known, and there is none before a read that reached the end of the topic. Since such a read states no time. It reaches a host that starts while its reader has yet to read the rest, for the length of an outage if the store is lost in between.

The text now says that the time is unknown, and the answer is 503.

Evidence: the new test ends with the AssertionError of store_reads.complete_until_us without the change.

--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -121,11 +121,14 @@
     are known to be up to date. A 503 sends it to another gate host.
     """
     source = store_state.Source.CONFIGURATION
-    complete_us = store_reads.complete_until_us(state, source)
+    complete_us = state.store_reads[source].complete_until_us
+    known = "whether there are newer versions is unknown"
+    if complete_us is not None:
+        age_ms = (state.now_us - complete_us) // 1000
+        known = f"newer versions are known up to {age_ms} ms ago"
     detail = (
         f"no route of version {state.rule_table.version} matches the path"
-        f" {event.path!r}; newer versions are known up to"
-        f" {(state.now_us - complete_us) // 1000} ms ago"
+        f" {event.path!r}; {known}"
     )
     if not store_reads.is_up_to_date(state, source):
         return refusals.Refusal(503, "configuration_outdated", detail)
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -197,7 +197,7 @@
 ) -> int:
     """Returns the time up to which every record of a source is known.
 
-    A read of the source must have succeeded.
+    A read that reached the end of the source must have succeeded.
     """
     complete_us = state.store_reads[source].complete_until_us
     assert complete_us is not None
--- a/tests/test_claimed_age.py
+++ b/tests/test_claimed_age.py
@@ -117,3 +117,16 @@
     assert outdated.refusal_of(host, "/s/x") == (401, "unknown_key")
     outdated.hear_nothing(host)
     assert outdated.refusal_of(host, "/s/x") == REFUSED_FOR_NOW
+
+
+# A reader relays the copy of a read that was cut to a host that starts.
+def test_route_is_not_refused_for_good_by_a_first_read_that_was_cut():
+    host = test_following.FollowingHost()
+    host.feed(
+        events.ConfigurationRead,
+        published_host.document(),
+        1,
+        relayed=events.RelayedRead(host.stream, 0),
+        is_complete=False,
+    )
+    assert outdated.refusal_of(host) == REFUSED_FOR_NOW
