Read a source again, and set the timer again, after an unexpected error

Callers of a ready host would have got 503 for new routes, and answers by old ones, for good: an error while one read of the store was handled left the source unread, as the host took the read for one in progress. An error in the effects of a timer left the host without any timer: no deadlines, checks or ends of pauses.

Cause: a belief ("a read is pending", "the timer is set") that nothing ends when the event that would end it is lost. Class: the same as of suspended reads.

Why it works: a read that can't be handled counts as failed, so that the next one is scheduled. The remaining effects of an event are executed before the error is raised. A timer that has not fired 1 s after it was due is set again by the next event.

--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -261,8 +261,13 @@
     next_at_us = state.timers.next_at_us()
     armed_for_us = state.timers.armed_for_us
     if next_at_us is not None:
-        if armed_for_us is None or next_at_us < armed_for_us:
+        if (
+            armed_for_us is None
+            or next_at_us < armed_for_us
+            or state.timers.is_lost(state.now_us)
+        ):
             state.timers.armed_for_us = next_at_us
+            state.timers.armed_us = state.now_us
             state.emit(effects.SetTimer(next_at_us))
     taken_effects = state.outbox
     state.outbox = []
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Time after which a timer that has not fired is taken for lost.
+LOST_TIMER_US = 1_000_000
+
 
 @attrs.define
 class CallDeadline:
@@ -185,9 +188,11 @@
 
     Attributes:
         armed_for_us: Time for which the shell's timer is set, or None.
+        armed_us: Time at which it was set.
     """
 
     armed_for_us: int | None = None
+    armed_us: int = 0
     _heap: list[tuple[int, int, Timer]] = attrs.field(factory=list)
     _sequence: int = 0
 
@@ -196,6 +201,16 @@
         self._sequence += 1
         heapq.heappush(self._heap, (at_us, self._sequence, timer))
 
+    def is_lost(self, now_us: int) -> bool:
+        """Whether the shell's timer has not fired though it was due long ago.
+
+        An error may have lost it. A busy shell fires it late.
+        """
+        if self.armed_for_us is None:
+            return False
+        due_us = max(self.armed_for_us, self.armed_us)
+        return now_us > due_us + LOST_TIMER_US
+
     def pop_due(self, now_us: int) -> Timer | None:
         """Removes and returns the first timer that is due, if any."""
         if not self._heap or self._heap[0][0] > now_us:
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -135,7 +135,17 @@
         )
         # The read has ended, so `CancelStoreRead` has nothing left to cancel.
         self._read_tasks.pop(effect.source, None)
-        self._on_read(effect, outcome, started_us)
+        try:
+            self._on_read(effect, outcome, started_us)
+        except Exception as error:
+            logs.logger.exception(
+                f"a read of {effect.source} was not handled: {error!r}",
+                code="read_unhandled",
+            )
+            reason = f"not handled: {error!r}"
+            failure = store_records.ReadFailed(reason, is_answered=True)
+            source = store_state.Source(effect.source)
+            self._shell.submit(self._decode(source, failure, None))
 
     def _on_late_read(
         self,
--- a/src/fireflyspindle/shell.py
+++ b/src/fireflyspindle/shell.py
@@ -104,9 +104,19 @@
             self._reducing = False
 
     def execute_effects(self, requested: list[effects.Effect]) -> None:
-        """Executes effects in order."""
+        """Executes effects in order; one that fails ends no other.
+
+        Raises:
+            Exception: An effect failed; the first error of several.
+        """
+        errors = []
         for effect in requested:
-            self._execute_effect(effect)
+            try:
+                self._execute_effect(effect)
+            except Exception as error:
+                errors.append(error)
+        if errors:
+            raise errors[0]
 
     def _execute_effect(self, effect: effects.Effect) -> None:
         match effect:
