Test that missed waits, freezes and bursts give no false age

A host may take an old configuration for the newest one if a read that missed a record counts as complete, if it reads responses or lines late after a freeze, or if it misjudges which of several versions is the newest.

--- a/tests/test_claimed_age.py
+++ b/tests/test_claimed_age.py
@@ -4,14 +4,20 @@
 that is older than the limit for changes.
 """
 
+import json
+
 import attrs
 import pytest
 
 import configuration_fleet as fleet_lib
 import configuration_network as network
+from fireflyspindle.adapters import store_records
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import published
+from fireflyspindle.core import store_state
+from fireflyspindle.platform import store_decoder
+from fireflyspindle.testing import platform_documents
 import published_driver as published_host
 import test_following
 import test_outdated_configuration as outdated
@@ -130,3 +136,54 @@
         is_complete=False,
     )
     assert outdated.refusal_of(host) == REFUSED_FOR_NOW
+
+
+# A store may answer a read that waits only at the end of its wait, although a
+# record has come meanwhile.
+@pytest.mark.parametrize("missed_wakes", [0.5, 1.0])
+def test_waits_that_miss_records_are_not_taken_for_complete(missed_wakes):
+    fleet = run_fleet([], write_interval_us=S // 2, missed_wakes=missed_wakes)
+    assert not fleet.false_claims, describe(fleet)
+    assert not fleet.late, describe(fleet)
+
+
+@pytest.mark.parametrize("frozen", [READERS[:1], READERS, (5,), (0, 5)])
+@pytest.mark.parametrize("length_us", [S * 9 // 10, S * 12 // 10, 5 * S])
+def test_host_knows_its_age_after_a_freeze(frozen, length_us):
+    freeze = network.Fault("freeze", FAULT_US, FAULT_US + length_us, frozen)
+    fleet = run_fleet([freeze], write_interval_us=S // 4)
+    assert not fleet.false_claims, describe(fleet)
+
+
+@pytest.mark.parametrize(
+    "versions",
+    [
+        pytest.param((9, 10), id="one more digit"),
+        pytest.param((9, 16, 4_096), id="uneven steps"),
+        pytest.param((0x7FFF_FFFF, 0x8000_0000, 0xFFFF_FFFF), id="highest bit"),
+        pytest.param((10, 9), id="older one written again"),
+        pytest.param((10, 10), id="same one written again"),
+    ],
+)
+@pytest.mark.parametrize("is_snapshot", [False, True])
+def test_newest_version_of_a_burst_is_read(versions, is_snapshot):
+    records = [
+        store_records.Record(
+            store_decoder.CONFIGURATION_KEY,
+            json.dumps(
+                platform_documents.configuration_document(
+                    version, "h.example", {"r": ("/s/", "idempotent")}
+                )
+            ).encode(),
+            offset,
+        )
+        for offset, version in enumerate(versions)
+    ]
+    event = store_decoder.Decoder().decode_outcome(
+        0,
+        store_state.Source.CONFIGURATION,
+        store_records.Batch(records, len(records), is_snapshot),
+        None,
+    )
+    assert event.document.version == max(versions)
+    assert event.newest_is_decodable
