Apply lower limits once callers may know them, and limits of any size

Callers saw, on the users' platform: - 400 and 413 for requests within the limits of the former configuration, from the moment at which a host applied lower ones; - 400 for a line of more than 64 KiB though max-header-bytes was higher; - 413 for a body of more than 64 MiB before the first configuration.

Cause: limits took effect at once, though callers may know a configuration for as long as one may take to be in force. The parser and the limits before the first configuration had fixed sizes below what a configuration may set.

The highest limits of the newest configuration and of those that it replaced within config-apply-ms now hold. A line may have up to the 256 KiB that a whole head may have; max-header-bytes above that is still not in force. No limit on bodies holds before the first configuration, where calls get 503 anyway, nor for relayed calls, to which the relaying host has applied its own.

Evidence: the three new tests get [closed], 400 and 413 before; 200, 200 and 503 now, and 400 and 413 for the lower limits once the time has passed.

--- a/src/fireflyspindle/adapters/head_limits.py
+++ b/src/fireflyspindle/adapters/head_limits.py
@@ -3,6 +3,7 @@
 from aiohttp import http
 import attrs
 
+from fireflyspindle.adapters import overhead
 from fireflyspindle.core import refusals
 
 # Limits unless others are configured; the defaults of aiohttp.
@@ -12,8 +13,8 @@
 # Bytes of the shortest line of a header: a name, a colon and the line end.
 MIN_HEADER_BYTES = 4
 # Longest line and most headers that are parsed at all. Connections are open
-# while the configured limits change, which may only be lower.
-PARSED_LINE_BYTES = 64 * 1024
+# while the configured limits change. No head may be longer in total.
+PARSED_LINE_BYTES = overhead.MAX_OVERHEAD_BYTES
 PARSED_HEADERS = PARSED_LINE_BYTES // MIN_HEADER_BYTES
 
 
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -1,6 +1,8 @@
 """A gate host on the platform."""
 
 import asyncio
+import collections
+import sys
 import time
 
 from aiohttp import web
@@ -63,8 +65,9 @@
 MAX_RETRY_BODY_BYTES = 256 * 1024
 # Time that open responses have to end at shutdown.
 SHUTDOWN_TIMEOUT_S = 0.2
-# Largest body that is accepted until a configuration sets a limit.
-INITIAL_BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# Largest body that is accepted until a configuration sets a limit, and from
+# gate hosts that relay calls: any.
+INITIAL_BODY_LIMIT_BYTES = sys.maxsize
 
 # Connecting to a target takes about a millisecond; a lost SYN packet is sent
 # again after a second.
@@ -101,6 +104,11 @@
         self._proofs = configuration_proof.ProofClient()
         self._quota_permits = quota_permits.QuotaPermits(self)
         self._runners: list[web.AppRunner] = []
+        self._caller_limits: published.CallerLimits | None = None
+        # Limits of earlier configurations that callers may still know.
+        self._former_limits: collections.deque[published.CallerLimits] = (
+            collections.deque()
+        )
 
     async def start(self) -> None:
         """Starts listening and starts to read the store.
@@ -319,6 +327,35 @@
         )
 
     def _apply_caller_limits(self, limits: published.CallerLimits) -> None:
+        """Applies new limits; lower ones once all callers may know them."""
+        if self._caller_limits is not None:
+            self._former_limits.append(self._caller_limits)
+            delay_s = self.settings.bounds.config_apply_ms / 1000
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._drop_former_limits)
+        self._caller_limits = limits
+        self._set_caller_limits()
+
+    def _drop_former_limits(self) -> None:
+        self._former_limits.popleft()
+        self._set_caller_limits()
+
+    def _set_caller_limits(self) -> None:
+        """Sets the highest of the limits that callers may know."""
+        assert self._caller_limits is not None
+        known = (self._caller_limits, *self._former_limits)
+        limits = published.CallerLimits(
+            header_bytes=max(
+                known_limits.header_bytes for known_limits in known
+            ),
+            body_bytes=max(known_limits.body_bytes for known_limits in known),
+            header_timeout_ms=max(
+                known_limits.header_timeout_ms for known_limits in known
+            ),
+            idle_timeout_ms=max(
+                known_limits.idle_timeout_ms for known_limits in known
+            ),
+        )
         server = self.data_path.server
         server.idle_limit_s = limits.idle_timeout_ms / 1000
         server.head_limits = head_limits.HeadLimits(
--- a/src/fireflyspindle/testing/raw.py
+++ b/src/fireflyspindle/testing/raw.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 256 * 1024
 
 
 @attrs.define(eq=False)
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -250,6 +250,17 @@
     assert status(response) == b"503"
 
 
+async def test_large_body_before_the_first_configuration_is_not_run():
+    # It got 413 from 64 MiB on.
+    async with host_without_a_configuration() as (_, _, caller):
+        response = await caller.ask(
+            platform_driver.request(
+                platform_driver.STRICT, "Content-Length: 1" + "0" * 12
+            )
+        )
+    assert status(response) == b"503"
+
+
 async def test_long_query_is_accepted_on_a_connection_from_before_it():
     async with host_without_a_configuration() as (platform, host, caller):
         early = await caller.ask(platform_driver.request())
@@ -687,3 +698,56 @@
         for name in names:
             await fleet.send(fleet.hosts[0], platform_driver.request(name=name))
         assert max(runs(fleet.servers, name) for name in names) == 1
+
+
+def limited_document(version, header_bytes, body_bytes):
+    """Returns a configuration with limits for callers."""
+    document = platform_driver.document(version)
+    document["limits"]["max-header-bytes"] = header_bytes
+    document["limits"]["max-body-bytes"] = body_bytes
+    return document
+
+
+async def apply(platform, document):
+    """Publishes a configuration and waits until it is in force."""
+    platform.store.write(store_lib.CONFIGURATION_TOPIC, "config", document)
+    version = int(document["version"], 16)
+    await wire.until(lambda: platform.host.state.rule_table.version == version)
+
+
+async def test_lower_limits_apply_once_the_former_ones_can_no_longer_hold():
+    # Callers that do not know the newest configuration yet got 400 and 413.
+    requests = [
+        long_request(),
+        platform_driver.request(
+            platform_driver.STRICT, method="POST", body=b"b" * 500_000
+        ),
+    ]
+    async with (
+        asyncio.timeout(LIMIT_S),
+        platform_driver.running(platform_driver.server_behaviour()) as platform,
+    ):
+        caller = await platform.caller()
+        assert status(await caller.ask(platform_driver.request())) == b"200"
+        await apply(platform, limited_document(2, 8_192, 100_000))
+        soon = [status(await caller.ask(request)) for request in requests]
+        caller.close()
+        limit_s = platform.host.settings.bounds.config_apply_ms / 1000
+        await asyncio.sleep(limit_s + 0.2)
+        later = [
+            status(await platform.send_request(request)) for request in requests
+        ]
+    assert soon == [b"200", b"200"]
+    assert later == [b"400", b"413"]
+
+
+async def test_header_limit_above_64_kib_is_in_force():
+    request = platform_driver.request(
+        platform_driver.IDEMPOTENT + "1", "X-1: " + "v" * 100_000
+    )
+    async with platform_driver.running(
+        platform_driver.server_behaviour()
+    ) as platform:
+        await apply(platform, limited_document(2, 131_072, 1_000_000))
+        response = await platform.send_request(request)
+    assert status(response) == b"200"
