Replace a stream whose lines seem to arrive before they were sent

The bound on the transit time of a line rests on two clocks of the same rate. If the clock of the receiver stops for a while, as in a paused virtual machine whose boot time stops too, the bounds of all later lines are too short by that time, and a negative one counted as 0: up to the end of the stream, 300 s at the most, a queue on the link of the same length was not noticed.

A bound below -300 ms, the drift of two clocks that are both off by 500 ppm, now ends the stream; the next one starts with a new bound. If the clock of the sender stops, the bounds are too long, so that the reader is taken for silent, as before.

--- a/src/fireflyspindle/adapters/transit_times.py
+++ b/src/fireflyspindle/adapters/transit_times.py
@@ -8,6 +8,10 @@
 
 import attrs
 
+# Most by which the clocks of two hosts may drift apart in the lifetime of a
+# stream: 500 ppm each, the most by which NTP slews a clock, for 300 s.
+MAX_DRIFT_MS = 300
+
 
 @attrs.define
 class TransitTimes:
@@ -30,8 +34,18 @@
         Args:
             sent_ms: Time at which it was sent, by the sender's clock.
             received_us: Time at which it was received, by the receiver's.
+
+        Raises:
+            ValueError: It seems to have been received before it was sent, as
+                the receiver's clock has stopped for a while.
         """
         if self._first_sent_ms is None:
             self._first_sent_ms = sent_ms
         received_ms = (received_us - self.requested_us) // 1000
-        return max(0, received_ms - (sent_ms - self._first_sent_ms))
+        longest_ms = received_ms - (sent_ms - self._first_sent_ms)
+        if longest_ms < -MAX_DRIFT_MS:
+            raise ValueError(
+                f"a line was received {-longest_ms} ms before it was sent; a"
+                " clock has stopped or changed its rate"
+            )
+        return max(0, longest_ms)
