Answer unknown paths with 503 until the configuration has been read

Callers of the project's own interface saw: 404 no_route for any path from a host that had just started and could not read the log yet. Connections are accepted before the host is ready.

Cause: the refusal did not look at whether the configuration is complete, by which the same host says that it is not ready.

Evidence: the new test gets 404 before, 503 with Retry-After now.

--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -4,6 +4,7 @@
 
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
+from fireflyspindle.core import readiness
 from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
@@ -56,7 +57,7 @@
     name = configuration.service_for_path(state.configuration, event.path)
     service = state.services.get(name) if name is not None else None
     if service is None:
-        return _no_route(event)
+        return _no_route(state, event)
     deadline_us = event.deadline_us
     if deadline_us is None:
         policy = state.configuration.policy(service.name)
@@ -135,7 +136,12 @@
     return refusals.Refusal(404, "no_route", detail)
 
 
-def _no_route(event: events.CallArrived) -> refusals.Refusal:
+def _no_route(
+    state: state_lib.GateState, event: events.CallArrived
+) -> refusals.Refusal:
+    reason = readiness.configuration_not_ready_reason(state)
+    if reason is not None:
+        return refusals.Refusal(503, "no_configuration", reason)
     return refusals.Refusal(
         404, "no_route", f"no route matches the path {event.path!r}"
     )
--- a/tests/test_own_client_errors.py
+++ b/tests/test_own_client_errors.py
@@ -13,6 +13,8 @@
 import attrs
 import pytest
 
+from fireflyspindle import gate as gate_lib
+from fireflyspindle import settings as settings_lib
 from fireflyspindle import testing
 from fireflyspindle.core import events
 from fireflyspindle.core import store_state
@@ -751,3 +753,25 @@
         await apply(platform, limited_document(2, 131_072, 1_000_000))
         response = await platform.send_request(request)
     assert status(response) == b"200"
+
+
+async def test_host_of_the_own_interface_gives_no_404_before_it_has_routes():
+    # It can't know yet that no route leads from the path.
+    async with testing.StandInSystem() as stand_ins:
+        settings = attrs.evolve(
+            stand_ins.gate_settings("gate-1"),
+            platform=settings_lib.PlatformSettings(
+                testing.free_address(), testing.free_address()
+            ),
+        )
+        gate = gate_lib.Gate(settings)
+        await gate.start()
+        caller = await testing.connect(gate.callers_address)
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(wire.request())
+        caller.close()
+        gate.request_stop()
+        gate.request_stop()
+        await gate.wait_closed()
+    assert status(response) == b"503"
+    assert response.values("Retry-After")
