--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import tomllib
 import types
 
 import pytest
@@ -460,3 +461,21 @@
     for _ in range(5):
         configuration_check.check_served(gate, 2, status, sent_s)
     assert len(configuration_check.violations) == violations
+
+
+# Guards against readers that all follow each other, so that none reads the
+# store in all cases: a gate host and the others know it by other addresses.
+async def test_one_reader_of_the_soak_is_the_first(tmp_path):
+    gates = await soak_gates.make_gates(tmp_path, 5, "127.0.0.1:1")
+    lower_readers = []
+    for gate in gates[: soak_gates.READER_COUNT]:
+        network = tomllib.loads(gate.settings.read_text())["network"]
+        own_address = network["listen-addrs"]["control-addr"]
+        assert own_address in network["seed-nodes"]
+        lower_readers.append(
+            sum(address < own_address for address in network["seed-nodes"])
+        )
+    for gate in gates:
+        await gate.control_proxy.close()
+        await gate.store_proxy.close()
+    assert sorted(lower_readers) == list(range(soak_gates.READER_COUNT))
