Find the end of a head behind empty lines in one search

A caller that sends empty lines without end cost 35 ms of processor time for each 64 KiB, 140 ms until its connection is cut, in which no other call goes on.

Cause: the end of a head was looked for at each pair of empty lines.

Why it works: a regular expression looks for an empty line behind one that is not empty.

A test that left an error of a body unread made another one fail, whose parser of Python sources met the error's log line; it reads the error now.

--- a/src/fireflyspindle/adapters/request_parser.py
+++ b/src/fireflyspindle/adapters/request_parser.py
@@ -17,6 +17,9 @@
 _SECTION_END = b"\r\n\r\n"
 # Bytes in which it may begin, and one before.
 _SECTION_END_START_BYTES = 4
+# End of a head, which empty lines may precede. The last line of the head may
+# have begun before these bytes.
+_HEAD_END = re.compile(rb"(?:\A|[^\n])\r\n\r\n")
 _CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 # The library accepts any number of leading zeros.
 _MAX_CHUNK_SIZE_DIGITS = 64
@@ -120,19 +123,21 @@
     def _piece_end(self, window: bytes, start: int) -> int:
         """Returns the end of the bytes that the library may parse next."""
         message = self._message
-        if message is not None and not message.chunked:
+        if message is None:
+            return _head_end(window, start)
+        if not message.chunked:
             if "Content-Length" in message.headers:
                 return min(start + self._body_left_bytes, len(window))
             return len(window)
         at = max(0, start - _SECTION_END_START_BYTES)
-        if message is not None and self._chunk_left_bytes is not None:
+        if self._chunk_left_bytes is not None:
             last_line_end = self._skip_chunks(window, start)
             if last_line_end is None:
                 return len(window)
             at = last_line_end
         while (at := window.find(_SECTION_END, at)) >= 0:
             end = at + len(_SECTION_END)
-            if end > start and self._may_end_section(window, at):
+            if end > start:
                 return end
             at += 2
         return len(window)
@@ -175,21 +180,6 @@
             self._chunk_left_bytes = size_bytes + len(b"\r\n")
             start = line_end + 1
 
-    def _may_end_section(self, window: bytes, line_end: int) -> bool:
-        """Whether an empty line behind a position ends a section.
-
-        A head may be preceded by empty lines.
-
-        Args:
-            window: The line before the empty one, and bytes around it.
-            line_end: Position behind that line.
-        """
-        if self._message is not None:
-            return True
-        line_start = window.rfind(b"\n", 0, line_end) + 1
-        # Without a start in these bytes, the line may have begun earlier.
-        return line_start == 0 or line_start < line_end
-
     def _parse(self, data: bytes) -> Request | None:
         had_body = not self.body_complete
         try:
@@ -238,3 +228,13 @@
         if not self._body.is_eof():
             self._body.set_exception(web.RequestPayloadError(error.message))
         self._body = streams.EMPTY_PAYLOAD
+
+
+def _head_end(window: bytes, start: int) -> int:
+    """Returns the first position behind a start at which a head may end."""
+    at = max(0, start - _SECTION_END_START_BYTES)
+    while found := _HEAD_END.search(window, at):
+        if found.end() > start:
+            return found.end()
+        at = found.start() + 1
+    return len(window)
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -5,6 +5,7 @@
 import time
 
 from aiohttp import http
+from aiohttp import web
 import pytest
 
 from fireflyspindle.adapters import request_parser
@@ -162,3 +163,6 @@
     with pytest.raises(http.HttpProcessingError, match="too many digits"):
         for digit in b"0" * 64 + b"1\r\n":
             connection.data_received(bytes([digit]))
+    (body,) = connection.bodies
+    with pytest.raises(web.RequestPayloadError):
+        await body
