--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -138,7 +138,7 @@
         try:
             self._on_read(effect, outcome, started_us)
         except Exception as error:
-            logs.logger.exception(
+            logs.logger.error(
                 f"a read of {effect.source} was not handled: {error!r}",
                 code="read_unhandled",
             )
