State the version of the configuration by which a call was routed

Callers saw requests run by the service of an older version. No log line or metric told by which version a request was run: one that succeeds leaves no line, and a host that goes on by an old version while it can't tell whether there is a newer one wrote nothing about it.

Each line "call finished" now has configuration_version and configuration_unproven, and explain prints them. A host writes one line when it starts to route calls by a version that may not be the newest, with the version, the reason and its age, and one when it knows its version to be the newest again, with the number of calls in between.

At most one pair of lines is written for each complete read of the configuration, of which a host makes or receives about one in 0.8 s.

--- a/src/fireflyspindle/adapters/data_path.py
+++ b/src/fireflyspindle/adapters/data_path.py
@@ -300,6 +300,12 @@
             "steps": steps_lib.as_data(effect.steps),
             "steps_left_out": effect.steps.dropped_count,
         }
+    configuration_fields = {}
+    if effect.configuration_version:
+        configuration_fields = {
+            "configuration_version": effect.configuration_version,
+            "configuration_unproven": effect.configuration_unproven,
+        }
     log(
         "call finished",
         code="call",
@@ -312,4 +318,5 @@
         target_us=effect.target_us,
         attempts=effect.attempts,
         **decision_fields,
+        **configuration_fields,
     )
--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -97,11 +97,17 @@
 def format_call(call: LogLine, lines: list[LogLine]) -> Iterator[str]:
     """Yields the steps of a call and the state of its targets as logged."""
     fields = call.fields
+    configuration = ""
+    if fields.get("configuration_version"):
+        configuration = f", by version {fields['configuration_version']}"
+        if fields.get("configuration_unproven"):
+            configuration += " (perhaps not the newest)"
     yield (
         f"{fields['time']} {call.source}: request {fields['request_id']} on"
         f" route {fields.get('route')!r} ended {fields['outcome']}"
         f"{' late' if fields.get('late') else ''} after"
         f" {fields['total_us'] / 1000:.0f} ms and {fields['attempts']} sends"
+        f"{configuration}"
     )
     targets = set()
     for step in fields.get("steps", ()):
@@ -143,6 +149,8 @@
             "targets_regained",
             "key_proof_lost",
             "key_proof_regained",
+            "configuration_unproven",
+            "configuration_proven",
         ):
             yield line
 
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -53,6 +53,7 @@
             attempts=0,
             relayed=event.relayed,
             steps=_refusal_steps(state, refusal),
+            configuration_version=state.rule_table.version or 0,
         )
     )
 
@@ -176,5 +177,7 @@
             past_soft_deadline=call.soft_deadline_us is not None
             and state.now_us > call.soft_deadline_us,
             steps=call.steps,
+            configuration_version=call.configuration_version,
+            configuration_unproven=call.configuration_unproven,
         )
     )
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -67,6 +67,8 @@
         organisation=destination.organisation,
         key_digest=event.key_digest,
         public=destination.public,
+        configuration_version=destination.configuration_version,
+        configuration_unproven=destination.configuration_unproven,
     )
     state.calls[call.call_id] = call
     state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -9,6 +9,7 @@
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
+from fireflyspindle.core import unproven_calls
 from fireflyspindle.core.organisations import authorisation
 
 # Maximum attempts of a call whose route sets no limit.
@@ -34,6 +35,9 @@
         organisation: Name of the organisation of the request, or empty.
         has_large_bodies: Whether its route has large bodies.
         public: Whether the route needs no API key.
+        configuration_version: Version of the published configuration that has
+            the route, or 0.
+        configuration_unproven: Whether that version may not be the newest.
     """
 
     service: state_lib.ServiceState
@@ -46,6 +50,8 @@
     organisation: str = ""
     has_large_bodies: bool = False
     public: bool = False
+    configuration_version: int = 0
+    configuration_unproven: bool = False
 
 
 def find(
@@ -110,6 +116,8 @@
         organisation=organisation,
         has_large_bodies=rule.has_large_bodies,
         public=rule.public,
+        configuration_version=state.rule_table.version,
+        configuration_unproven=unproven_calls.on_routed(state),
     )
 
 
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -22,6 +22,7 @@
 from fireflyspindle.core import target_statements
 from fireflyspindle.core import targets
 from fireflyspindle.core import timers
+from fireflyspindle.core import unproven_calls
 from fireflyspindle.core.cold_targets import cold
 from fireflyspindle.core.evacuation import transitions as evacuation_transitions
 from fireflyspindle.core.load_sharing import fairness
@@ -60,6 +61,7 @@
     store_reads.on_read_succeeded(
         state, source, event, changed=document is not None
     )
+    unproven_calls.on_configuration_read(state)
     readiness.accept_callers(state)
 
 
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -146,6 +146,10 @@
         past_soft_deadline: Whether it ended after its soft deadline.
         relayed: Whether it was relayed to or by another gate host.
         steps: Decisions made for it; recorded for published rules only.
+        configuration_version: Version of the published configuration that
+            routed or refused it, or 0.
+        configuration_unproven: Whether that version may not have been the
+            newest when it routed the call.
     """
 
     call_id: int
@@ -160,6 +164,8 @@
     past_soft_deadline: bool = False
     relayed: bool = False
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
+    configuration_version: int = 0
+    configuration_unproven: bool = False
 
 
 @attrs.define(frozen=True)
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -151,6 +151,10 @@
         public: Whether its route needs no key.
         hedge_charged: Whether its probe round is for a hedge that the budgets
             have been charged for.
+        configuration_version: Version of the published configuration that
+            routed it, or 0.
+        configuration_unproven: Whether that version may not have been the
+            newest then.
     """
 
     call_id: int
@@ -188,6 +192,8 @@
     key_digest: str = ""
     public: bool = False
     hedge_charged: bool = False
+    configuration_version: int = 0
+    configuration_unproven: bool = False
 
     def record_step(
         self,
@@ -481,6 +487,8 @@
         following: State of following another host's reads of the store.
         host_counts: Counts of the gate hosts by the readers.
         rule_table: Published rules in force.
+        unproven_calls: Calls routed by a configuration that may not be the
+            newest.
         service_settings: Published settings of services by name.
         registered_targets: Targets that registered themselves, by id.
         leaving_starts: Starts of targets that are leaving, oldest first; kept
@@ -545,6 +553,9 @@
         factory=store_state.HostCounts
     )
     rule_table: published.RuleTable = attrs.field(factory=published.RuleTable)
+    unproven_calls: store_state.UnprovenCalls = attrs.field(
+        factory=store_state.UnprovenCalls
+    )
     service_settings: dict[str, published.ServiceSettings] = attrs.field(
         factory=dict
     )
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -184,6 +184,19 @@
         return min(event.now_us, self.scheduled_us)
 
 
+@attrs.define
+class UnprovenCalls:
+    """Calls routed while the configuration may not have been the newest.
+
+    Attributes:
+        since_us: Time of the first of them; None while there are none.
+        calls: Number of them since then.
+    """
+
+    since_us: int | None = None
+    calls: int = 0
+
+
 @attrs.define
 class Reader:
     """A host that reads the store for others.
