Add restarts of the store, targets and crash records to the virtual fleet

The virtual fleet had outages of the store, but no store that ends and starts again, and it checked versions of the configuration only. In a report of real processes the store refused connections for 3 s and was back at once.

A fault "restart" resets the reads in progress and refuses new ones until the store is back, which then has its records as before, without the log, without those that it never acknowledged, or numbered anew from 0. Plans may hold records of targets and crashes. The client of the store in the fleet is now the real one but for the exchange of a request and its response, so that listings have what real ones have, `end-offset` among it. Calls of the store and lines of feeds are recorded.

--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -15,15 +15,17 @@
 import attrs
 
 import configuration_network as network
+import configuration_store
 from fireflyspindle.adapters import store_feed
 from fireflyspindle.adapters import store_feed_client
-from fireflyspindle.adapters import store_records
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
+from fireflyspindle.core import suspects
+from fireflyspindle.platform import crash_records
 from fireflyspindle.platform import store_client
 from fireflyspindle.platform import store_decoder
 from fireflyspindle.platform import store_sync
@@ -33,7 +35,12 @@
 # limit for a host in touch to apply a version (`config-apply-ms`).
 CONTACT_US = 3_000_000
 APPLY_LIMIT_US = 2_000_000
+# Longest time for which an entry that was removed in an outage is kept
+# (`reregistration-grace-ms`).
+GRACE_US = 2_000_000
 CHECK_INTERVAL_S = 0.02
+# Time after the return of the store at which writes that waited for it arrive.
+DEFERRED_WRITE_US = 10_000
 # Growth of the delay on a link that gets more than it carries, in s per s.
 QUEUE_GROWTH = 0.3
 # Size of a document that readers omit; its text does not compress.
@@ -42,6 +49,7 @@
     store_state.Source.CONFIGURATION
 ]
 TARGETS_TOPIC = store_sync.TOPIC_BY_SOURCE[store_state.Source.TARGETS]
+CRASHES_TOPIC = store_sync.TOPIC_BY_SOURCE[store_state.Source.CRASHES]
 _STORE_EFFECTS = (
     effects.ReadStore,
     effects.CancelStoreRead,
@@ -50,6 +58,11 @@
 )
 
 
+def fingerprint_of(key: str) -> str:
+    """Returns the fingerprint of the request that a record is about."""
+    return crash_records.decode_key(key).ok_value.fingerprint
+
+
 class Host:
     """One gate host, which may be killed and started again."""
 
@@ -70,6 +83,24 @@
         """Version in force, 0 if there is none."""
         return self.state.rule_table.version or 0
 
+    @property
+    def targets(self) -> set[str]:
+        """Ids of the targets that get calls."""
+        return {
+            target_id
+            for target_id, registered in self.state.registered_targets.items()
+            if not registered.leaving
+        }
+
+    @property
+    def refused(self) -> set[str]:
+        """Fingerprints of the requests that are refused."""
+        return {
+            fingerprint
+            for fingerprint in self.state.crashes.suspects
+            if suspects.is_refused(self.state, fingerprint)
+        }
+
     def now_us(self) -> int:
         """Returns the monotonic time."""
         return self.fleet.now_us
@@ -218,6 +249,40 @@
     complete_until_us: int
 
 
+@attrs.define(frozen=True)
+class Wrong:
+    """A host in touch that used the wrong targets, or refused wrong requests.
+
+    Attributes:
+        at_us: Time at which it was seen.
+        host: Number of the host.
+        key: Id of the target, or fingerprint of the request.
+        expected: Whether the target had to be used, or the request refused.
+        since_us: Time of the record from which that follows.
+    """
+
+    at_us: int
+    host: int
+    key: str
+    expected: bool
+    since_us: int
+
+
+@attrs.define(frozen=True)
+class AcceptedAgain:
+    """A host that no longer refuses a request, without a withdrawal.
+
+    Attributes:
+        at_us: Time at which it was seen.
+        host: Number of the host.
+        fingerprint: Fingerprint of the request.
+    """
+
+    at_us: int
+    host: int
+    fingerprint: str
+
+
 class Fleet:
     """Hosts and a store that a plan harms.
 
@@ -226,19 +291,38 @@
         false_claims: Hosts that would have refused requests for routes that
             are there, at each look.
         reverted: Hosts that went back to an older version, with both versions.
+        wrong_targets: Targets that were used or not used by mistake, once for
+            each host.
+        wrong_refusals: The same of requests that crash targets.
+        accepted_again: Requests that a host refused and then accepted, though
+            no evidence was withdrawn.
         trace: Time, host and what was fed to it or what it asked for.
+        store_run: Number of starts of the store.
+        store_calls: Time, host and path of each request to the store.
+        lines_sent: Time, reader, follower and size of each line of a feed.
     """
 
     def __init__(self, plan: network.Plan, seed: int):
         self.plan = plan
         self.random = random.Random(seed)
-        self.topics = collections.defaultdict(list)
+        self.topics = collections.defaultdict(configuration_store.Topic)
+        self.store_run = 1
+        self.store_calls: list[tuple[int, int, str]] = []
+        self.lines_sent: list[tuple[int, int, int, int]] = []
+        self.versions = 0
+        self.wrong_targets: list[Wrong] = []
+        self.wrong_refusals: list[Wrong] = []
+        self.accepted_again: list[AcceptedAgain] = []
         self.acknowledged_us: dict[int, int] = {}
         self.late: list[Late] = []
         self.false_claims: list[FalseClaim] = []
         self.reverted: list[tuple[int, int, int]] = []
         self.trace: list[tuple[int, int, object]] = []
         self._held: dict[tuple[int, int], int] = {}
+        self._refused: dict[tuple[int, int], set[str]] = {}
+        # Time and value of the latest acknowledged record of each key.
+        self._latest: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self._withdrawn: set[str] = set()
         self._changes = collections.defaultdict(list)
         self._reported: set[tuple[int, int]] = set()
 
@@ -264,8 +348,18 @@
 
     def store_fault(self, host: int) -> str | None:
         """Returns how reads by a host fail now, or None."""
+        if self._restart() is not None and not self.path_fault(host):
+            return "reset"
         return self.path_fault(host) or self._active_how("store", host)
 
+    def _restart(self) -> network.Fault | None:
+        """Returns the restart of the store that is in progress, or None."""
+        for fault in self.plan.faults:
+            if fault.kind == "restart":
+                if fault.start_us <= self.now_us < fault.end_us:
+                    return fault
+        return None
+
     def line_delay_s(self, reader: int) -> float:
         """Returns by how much the lines of a reader are delayed now."""
         return sum(
@@ -307,11 +401,7 @@
         self.hosts = [Host(self, n) for n in range(self.plan.hosts)]
         for host in self.hosts:
             host.start()
-        for fault in self.plan.faults:
-            self.loop.call_at(fault.start_us / 1e6, self._begin, fault)
-            self.loop.call_at(fault.end_us / 1e6, self._end, fault)
-        for at_us, large in self.plan.writes:
-            self.loop.call_at(at_us / 1e6, self._write, large)
+        self._schedule()
         while self.now_us < self.plan.end_us:
             await asyncio.sleep(CHECK_INTERVAL_S)
             for host in self.hosts:
@@ -320,17 +410,41 @@
         for host in self.hosts:
             host.kill()
 
-    def _write(self, large: bool) -> None:
-        """Writes a new version; without the store, once it is back."""
+    def _schedule(self) -> None:
+        """Schedules the faults and the writes."""
+        for fault in self.plan.faults:
+            self.loop.call_at(fault.start_us / 1e6, self._begin, fault)
+            self.loop.call_at(fault.end_us / 1e6, self._end, fault)
+        for at_us, large in self.plan.writes:
+            self.loop.call_at(at_us / 1e6, self._write, large)
+        for append in self.plan.appends:
+            self.loop.call_at(append.at_us / 1e6, self._append_other, append)
         for fault in self.plan.faults:
+            if fault.unacknowledged_us:
+                at_us = fault.start_us - fault.unacknowledged_us
+                self.loop.call_at(at_us / 1e6, self._write, False, False)
+
+    def _deferred_s(self) -> float | None:
+        """Returns when the store takes writes again; None if it does now.
+
+        It takes one at a time, so none behind one that it never acknowledges.
+        """
+        for fault in self.plan.faults:
+            start_us = fault.start_us - fault.unacknowledged_us
             is_total = len(fault.hosts) == self.plan.hosts
-            if fault.kind == "store" and is_total:
-                if fault.start_us <= self.now_us < fault.end_us:
-                    self.loop.call_at(
-                        fault.end_us / 1e6 + 0.01, self._write, large
-                    )
-                    return
-        version = len(self.topics[CONFIGURATION_TOPIC]) + 1
+            if fault.kind == "restart" or (fault.kind == "store" and is_total):
+                if start_us <= self.now_us < fault.end_us:
+                    return (fault.end_us + DEFERRED_WRITE_US) / 1e6
+        return None
+
+    def _write(self, large: bool, acknowledged: bool = True) -> None:
+        """Writes a new version; without the store, once it is back."""
+        deferred_s = self._deferred_s()
+        if acknowledged and deferred_s is not None:
+            self.loop.call_at(deferred_s, self._write, large)
+            return
+        self.versions += 1
+        version = self.versions
         name = "r"
         if large:
             noise = random.Random(version).randbytes(LARGE_BYTES)
@@ -339,22 +453,38 @@
             version, "h.example", {name: ("/s/", "idempotent")}
         )
         value = json.dumps(document).encode()
-        self._append(
-            CONFIGURATION_TOPIC, store_decoder.CONFIGURATION_KEY, value
+        self.topics[CONFIGURATION_TOPIC].append(
+            store_decoder.CONFIGURATION_KEY, value, acknowledged
         )
-        self._append(TARGETS_TOPIC, "i-0", None)
-        self.acknowledged_us[version] = self.now_us
-
-    def _append(self, topic: str, key: str, value: bytes | None) -> None:
-        records = self.topics[topic]
-        records.append(store_records.Record(key, value, len(records)))
+        self.topics[TARGETS_TOPIC].append("i-0", None, acknowledged)
+        self._wake()
+        if acknowledged:
+            self.acknowledged_us[version] = self.now_us
+
+    def _append_other(self, append: network.Append) -> None:
+        """Writes a record; without the store, once it is back."""
+        deferred_s = self._deferred_s()
+        if append.acknowledged and deferred_s is not None:
+            self.loop.call_at(deferred_s, self._append_other, append)
+            return
+        topic = self.topics[append.topic]
+        topic.append(append.key, append.value, append.acknowledged)
         self._wake()
+        if append.topic == CRASHES_TOPIC and append.value is None:
+            self._withdrawn.add(fingerprint_of(append.key))
+        if append.acknowledged:
+            key = append.topic, append.key
+            _, previous = self._latest.get(key, (0, None))
+            if (previous is None) != (append.value is None):
+                self._latest[key] = self.now_us, append.value
 
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
     def _begin(self, fault: network.Fault) -> None:
+        if fault.kind == "restart":
+            self.store_run += 1
         self._wake()
         for number in fault.hosts:
             host = self.hosts[number]
@@ -371,6 +501,9 @@
                         connection.stalled = True
 
     def _end(self, fault: network.Fault) -> None:
+        if fault.kind == "restart":
+            for topic in self.topics.values():
+                topic.restart(fault.records)
         for number in fault.hosts:
             host = self.hosts[number]
             if fault.kind == "down" and not host.alive:
@@ -378,9 +511,9 @@
             if fault.kind == "freeze" and host.alive:
                 host.running.set()
 
-    def in_touch(self, host: int) -> bool:
-        """Whether nothing has disturbed a host for `CONTACT_US`."""
-        since_us = self.now_us - CONTACT_US
+    def in_touch(self, host: int, for_us: int = CONTACT_US) -> bool:
+        """Whether nothing has disturbed a host for a time."""
+        since_us = self.now_us - for_us
         return since_us >= 1_000_000 and not any(
             fault.start_us <= self.now_us
             and fault.end_us > since_us
@@ -407,8 +540,10 @@
         )
         if host.version < due and host.running.is_set():
             self._check_claim(host, due)
+        self._check_refusals(host)
         if not self.in_touch(host.number):
             return
+        self._check_records(host)
         if host.version < due and (host.number, due) not in self._reported:
             self._reported.add((host.number, due))
             self.late.append(
@@ -421,6 +556,56 @@
                 )
             )
 
+    def _check_refusals(self, host: Host) -> None:
+        """Notes requests that are accepted without a withdrawal."""
+        key = host.number, host.starts
+        accepted = self._refused.get(key, set()) - host.refused
+        self._refused[key] = host.refused
+        for fingerprint in accepted - self._withdrawn:
+            self.accepted_again.append(
+                AcceptedAgain(self.now_us, host.number, fingerprint)
+            )
+
+    def _check_records(self, host: Host) -> None:
+        """Notes wrong targets and wrong refusals of a host in touch."""
+        crashes = collections.defaultdict(list)
+        for (topic, key), (at_us, value) in self._latest.items():
+            if topic == CRASHES_TOPIC:
+                crashes[fingerprint_of(key)].append((at_us, value))
+            if topic == TARGETS_TOPIC:
+                is_used = key in host.targets
+                self._check_record(
+                    self.wrong_targets, host, key, at_us, bool(value), is_used
+                )
+        for fingerprint, records in crashes.items():
+            at_us = max(at_us for at_us, _ in records)
+            count = sum(value is not None for _, value in records)
+            is_refused = fingerprint in host.refused
+            self._check_record(
+                self.wrong_refusals,
+                host,
+                fingerprint,
+                at_us,
+                count >= suspects.MIN_CRASHES,
+                is_refused,
+            )
+
+    def _check_record(self, wrong, host, key, at_us, expected, actual) -> None:
+        if expected == actual:
+            return
+        if self.now_us < at_us + APPLY_LIMIT_US:
+            return
+        if not expected and not self.in_touch(
+            host.number, CONTACT_US + GRACE_US
+        ):
+            return
+        if any(
+            (e.host, e.key, e.since_us) == (host.number, key, at_us)
+            for e in wrong
+        ):
+            return
+        wrong.append(Wrong(self.now_us, host.number, key, expected, at_us))
+
     def _check_claim(self, host: Host, due: int) -> None:
         """Notes a late host that takes itself for up to date."""
         source = store_state.Source.CONFIGURATION
--- a/tests/configuration_network.py
+++ b/tests/configuration_network.py
@@ -8,8 +8,9 @@
 import attrs
 import yarl
 
+import configuration_store
 from fireflyspindle.adapters import store_feed_client
-from fireflyspindle.adapters import store_records
+from fireflyspindle.platform import store_client
 
 READERS = 3
 # Latency of the store and of the links between hosts.
@@ -25,8 +26,9 @@
     """One fault.
 
     Attributes:
-        kind: "store": the store fails for these hosts. "path": these hosts
-            have no path to the store. "link": there is no link between these
+        kind: "store": the store fails for these hosts. "restart": the store
+            ends and starts again, for all hosts. "path": these hosts have no
+            path to the store. "link": there is no link between these
             hosts and the readers in `readers`. "down", "freeze": the processes
             are killed or suspended. "reset", "stall": the streams to these
             hosts end, or deliver nothing more. "delay": a queue builds up on
@@ -39,6 +41,11 @@
             also those in progress; "hang" leaves them without an answer.
         readers: Numbers of the readers, for "link".
         delay_us: Longest delay of a line, for "delay".
+        records: What becomes of the records, for "restart"; one of
+            `configuration_store.RESTARTS`.
+        unacknowledged_us: Time before the start at which a version is written
+            that the store loses, for `configuration_store.RECORD_LOST`; 0 if
+            there is none.
     """
 
     kind: str
@@ -48,15 +55,37 @@
     how: str = "hang"
     readers: tuple[int, ...] = ()
     delay_us: int = 0
+    records: str = configuration_store.KEPT
+    unacknowledged_us: int = 0
 
     def disturbs(self, host: int) -> bool:
         """Whether a host is not in touch because of the fault."""
-        if self.kind == "store":
+        if self.kind in ("store", "restart"):
             return True
         both_readers = self.kind == "link" and host < READERS
         return host in self.hosts or (both_readers and host in self.readers)
 
 
+@attrs.define(frozen=True)
+class Append:
+    """A record that is written besides the versions.
+
+    Attributes:
+        at_us: Time.
+        topic: Name of the topic.
+        key: The key.
+        value: The value; None removes the key.
+        acknowledged: Whether the store acknowledges it; a restart may lose the
+            others.
+    """
+
+    at_us: int
+    topic: str
+    key: str
+    value: bytes | None
+    acknowledged: bool = True
+
+
 @attrs.define
 class Plan:
     """Faults and versions of a run.
@@ -69,6 +98,7 @@
         domains: Failure domain of each host.
         missed_wakes: Share of the waiting reads that miss a record.
         records_per_read: Most records of a read; the store limits its size.
+        appends: Further records.
     """
 
     hosts: int
@@ -78,6 +108,7 @@
     domains: list[str]
     missed_wakes: float = 0.0
     records_per_read: int | None = None
+    appends: list[Append] = attrs.field(factory=list)
 
 
 class _Selector(selectors.SelectSelector):
@@ -127,6 +158,14 @@
         await self.reader.running.wait()
         if self.closed:
             raise ConnectionResetError
+        self.fleet.lines_sent.append(
+            (
+                self.fleet.now_us,
+                self.reader.number,
+                self.follower.number,
+                len(line),
+            )
+        )
         self._lines.put_nowait((self.fleet.loop.time(), bytes(line)))
 
     def close(self) -> None:
@@ -209,39 +248,54 @@
         self._session = session
 
 
-class StoreClient:
-    """Reads the stand-in store on behalf of one host."""
+class StoreClient(store_client.StoreClient):
+    """Reads the stand-in store on behalf of one host.
+
+    Everything but the exchange of one request and its response is real.
+    """
 
     def __init__(self, fleet, host):
         self.fleet = fleet
         self.host = host
 
-    async def read(
-        self, topic, from_offset, _first_offset=0, wait_ms=0, _progress=None
-    ):
-        """Reads as `StoreClient.read` does."""
-        if from_offset is None:
-            wait_ms = 0
+    async def _get(self, path, query, _progress):
+        """Sends a request and returns the status and the body."""
+        self.fleet.store_calls.append(
+            (self.fleet.now_us, self.host.number, path)
+        )
+        run = self.fleet.store_run
         await asyncio.sleep(STORE_LATENCY_S)
-        outcome = await self._answer(topic, from_offset, wait_ms)
+        try:
+            response = await self._answer(path, query, run)
+        except aiohttp.ClientError:
+            await self.host.running.wait()
+            raise
         await self.host.running.wait()
-        return outcome
+        return response
 
-    async def _answer(self, topic, from_offset, wait_ms):
-        end_s = self.fleet.loop.time() + wait_ms / 1000
+    async def _answer(self, path, query, run):
+        topic_name = query["topic"]
+        offset = int(query.get("start-key", 0))
+        wait_s = int(query.get("wait-ms", 0)) / 1000
+        end_s = self.fleet.loop.time() + wait_s
         waited = False
         while True:
             how = self.fleet.store_fault(self.host.number)
             if how == "hang":
                 await asyncio.Event().wait()
-            if how == "reset" or (how and not waited):
-                return store_records.ReadFailed(self._reason(how))
-            records = self.fleet.topics[topic]
+            if how == "reset" or run != self.fleet.store_run:
+                return self._fail("reset")
+            if how and not waited:
+                return self._fail(how)
+            topic = self.fleet.topics[topic_name]
             now_s = self.fleet.loop.time()
-            if len(records) > (from_offset or 0) or now_s >= end_s:
+            is_listing = path == "/log-newest"
+            if is_listing or topic.end_offset > offset or now_s >= end_s:
                 if how:
-                    return store_records.ReadFailed(self._reason(how))
-                return self._batch(records, from_offset)
+                    return self._fail(how)
+                if is_listing:
+                    return topic.list_newest(query.get("after", ""))
+                return topic.read(offset, self.fleet.plan.records_per_read)
             waited = True
             if self.fleet.random.random() < self.fleet.plan.missed_wakes:
                 await asyncio.sleep(end_s - now_s)
@@ -250,25 +304,9 @@
                 async with asyncio.timeout(end_s - now_s):
                     await self.fleet.changed.wait()
 
-    def _reason(self, how):
+    def _fail(self, how):
         if self.fleet.path_fault(self.host.number):
-            return "ClientOSError: no path"
+            raise aiohttp.ClientOSError("no path")
         if how == "reset":
-            return "ClientOSError: reset"
-        return "response with status 503"
-
-    def _batch(self, records, from_offset):
-        if from_offset is not None:
-            newer = records[from_offset:][: self.fleet.plan.records_per_read]
-            next_offset = from_offset + len(newer)
-            return store_records.Batch(
-                newer,
-                next_offset,
-                False,
-                from_offset,
-                is_complete=next_offset == len(records),
-            )
-        newest = {record.key: record for record in records}
-        live = [record for record in newest.values() if record.value]
-        next_offset = max((record.offset + 1 for record in live), default=0)
-        return store_records.Batch(live, next_offset, True)
+            raise aiohttp.ClientOSError("reset")
+        return 503, b""
