--- a/src/fireflyspindle/bench/soak_gates.py
+++ b/src/fireflyspindle/bench/soak_gates.py
@@ -31,7 +31,7 @@
 SETTINGS_TEMPLATE = """
 [self]
 node-name = "gate-{number}"
-zone = "a"
+zone = "{zone}"
 [network]
 seed-nodes = {readers}
 [network.listen-addrs]
@@ -168,8 +168,21 @@
     count: int,
     store_address: str,
     other_build: pathlib.Path | None = None,
+    *,
+    zones: tuple[str, ...] = ("a",),
+    has_store_proxies: bool = True,
 ) -> list[Gate]:
-    """Returns gate hosts; the first `READER_COUNT` read the store for all."""
+    """Returns gate hosts; the first `READER_COUNT` read the store for all.
+
+    Args:
+        directory: Directory for settings and logs.
+        count: Number of gate hosts.
+        store_address: Address of the store.
+        other_build: Sources of another build that every second start uses.
+        zones: Failure domains that they are in by turns.
+        has_store_proxies: Whether each reaches the store through its proxy. A
+            proxy accepts connections while the store doesn't.
+    """
     proxies = {}
     proxy_addresses = {}
     for _ in range(count):
@@ -192,16 +205,18 @@
             for reader in readers
         ]
         store_proxy = tcp_proxy.TcpProxy(store_address)
+        proxy_address = await store_proxy.start()
         has_short_grace = number % SHORT_GRACE_STEP == 1
         grace_s = SHORT_GRACE_S if has_short_grace else GRACE_S
         settings.write_text(
             SETTINGS_TEMPLATE.format(
                 number=number,
+                zone=zones[number % len(zones)],
                 callers=address,
                 ready=testing.free_address(),
                 control=control,
                 readers=json.dumps(reader_addresses),
-                store=await store_proxy.start(),
+                store=proxy_address if has_store_proxies else store_address,
                 grace_s=grace_s,
             )
         )
--- a/src/fireflyspindle/bench/soak_servers.py
+++ b/src/fireflyspindle/bench/soak_servers.py
@@ -7,11 +7,14 @@
 
 from fireflyspindle import testing
 from fireflyspindle.bench import soak_checks
+from fireflyspindle.bench import store_process
 from fireflyspindle.testing import platform_documents
 from fireflyspindle.testing import platform_server
 from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
 
+Store = testing.StandInStore | store_process.StoreProcess
+
 
 @attrs.define(eq=False)
 class Server:
@@ -25,6 +28,7 @@
         started_ms: Start time that the server registers, in milliseconds.
         last_fault_s: Loop time at which the last fault of its proxy ended;
             infinite during a fault.
+        service: Service that it belongs to.
     """
 
     stand_in: platform_server.StandInServer
@@ -33,15 +37,16 @@
     address: str
     started_ms: int
     last_fault_s: float = -1e9
+    service: str = platform_documents.SERVICE
 
-    def register(self, store: testing.StandInStore, state: str) -> None:
+    def register(self, store: Store, state: str) -> None:
         """Writes its entry to the store."""
         entry = platform_documents.target_entry(
-            self.address, state, self.started_ms
+            self.address, state, self.started_ms, self.service
         )
         store.write(store_lib.TARGETS_TOPIC, self.stand_in.server_id, entry)
 
-    def remove(self, store: testing.StandInStore) -> None:
+    def remove(self, store: Store) -> None:
         """Removes its entry from the store."""
         store.write(store_lib.TARGETS_TOPIC, self.stand_in.server_id, None)
 
@@ -85,13 +90,22 @@
         ]
 
 
-async def start_server(number: int) -> Server:
+async def start_server(
+    number: int, service: str = platform_documents.SERVICE
+) -> Server:
     """Starts a server; it has no entry in the store yet."""
     stand_in = platform_server.StandInServer(f"i-{number}")
     web_server = testing.Server(stand_in.application())
     proxy = tcp_proxy.TcpProxy(await web_server.start())
     address = await proxy.start()
-    return Server(stand_in, web_server, proxy, address, 1_000 + number)
+    return Server(
+        stand_in,
+        web_server,
+        proxy,
+        address,
+        1_000 + number,
+        service=service,
+    )
 
 
 def count_runs(servers: Iterable[Server]) -> dict[str, int]:
--- a/src/fireflyspindle/testing/platform_documents.py
+++ b/src/fireflyspindle/testing/platform_documents.py
@@ -13,15 +13,19 @@
     host: str,
     routes: Mapping[str, tuple[str, str]],
     timeout_ms: int = 2_500,
+    services: Mapping[str, str] | None = None,
 ) -> dict[str, Any]:
-    """Returns a configuration with one service.
+    """Returns a configuration.
 
     Args:
         version: Version of the configuration.
         host: Host name in the requests of callers.
         routes: Path prefix and kind of each route, by its name.
         timeout_ms: Maximum time that a caller waits for a response.
+        services: Service of each route that doesn't lead to `SERVICE`, by the
+            name of the route.
     """
+    services = services or {}
     rules = [
         {
             "name": name,
@@ -30,7 +34,7 @@
             "priority": 1,
             "match": {"path-prefix": prefix},
             "action": {
-                "service": SERVICE,
+                "service": services.get(name, SERVICE),
                 "timeout-ms": timeout_ms,
                 "max-attempts": 2,
             },
@@ -47,20 +51,24 @@
         },
         "listeners": [{"host": host, "rules": rules}],
         "clusters": [
-            {"name": SERVICE, "health-path": "/health", "max-conns": 200}
+            {"name": service, "health-path": "/health", "max-conns": 200}
+            for service in sorted({SERVICE, *services.values()})
         ],
     }
 
 
 def target_entry(
-    address: str, state: str = "ready", started_ms: int = STARTED_MS
+    address: str,
+    state: str = "ready",
+    started_ms: int = STARTED_MS,
+    service: str = SERVICE,
 ) -> dict[str, Any]:
     """Returns the entry of a server in zone a with four slots."""
     sequence = 1 if state == "ready" else 2
     return {
         "address": address,
         "info": {
-            "service": SERVICE,
+            "service": service,
             "version": "v1",
             "zone": "a",
             "capacity": 4,
