Test that hosts follow a store whose process starts again

Callers saw requests for moved routes run by the old service for seconds after an acknowledged change, after the store had refused connections for some 3 s. The test kills the store's process and starts it again, while versions add routes and move others; it checks that each host serves the new routes, and that the old service of a moved route runs no request, 2 s after the acknowledgement and 3 s after the store's return.

--- a/src/fireflyspindle/bench/store_process.py
+++ b/src/fireflyspindle/bench/store_process.py
@@ -242,9 +242,7 @@
         if self._process is not None and self._process.stdin is not None:
             self._process.stdin.write(_line(command).encode())
 
-    async def _read_acknowledgements(
-        self, lines: asyncio.StreamReader
-    ) -> None:
+    async def _read_acknowledgements(self, lines: asyncio.StreamReader) -> None:
         while line := await lines.readline():
             _, acknowledged = self._pending.pop(int(line))
             if not acknowledged.done():
--- a/tests/restart_fleet.py
+++ b/tests/restart_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 import json
 
@@ -29,6 +30,8 @@
 APPLY_LIMIT_S = soak_checks.APPLY_LIMIT_S
 RETURN_LIMIT_S = soak_checks.FAULT_FREE_S
 MARGIN_S = 0.3
+# Further time after which a server that left runs no request (`drain-ms`).
+DRAIN_LIMIT_S = 2.0
 PROBE_INTERVAL_S = 0.15
 PROBE_TIMEOUT_S = 2.0
 START_TIMEOUT_S = 30.0
@@ -90,6 +93,7 @@
         acknowledged_s: Time at which the store acknowledged each version.
         outages: Start and end of each time without a store.
         probes: Every request that was sent.
+        left_s: Time at which the store acknowledged that a server left.
     """
 
     def __init__(self, directory, other_build=None):
@@ -102,6 +106,7 @@
         self.probes = []
         self.gates = []
         self.servers = []
+        self.left_s = {}
         self._numbers = itertools.count(1)
         self._tasks = []
 
@@ -149,6 +154,32 @@
         server.register(self.store, "ready")
         return server
 
+    def register_again(self):
+        """Writes the entry of each server once more, as it is."""
+        for server in self.servers:
+            if server not in self.left_s:
+                server.register(self.store, "ready")
+
+    async def replace_servers(self):
+        """Removes the servers of the new service and adds others."""
+        old = [
+            server for server in self.servers if server.service == NEW_SERVICE
+        ]
+        for server in old:
+            self.left_s[server] = float("inf")
+            acknowledged = self.store.write(
+                store_lib.TARGETS_TOPIC, server.stand_in.server_id, None
+            )
+            acknowledged.add_done_callback(
+                functools.partial(self._on_left, server)
+            )
+        for _ in old:
+            await self.add_server(NEW_SERVICE)
+
+    def _on_left(self, server, future):
+        if not future.cancelled():
+            self.left_s[server] = future.result()
+
     def write(self):
         """Writes the next version; returns its acknowledgement."""
         self.newest += 1
@@ -312,6 +343,27 @@
                 found.append(probe)
         return found
 
+    def runs_by_left_servers(self):
+        """Returns the requests that servers ran too long after they left."""
+        left = {}
+        for server, at_s in self.left_s.items():
+            limit_s = self._due_s(at_s) + DRAIN_LIMIT_S
+            left |= dict.fromkeys(server.stand_in.runs, limit_s)
+        return [
+            probe
+            for probe in self.probes
+            if probe.sent_s > left.get(probe.request_id, float("inf"))
+        ]
+
+    def unserved_moves(self):
+        """Returns hosts that served no due request for a moved route."""
+        seen = collections.defaultdict(set)
+        for probe in self.probes:
+            is_due = probe.sent_s > self.due_s(probe.version) + DRAIN_LIMIT_S
+            if probe.kind != ADDED and is_due and probe.ended_s < float("inf"):
+                seen[probe.host].add(probe.status)
+        return sorted(host for host in seen if 200 not in seen[host])
+
     def reverted(self):
         """Returns probes of a host that show an older version than before."""
         services = self.service_of_runs()
--- a/tests/test_store_restarts.py
+++ b/tests/test_store_restarts.py
@@ -48,20 +48,20 @@
         fleet.write_unacknowledged()
     await asyncio.sleep(READ_S)
     await fleet.kill_store()
-    for _ in range(within):
-        fleet.write()
+    written = [fleet.write() for _ in range(within)]
     await asyncio.sleep(OUTAGE_S)
     await fleet.start_store(how)
-    await observe(fleet)
+    await asyncio.gather(*written)
+    if written:
+        await observe(fleet)
     await fleet.write()
     await observe(fleet)
 
 
 async def observe(fleet):
     """Waits until each host has to serve the newest version, and longer."""
-    if fleet.newest in fleet.acknowledged_s:
-        wait_s = fleet.due_s(fleet.newest) - fleet.now_s
-        await asyncio.sleep(wait_s + OBSERVED_S)
+    wait_s = fleet.due_s(fleet.newest) - fleet.now_s
+    await asyncio.sleep(wait_s + OBSERVED_S)
 
 
 def check(fleet):
@@ -109,6 +109,44 @@
 @pytest.mark.parametrize("within", [0, 1])
 async def test_hosts_follow_a_store_that_lost_its_last_record(fleet, within):
     await restart_store(
-        fleet, store_process.AsBefore(), before=2, within=within, loses_last=True
+        fleet,
+        store_process.AsBefore(),
+        before=2,
+        within=within,
+        loses_last=True,
     )
     check(fleet)
+
+
+# Guards against the same for the entries of servers: hosts go on sending
+# requests to servers that left, and know no new ones. The store has fewer
+# records than the hosts have read, as many, or more.
+@pytest.mark.parametrize(
+    ("how", "before", "within"),
+    [
+        pytest.param(store_process.AsBefore(), 1, 0, id="as before"),
+        pytest.param(store_process.Renumbered(), 2, 0, id="end below"),
+        pytest.param(store_process.Renumbered(), 1, 0, id="same end"),
+        pytest.param(store_process.Renumbered(), 1, 1, id="end above"),
+    ],
+)
+async def test_hosts_follow_the_servers_of_a_store_that_starts_again(
+    fleet, how, before, within
+):
+    for _ in range(before):
+        fleet.register_again()
+    await fleet.write()
+    await asyncio.sleep(READ_S)
+    await fleet.kill_store()
+    await fleet.replace_servers()
+    for _ in range(within):
+        fleet.register_again()
+    await asyncio.sleep(OUTAGE_S)
+    await fleet.start_store(how)
+    await asyncio.sleep(restart_fleet.RETURN_LIMIT_S)
+    await asyncio.sleep(restart_fleet.DRAIN_LIMIT_S)
+    await asyncio.sleep(OBSERVED_S)
+    seen = fleet.runs_by_left_servers()
+    origin_s = fleet.outages[-1][1]
+    assert not seen, restart_fleet.describe(seen, origin_s)
+    assert not fleet.unserved_moves()
