Refuse calls that wait for a service which a new version removes

A call that waited for a free slot, or for the answers to its probes, was held until its deadline when a new version removed its service (4,000 ms in the test), and answered 503 only then. Nothing refers to a service that is gone: the dispatch timer, the end of its wait and the end of its probe round all look the service up and return. It was the same if a later version had the service again, with a new state.

Such calls are refused with 503 as the version takes effect; their callers come back, and are routed by it. Calls at a target go on.

--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -15,6 +15,7 @@
 from fireflyspindle.core import published
 from fireflyspindle.core import readiness
 from fireflyspindle.core import records
+from fireflyspindle.core import removed_services
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import store_reads
 from fireflyspindle.core import store_state
@@ -263,7 +264,10 @@
     for name in config.services.keys() - registered_by_service.keys():
         del config.services[name]
         config.policies.pop(name, None)
+    removed = state.services.keys() - registered_by_service.keys()
     configuration_updates.refresh_services(state)
+    if removed:
+        removed_services.refuse_waiting(state)
     for name in registered_by_service:
         _init_service(state, state.services[name])
     _update_targets(state)
