Take the position of another log when the store has started anew

What callers saw: after the store's process had ended and started again, all hosts ran requests for a moved route by its old service, for good and with status 200, and answered 404 for routes that were there. Entries of servers were missed in the same way. Nothing in the logs told it.

Cause: an offset was taken to mean the same record for ever. A store that starts anew may give the offset of a record that it has lost to another one, or number what it keeps anew. Where its end lies at or above the old offset, reads succeed and bring "nothing new"; where it lies below, a host that reads for itself starts again, but the feed ignores the lower position, so that followers hear nothing either. The class: a position kept beyond the run of the process that gave it.

Why the fix works: a host that relies on its own reads lists the newest record of each key after a failed read, over a new connection and every 10 s, and compares offsets and values with what it holds; a contradiction replaces the position, and never a newer version by an older one. A read over a connection that was open before is answered by the same process. Followers compare a digest of the records with that of their reader on every line, and request all records if a later read of the reader disagrees. Evidence against crashing requests that the store has lost is kept until it expires. Lines of older builds state no digest and are compared by offset.

Observability: store_regained states the offset that was read; store_log_reset, reader_differs and configuration_older tell a reset, a difference and a store that lost the version in force.

--- a/src/fireflyspindle/adapters/feed_lines.py
+++ b/src/fireflyspindle/adapters/feed_lines.py
@@ -49,6 +49,10 @@
         delay_ms: Time that the read took beyond its wait at the store.
         sent_ms: Time at which the line was sent, by the sender's clock; None
             from hosts of builds that don't state it.
+        digest: Digest of the records that the sender holds; None with a
+            failure, and from hosts of builds that don't state it.
+        taken_ms: Longest time that the read may have taken; None from hosts of
+            builds that don't state it.
     """
 
     source: str
@@ -58,6 +62,8 @@
     gate_hosts: int | None = None
     delay_ms: int = 0
     sent_ms: int | None = None
+    digest: int | None = None
+    taken_ms: int | None = None
 
 
 def _encode_record(record: store_records.Record) -> list[Any]:
@@ -122,6 +128,8 @@
             _decode_gate_hosts(content),
             max(0, int(content.get("delay-ms", 0))) + late_ms,
             _decode_sent_ms(content),
+            _decode_digest(content),
+            _decode_taken_ms(content),
         )
     except json_documents.DECODE_ERRORS as error:
         raise ValueError(f"line {line[:100]!r} can't be read") from error
@@ -137,6 +145,21 @@
     return None if sent_ms is None else int(sent_ms)
 
 
+def encode_digest(digest: int) -> str:
+    """Returns the member "digest" of a line."""
+    return f"{digest:016x}"
+
+
+def _decode_digest(content: dict[str, Any]) -> int | None:
+    digest = content.get("digest")
+    return None if digest is None else int(digest, 16)
+
+
+def _decode_taken_ms(content: dict[str, Any]) -> int | None:
+    taken_ms = content.get("taken-ms")
+    return None if taken_ms is None else max(0, int(taken_ms))
+
+
 def _decode_rows(content: dict[str, Any]) -> list[list[Any]]:
     """Returns the rows of the records in a line.
 
--- a/src/fireflyspindle/adapters/read_progress.py
+++ b/src/fireflyspindle/adapters/read_progress.py
@@ -18,6 +18,7 @@
         started_s: Loop time at which it started.
         received_s: Loop time at which it last received data, or of its start.
         received_bytes: Size of the parts of bodies that it has received.
+        opened_connection: Whether it was made over a new connection.
     """
 
     started_s: float = attrs.field(factory=_loop_time_s)
@@ -25,6 +26,7 @@
         default=attrs.Factory(lambda self: self.started_s, takes_self=True)
     )
     received_bytes: int = 0
+    opened_connection: bool = False
 
     async def read_body(
         self, response: aiohttp.ClientResponse, max_bytes: int
--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -66,6 +66,7 @@
         succeeded_us: Time at which the latest successful read ended.
         delay_us: Time that it took beyond its wait at the store.
         late_us: The same of a late read; `succeeded_us` is earlier by it.
+        taken_us: Longest time that the latest successful read may have taken.
         failed: Why the latest read failed, if it did.
         own: Whether this host made the latest read.
         is_complete: Whether the latest successful read reached the end of the
@@ -82,6 +83,7 @@
     succeeded_us: int = 0
     delay_us: int = 0
     late_us: int = 0
+    taken_us: int = 0
     failed: store_records.ReadFailed | None = None
     own: bool = True
     is_complete: bool = True
@@ -89,10 +91,10 @@
         factory=dict
     )
 
-    def apply(self, batch: store_records.Batch) -> bool:
+    def apply(self, batch: store_records.Batch, now_us: int) -> bool:
         """Applies a read; see `LatestRecords.apply`."""
         self.encoded.clear()
-        return self.latest.apply(batch)
+        return self.latest.apply(batch, now_us)
 
     def lacks_records(self, offset: int | None) -> bool:
         """Whether a follower lacks records that have been read."""
@@ -241,6 +243,7 @@
         own: bool = True,
         delay_us: int = 0,
         late_us: int = 0,
+        taken_us: int = 0,
     ) -> None:
         """Records the outcome of a read and sends it to the followers.
 
@@ -254,13 +257,14 @@
             delay_us: Time that the read took beyond its wait at the store.
             late_us: The same of a late read, for which it counts as age:
                 followers of older builds don't know of delays.
+            taken_us: Longest time that the read may have taken.
         """
         source = self._sources[name]
         failed: store_records.ReadFailed | None = None
         is_complete = source.is_complete
         match outcome:
             case store_records.Batch():
-                if not source.apply(outcome):
+                if not source.apply(outcome, self._now_us()):
                     return
                 is_complete = outcome.is_complete
             case store_records.ReadFailed():
@@ -277,11 +281,16 @@
             source.succeeded_us = ended_us - late_us
             source.delay_us = delay_us
             source.late_us = late_us
+            source.taken_us = taken_us
         self._notify()
 
     def add_records(self, name: str, batch: store_records.Batch) -> None:
         """Adds another host's records without reporting them as a read."""
-        self._sources[name].apply(batch)
+        self._sources[name].apply(batch, self._now_us())
+
+    def latest(self, name: str) -> store_records.LatestRecords:
+        """Returns the latest records of a source."""
+        return self._sources[name].latest
 
     def close(self) -> None:
         """Ends all streams."""
@@ -350,12 +359,18 @@
         }
         await response.write(feed_lines.encode_line(first_line))
         written = dict.fromkeys(self._sources, 0)
+        resets = {
+            name: source.latest.resets for name, source in self._sources.items()
+        }
         while not self._closed:
             changed = self._changed
             for name, source in self._sources.items():
                 if written[name] == source.reads or name not in stream.sources:
                     continue
                 written[name] = source.reads
+                if resets[name] != source.latest.resets:
+                    resets[name] = source.latest.resets
+                    offsets[name] = None
                 for fields, records in self._lines(name, offsets, stream):
                     if gate_hosts != self.gate_hosts:
                         gate_hosts = self.gate_hosts
@@ -430,6 +445,8 @@
         fields["from-offset"] = batch.from_offset
         fields["next-offset"] = batch.next_offset
         fields["whole"] = batch.is_snapshot
+        fields["taken-ms"] = -(-source.taken_us // 1000)
+        fields["digest"] = feed_lines.encode_digest(source.latest.digest)
         return fields, records
 
 
--- a/src/fireflyspindle/core/crash_evidence.py
+++ b/src/fireflyspindle/core/crash_evidence.py
@@ -11,6 +11,7 @@
 crash, since the targets may have been fixed by then.
 """
 
+from collections.abc import Iterable
 from http import HTTPStatus
 
 from fireflyspindle.core import crash_records
@@ -137,7 +138,9 @@
     changed = bool(event.records or event.removed)
     store_reads.on_read_succeeded(state, source, event, changed)
     removed = list(event.removed)
-    if event.is_snapshot:
+    if event.resets_position:
+        _mark_unstored(state, _stored_keys(state) - event.records.keys())
+    elif event.is_snapshot:
         removed += _stored_keys(state) - event.records.keys()
     for key in removed:
         _apply_removal(state, key)
@@ -175,6 +178,16 @@
         _on_withdrawn(state, key.fingerprint, suspect, "its records are gone")
 
 
+def _mark_unstored(
+    state: state_lib.GateState, keys: Iterable[events.CrashKey]
+) -> None:
+    """Keeps crashes whose records the store has lost with its log."""
+    for key in keys:
+        suspect = state.crashes.suspects[key.fingerprint]
+        assert key.start is not None
+        suspect.crashes[key.start].stored = False
+
+
 def _stored_keys(state: state_lib.GateState) -> set[events.CrashKey]:
     return {
         events.CrashKey(fingerprint, start)
--- a/src/fireflyspindle/core/discovery.py
+++ b/src/fireflyspindle/core/discovery.py
@@ -52,11 +52,15 @@
     # A configuration that lifts a quota sends calls that wait for permits.
     evacuation_transitions.on_configuration_read(state, event)
     if document is not None:
+        if event.resets_position:
+            _report_older_version(state, document)
         _apply_configuration(state, document)
     reads = state.store_reads[source]
     if event.newest_is_decodable is not None:
         # A reader that is behind may relay an older, decodable version.
-        if event.next_offset >= (reads.next_offset or 0):
+        if event.resets_position or event.next_offset >= (
+            reads.next_offset or 0
+        ):
             reads.has_undecodable_record = not event.newest_is_decodable
     proof.on_configuration_read(state, event)
     store_reads.on_read_succeeded(
@@ -66,6 +70,20 @@
     readiness.accept_callers(state)
 
 
+def _report_older_version(
+    state: state_lib.GateState, document: published.Document
+) -> None:
+    """Logs that the store has lost the version in force, which stays."""
+    version = state.rule_table.version
+    if version is None or document.version >= version:
+        return
+    detail = (
+        f"the store holds version {document.version}, which is older than"
+        f" version {version}; version {version} stays in force"
+    )
+    state.emit(effects.WriteLogLine("warning", "configuration_older", detail))
+
+
 def _apply_configuration(
     state: state_lib.GateState, document: published.Document
 ) -> None:
@@ -102,7 +120,11 @@
     readiness.accept_callers(state)
     if not changed and not event.is_snapshot:
         return
-    if previous_offset is not None and event.next_offset < previous_offset:
+    if (
+        previous_offset is not None
+        and event.next_offset < previous_offset
+        and not event.resets_position
+    ):
         # A read that covers more records was applied first. This one is out
         # of date: an entry that it lacks may have been written since.
         return
@@ -125,6 +147,10 @@
         registered.entry
     ):
         return
+    if registered is not None and registered.entry == entry:
+        # Its remaining warm-up is as of the first read of this entry.
+        registered.expired_us = None
+        return
     spec_result = records.build(
         lambda: _target_spec(entry, CONNECTIONS_PER_TARGET)
     )
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -225,6 +225,9 @@
             reported.
         delay_us: Time to wait before the read.
         wait_ms: Time for which the read may wait for a new record.
+        lists_over_new_connection: Whether to list the source if the read was
+            made over a new connection: the store may have started anew, and no
+            reader tells.
     """
 
     source: str
@@ -232,6 +235,7 @@
     first_offset: int
     delay_us: int
     wait_ms: int
+    lists_over_new_connection: bool = False
 
 
 @attrs.define
@@ -278,6 +282,8 @@
             as if it had made them.
         unlimited_size: Whether to request records whatever their total size.
         is_reader: Whether this host is a reader too, which counts itself.
+        longest_waits_us: Longest time for which a read of each source waits at
+            the store.
     """
 
     stream: int
@@ -286,6 +292,7 @@
     relays: bool = False
     unlimited_size: bool = False
     is_reader: bool = False
+    longest_waits_us: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define
--- a/src/fireflyspindle/core/evacuation/transitions.py
+++ b/src/fireflyspindle/core/evacuation/transitions.py
@@ -29,7 +29,11 @@
     applied_offset = state.store_reads[
         store_state.Source.CONFIGURATION
     ].next_offset
-    if applied_offset is not None and event.next_offset < applied_offset:
+    if (
+        applied_offset is not None
+        and event.next_offset < applied_offset
+        and not event.resets_position
+    ):
         # A read that covers more records was applied first; what this one
         # says of a failure domain may have changed since.
         return
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -432,12 +432,15 @@
         age_us: Time since the read ended.
         from_offset: Offset from which the delivered records are complete.
         delay_us: Time that the read took beyond its wait at the store.
+        differs: Whether the reader holds other records than this host, though
+            it has read the store later.
     """
 
     stream: int
     age_us: int
     from_offset: int = 0
     delay_us: int = 0
+    differs: bool = False
 
 
 @attrs.define
@@ -457,6 +460,8 @@
         is_complete: Whether the read reached the end of the topic.
         late_start_us: Start of a read by this host that succeeded after it had
             failed for want of data in time; None for any other read.
+        resets_position: Whether what was read before is of another log, so that
+            its offsets mean nothing in this one.
     """
 
     now_us: int
@@ -469,6 +474,7 @@
     is_snapshot: bool = False
     is_complete: bool = True
     late_start_us: int | None = None
+    resets_position: bool = False
 
 
 @attrs.define
@@ -485,6 +491,8 @@
         is_complete: Whether the read reached the end of the topic.
         late_start_us: Start of a read by this host that succeeded after it had
             failed for want of data in time; None for any other read.
+        resets_position: Whether what was read before is of another log, so that
+            its offsets mean nothing in this one.
     """
 
     now_us: int
@@ -495,6 +503,7 @@
     relayed: RelayedRead | None = None
     is_complete: bool = True
     late_start_us: int | None = None
+    resets_position: bool = False
 
 
 @attrs.define
@@ -511,6 +520,8 @@
         is_complete: Whether the read reached the end of the topic.
         late_start_us: Start of a read by this host that succeeded after it had
             failed for want of data in time; None for any other read.
+        resets_position: Whether what was read before is of another log, so that
+            its offsets mean nothing in this one.
     """
 
     now_us: int
@@ -521,6 +532,7 @@
     relayed: RelayedRead | None = None
     is_complete: bool = True
     late_start_us: int | None = None
+    resets_position: bool = False
 
 
 StoreRead = ConfigurationRead | TargetsRead | CrashesRead
--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -213,6 +213,13 @@
         _follow(state, follow.address, unlimited_size=True)
 
 
+def restart_stream(state: state_lib.GateState) -> None:
+    """Starts a new stream from the followed reader, at the present offsets."""
+    follow = state.following
+    if follow.address is not None:
+        _follow(state, follow.address, follow.unlimited_size)
+
+
 def schedule_check(state: state_lib.GateState) -> None:
     """Schedules the next check of the stream, unless one is scheduled earlier.
 
@@ -385,8 +392,10 @@
     follow.stream_end_us = state.now_us + int(STREAM_LIFETIME_US * jitter)
     follow.unlimited_size = unlimited_size
     offsets = {}
+    longest_waits_us = {}
     for source, reads in state.store_reads.items():
         offsets[source.value] = reads.next_offset
+        longest_waits_us[source.value] = _settings(state).wait_us(source)
     relays = follow.is_reader and address in _lower_readers(state)
     state.emit(
         effects.FollowReader(
@@ -396,5 +405,6 @@
             relays,
             unlimited_size,
             follow.is_reader,
+            longest_waits_us,
         )
     )
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -3,6 +3,12 @@
 Reads long-poll the store, so that an idle fleet costs few requests. After a
 change the next read is delayed, so that one read returns a burst of changes;
 the delay is shorter, by a margin, than the time limit for applying a change.
+
+An offset holds for one run of the store's log only. A host that relies on its
+own reads lists the whole source after a failed read, over a new connection and
+from time to time, and takes the position of the listing if it contradicts what
+was read before (`adapters/store_records.py`). A host that relies on a reader
+compares digests with it, and requests all records if they differ.
 """
 
 from fireflyspindle.core import effects
@@ -27,6 +33,13 @@
 # lasts for three such intervals. Readers may report failures of their own for
 # longer, while the reads of this host succeed.
 MIN_OUTAGE_US = 1_500_000
+# Time after which a host that relies on its own reads lists the whole source
+# again, although its reads succeed over connections that stay open: a proxy
+# before the store may hide that it has started anew.
+LISTING_INTERVAL_US = 10_000_000
+# Time in which a reader that differs again is not asked again; this host then
+# reads the store.
+DIFFERENCE_RETRY_US = 5_000_000
 # Share of each pause that is random, so that the hosts of a fleet don't all
 # retry at the same moment after an outage.
 BACKOFF_JITTER = 0.5
@@ -85,10 +98,14 @@
     reads = state.store_reads[source]
     relayed = event.relayed
     if relayed is None:
-        is_late = event.late_start_us is not None
-        return not is_late or event.next_offset >= (reads.next_offset or 0)
+        if event.late_start_us is None or event.resets_position:
+            return True
+        return event.next_offset >= (reads.next_offset or 0)
     if not following.is_current_stream(state, relayed):
         return False
+    if relayed.differs:
+        _on_differing_records(state, source)
+        return False
     if (reads.next_offset or 0) >= relayed.from_offset:
         return True
     if not reads.has_relay_gap:
@@ -101,6 +118,26 @@
     return False
 
 
+def _on_differing_records(
+    state: state_lib.GateState, source: store_state.Source
+) -> None:
+    """Requests all records, because those read so far are of another log."""
+    reads = state.store_reads[source]
+    differed_us = reads.differed_us
+    reads.differed_us = state.now_us
+    reads.has_relay_gap = True
+    detail = (
+        f"{source.value}: the reader holds other records up to offset"
+        f" {reads.next_offset or 0}; requesting all of them"
+    )
+    state.emit(effects.WriteLogLine("warning", "reader_differs", detail))
+    reads.next_offset = None
+    if differed_us is None or state.now_us >= differed_us + DIFFERENCE_RETRY_US:
+        following.restart_stream(state)
+    elif not reads.pending or _is_delayed(state, reads):
+        _schedule_read(state, source, 0)
+
+
 def _is_delayed(
     state: state_lib.GateState, reads: store_state.SourceReads
 ) -> bool:
@@ -139,7 +176,11 @@
         changed: Whether the read returned anything.
     """
     reads = state.store_reads[source]
-    reads.next_offset = max(event.next_offset, reads.next_offset or 0)
+    previous_offset = reads.next_offset
+    if event.resets_position:
+        _on_position_reset(state, source, event)
+    else:
+        reads.next_offset = max(event.next_offset, previous_offset or 0)
     reads.has_relay_gap = False
     _record_completeness(state, source, event)
     if event.relayed is not None:
@@ -147,6 +188,8 @@
         return
     reads.succeeded = True
     reads.pending = False
+    if event.is_snapshot:
+        reads.listed_us = reads.own_read_start_us(event)
     _record_success(state, source, state.now_us)
     following.on_own_read_succeeded(state)
     _resume_suspended_reads(state, 0)
@@ -155,7 +198,7 @@
     settings = state.settings.store
     assert settings is not None
     delay_us = 0
-    if changed and event.is_complete:
+    if changed and event.is_complete and reads.next_offset != previous_offset:
         spacing_ms = settings.min_read_interval_ms
         if state.following.is_reader:
             spacing_ms = min(spacing_ms, following.READER_READ_SPACING_MS)
@@ -164,6 +207,23 @@
     _schedule_read(state, source, max(0, delay_us))
 
 
+def _on_position_reset(
+    state: state_lib.GateState,
+    source: store_state.Source,
+    event: events.StoreRead,
+) -> None:
+    """Takes the position in another log than the one read before."""
+    reads = state.store_reads[source]
+    detail = (
+        f"{source.value}: the store's log has started anew: continuing at"
+        f" offset {event.next_offset} instead of {reads.next_offset or 0}"
+    )
+    state.emit(effects.WriteLogLine("warning", "store_log_reset", detail))
+    reads.next_offset = event.next_offset
+    # What the store has lost may be written again, as after an outage.
+    reads.recovered_us = state.now_us
+
+
 def _record_completeness(
     state: state_lib.GateState,
     source: store_state.Source,
@@ -248,7 +308,8 @@
         detail = (
             f"{source.value}: the store answers again after {reads.failures}"
             f" failed reads in"
-            f" {(state.now_us - reads.failing_since_us) // 1000} ms"
+            f" {(state.now_us - reads.failing_since_us) // 1000} ms; read up to"
+            f" offset {reads.next_offset or 0}"
         )
         state.emit(effects.WriteLogLine("info", "store_regained", detail))
     reads.failures = 0
@@ -433,17 +494,36 @@
     reads.pending = True
     reads.suspended = False
     reads.wait_ms = _wait_ms(state, source)
+    from_offset = reads.next_offset
+    first_offset = reads.first_offset
+    relies_on_own_reads = following.must_read_store(state, source)
+    if from_offset is not None and (
+        reads.failures
+        or (relies_on_own_reads and _is_listing_due(state, reads))
+    ):
+        from_offset = None
+        first_offset = 0
     state.emit(
         effects.ReadStore(
             source=source.value,
-            from_offset=reads.next_offset,
-            first_offset=reads.first_offset,
+            from_offset=from_offset,
+            first_offset=first_offset,
             delay_us=delay_us,
             wait_ms=reads.wait_ms,
+            lists_over_new_connection=relies_on_own_reads,
         )
     )
 
 
+def _is_listing_due(
+    state: state_lib.GateState, reads: store_state.SourceReads
+) -> bool:
+    """Whether this host has not listed a source for long."""
+    if reads.listed_us is None:
+        return True
+    return reads.scheduled_us >= reads.listed_us + LISTING_INTERVAL_US
+
+
 def _wait_ms(state: state_lib.GateState, source: store_state.Source) -> int:
     """Returns how long a read may long-poll the store.
 
--- a/src/fireflyspindle/core/store_state.py
+++ b/src/fireflyspindle/core/store_state.py
@@ -154,6 +154,10 @@
             that newer records are known to exist.
         has_undecodable_record: Whether the newest configuration could not be
             decoded, so that an older one is in force.
+        listed_us: Start of the latest read by this host that listed the whole
+            source; None before the first.
+        differed_us: Time at which a reader was last found to hold other
+            records; None if it never was.
     """
 
     next_offset: int | None = None
@@ -173,6 +177,8 @@
     complete_until_us: int | None = None
     has_unread_records: bool = False
     has_undecodable_record: bool = False
+    listed_us: int | None = None
+    differed_us: int | None = None
 
     def own_read_start_us(self, event: events.StoreRead) -> int:
         """Returns when a read by this host started.
--- a/src/fireflyspindle/platform/store_client.py
+++ b/src/fireflyspindle/platform/store_client.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import socket
+import types
 from typing import Any
 
 import aiohttp
@@ -50,9 +51,12 @@
 
     def __init__(self, address: str) -> None:
         self._base_url = f"http://{address}"
+        tracing = aiohttp.TraceConfig()
+        tracing.on_connection_create_end.append(_on_connection_opened)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(socket_factory=_keepalive_socket),
             auto_decompress=False,
+            trace_configs=[tracing],
         )
         self._late_appends: late_appends.LateAppends[str] = (
             late_appends.LateAppends()
@@ -142,6 +146,7 @@
         """
         records: list[store_records.Record] = []
         next_offset = first_offset
+        end_offset: int | None = None
         after = ""
         for page_number in range(MAX_LISTING_PAGES):
             query = {"topic": topic, "part": "0"}
@@ -156,9 +161,14 @@
                 last = max((int(item["offset"]) for item in items), default=-1)
                 next_offset = max(next_offset, last + 1)
             records += [_record_from_item(item) for item in items]
+            if "end-offset" in page:
+                end_offset = max(end_offset or 0, int(page["end-offset"]))
             if not page["has-more"] or not items:
                 return store_records.Batch(
-                    records, next_offset, is_snapshot=True
+                    records,
+                    next_offset,
+                    is_snapshot=True,
+                    end_offset=end_offset,
                 )
             after = items[-1]["key"]
         return store_records.ReadFailed(
@@ -212,7 +222,10 @@
             total=None, sock_connect=MAX_SILENCE_S, sock_read=MAX_SILENCE_S
         )
         async with self._session.get(
-            self._base_url + path, params=query, timeout=timeout
+            self._base_url + path,
+            params=query,
+            timeout=timeout,
+            trace_request_ctx=progress,
         ) as response:
             return response.status, await progress.read_body(
                 response, MAX_BODY_BYTES
@@ -224,6 +237,16 @@
         await self._session.close()
 
 
+async def _on_connection_opened(
+    _session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    _params: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    progress = context.trace_request_ctx
+    if progress is not None:
+        progress.opened_connection = True
+
+
 def _status_failure(status: int) -> store_records.ReadFailed:
     """Returns the failure; others than these may concern one topic only."""
     is_unavailable = status >= 500 or status == TOO_MANY_REQUESTS_STATUS
--- a/src/fireflyspindle/platform/store_decoder.py
+++ b/src/fireflyspindle/platform/store_decoder.py
@@ -51,6 +51,8 @@
         event = self._event(now_us, source, outcome, relayed)
         if not isinstance(event, events.StoreReadFailed):
             event.late_start_us = late_start_us
+            assert isinstance(outcome, store_records.Batch)
+            event.resets_position = outcome.resets_position
         return event
 
     def _event(
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -7,6 +7,7 @@
 import time
 
 import aiohttp
+import attrs
 
 from fireflyspindle import logs
 from fireflyspindle.adapters import data_path
@@ -132,6 +133,7 @@
             effect.first_offset,
             effect.wait_ms,
             lambda late: self._on_late_read(effect, late, started_us),
+            effect.lists_over_new_connection,
         )
         # The read has ended, so `CancelStoreRead` has nothing left to cancel.
         self._read_tasks.pop(effect.source, None)
@@ -170,6 +172,13 @@
         is_late: bool = False,
     ) -> None:
         now_us = self._shell.now_us()
+        latest = self.feed.latest(effect.source)
+        if latest.is_outdated(started_us):
+            # A reader has relayed the records of another log meanwhile.
+            if is_late:
+                return
+            reason = "another log was read meanwhile"
+            outcome = store_records.ReadFailed(reason, is_answered=True)
         if isinstance(outcome, store_records.HistoryDropped):
             self._shell.submit(
                 events.StoreHistoryDropped(
@@ -177,12 +186,15 @@
                 )
             )
             return
+        if isinstance(outcome, store_records.Batch) and outcome.is_snapshot:
+            outcome = _mark_reset(latest, outcome, started_us)
         delay_us = max(0, now_us - started_us - effect.wait_ms * 1000)
         self.feed.record_read(
             effect.source,
             outcome,
             delay_us=0 if is_late else delay_us,
             late_us=delay_us if is_late else 0,
+            taken_us=now_us - started_us,
         )
         source = store_state.Source(effect.source)
         late_start_us = started_us if is_late else None
@@ -225,25 +237,52 @@
                         self._shell.now_us(), stream, failure_domain
                     )
                 )
-            case feed_lines.RelayedOutcome(name, age_ms, outcome, own):
-                from_offset = 0
-                if isinstance(outcome, store_records.Batch):
-                    from_offset = outcome.from_offset
-                relayed = events.RelayedRead(
-                    stream, age_ms * 1000, from_offset, item.delay_ms * 1000
+            case feed_lines.RelayedOutcome():
+                self._on_relayed(followed, item)
+
+    def _on_relayed(
+        self, followed: effects.FollowReader, item: feed_lines.RelayedOutcome
+    ) -> None:
+        source = store_state.Source(item.source)
+        outcome = item.outcome
+        relayed = events.RelayedRead(
+            followed.stream,
+            item.age_ms * 1000,
+            delay_us=item.delay_ms * 1000,
+        )
+        taken_us = 0
+        if isinstance(outcome, store_records.Batch):
+            latest = self.feed.latest(item.source)
+            if item.taken_ms is None:
+                longest_wait_us = followed.longest_waits_us.get(item.source, 0)
+                taken_us = longest_wait_us + relayed.delay_us
+            else:
+                taken_us = item.taken_ms * 1000
+            started_us = self._shell.now_us() - relayed.age_us - taken_us
+            if latest.is_outdated(started_us):
+                return
+            differs = False
+            if outcome.is_snapshot:
+                outcome = _mark_reset(latest, outcome, started_us)
+            else:
+                differs = latest.differs_from_reader(
+                    outcome, item.digest, started_us
                 )
-                source = store_state.Source(name)
-                if followed.relays and own:
-                    self.feed.record_read(
-                        name,
-                        outcome,
-                        relayed.age_us,
-                        own=False,
-                        delay_us=relayed.delay_us,
-                    )
-                elif isinstance(outcome, store_records.Batch):
-                    self.feed.add_records(name, outcome)
-                self._shell.submit(self._decode(source, outcome, relayed))
+            relayed = attrs.evolve(
+                relayed, from_offset=outcome.from_offset, differs=differs
+            )
+        if followed.relays and item.own:
+            self.feed.record_read(
+                item.source,
+                outcome,
+                relayed.age_us,
+                own=False,
+                delay_us=relayed.delay_us,
+                taken_us=taken_us,
+            )
+        elif isinstance(outcome, store_records.Batch):
+            self.feed.add_records(item.source, outcome)
+        self._shell.submit(self._decode(source, outcome, relayed))
 
     async def _count_hosts(self, readers: tuple[str, ...]) -> None:
         counts = await asyncio.gather(
@@ -309,3 +348,16 @@
         return self.decoder.decode_outcome(
             now_us, source, outcome, relayed, late_start_us
         )
+
+
+def _mark_reset(
+    latest: store_records.LatestRecords,
+    snapshot: store_records.Batch,
+    started_us: int,
+) -> store_records.Batch:
+    """Marks a snapshot of another log than that of the records held."""
+    if latest.diverges_from(snapshot, started_us):
+        return attrs.evolve(
+            snapshot, resets_position=True, started_us=started_us
+        )
+    return snapshot
--- a/src/fireflyspindle/platform/timed_reads.py
+++ b/src/fireflyspindle/platform/timed_reads.py
@@ -48,12 +48,15 @@
     Attributes:
         progress: What it has received.
         on_late: Called with the outcome if it succeeds late.
+        lists_over_new_connection: Whether it reads the newest record of every
+            key after a read over a new connection.
         outcome: Its outcome; None until then.
         task: The task that reads.
     """
 
     progress: read_progress.Progress
     on_late: Callable[[Outcome], None]
+    lists_over_new_connection: bool = False
     outcome: Outcome | None = None
     task: asyncio.Task[None] | None = None
 
@@ -93,6 +96,7 @@
         first_offset: int = 0,
         wait_ms: int = 0,
         on_late: Callable[[Outcome], None] = lambda outcome: None,
+        lists_over_new_connection: bool = False,
     ) -> Outcome:
         """Reads as `StoreClient.read` does, but fails without data in time.
 
@@ -104,8 +108,13 @@
             wait_ms: Longest time for which the store waits for a record.
             on_late: Called with the outcome if the read succeeds after it has
                 failed here, unless a newer one did before.
+            lists_over_new_connection: Whether to read the newest record of
+                every key if the read was made over a new connection. Over one
+                that was open before, the same process of the store answers.
         """
-        read = _Read(read_progress.Progress(), on_late)
+        read = _Read(
+            read_progress.Progress(), on_late, lists_over_new_connection
+        )
         task = self._shell.spawn(
             self._complete(read, topic, from_offset, first_offset, wait_ms)
         )
@@ -134,9 +143,17 @@
         first_offset: int,
         wait_ms: int,
     ) -> None:
-        read.outcome = await self._client.read(
+        outcome = await self._client.read(
             topic, from_offset, first_offset, wait_ms, read.progress
         )
+        if (
+            read.lists_over_new_connection
+            and read.progress.opened_connection
+            and isinstance(outcome, store_records.Batch)
+            and not outcome.is_snapshot
+        ):
+            outcome = await self._client.read(topic, None, 0, 0, read.progress)
+        read.outcome = outcome
         late = self._late.get(topic, [])
         if read not in late:
             return
