Request records that a reader left out at once while own reads fail

What callers saw: a version that the store accepted shortly before it ended was in force on some hosts only; the others ran requests by the older one for the whole outage, although readers had the newer one.

Cause: a large configuration is left out of a reader's lines. A host requested it only after a failed read of its own of that source, of which there is one in three turns while the store is away, and lost the request with each change of reader.

Why the fix works: a host whose reads fail requests all records as soon as a reader's line shows that some were left out, and from each further reader until it has them.

Measured: 285 tests of following, fleets in virtual time, readers and full links pass.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -390,7 +390,11 @@
     follow.stream_started_us = state.now_us
     jitter = 1 - STREAM_LIFETIME_JITTER * state.random.random()
     follow.stream_end_us = state.now_us + int(STREAM_LIFETIME_US * jitter)
-    follow.unlimited_size = unlimited_size
+    # Another reader than the one that left out records may have them too.
+    follow.unlimited_size = unlimited_size or any(
+        reads.has_relay_gap and reads.failures
+        for reads in state.store_reads.values()
+    )
     offsets = {}
     longest_waits_us = {}
     for source, reads in state.store_reads.items():
@@ -403,7 +407,7 @@
             address,
             offsets,
             relays,
-            unlimited_size,
+            follow.unlimited_size,
             follow.is_reader,
             longest_waits_us,
         )
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -115,6 +115,8 @@
         # The reader's success shows that the store answers, so the pause after
         # a failed read no longer serves a purpose.
         _schedule_read(state, source, 0)
+    if reads.failures:
+        following.request_all_records(state)
     return False
 
 
