Count a configuration as unproven only once it is older than the limit

The line and the counter now go by the age of the latest complete read, and by an undecodable newest record. The 10 tests of tests/test_unproven_calls.py pass.

--- a/src/fireflyspindle/core/unproven_calls.py
+++ b/src/fireflyspindle/core/unproven_calls.py
@@ -19,7 +19,7 @@
     Returns:
         Whether the configuration may not be the newest.
     """
-    if store_reads.is_up_to_date(state, _SOURCE):
+    if _is_proven(state):
         return False
     unproven = state.unproven_calls
     if unproven.since_us is None:
@@ -41,7 +41,7 @@
     unproven = state.unproven_calls
     if unproven.since_us is None:
         return
-    if not store_reads.is_up_to_date(state, _SOURCE):
+    if not _is_proven(state):
         return
     complete_us = store_reads.complete_until_us(state, _SOURCE)
     detail = (
@@ -54,6 +54,21 @@
     state.emit(effects.WriteLogLine("info", "configuration_proven", detail))
 
 
+def _is_proven(state: state_lib.GateState) -> bool:
+    """Whether every version that is older than the limit for changes is known.
+
+    A host that lacks records which its reader omitted has until that limit to
+    read them, as after any change.
+    """
+    settings = state.settings.store
+    assert settings is not None
+    reads = state.store_reads[_SOURCE]
+    if reads.has_undecodable_record or reads.complete_until_us is None:
+        return False
+    age_us = state.now_us - reads.complete_until_us
+    return age_us <= settings.apply_limit_ms * 1000
+
+
 def _reason(state: state_lib.GateState) -> str:
     """Returns why the configuration may not be the newest."""
     reads = state.store_reads[_SOURCE]
