Let readers leave a later reader once reads succeed again

What callers saw: after an outage of the store, hosts that followed a certain reader were told nothing, for 4 s in the traced run and up to 8 s by the growing pause between readers, and ran old routes meanwhile.

Cause: a reader whose own reads fail may follow a reader with a higher address, from which it relays nothing. Once that one relayed a success, its own reads were cancelled and the failures forgotten, but it went on following it, until the stream's end after minutes. It heard everything and told nothing.

Why the fix works: when a relayed read succeeds, a reader that may no longer be followed is left for the first one.

--- a/src/fireflyspindle/core/following.py
+++ b/src/fireflyspindle/core/following.py
@@ -203,6 +203,17 @@
         stop(state)
 
 
+def on_relayed_read_succeeded(state: state_lib.GateState) -> None:
+    """Leaves a reader that was needed only while own reads failed.
+
+    A reader relays nothing from one with a higher address, so that its own
+    followers would hear nothing.
+    """
+    candidates = _candidates(state)
+    if candidates and state.following.address not in candidates:
+        _follow_preferred(state)
+
+
 def request_all_records(state: state_lib.GateState) -> None:
     """Requests the records that the reader left out, while own reads fail.
 
--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -336,6 +336,7 @@
             reads.pending = False
             state.emit(effects.CancelStoreRead(source.value))
         _resume_suspended_reads(state, RELAYED_RESUME_DELAY_US)
+        following.on_relayed_read_succeeded(state)
     following.schedule_check(state)
 
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -568,6 +568,28 @@
     assert not follow.relays
 
 
+# Guards against a reader that relays nothing after an outage, since it goes on
+# following one that it may not relay.
+def test_reader_leaves_a_later_reader_when_reads_succeed_again():
+    first, later = "10.0.0.1:1", "10.0.0.3:1"
+    host = FollowingHost(
+        is_reader=True,
+        control_address="10.0.0.2:1",
+        other_reader_addresses=(first, later),
+    )
+    host.advance(READ_WAIT_US)
+    host.feed(events.ReaderDisconnected, host.stream, "refused")
+    for source in store_state.Source:
+        for _ in range(2):
+            host.feed(events.StoreReadFailed, source.value, "refused")
+    while host.address != later:
+        host.advance(following.MIN_FOLLOW_US)
+    host.feed(events.ReaderConnected, host.stream, "west-c")
+    host.relay_reads()
+    follow = host.effects_of(effects.FollowReader)[-1]
+    assert (follow.address, follow.relays) == (first, True)
+
+
 def test_first_reader_keeps_retrying_while_other_readers_fail_too():
     host = FollowingHost(is_reader=True)
     for _ in range(20):
