Test (failing) that an old failure of a reader does not undo an own read

Operators saw a host that had read the store report it lost, "reported by the reader", and regained "after 1 failed reads", in the first second after each outage. Callers saw nothing of it.

Cause: a line about a failed read states its age, but a follower takes any failure for newer than what it has read itself.

--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -891,3 +891,21 @@
             if reads.pending and host.now_us >= due_us:
                 host.feed(events.StoreReadFailed, source.value, "no response")
         host.advance(50_000)
+
+
+# Guards against a host that takes the store for lost because a reader has not
+# read it since: what the host has read itself is newer than the failure.
+def test_old_failure_of_a_new_reader_does_not_undo_an_own_success():
+    host = FollowingHost()
+    host.relay_reads(configured=published_host.document())
+    host.fail_reads_for(3_000_000, store_state.Source.CONFIGURATION)
+    host.feed(events.ConfigurationRead, None, host.next_offset)
+    host.feed(events.TargetsRead, [], [], False, host.next_offset)
+    host.feed(events.CrashesRead, {}, [], False, host.next_offset)
+    lost = len(host.lines("store_lost"))
+    host.lose_reader()
+    relayed = events.RelayedRead(host.stream, age_us=400_000)
+    for source in store_state.Source:
+        host.feed(events.StoreReadFailed, source.value, "refused", relayed)
+    assert not any(reads.failures for reads in host.state.store_reads.values())
+    assert host.lines("store_lost")[lost:] == []
