Test (failing) that a log that starts again from offset 0 is read

Callers are routed by the configuration of the former log for good, and nothing in the logs tells it.

Cause: a position in the project's own log outlives the log that gave it; reads from beyond its end return nothing and count as up to date.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -218,3 +218,17 @@
         lambda: all(h.configuration.complete for h in fleet.hosts.values()), 10
     )
     assert fleet.log.reads <= 16 * 6
+
+
+# Guards against hosts that keep an old configuration for good, without a line
+# in their logs, because their position is beyond the end of the log.
+def test_record_of_a_log_that_starts_again_from_offset_0_is_applied():
+    fleet = start_fleet()
+    fleet.log.streams.clear()
+    fleet.publish("route", "r99", route(99))
+    assert fleet.run_until(
+        lambda: all(
+            configuration.service_for_path(host.configuration, "/99")
+            for host in fleet.hosts.values()
+        )
+    )
