Test (failing) that followers that left fill no log of a reader

Operators saw a traceback for each stream that followers had given up while a reader was frozen: lines that are no JSON and that the limit on lines does not bound.

Cause: the response of a stream is prepared outside the block that expects a follower to have left.

--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -5,6 +5,7 @@
 import json
 import random
 import string
+import types
 from unittest import mock
 import zlib
 
@@ -562,3 +563,21 @@
     assert sources["?further-sources=crashes"] == {"targets", "crashes"}
     feed.close()
     await server.close()
+
+
+# Guards against a traceback in the log of a reader for each follower that left
+# while the reader was frozen.
+async def test_follower_that_left_before_its_stream_starts_is_no_error(
+    served, monkeypatch
+):
+    async def prepare(_response, _request):
+        raise aiohttp.ClientConnectionResetError("closing transport")
+
+    monkeypatch.setattr(web.StreamResponse, "prepare", prepare)
+    (handler,) = [
+        route.handler
+        for route in served.feed.routes()
+        if route.path == store_feed.PATH
+    ]
+    await handler(types.SimpleNamespace(query={}))
+    assert served.feed.followers == 0
