Test (failing) that a withdrawn key is refused when its offset was used before

Callers with an API key that the operator had withdrawn would have been served for good by every host.

Cause: a host proves its configuration by a read from its position. After the store has lost its last record and given the offset to the withdrawal, this read is empty and renews the proof each time, on the readers and through them on all.

--- a/tests/test_api_keys.py
+++ b/tests/test_api_keys.py
@@ -1,7 +1,9 @@
 """API keys on the wire: callers, targets, other gate hosts, logs."""
 
+import asyncio
 import contextlib
 import io
+import json
 import types
 
 import logbook
@@ -19,6 +21,10 @@
 import wire
 
 KEY = "kn-4711-secret"
+OTHER_KEY = "kn-4712-secret"
+# Limit for a withdrawn key, and time after an outage from which limits hold.
+REVOKE_MS = 5_000
+CONTACT_MS = 3_000
 TENANT = header_profile.TENANT
 BEARER = f"Authorization: Bearer {KEY}"
 # Each is refused with 401, and leaves the connection open.
@@ -302,6 +308,37 @@
         assert status_of(await fleet.send(follower, request)) == 200
 
 
+# Guards against proofs by reads that can't see the record: its offset is one
+# that the hosts have read before the outage, with another record.
+@pytest.mark.parametrize("offset", ["new", "given again"])
+async def test_withdrawn_key_is_refused_after_an_outage_of_the_store(offset):
+    async with platform_fleet.running(
+        hosts=4, servers=1, strict_revoke=True, revoke_ms=REVOKE_MS
+    ) as fleet:
+        content = document(2, KEY)
+        fleet.store.write(store_lib.CONFIGURATION_TOPIC, "config", content)
+        await wire.until(
+            lambda: all(h.state.rule_table.version == 2 for h in fleet.hosts)
+        )
+        fleet.store.refuse_status = 503
+        await asyncio.sleep(1.0)
+        records = fleet.store.topics[store_lib.CONFIGURATION_TOPIC].records
+        if offset == "given again":
+            records.pop()
+        withdrawn = json.dumps(document(3, OTHER_KEY)).encode()
+        records.append(("config", withdrawn))
+        fleet.store.refuse_status = None
+        statuses = [200]
+        request = platform_driver.request("/read/1", BEARER)
+        async with asyncio.timeout((REVOKE_MS + CONTACT_MS) / 1000):
+            while 200 in statuses:
+                await asyncio.sleep(0.5)
+                statuses = [
+                    status_of(await fleet.send(host, request))
+                    for host in fleet.hosts
+                ]
+
+
 def test_profile_of_the_own_interface_reads_no_keys():
     assert not headers.DEFAULT_PROFILE.reads_api_keys
     message = types.SimpleNamespace(headers={"Authorization": BEARER})
