Ignore failures of a reader that are older than what this host has read

What operators saw: hosts that had read the store again reported it lost, "reported by the reader", and regained "after 1 failed reads in 83 ms", in the first second after an outage; then they paused longer before their own reads. Callers saw nothing of it.

Cause: a new stream starts with the reader's latest outcome, which may be a failure of long ago. The age that its line states was not compared.

Why the fix works: a failure that ended before the latest success of this host tells nothing of the store now.

Measured: the tests of following pass.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -371,7 +371,7 @@
     source = store_state.Source(event.source)
     if event.relayed is not None:
         if following.is_current_stream(state, event.relayed):
-            _on_relayed_failure(state, source, event.reason)
+            _on_relayed_failure(state, source, event.reason, event.relayed)
         return
     reads = state.store_reads[source]
     reads.pending = False
@@ -451,12 +451,19 @@
 
 
 def _on_relayed_failure(
-    state: state_lib.GateState, source: store_state.Source, reason: str
+    state: state_lib.GateState,
+    source: store_state.Source,
+    reason: str,
+    relayed: events.RelayedRead,
 ) -> None:
     """Handles a failed read of the reader."""
     reads = state.store_reads[source]
-    state.following.failure_reported_us = state.now_us
     state.following.has_reported = True
+    if reads.succeeded_us is not None:
+        if state.now_us - relayed.age_us < reads.succeeded_us:
+            # A new stream starts with the latest outcome, which may be old.
+            return
+    state.following.failure_reported_us = state.now_us
     if following.is_primary_reader(state):
         return
     _log_first_failure(state, source, f"reported by the reader: {reason}")
