Let followers leave before their stream starts

What operators saw: a reader that had been suspended wrote a traceback for each stream that followers had given up meanwhile; these lines are no JSON and have no limit on their number.

Cause: the response was prepared outside the block that expects a follower to have left.

Why the fix works: preparing the response is inside that block.

--- a/src/fireflyspindle/adapters/store_feed.py
+++ b/src/fireflyspindle/adapters/store_feed.py
@@ -326,7 +326,20 @@
                 )
             offsets[name] = int(text) if text else None
         response = web.StreamResponse(headers={"Content-Type": _JSON_LINES})
-        await response.prepare(request)
+        try:
+            await response.prepare(request)
+            await self._serve_stream(request, response, offsets)
+        except ConnectionError:
+            # The follower disconnected; it logs the reason itself.
+            pass
+        return response
+
+    async def _serve_stream(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        offsets: dict[str, int | None],
+    ) -> None:
         stream = _Stream(
             request,
             is_reader="reader" in request.query,
@@ -338,12 +351,8 @@
         self._streams.add(stream)
         try:
             await self._write_lines(response, offsets, stream)
-        except ConnectionError:
-            # The follower disconnected; it logs the reason itself.
-            pass
         finally:
             self._streams.remove(stream)
-        return response
 
     async def _write_lines(
         self,
