Kill the store's process in the soak, and check who runs moved requests

The soak's store was silent, busy or reset connections, but never started again: callers of real deployments saw requests run by the old service after that. Each version moves one route between two services, and a request that the old one runs after the limit for changes is a violation. A version counts as written from the store's acknowledgement on.

--- a/src/fireflyspindle/bench/soak_gates.py
+++ b/src/fireflyspindle/bench/soak_gates.py
@@ -205,7 +205,7 @@
             for reader in readers
         ]
         store_proxy = tcp_proxy.TcpProxy(store_address)
-        proxy_address = await store_proxy.start()
+        proxy_address = await store_proxy.start(testing.free_address())
         has_short_grace = number % SHORT_GRACE_STEP == 1
         grace_s = SHORT_GRACE_S if has_short_grace else GRACE_S
         settings.write_text(
--- a/src/fireflyspindle/bench/soak_servers.py
+++ b/src/fireflyspindle/bench/soak_servers.py
@@ -116,6 +116,15 @@
     return runs
 
 
+def services_of_runs(servers: Iterable[Server]) -> dict[str, set[str]]:
+    """Returns the services that ran each request, by its id."""
+    services: dict[str, set[str]] = collections.defaultdict(set)
+    for server in servers:
+        for request_id in server.stand_in.runs:
+            services[request_id].add(server.service)
+    return services
+
+
 def count_arrivals(servers: Iterable[Server]) -> dict[str, int]:
     """Returns the number of arrivals at servers by request id."""
     arrivals: collections.Counter[str] = collections.Counter()
--- a/src/fireflyspindle/bench/soak_store.py
+++ b/src/fireflyspindle/bench/soak_store.py
@@ -11,6 +11,7 @@
 from fireflyspindle.bench import soak_callers
 from fireflyspindle.bench import soak_checks
 from fireflyspindle.bench import soak_gates
+from fireflyspindle.bench import store_process
 from fireflyspindle.platform import crash_records
 from fireflyspindle.testing import store as store_lib
 from fireflyspindle.testing import tcp_proxy
@@ -111,14 +112,16 @@
 
     def __init__(
         self,
-        store: testing.StandInStore,
+        store: testing.StandInStore | store_process.StoreProcess,
         seed: int,
         record: Callable[[str], None],
         write: Callable[[int], None],
     ) -> None:
         self.observation = soak_checks.StoreObservation()
         self._store = store
-        self._server = testing.Server(store.application())
+        self._server: testing.Server | None = None
+        self._delay_s = 0.0
+        self._topic_fails = False
         self._record = record
         self._write = write
         self._random = random.Random(f"store {seed}")
@@ -138,7 +141,14 @@
 
     async def start(self) -> str:
         """Starts the store and returns the address that paths lead to."""
-        self._proxy = tcp_proxy.TcpProxy(await self._server.start())
+        match self._store:
+            case store_process.StoreProcess():
+                await self._store.start()
+                address = self._store.address
+            case _:
+                self._server = testing.Server(self._store.application())
+                address = await self._server.start()
+        self._proxy = tcp_proxy.TcpProxy(address)
         return await self._proxy.start()
 
     async def run(self, gates: list[soak_gates.Gate]) -> None:
@@ -212,38 +222,45 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._proxy.close()
-        await self._server.close()
+        if self._server is not None:
+            await self._server.close()
+        if isinstance(self._store, store_process.StoreProcess):
+            await self._store.kill()
 
     async def harm(self, fault: tcp_proxy.Fault, duration_s: float) -> None:
         """Injects a fault into the connections of all gate hosts."""
-        with self._fault():
+        with self.fault():
             self._proxy.fault = fault
             await asyncio.sleep(duration_s)
             self._proxy.fault = tcp_proxy.Fault.NONE
 
     async def refuse(self, status: int, duration_s: float) -> None:
         """Lets the store refuse every request."""
-        with self._fault():
-            self._store.refuse_status = status
+        with self.fault():
+            self._store.set(refuse_status=status)
             await asyncio.sleep(duration_s)
-            self._store.refuse_status = None
+            self._store.set(refuse_status=None)
 
     @contextlib.contextmanager
     def slow(self, delay_s: float) -> Iterator[None]:
         """Delays the answers of the store."""
         self._record(f"answers of the store delayed by {delay_s:.2f} s")
-        self._store.delay_s = delay_s
+        self._set_delay(delay_s)
         self.observation.slow_since_s = _now_s()
         self.observation.slow_delay_s = delay_s
         try:
             yield
         finally:
-            self._store.delay_s = 0.0
+            self._set_delay(0.0)
             self.observation.slow_since_s = None
             self.observation.last_slow_s = _now_s()
 
+    def _set_delay(self, delay_s: float) -> None:
+        self._delay_s = delay_s
+        self._store.set(delay_s=delay_s)
+
     @contextlib.contextmanager
-    def _fault(self) -> Iterator[None]:
+    def fault(self) -> Iterator[None]:
         """Records a fault of the whole store; several may overlap."""
         self._running_faults += 1
         self.observation.last_fault_s = float("inf")
@@ -314,7 +331,7 @@
     async def _slow_store(self) -> None:
         delay_s = self._random.uniform(*STORE_DELAY_S)
         duration_s = self._random.uniform(*SLOW_S)
-        if self._store.delay_s:
+        if self._delay_s:
             return
         with self.slow(delay_s):
             await asyncio.sleep(duration_s)
@@ -328,7 +345,7 @@
         duration_s = self._random.uniform(*TOPIC_S)
         outage_s = self._random.uniform(*OUTAGE_S)
         has_outage = self._random.random() < OUTAGE_SHARE
-        if self._store.topic_statuses:
+        if self._topic_fails:
             return
         with self._failing_topic(topic, status):
             await asyncio.sleep(duration_s)
@@ -344,12 +361,14 @@
         """
         self._record(f"reads of {topic}: status {status}")
         is_needed = topic in store_lib.READ_ONLY_TOPICS
-        with self._fault() if is_needed else contextlib.nullcontext():
-            self._store.topic_statuses[topic] = status
+        with self.fault() if is_needed else contextlib.nullcontext():
+            self._topic_fails = True
+            self._store.set(topic_statuses={topic: status})
             try:
                 yield
             finally:
-                del self._store.topic_statuses[topic]
+                self._topic_fails = False
+                self._store.set(topic_statuses={})
 
 
 def _now_s() -> float:
--- a/src/fireflyspindle/bench/store_process.py
+++ b/src/fireflyspindle/bench/store_process.py
@@ -117,8 +117,7 @@
             case {"forget": topic}:
                 self.forget(topic)
             case {"set": values}:
-                for name, value in values.items():
-                    setattr(self, name, value)
+                self.set(**values)
             case _:
                 raise ValueError(f"unknown command: {command}")
 
--- a/src/fireflyspindle/testing/store.py
+++ b/src/fireflyspindle/testing/store.py
@@ -91,6 +91,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def set(self, **values: Any) -> None:
+        """Sets attributes, as the parent of a store's process does."""
+        for name, value in values.items():
+            setattr(self, name, value)
+
     def forget(self, topic: str) -> None:
         """Expires all records; the newest of each key is still served."""
         expired = self.topics[topic]
--- a/src/fireflyspindle/testing/tcp_proxy.py
+++ b/src/fireflyspindle/testing/tcp_proxy.py
@@ -63,7 +63,8 @@
             self._serve, host, int(port_text)
         )
         host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        self._address = f"{host}:{port}"
+        return self._address
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -148,6 +149,15 @@
         while self.fault is fault:
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def refuse_connections(self) -> None:
+        """Closes the port, but no connection."""
+        if self._server is not None:
+            self._server.close()
+
+    async def accept_connections(self) -> None:
+        """Listens again on the address of the start."""
+        await self.start(self._address)
+
     async def close(self) -> None:
         """Closes the port and every connection."""
         if self._server is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -182,6 +182,38 @@
     assert len(configuration_check.violations) == violations
 
 
+# Guards against hosts that know an old version and run what it allows.
+@pytest.mark.parametrize(
+    ("services", "violations"),
+    [
+        ({soak_callers.OTHER_SERVICE}, 1),
+        ({"s"}, 0),
+        ({"s", "t"}, 1),
+        (set(), 0),
+    ],
+)
+async def test_request_run_by_the_old_service_is_a_violation(
+    configuration_check, monkeypatch, services, violations
+):
+    async def fetch(_address, _head):
+        return 200
+
+    monkeypatch.setattr(configuration_check, "_fetch_status", fetch)
+    gate = soak_checks.GateObservation("g")
+    # Version 2 leads to the service "s".
+    await configuration_check._probe_moved(gate)
+    (request_id,) = configuration_check.probe_addresses
+    found = configuration_check.check_moved({request_id: services})
+    assert len(found) == violations
+    # The store has version 3, which leads to the other one, and may have told
+    # hosts of it.
+    configuration_check.on_submitted(3)
+    await configuration_check._probe_moved(gate)
+    *_, request_id = configuration_check.probe_addresses
+    other = {request_id: {soak_callers.OTHER_SERVICE}}
+    assert configuration_check.check_moved(other) == []
+
+
 @pytest.mark.parametrize(
     ("field", "after_s", "violations"),
     [
