Compare keys too when a listing is compared with what was read

What callers saw: a request that had crashed three targets was accepted again after the store had started anew, since it took the record of another request at the offset of a lost one for the one that was lost.

Cause: the values of two records of crashes may be equal, and only offsets and values were compared.

Why the fix works: a listed record has to be the record that was read, with its key; keys and values that a listing can't state exactly are left out.

--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -133,21 +133,20 @@
             end_offset = snapshot.next_offset
         elif end_offset < next_offset:
             return True
-        values = {
-            record.offset: record.value
+        held = {
+            record.offset: record
             for record in self._newest.values()
             if record.value is not None
         }
         for record in snapshot.records:
-            # An empty value stands for one that could not be read.
-            if record.offset >= next_offset or not record.value:
+            if record.offset >= next_offset or _is_undecodable(record):
                 continue
-            if values.get(record.offset) != record.value:
+            if held.get(record.offset) != record:
                 return True
         if end_offset > next_offset:
             return False
         offsets = {record.offset for record in snapshot.records}
-        return not values.keys() <= offsets
+        return not held.keys() <= offsets
 
     def differs_from_reader(
         self, batch: Batch, digest: int | None, started_us: int
@@ -277,3 +276,12 @@
     digest.update(record.offset.to_bytes(8))
     digest.update(record.value or b"")
     return int.from_bytes(digest.digest())
+
+
+def _is_undecodable(record: Record) -> bool:
+    """Whether a read from an offset may return the record in another form.
+
+    A listing has an empty value for one that could not be decoded, and keys
+    that are no UTF-8 have replacement characters.
+    """
+    return not record.value or "\ufffd" in record.key
--- a/src/fireflyspindle/core/crash_evidence.py
+++ b/src/fireflyspindle/core/crash_evidence.py
@@ -136,11 +136,12 @@
         return
     crash_records.on_read(state, event)
     changed = bool(event.records or event.removed)
+    previous_offset = state.store_reads[source].next_offset or 0
     store_reads.on_read_succeeded(state, source, event, changed)
     removed = list(event.removed)
     if event.resets_position:
         _mark_unstored(state, _stored_keys(state) - event.records.keys())
-    elif event.is_snapshot:
+    elif event.is_snapshot and event.next_offset >= previous_offset:
         removed += _stored_keys(state) - event.records.keys()
     for key in removed:
         _apply_removal(state, key)
--- a/tests/test_store_positions.py
+++ b/tests/test_store_positions.py
@@ -68,6 +68,10 @@
             ),
             id="other value",
         ),
+        pytest.param(
+            snapshot(record("a", 1), record("c", 3), next_offset=4),
+            id="other key with the same value",
+        ),
         pytest.param(
             snapshot(
                 record("a", 1), record("c", 3), record("b", 2), next_offset=4
