Test restarts beside frequent entries, and with evidence of equal value

Readers compare what they hold with a listing, or followers with their reader, while targets write their entries all the time: the position is then never that of the end, and each line has records. One crash under several requests gives records that differ in their keys only.

--- a/tests/test_store_restarts_in_virtual_time.py
+++ b/tests/test_store_restarts_in_virtual_time.py
@@ -1,5 +1,6 @@
 """Hosts are not misled by a store that ends and starts again."""
 
+import attrs
 import pytest
 
 import configuration_fleet as fleet_lib
@@ -340,6 +341,40 @@
     assert not run_leaving_target(records, seed, write)
 
 
+def run_busy_targets(records, seed, change):
+    """Runs a restart with a change behind it, beside entries that go on.
+
+    Args:
+        records: What becomes of the records.
+        seed: Seed of the fleet.
+        change: The first record after the restart.
+    """
+    entries = [
+        target(at_us, 0, sequence=2 + n)
+        for n, at_us in enumerate(range(RETURN_US + S // 50, END_US, S // 10))
+    ]
+    appends = target_appends(records, change, *entries)
+    return run(records, seed, appends=appends).wrong_targets
+
+
+# The position is never that of the end: targets write their entries again all
+# the time.
+@seeds
+@renumbering
+def test_new_target_is_used_beside_frequent_entries(seed, records):
+    new = target(RETURN_US - 1, 9)
+    wrong = run_busy_targets(records, seed, new)
+    assert not [each for each in wrong if each.expected]
+
+
+@seeds
+@renumbering
+def test_target_that_left_is_not_used_beside_frequent_entries(seed, records):
+    gone = target(RETURN_US - 1, 1, present=False)
+    wrong = run_busy_targets(records, seed, gone)
+    assert not [each for each in wrong if not each.expected]
+
+
 def run_crashes(records, seed):
     """Runs a fleet with three crashes after a restart."""
     acknowledged = records != store.RECORD_LOST
@@ -388,6 +423,21 @@
     check_refusal(store.RECORD_LOST, seed)
 
 
+# A crash under several requests gives records with the same value.
+@seeds
+def test_lost_evidence_is_kept_beside_a_record_of_equal_value(seed):
+    lost = crash(START_US - S // 2, 2, acknowledged=False)
+    appends = [
+        *(crash(at_us, n) for n, at_us in enumerate(EARLIER_US[:2])),
+        lost,
+        attrs.evolve(
+            crash(RETURN_US - 1, 2, OTHER_FINGERPRINT), value=lost.value
+        ),
+        crash(RETURN_US + restart_plans.RETRY_US, 2),
+    ]
+    assert not run(store.RECORD_LOST, seed, appends=appends).accepted_again
+
+
 @seeds
 @pytest.mark.parametrize("records", [store.RENUMBERED, *sorted(OTHER_RESTARTS)])
 def test_request_stays_refused_if_the_store_keeps_evidence(seed, records):
