Hold calls of a host that stood still until a read tells

Callers got requests that may run once run by the service that a version of seconds ago had replaced, after their host was suspended: in 17 of 20 wake-ups of processes (SIGSTOP for 2 to 10 s across a change), 4 to 15 requests each, on; 60 of 60 in a trial with 12 processes.

Cause: a resumed host handles the requests in its sockets 12 to 25 ms before the new version, and looked a route up in the version it held, whatever its age.

A host whose configuration is older than the limit for changes while no read of it is known to have failed now holds the calls that arrive, until a read shows that it is up to date, or one fails (its own or the reader's), 150 ms at most and once until it is up to date again. They are looked up then, keys included, in the order of arrival.

The hold alone left 10 of 30 requests at resumed readers to the old service: the time limit of a read had passed while the host stood still, so that the read counted as failed though its response was in the socket. Such a read now gets 0.1 s more (platform/timed_reads.py).

Why it works: each request in the sockets was sent before the lookup, and the read that ends the hold started within the limit for changes or later.

Tests: the reducer's test driver feeds no reads, so that hosts it drives for more than 2 s looked like ones that stood still. It now takes reads to go on unless a test says otherwise (reads_go_on). Tests of hosts that hear nothing expect the same refusals after the hold, and check that none comes before. Benches that read the configuration at their start only state a limit longer than their runs.

--- a/src/fireflyspindle/bench/hedging.py
+++ b/src/fireflyspindle/bench/hedging.py
@@ -368,6 +368,7 @@
 def _store_settings(plan: Plan) -> store_state.StoreSettings:
     none = plan.hedge_share is None
     return store_state.StoreSettings(
+        apply_limit_ms=virtual.UNREAD_LIMIT_MS,
         hedge_share=0.01 if none else plan.hedge_share or 0.0,
         hedge_routes=NO_ROUTE if none else frozenset(),
         hedge_load_limit=plan.load_limit,
--- a/src/fireflyspindle/bench/load_replay.py
+++ b/src/fireflyspindle/bench/load_replay.py
@@ -244,6 +244,7 @@
         settings = state_lib.CoreSettings(
             host_id=f"gate-{index}",
             store=store_state.StoreSettings(
+                apply_limit_ms=virtual.UNREAD_LIMIT_MS,
                 probes_per_s=load.probes_per_s,
                 resend_share=0.2,
                 resend_slack=62.0,
--- a/src/fireflyspindle/bench/quota_fleet.py
+++ b/src/fireflyspindle/bench/quota_fleet.py
@@ -233,6 +233,7 @@
             host_id=f"gate-{index}",
             failure_domain=f"d-{index % READERS}",
             store=store_state.StoreSettings(
+                apply_limit_ms=virtual.UNREAD_LIMIT_MS,
                 first_start=first_start,
                 control_address=_address(index),
                 is_reader=index in self.readers,
--- a/src/fireflyspindle/bench/virtual.py
+++ b/src/fireflyspindle/bench/virtual.py
@@ -11,6 +11,9 @@
 from fireflyspindle.core import reducer
 from fireflyspindle.core import state as state_lib
 
+# Limit for changes of hosts that read the configuration at their start only:
+# longer than any run, so that they don't hold calls as hosts that stood still.
+UNREAD_LIMIT_MS = 3_600_000
 EventFactory = Callable[[int], events.Event]
 
 
--- a/src/fireflyspindle/commands/explain.py
+++ b/src/fireflyspindle/commands/explain.py
@@ -151,6 +151,7 @@
             "key_proof_regained",
             "configuration_unproven",
             "configuration_proven",
+            "calls_held",
         ):
             yield line
 
--- a/src/fireflyspindle/core/answers.py
+++ b/src/fireflyspindle/core/answers.py
@@ -41,6 +41,26 @@
             not_carried=event.relayed,
         )
     )
+    inputs = (
+        ("status", refusal.status),
+        ("error", refusal.error),
+        ("why", refusal.detail),
+    )
+    finish_unrouted(state, event, outcome, "gave_up", inputs)
+
+
+def finish_unrouted(
+    state: state_lib.GateState,
+    event: events.CallArrived,
+    outcome: effects.Outcome,
+    what: str,
+    inputs: tuple[tuple[str, str | int | float | bool], ...] = (),
+) -> None:
+    """Ends a request that has no destination, with its only step."""
+    total_us = state.now_us - event.now_us
+    steps = steps_lib.Steps()
+    if state.settings.store is not None:
+        steps.add(steps_lib.Step(total_us, what, inputs=inputs))
     state.emit(
         effects.CallFinished(
             call_id=event.call_id,
@@ -48,31 +68,16 @@
             traffic_class="",
             target="",
             outcome=outcome,
-            total_us=0,
+            total_us=total_us,
             target_us=0,
             attempts=0,
             relayed=event.relayed,
-            steps=_refusal_steps(state, refusal),
+            steps=steps,
             configuration_version=state.rule_table.version or 0,
         )
     )
 
 
-def _refusal_steps(
-    state: state_lib.GateState, refusal: refusals.Refusal
-) -> steps_lib.Steps:
-    """Returns the only step of a refused request."""
-    steps = steps_lib.Steps()
-    if state.settings.store is not None:
-        inputs = (
-            ("status", refusal.status),
-            ("error", refusal.error),
-            ("why", refusal.detail),
-        )
-        steps.add(steps_lib.Step(0, "gave_up", inputs=inputs))
-    return steps
-
-
 def fail_call(
     state: state_lib.GateState,
     call: state_lib.Call,
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import crash_detection
 from fireflyspindle.core import crash_evidence
 from fireflyspindle.core import crashing_requests
+from fireflyspindle.core import deadlines
 from fireflyspindle.core import destinations
 from fireflyspindle.core import discovery
 from fireflyspindle.core import effects
@@ -72,6 +73,12 @@
     )
     state.calls[call.call_id] = call
     state.timers.add(call.deadline_us, timers.CallDeadline(call.call_id))
+    if event.now_us < state.now_us:
+        waited_ms = (state.now_us - event.now_us) // 1000
+        call.record_step(state.now_us, "held", waited_ms=waited_ms)
+        if call.deadline_us <= state.now_us:
+            deadlines.on_deadline(state, call.call_id)
+            return
     if not call.relayed:
         # The host that relayed the call has credited its own budgets.
         retries.on_arrived(state, service)
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -4,6 +4,7 @@
 
 from fireflyspindle.core import configuration
 from fireflyspindle.core import events
+from fireflyspindle.core import published
 from fireflyspindle.core import readiness
 from fireflyspindle.core import refusals
 from fireflyspindle.core import state as state_lib
@@ -102,13 +103,10 @@
     if service is None:
         detail = f"route {rule.name} refers to unknown service {part.service}"
         return refusals.Refusal(503, "no_service", detail)
-    deadline_us = event.now_us + rule.timeout_ms * 1000
-    if event.deadline_us is not None:
-        deadline_us = min(deadline_us, event.deadline_us)
     return Destination(
         service=service,
         repeatable=rule.repeatable and event.relay_repeatable,
-        deadline_us=deadline_us,
+        deadline_us=_deadline_us(event, rule),
         route=rule.name,
         soft_deadline_us=event.now_us + rule.latency_objective_ms * 1000,
         max_attempts=rule.max_attempts,
@@ -121,6 +119,22 @@
     )
 
 
+def deadline_us(
+    state: state_lib.GateState, event: events.CallArrived
+) -> int | None:
+    """Returns the deadline of a call by the rules in force, if it has one."""
+    rule = state.rule_table.find(event.host, event.path)
+    return event.deadline_us if rule is None else _deadline_us(event, rule)
+
+
+def _deadline_us(event: events.CallArrived, rule: published.Rule) -> int:
+    """Returns the deadline of a call, which counts from its arrival."""
+    limit_us = event.now_us + rule.timeout_ms * 1000
+    if event.deadline_us is None:
+        return limit_us
+    return min(limit_us, event.deadline_us)
+
+
 def _no_rule(
     state: state_lib.GateState, event: events.CallArrived
 ) -> refusals.Refusal:
--- a/src/fireflyspindle/core/drain.py
+++ b/src/fireflyspindle/core/drain.py
@@ -16,6 +16,7 @@
 from fireflyspindle.core import claim_state
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import held_calls
 from fireflyspindle.core import state as state_lib
 from fireflyspindle.core import stop_limit
 from fireflyspindle.core import timers
@@ -47,10 +48,14 @@
 
 
 def on_grace_expired(state: state_lib.GateState) -> None:
-    """Closes the address for callers; calls in flight continue."""
+    """Closes the address for callers; calls in flight continue.
+
+    Calls that are held are refused: the caller retries at another host.
+    """
     if state.listening:
         state.listening = False
         state.emit(effects.StopListening())
+        held_calls.on_listening_ended(state)
 
 
 def on_check_due(state: state_lib.GateState) -> None:
--- a/src/fireflyspindle/core/reducer.py
+++ b/src/fireflyspindle/core/reducer.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import events
 from fireflyspindle.core import following
 from fireflyspindle.core import hedging
+from fireflyspindle.core import held_calls
 from fireflyspindle.core import helper_list
 from fireflyspindle.core import host_count
 from fireflyspindle.core import host_list
@@ -76,7 +77,7 @@
 def _apply(state: state_lib.GateState, event: events.Event) -> None:
     match event:
         case events.CallArrived():
-            calls.on_arrived(state, event)
+            held_calls.on_arrived(state, event)
         case events.AttemptAnswered():
             calls.on_answered(state, event)
         case events.AttemptEnded():
@@ -84,7 +85,7 @@
         case events.AttemptFailed():
             calls.on_failed(state, event)
         case events.CallerDisconnected():
-            calls.on_caller_left(state, event)
+            held_calls.on_caller_left(state, event)
         case events.TimerFired():
             _fire_timers(state)
         case events.StopRequested():
@@ -121,6 +122,7 @@
     match event:
         case events.ConfigurationRead():
             discovery.on_configuration_read(state, event)
+            held_calls.on_configuration_read(state)
         case events.TargetsRead():
             discovery.on_targets_read(state, event)
         case events.StoreHistoryDropped(_, source, first_offset):
@@ -129,6 +131,7 @@
             )
         case events.StoreReadFailed():
             store_reads.on_read_failed(state, event)
+            held_calls.on_read_failed(state)
         case events.ReaderConnected():
             following.on_reader_connected(state, event)
         case events.ReaderDisconnected():
@@ -175,6 +178,8 @@
                 hedging.on_due(state, call_id)
             case timers.QueueWaitExpired(call_id):
                 admission.on_queue_due(state, call_id)
+            case timers.HeldCallsDue():
+                held_calls.on_due(state)
             case timers.DrainGraceExpired():
                 drain.on_grace_expired(state)
             case timers.DrainDeadline():
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -14,6 +14,7 @@
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
 from fireflyspindle.core import forecast_state
+from fireflyspindle.core import held_state
 from fireflyspindle.core import helper_state
 from fireflyspindle.core import incarnations
 from fireflyspindle.core import load as load_lib
@@ -489,6 +490,8 @@
         rule_table: Published rules in force.
         unproven_calls: Calls routed by a configuration that may not be the
             newest.
+        held_calls: Calls that are held until a read of the configuration has
+            told whether there is a newer version.
         service_settings: Published settings of services by name.
         registered_targets: Targets that registered themselves, by id.
         leaving_starts: Starts of targets that are leaving, oldest first; kept
@@ -556,6 +559,7 @@
     unproven_calls: store_state.UnprovenCalls = attrs.field(
         factory=store_state.UnprovenCalls
     )
+    held_calls: held_state.HeldCalls = attrs.field(factory=held_state.HeldCalls)
     service_settings: dict[str, published.ServiceSettings] = attrs.field(
         factory=dict
     )
--- a/src/fireflyspindle/core/timers.py
+++ b/src/fireflyspindle/core/timers.py
@@ -15,6 +15,11 @@
     call_id: int
 
 
+@attrs.define
+class HeldCallsDue:
+    """The longest hold of calls, or the deadline of a held one, has passed."""
+
+
 @attrs.define
 class HedgeDue:
     """A call without an answer may be hedged."""
@@ -156,6 +161,7 @@
 
 Timer = (
     CallDeadline
+    | HeldCallsDue
     | HedgeDue
     | QueueWaitExpired
     | ProbeRoundTimeout
--- a/src/fireflyspindle/core/unproven_calls.py
+++ b/src/fireflyspindle/core/unproven_calls.py
@@ -54,19 +54,29 @@
     state.emit(effects.WriteLogLine("info", "configuration_proven", detail))
 
 
+def age_us(state: state_lib.GateState) -> int | None:
+    """Returns the time since every version was known; None if it never was."""
+    complete_us = state.store_reads[_SOURCE].complete_until_us
+    return None if complete_us is None else state.now_us - complete_us
+
+
+def age_limit_us(state: state_lib.GateState) -> int:
+    """Returns the age above which a newer version may be in force elsewhere."""
+    settings = state.settings.store
+    assert settings is not None
+    return settings.apply_limit_ms * 1000
+
+
 def _is_proven(state: state_lib.GateState) -> bool:
     """Whether every version that is older than the limit for changes is known.
 
     A host that lacks records which its reader omitted has until that limit to
     read them, as after any change.
     """
-    settings = state.settings.store
-    assert settings is not None
-    reads = state.store_reads[_SOURCE]
-    if reads.has_undecodable_record or reads.complete_until_us is None:
+    if state.store_reads[_SOURCE].has_undecodable_record:
         return False
-    age_us = state.now_us - reads.complete_until_us
-    return age_us <= settings.apply_limit_ms * 1000
+    age = age_us(state)
+    return age is not None and age <= age_limit_us(state)
 
 
 def _reason(state: state_lib.GateState) -> str:
--- a/src/fireflyspindle/platform/host.py
+++ b/src/fireflyspindle/platform/host.py
@@ -211,7 +211,11 @@
     async def _on_metrics(self, _request: web.Request) -> web.Response:
         if self._log is not None:
             self.metrics.gauges["log_lines_left_out"] = self._log.dropped
-        self.metrics.gauges["calls_in_flight"] = len(self.state.calls)
+        held = self.state.held_calls
+        self.metrics.gauges["calls_in_flight"] = len(self.state.calls) + len(
+            held.calls
+        )
+        self.metrics.event_counts["call_held"] = held.total
         self.metrics.gauges["configuration_version"] = (
             self.state.rule_table.version or 0
         )
--- a/src/fireflyspindle/platform/timed_reads.py
+++ b/src/fireflyspindle/platform/timed_reads.py
@@ -24,6 +24,12 @@
 # The same for the whole response. A connection on which data trickles must not
 # hold up the reads over others.
 RECEIVE_TIMEOUT_S = 2.4
+# Delay of a timer from which this host counts as having stood still. The time
+# limits of its reads then passed while it could not receive what had arrived.
+STANDSTILL_S = 0.5
+# Time in which a host that stood still receives what has arrived meanwhile. It
+# takes a few milliseconds; callers are held for 150 ms at most.
+RESUME_LIMIT_S = 0.1
 # Time without data after which a late read is given up for a newer one, and its
 # multiple for the whole response. It doubles each time, so that any store is
 # read in the end.
@@ -122,8 +128,10 @@
         left_s = wait_ms / 1000 + RESPONSE_TIMEOUT_S
         try:
             while not task.done() and left_s > TIMER_RESOLUTION_S:
-                await asyncio.wait([task], timeout=left_s)
+                stood_still = await _wait(task, left_s)
                 left_s = _time_left_s(read.progress, wait_ms / 1000)
+                if stood_still:
+                    left_s = max(left_s, RESUME_LIMIT_S)
         except asyncio.CancelledError:
             task.cancel()
             raise
@@ -190,6 +198,14 @@
             read.cancel()
 
 
+async def _wait(task: asyncio.Task[None], limit_s: float) -> bool:
+    """Waits for a task; returns whether this host stood still meanwhile."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    await asyncio.wait([task], timeout=limit_s)
+    return loop.time() >= end_s + STANDSTILL_S
+
+
 def _time_left_s(progress: read_progress.Progress, wait_s: float) -> float:
     """Returns the time until a read fails unless more data arrives."""
     return min(
--- a/tests/configuration_network.py
+++ b/tests/configuration_network.py
@@ -135,6 +135,10 @@
         """Returns the virtual time."""
         return self._virtual.now_s
 
+    def stand_still(self, duration_s: float) -> None:
+        """Lets time pass in which the loop handles nothing."""
+        self._virtual.now_s += duration_s
+
 
 class Connection:
     """A stream of lines from a reader to a host that follows it."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -29,6 +29,8 @@
 class FollowingHost(published_host.PublishedHost):
     """A gate host that has just started."""
 
+    reads_go_on = False
+
     def __init__(self, seed=0, **store_settings):
         self.settings = store_state.StoreSettings(
             **{
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -7,6 +7,7 @@
 from fireflyspindle.core import api_keys
 from fireflyspindle.core import effects
 from fireflyspindle.core import events
+from fireflyspindle.core import held_calls
 from fireflyspindle.core import published
 from fireflyspindle.core import steps
 from fireflyspindle.core import store_state
@@ -153,8 +154,10 @@
     make_published_host,
 ):
     host = keyed_host(make_published_host)
+    host.reads_go_on = False
     host.now_us += 2_500_000
     host.call_arrives(1, key_digest=api_keys.digest("new"))
+    host.advance(held_calls.MAX_HOLD_US)
     assert refusal_of(host, 1) == (503, "configuration_outdated")
 
 
--- a/tests/test_timed_reads.py
+++ b/tests/test_timed_reads.py
@@ -11,6 +11,7 @@
 from fireflyspindle.adapters import repeated_reads
 from fireflyspindle.adapters import store_records
 from fireflyspindle.core import events
+from fireflyspindle.core import held_calls
 from fireflyspindle.core import host_list
 from fireflyspindle.core import store_state
 from fireflyspindle.platform import store_client
@@ -117,6 +118,39 @@
 
 # Guards against a host that takes what a late read told for newer than it is:
 # it would refuse requests for routes that were added since.
+class BufferedClient(SlowClient):
+    """A client whose answers take several passes of the event loop."""
+
+    async def read(self, *args):
+        """Answers as the slow client, some passes later."""
+        batch = await super().read(*args)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        return batch
+
+
+# Guards against a host that takes the store for away because it stood still
+# itself: it then goes on with a configuration that was replaced.
+@pytest.mark.parametrize(
+    ("delay_s", "fails"), [(0.4, False), (0.3 + 5.0, False), (None, True)]
+)
+def test_read_that_was_answered_while_the_host_stood_still_succeeds(
+    in_virtual_time, delay_s, fails
+):
+    async def run():
+        loop = asyncio.get_running_loop()
+        shell = types.SimpleNamespace(spawn=asyncio.create_task)
+        reads = timed_reads.TimedReads(shell, BufferedClient(delay_s))
+        resumed_s = loop.time() + 5.25
+        loop.call_later(0.25, loop.stand_still, 5.0)
+        outcome = await reads.read(TOPIC, 0)
+        assert isinstance(outcome, store_records.ReadFailed) == fails
+        # Well before the limit for calls that are held meanwhile.
+        assert loop.time() < resumed_s + held_calls.MAX_HOLD_US / S
+
+    in_virtual_time(run())
+
+
 def test_late_read_is_complete_until_its_own_start():
     source = store_state.Source.CONFIGURATION
     host = published_driver.PublishedHost()
