Let reads not wait at the store while calls are held

Cause: a read that starts while calls are held may wait for a record.

Why the fix works: such a read returns at once, and its success proves the configuration.

--- a/src/fireflyspindle/core/store_reads.py
+++ b/src/fireflyspindle/core/store_reads.py
@@ -547,6 +547,9 @@
         return 0
     if proof.needs_own_read(state, source):
         return 0
+    if state.held_calls.since_us is not None:
+        # Calls wait for what the read tells.
+        return 0
     settings = state.settings.store
     assert settings is not None
     return settings.wait_us(source) // 1000
