Test a target that left at the offset of a lost removal, and list what remains

The store loses a removal that it never acknowledged and gives its offset to the removal of another target. The listing after the restart ends behind the position, so that the missing entry decides nothing, and has no live record behind the position, so that it is dropped as out of date. The target is used until a listing finds the position at the end.

--- a/tests/test_store_restarts_in_virtual_time.py
+++ b/tests/test_store_restarts_in_virtual_time.py
@@ -375,6 +375,20 @@
     assert not [each for each in wrong if not each.expected]
 
 
+# The store has lost a removal, which no listing shows, and has given its offset
+# to another one.
+@seeds
+def test_target_that_left_at_the_offset_of_a_lost_removal_is_not_used(seed):
+    lost = target(START_US - S // 2, 7, present=False, acknowledged=False)
+    entries = [
+        *(target(at_us, n) for n, at_us in enumerate(EARLIER_US)),
+        target(RETURN_US - 1, 1, present=False),
+        target(RETURN_US + S // 50, 7, present=False),
+    ]
+    fleet = run(store.RECORD_LOST, seed, appends=[*entries, lost])
+    assert not fleet.wrong_targets
+
+
 def run_crashes(records, seed):
     """Runs a fleet with three crashes after a restart."""
     acknowledged = records != store.RECORD_LOST
