State how many attempts a relayed call has left

The gate host had sent the request to a target of its own, and while that ran two further targets got it from another gate host.

Fix: `Fireflyspindle-Relay-Max-Attempts`, between hosts only, states the attempts that are left. A call with none left is not relayed.

Now they pass.

--- a/src/fireflyspindle/adapters/gate_server.py
+++ b/src/fireflyspindle/adapters/gate_server.py
@@ -291,6 +291,9 @@
                     api_key_headers.read_relayed(event, message)
                     repeatable = message.headers.get(headers.RELAY_REPEATABLE)
                     event.relay_repeatable = repeatable != "no"
+                    event.relay_max_attempts = headers.parse_max_attempts(
+                        message.headers.getall(headers.RELAY_MAX_ATTEMPTS, ())
+                    )
                 self._read_body(pending, message, payload, event)
 
     def _read_body(
--- a/src/fireflyspindle/adapters/target_client.py
+++ b/src/fireflyspindle/adapters/target_client.py
@@ -70,6 +70,8 @@
         target_started_ms: Wall-clock time of the target's start, if known.
         service: Service that a gate host has to carry the call to, or "".
         key: How the headers of the request's API key are treated, if at all.
+        max_attempts: Number of targets that a gate host may send the request
+            to.
         sent: Whether a byte of the request may have been sent.
         ended: Whether its end has been reported.
         response: The response, once its head has arrived.
@@ -89,6 +91,7 @@
     target_started_ms: int = 0
     service: str = ""
     key: effects.KeyHandling | None = None
+    max_attempts: int = 0
     sent: bool = False
     ended: bool = False
     response: target_connection.Response | None = None
@@ -181,6 +184,10 @@
             )
         if self.relayed and not self.exchange.repeatable:
             gateway_lines += f"{headers.RELAY_REPEATABLE}: no\r\n"
+        if self.relayed:
+            gateway_lines += (
+                f"{headers.RELAY_MAX_ATTEMPTS}: {self.max_attempts}\r\n"
+            )
         if self.service:
             gateway_lines += api_key_headers.relay_lines(self.service, self.key)
         else:
@@ -317,6 +324,7 @@
             effect.target_started_ms,
             effect.service,
             effect.key,
+            effect.max_attempts,
         )
         exchange.attempts[effect.attempt] = attempt
         attempt.begin()
--- a/src/fireflyspindle/core/attempts.py
+++ b/src/fireflyspindle/core/attempts.py
@@ -109,8 +109,10 @@
         return _refuse_stopping(state, call)
     if quota_send_check.wait_if_expired(state, call):
         return True
+    lent_attempts = call.attempts_left - 1
     attempt = _add(state, service, call, helper)
     attempt.relayed = True
+    call.lent_attempts = lent_attempts
     call.record_step(
         state.now_us,
         "relayed",
@@ -168,6 +170,7 @@
             target_started_ms=start.started_ms if start is not None else 0,
             service=call.service if attempt.relayed else "",
             key=authorisation.handling(state, call),
+            max_attempts=1 + call.lent_attempts if attempt.relayed else 0,
         )
     )
 
@@ -270,6 +273,13 @@
     evacuation_domains.on_attempt_ended(state, attempt)
 
 
+def mark_unreached(call: state_lib.Call, attempt: state_lib.Attempt) -> None:
+    """Counts an attempt that reached no target; it uses none of the limit."""
+    call.unreached_attempts += 1
+    if attempt.relayed:
+        call.lent_attempts = 0
+
+
 def cancel(
     state: state_lib.GateState,
     call: state_lib.Call,
--- a/src/fireflyspindle/core/calls.py
+++ b/src/fireflyspindle/core/calls.py
@@ -238,6 +238,8 @@
 ) -> None:
     """Retries a call that the target did not run, or gives up on it."""
     attempts.cancel(state, call, attempt)
+    if event.not_carried:
+        attempts.mark_unreached(call, attempt)
     if event.not_carried and event.status != destinations.ROUTE_DIFFERS_STATUS:
         relays.on_not_carried(state, attempt.target.spec.address)
     if call.attempts or call.probe_round is not None:
@@ -326,7 +328,7 @@
         )
     call.may_have_run = call.may_have_run or event.sent
     if not event.sent:
-        call.unreached_attempts += 1
+        attempts.mark_unreached(call, attempt)
     match call.phase:
         case state_lib.CallPhase.WAITING:
             _retry_failed(state, call, attempt, event)
--- a/src/fireflyspindle/core/destinations.py
+++ b/src/fireflyspindle/core/destinations.py
@@ -103,13 +103,16 @@
     if service is None:
         detail = f"route {rule.name} refers to unknown service {part.service}"
         return refusals.Refusal(503, "no_service", detail)
+    max_attempts = rule.max_attempts
+    if event.relay_max_attempts is not None:
+        max_attempts = min(max_attempts, event.relay_max_attempts)
     return Destination(
         service=service,
         repeatable=rule.repeatable and event.relay_repeatable,
         deadline_us=_deadline_us(event, rule),
         route=rule.name,
         soft_deadline_us=event.now_us + rule.latency_objective_ms * 1000,
-        max_attempts=rule.max_attempts,
+        max_attempts=max_attempts,
         priority=authorisation.priority(state, organisation, rule),
         organisation=organisation,
         has_large_bodies=rule.has_large_bodies,
--- a/src/fireflyspindle/core/effects.py
+++ b/src/fireflyspindle/core/effects.py
@@ -57,6 +57,8 @@
             any other target.
         key: How the headers of its API key are treated; None to forward them
             like any other.
+        max_attempts: Number of targets that a gate host may send the request
+            to; 0 for any other target.
     """
 
     call_id: int
@@ -70,6 +72,7 @@
     target_started_ms: int = 0
     service: str = ""
     key: KeyHandling | None = None
+    max_attempts: int = 0
 
 
 @attrs.define
--- a/src/fireflyspindle/core/events.py
+++ b/src/fireflyspindle/core/events.py
@@ -139,6 +139,8 @@
             chosen; empty if it states none.
         relay_repeatable: Whether a relayed request may run more than once, as
             far as that gate host knows.
+        relay_max_attempts: Number of targets that a relayed request may still
+            be sent to; None if the gate host that relayed it states none.
         key_digest: Digest of the API key of the request; empty if it has none
             or a malformed one.
         relay_keyed: Whether the gate host that relayed the call states the
@@ -164,6 +166,7 @@
     fingerprint: str = ""
     relay_service: str = ""
     relay_repeatable: bool = True
+    relay_max_attempts: int | None = None
     key_digest: str = ""
     relay_keyed: bool = False
 
--- a/src/fireflyspindle/core/placement.py
+++ b/src/fireflyspindle/core/placement.py
@@ -299,7 +299,7 @@
             "targets_unreachable",
             f"this gate host reaches no target of service {service.name}, and"
             " no other one carries the call",
-            not_carried=call.relayed,
+            not_carried=call.relayed and not call.may_have_run,
         )
         return
     if target_limits.max_waiting_calls(state, service) is None:
--- a/src/fireflyspindle/core/relays.py
+++ b/src/fireflyspindle/core/relays.py
@@ -1,6 +1,7 @@
 """Calls that another gate host carries, because this one reaches no target.
 
-A helper places a relayed call like one of its own, but never relays it further.
+A helper places a relayed call like one of its own, but never relays it further,
+and sends it to no more targets than the relaying host has attempts left.
 It states whether the request was run, so that a call that no helper could carry
 is sent to the next one, and at most once to one that may have run it.
 """
@@ -31,6 +32,8 @@
     """Sends a call to a helper; False if none may carry it."""
     if not call.route or call.relayed or call.relays >= MAX_RELAYS:
         return False
+    if call.attempts_left <= 0:
+        return False
     if evacuation_domains.leaves_no_target(state, service):
         return False
     if not helper_list.is_known(state):
--- a/src/fireflyspindle/core/retries.py
+++ b/src/fireflyspindle/core/retries.py
@@ -27,10 +27,7 @@
 
 def may_send_again(state: state_lib.GateState, call: state_lib.Call) -> bool:
     """Whether a call's limits and the time left allow another attempt."""
-    counted_attempts = call.sent_attempts
-    if call.route:
-        counted_attempts -= call.unreached_attempts
-    if not call.resendable or counted_attempts >= call.max_attempts:
+    if not call.resendable or call.attempts_left <= 0:
         return False
     if call.sent_attempts >= MAX_SENDS or not suspects.may_resend(state, call):
         return False
--- a/src/fireflyspindle/core/state.py
+++ b/src/fireflyspindle/core/state.py
@@ -139,7 +139,10 @@
             their target count only if no published rule matched the call.
         priority: Priority of its route; 0 is the most urgent.
         has_large_bodies: Whether its route has large bodies.
-        unreached_attempts: Attempts that never reached their target.
+        unreached_attempts: Attempts that never reached their target or that
+            another gate host did not carry.
+        lent_attempts: Further attempts that the gate host to which the call is
+            relayed may make.
         probe_round: Probe round in progress before its next attempt, if any.
         steps: Decisions made for it.
         relayed: Whether another gate host relayed it to this one.
@@ -184,6 +187,7 @@
     priority: int = 0
     has_large_bodies: bool = False
     unreached_attempts: int = 0
+    lent_attempts: int = 0
     probe_round: "ProbeRound | None" = None
     steps: steps_lib.Steps = attrs.field(factory=steps_lib.Steps)
     relayed: bool = False
@@ -196,6 +200,14 @@
     configuration_version: int = 0
     configuration_unproven: bool = False
 
+    @property
+    def attempts_left(self) -> int:
+        """Number of attempts that may still be made."""
+        used_attempts = self.sent_attempts + self.lent_attempts
+        if self.route:
+            used_attempts -= self.unreached_attempts
+        return self.max_attempts - used_attempts
+
     def record_step(
         self,
         now_us: int,
--- a/src/fireflyspindle/headers.py
+++ b/src/fireflyspindle/headers.py
@@ -33,6 +33,9 @@
 RELAY_FINGERPRINT = "Fireflyspindle-Relay-Fingerprint"
 # "no" if a relayed request may run only once; between gate hosts only.
 RELAY_REPEATABLE = "Fireflyspindle-Relay-Repeatable"
+# Number of targets that a relayed request may still be sent to; between gate
+# hosts only.
+RELAY_MAX_ATTEMPTS = "Fireflyspindle-Relay-Max-Attempts"
 # Service that the gate host which relays a call has chosen, percent-encoded;
 # between gate hosts only.
 RELAY_SERVICE = "Fireflyspindle-Relay-Service"
@@ -65,6 +68,7 @@
         b"fireflyspindle-relay-key-digest",
         b"fireflyspindle-relay-keyed-service",
         b"fireflyspindle-relay-leaving",
+        b"fireflyspindle-relay-max-attempts",
         b"fireflyspindle-relay-outcome",
         b"fireflyspindle-relay-repeatable",
         b"fireflyspindle-relay-service",
@@ -114,6 +118,25 @@
     return events.RateLimitHeader(min(valid, default=None))
 
 
+def parse_max_attempts(texts: Sequence[str]) -> int | None:
+    """Parses the number of targets that a request may still be sent to.
+
+    Args:
+        texts: Values of the header, several if it is repeated.
+
+    Returns:
+        The number, the lowest of several; None without the header. An invalid
+        value counts as 1, so that the limit of the route holds.
+    """
+    values = [
+        int(text)
+        if text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
+        else 1
+        for text in texts
+    ]
+    return min(values, default=None)
+
+
 def parse_decimal(text: str) -> float | None:
     """Parses a decimal number of 0 or more; None if it is invalid."""
     text = text.strip()
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -34,7 +34,9 @@
 
     Args:
         hosts: The hosts.
-        how: How connections of cut off hosts fail: "refuse" or "hang".
+        how: How connections of cut off hosts fail: "refuse" or "hang"; or
+            "lose answers" if targets run their requests, and then get no answer
+            to requests that helpers send on.
     """
 
     def __init__(self, hosts, how):
@@ -48,6 +50,7 @@
         self.served = collections.Counter()
         self.sent = collections.Counter()
         self.runs = collections.Counter()
+        self.relayed_late = set()
         self.relayed_to = collections.Counter()
         self.last_call_id = 0
 
@@ -104,7 +107,7 @@
     def _probe(self, number, probe_id):
         host = self.hosts[number]
         if number in self.cut_off:
-            ticks = PROBE_TIMEOUT_TICKS if self.how == "hang" else 1
+            ticks = 1 if self.how == "refuse" else PROBE_TIMEOUT_TICKS
             self._later(
                 ticks, lambda: host.feed(events.ProbeEnded, probe_id, None)
             )
@@ -120,7 +123,10 @@
         elif number not in self.cut_off:
             request_id = host.state.calls[effect.call_id].request_id
             self.runs[request_id] += 1
-            self._later(SERVICE_TICKS, lambda: self._answer(attempt))
+            if request_id not in self.relayed_late:
+                self._later(SERVICE_TICKS, lambda: self._answer(attempt))
+        elif self.how == "lose answers":
+            self.runs[host.state.calls[effect.call_id].request_id] += 1
         elif self.how == "refuse":
             self._later(1, lambda: self._refuse(attempt))
 
@@ -129,6 +135,8 @@
         self.relayed_to[helper] += 1
         self.last_call_id += 1
         call = self.hosts[attempt.host].state.calls[attempt.call_id]
+        if self.runs[call.request_id]:
+            self.relayed_late.add(call.request_id)
         self.origins[helper, self.last_call_id] = attempt
         self.hosts[helper].call_arrives(
             self.last_call_id,
@@ -136,6 +144,7 @@
             deadline_ms=effect.timeout_us // 1000,
             request_id=call.request_id,
             relayed=True,
+            relay_max_attempts=effect.max_attempts,
         )
 
     def _list_helpers(self, number):
@@ -252,3 +261,15 @@
     for host in fleet.hosts:
         phases = [call.phase for call in host.state.calls.values()]
         assert phases.count(state_lib.CallPhase.WAITING) <= 1
+
+
+def test_late_relayed_call_reaches_no_more_targets_than_its_route_allows(
+    make_published_host,
+):
+    """Guards against a helper that counts the attempts from zero."""
+    fleet = make_fleet(make_published_host, "lose answers")
+    fleet.cut_off = {0}
+    fleet.run(CONTACT_TICKS)
+    relayed = fleet.relayed_late
+    assert relayed
+    assert max(fleet.runs[request_id] for request_id in relayed) == 2
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -10,6 +10,7 @@
 from fireflyspindle.core import published
 from fireflyspindle.core import reachability
 from fireflyspindle.core import relays
+from fireflyspindle.core import state as state_lib
 import published_driver as published_host
 
 OWN_ADDRESS = "10.9.0.0:7620"
@@ -115,6 +116,138 @@
     assert first.target in again
 
 
+def relay_late_call(host):
+    """Sends a call to a target that hangs; returns its send to a helper."""
+    host.arrive_and_send(1, deadline_ms=5_000)
+    host.state.reachability.lost_us = host.now_us
+    host.advance(1_000_000)
+    return sends_of(host, 1)[-1]
+
+
+def host_with_helpers(make_published_host, **fields):
+    """Returns a host that reaches its targets and knows two helpers."""
+    rules = [published_host.rule(timeout_ms=10_000, **fields)]
+    host = make_published_host(
+        targets=6, relay_address=OWN_ADDRESS, rules=rules
+    )
+    host.feed(events.HelpersListed, (helper(1), helper(2)))
+    for _ in range(20):
+        host.service().resend_budget.earn(host.now_us)
+    return host
+
+
+def test_call_of_a_cut_off_host_states_all_attempts(make_published_host):
+    host = cut_off_host(make_published_host)
+    assert relay(host, 1).max_attempts == 2
+
+
+@pytest.mark.parametrize("max_attempts", [2, 3])
+def test_late_call_is_relayed_with_the_attempts_that_are_left(
+    make_published_host, max_attempts
+):
+    """Guards against more runs than the route allows."""
+    host = host_with_helpers(make_published_host, max_attempts=max_attempts)
+    send = relay_late_call(host)
+    assert send.relayed
+    assert send.max_attempts == max_attempts - 1
+
+
+def test_late_call_without_an_attempt_left_is_not_relayed(make_published_host):
+    """Guards against more runs than the route allows."""
+    host = host_with_helpers(make_published_host, max_attempts=1)
+    relay_late_call(host)
+    assert not relays.relay(host.state, host.service(), host.state.calls[1])
+    assert len(sends_of(host, 1)) == 1
+
+
+def test_declined_call_without_an_attempt_left_is_not_relayed(
+    make_published_host,
+):
+    """Guards against more runs than the route allows."""
+    host = host_with_helpers(make_published_host, max_attempts=1)
+    host.arrive_and_send(1)
+    host.state.reachability.lost_us = host.now_us
+    host.answer(1, 1, 503, not_run=True)
+    assert host.gate_answer(1).status == 503
+    assert len(sends_of(host, 1)) == 1
+
+
+def test_attempts_that_a_helper_may_use_are_used(make_published_host):
+    """Guards against a retry beside a helper that makes one too."""
+    host = host_with_helpers(make_published_host, max_attempts=3)
+    assert relay_late_call(host).relayed
+    host.state.reachability.lost_us = None
+    host.fail(1, 2, events.FailureReason.DISCONNECTED, sent=True)
+    host.answer(1, 1, 500)
+    host.answer_probes()
+    assert len(sends_of(host, 1)) == 2
+    assert host.state.calls[1].phase is state_lib.CallPhase.FORWARDING
+
+
+@pytest.mark.parametrize("reached", [False, True])
+def test_relay_that_is_not_carried_uses_no_attempt(
+    make_published_host, reached
+):
+    host = host_with_helpers(make_published_host, max_attempts=3)
+    assert relay_late_call(host).max_attempts == 2
+    if reached:
+        host.answer(1, 2, 503, not_run=True, not_carried=True)
+    else:
+        host.fail(1, 2, events.FailureReason.REFUSED, sent=False)
+    host.answer(1, 1, 500)
+    send = sends_of(host, 1)[-1]
+    assert (send.attempt, send.relayed, send.max_attempts) == (3, True, 2)
+
+
+@pytest.mark.parametrize(
+    ("stated", "sends"), [(None, 2), (0, 1), (1, 1), (2, 2), (9, 2)]
+)
+def test_helper_sends_a_call_as_often_as_is_stated_and_its_route_allows(
+    make_published_host, stated, sends
+):
+    """Guards against more runs than the route allows."""
+    host = make_published_host(targets=6)
+    host.arrive_and_send(1, relayed=True, relay_max_attempts=stated)
+    for attempt in range(1, sends + 1):
+        host.fail(1, attempt, events.FailureReason.DISCONNECTED, sent=True)
+        host.answer_probes()
+    assert len(sends_of(host, 1)) == sends
+    assert host.gate_answer(1).status == 502
+
+
+@pytest.mark.parametrize(("stated", "sends"), [(None, 2), (1, 1)])
+def test_hedge_of_a_helper_counts_as_an_attempt(
+    make_published_host, stated, sends
+):
+    """Guards against more runs than the route allows."""
+    rules = [published_host.rule(timeout_ms=10_000)]
+    host = make_published_host(targets=6, rules=rules)
+    host.arrive_and_send(
+        1, relayed=True, relay_max_attempts=stated, deadline_ms=5_000
+    )
+    for _ in range(100):
+        host.advance(10_000)
+        host.answer_probes()
+    assert len(sends_of(host, 1)) == sends
+
+
+def test_helper_that_lost_its_targets_carried_what_it_may_have_run(
+    make_published_host,
+):
+    """Guards against a call that the next helper runs once more."""
+    host = make_published_host(targets=6, relay_address=OWN_ADDRESS)
+    host.feed(events.HelpersListed, (helper(1),))
+    host.arrive_and_send(1, relayed=True)
+    host.advance(100_000)
+    host.fail(1, 1, events.FailureReason.DISCONNECTED, sent=True)
+    assert host.state.probes
+    host.state.reachability.lost_us = host.now_us
+    host.answer_probes()
+    answer = host.gate_answer(1)
+    assert (answer.status, answer.not_carried) == (502, False)
+    assert answer.outcome is effects.Outcome.UNKNOWN
+
+
 # Its body has been forwarded already.
 def test_streamed_call_that_a_helper_did_not_carry_is_refused(
     make_published_host,
--- a/tests/test_targets_unreachable.py
+++ b/tests/test_targets_unreachable.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fireflyspindle import headers
+from fireflyspindle import testing
 from fireflyspindle.core import published
 from fireflyspindle.platform import header_profile
 import platform_driver
@@ -169,3 +170,72 @@
             if request.values(header_profile.REQUEST_ID) == [b"q1"]
         ]
         assert len(runs) == 1
+
+
+@pytest.mark.parametrize(
+    ("texts", "number"),
+    [
+        ([], None),
+        (["2"], 2),
+        (["3", "1"], 1),
+        (["0"], 0),
+        ([""], 1),
+        (["-1"], 1),
+        (["1.5"], 1),
+        (["\u0662"], 1),
+        (["9" * 5_000], 1),
+    ],
+)
+def test_attempts_left_of_a_relayed_call_are_parsed(texts, number):
+    """Guards against more runs, or an error, where the value is invalid."""
+    assert headers.parse_max_attempts(texts) == number
+
+
+async def cut_connection(_request, writer):
+    """Ends a request that may have run without an answer."""
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("stated", "sends"), [(None, 2), ("1", 1), ("x", 1), ("2", 2), ("9", 2)]
+)
+async def test_helper_makes_no_more_attempts_than_are_stated(stated, sends):
+    """Guards against more runs than the route allows."""
+    name = headers.RELAY_MAX_ATTEMPTS
+    lines = [] if stated is None else [f"{name}: {stated}"]
+    request = platform_driver.request(
+        platform_driver.IDEMPOTENT + "1", *lines, name="q1"
+    )
+    async with platform_fleet.running(1, 5, cut_connection) as fleet:
+        await wire.until(lambda: fleet.hosts[0].state.listening)
+        caller = await testing.connect(fleet.hosts[0].settings.relay_address)
+        async with asyncio.timeout(platform_driver.WAIT_S):
+            response = await caller.ask(request)
+        caller.close()
+        received = [
+            request
+            for server in fleet.servers
+            for request in server.requests
+            if request.values(header_profile.REQUEST_ID) == [b"q1"]
+        ]
+    assert response.first_line.split()[1] == b"502"
+    assert len(received) == sends
+    assert not any(request.values(name) for request in received)
+
+
+async def test_host_states_the_attempts_left_of_a_relayed_call(monkeypatch):
+    """Guards against a helper that counts the attempts from zero."""
+    stated = []
+    parse = headers.parse_max_attempts
+
+    def record(texts):
+        stated.append(parse(texts))
+        return stated[-1]
+
+    monkeypatch.setattr(headers, "parse_max_attempts", record)
+    async with platform_fleet.running(hosts=4, servers=5) as fleet:
+        host = fleet.hosts[3]
+        fleet.cut_off(host, "refuse")
+        await serve_calls(fleet, [host], 60, "cut")
+        assert host.metrics.event_counts["relay"]
+    assert set(stated) == {2}
