--- a/src/fireflyspindle/bench/soak.py
+++ b/src/fireflyspindle/bench/soak.py
@@ -103,7 +103,12 @@
             self._store, seed, self._record_fault, self._write_next_version
         )
         self._restarts = soak_restarts.StoreRestarts(
-            self._store, self._store_faults, seed, self._record_fault
+            self._store,
+            self._store_faults,
+            seed,
+            self._record_fault,
+            lambda: self._write_next_version(0),
+            self._write_lost_version,
         )
         self._full_links = soak_feeds.FullLinks(seed, self._record_fault)
         self._configuration_check = soak_checks.ConfigurationCheck(
@@ -183,7 +188,7 @@
             asyncio.create_task(self._store_faults.run(self._gates)),
             asyncio.create_task(self._stop_with_short_grace()),
             asyncio.create_task(self._full_links.run(self._gates)),
-            asyncio.create_task(self._restart_store()),
+            asyncio.create_task(self._restarts.run(self._gates)),
         ]
         poll_tasks = [
             asyncio.create_task(
@@ -210,11 +215,7 @@
             # The store has lost the newest one; the checks need another.
             self._write_next_version(0)
         await self._store_faults.run_phase(self._kill)
-        await self._restarts.run_last(
-            self._gates,
-            lambda: self._write_next_version(0),
-            self._write_lost_version,
-        )
+        await self._restarts.run_last(self._gates)
         await asyncio.sleep(RECOVERY_S)
         before = self.callers.counts()
         await asyncio.sleep(RECOVERY_S)
@@ -226,13 +227,6 @@
         await asyncio.gather(*poll_tasks, return_exceptions=True)
         self._check(before, after)
 
-    async def _restart_store(self) -> None:
-        await self._restarts.run(
-            self._gates,
-            lambda: self._write_next_version(0),
-            self._write_lost_version,
-        )
-
     def _record_fault(self, description: str) -> None:
         self.report.faults.append(f"{self._now_s():.2f} {description}")
 
--- a/src/fireflyspindle/bench/soak_restarts.py
+++ b/src/fireflyspindle/bench/soak_restarts.py
@@ -58,6 +58,8 @@
         store_faults: The other faults of the store.
         seed: Seed of all random choices.
         record: Records the description of a fault.
+        write: Writes a version of the configuration.
+        write_lost: Writes one that the store doesn't keep.
 
     Attributes:
         last: What the store has kept in an outage after all other faults; None
@@ -70,10 +72,14 @@
         store_faults: soak_store.StoreFaults,
         seed: int,
         record: Callable[[str], None],
+        write: Callable[[], None],
+        write_lost: Callable[[], None],
     ) -> None:
         self._store = store
         self._store_faults = store_faults
         self._record = record
+        self._write = write
+        self._write_lost = write_lost
         self._random = random.Random(f"restarts {seed}")
         self._outage: asyncio.Task[None] | None = None
         self.last: Last | None = self._random.choice([None, *Last])
@@ -81,8 +87,6 @@
     async def run(
         self,
         gates: list[soak_gates.Gate],
-        write: Callable[[], None],
-        write_lost: Callable[[], None],
     ) -> None:
         """Restarts the store at random times, until the task is cancelled.
 
@@ -90,12 +94,10 @@
 
         Args:
             gates: The gate hosts.
-            write: Writes a version of the configuration.
-            write_lost: Writes one that the store doesn't keep.
         """
         while True:
             await asyncio.sleep(self._random.uniform(*PAUSE_S))
-            outage = self._run_outage(gates, write, write_lost)
+            outage = self._run_outage(gates)
             self._outage = asyncio.create_task(outage)
             await asyncio.shield(self._outage)
 
@@ -107,51 +109,44 @@
     async def _run_outage(
         self,
         gates: list[soak_gates.Gate],
-        write: Callable[[], None],
-        write_lost: Callable[[], None],
     ) -> None:
         is_lost = self._random.random() < LOST_SHARE
-        (write_lost if is_lost else write)()
+        (self._write_lost if is_lost else self._write)()
         lead_s = LOST_LEAD_S if is_lost else VERSION_LEAD_S
         await asyncio.sleep(self._random.uniform(*lead_s))
-        await self._restart_randomly(gates, write)
+        await self._restart_randomly(gates)
         if self._random.random() < SERIES_SHARE:
             await asyncio.sleep(self._random.uniform(*SERIES_PAUSE_S))
-            await self._restart_randomly(gates, write)
+            await self._restart_randomly(gates)
 
     async def run_last(
         self,
         gates: list[soak_gates.Gate],
-        write: Callable[[], None],
-        write_lost: Callable[[], None],
     ) -> None:
         """Restarts the store after all other faults, if the seed has that."""
         match self.last:
             case None:
                 return
             case Last.LOST:
-                write_lost()
+                self._write_lost()
                 how: store_process.Return = store_process.AsBefore()
                 queued: int | None = 1
             case Last.RENUMBERED:
-                write()
+                self._write()
                 how = store_process.Renumbered()
                 queued = None
         await asyncio.sleep(LAST_LEAD_S)
-        await self._restart(gates, write, how, queued, LAST_DOWN_S)
+        await self._restart(gates, how, queued, LAST_DOWN_S)
 
-    async def _restart_randomly(
-        self, gates: list[soak_gates.Gate], write: Callable[[], None]
-    ) -> None:
+    async def _restart_randomly(self, gates: list[soak_gates.Gate]) -> None:
         how = self._random.choice(RETURNS)
         queued = self._random.randint(0, MAX_QUEUED)
         down_s = self._random.uniform(*DOWN_S)
-        await self._restart(gates, write, how, queued, down_s)
+        await self._restart(gates, how, queued, down_s)
 
     async def _restart(
         self,
         gates: list[soak_gates.Gate],
-        write: Callable[[], None],
         how: store_process.Return,
         queued: int | None,
         down_s: float,
@@ -160,7 +155,6 @@
 
         Args:
             gates: The gate hosts.
-            write: Writes a version of the configuration.
             how: What the store has kept.
             queued: Number of versions that are written meanwhile; None for as
                 many as a store that is numbered anew has lost.
@@ -180,7 +174,7 @@
                     topic = kept.topics[store_lib.CONFIGURATION_TOPIC]
                     queued = topic.end_offset - len(topic.newest())
                 for _ in range(queued):
-                    write()
+                    self._write()
                 await asyncio.sleep(down_s)
             finally:
                 await self._store.start(how)
