Keep the changes of a read that a listing follows

Targets that left stayed in use for good where the store, or a proxy before it, closes each connection. Hosts also read the store without a pause.

Cause: a read over a new connection is replaced by a listing. The position of a listing is that of its last live record (of its first page, if it has several), so that it lies before a deletion. The listing was then ignored as out of date, and the deletion was read again at once, over another new connection.

The new test fails before this commit (targets used past their removal).

A listing now carries the read before it, which is applied unless the listing shows another log or covers as much.

--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -48,6 +48,7 @@
             another log, so that their offsets mean nothing in this one.
         started_us: Earliest time at which the read may have started, if it
             resets the position.
+        preceding: The read from an offset that a snapshot followed, if any.
     """
 
     records: list[Record]
@@ -58,6 +59,7 @@
     end_offset: int | None = None
     resets_position: bool = False
     started_us: int = 0
+    preceding: "Batch | None" = None
 
     @property
     def value_bytes(self) -> int:
--- a/src/fireflyspindle/platform/store_sync.py
+++ b/src/fireflyspindle/platform/store_sync.py
@@ -187,7 +187,7 @@
             )
             return
         if isinstance(outcome, store_records.Batch) and outcome.is_snapshot:
-            outcome = _mark_reset(latest, outcome, started_us)
+            outcome = _select_batch(_mark_reset(latest, outcome, started_us))
         delay_us = max(0, now_us - started_us - effect.wait_ms * 1000)
         self.feed.record_read(
             effect.source,
@@ -361,3 +361,17 @@
             snapshot, resets_position=True, started_us=started_us
         )
     return snapshot
+
+
+def _select_batch(listing: store_records.Batch) -> store_records.Batch:
+    """Returns a listing, or the read before it that covers more records.
+
+    The position of a listing is behind deletions, and behind records on later
+    pages.
+    """
+    preceding = listing.preceding
+    if preceding is None or listing.resets_position:
+        return listing
+    if listing.next_offset >= preceding.next_offset:
+        return listing
+    return preceding
--- a/src/fireflyspindle/platform/timed_reads.py
+++ b/src/fireflyspindle/platform/timed_reads.py
@@ -160,7 +160,7 @@
             and isinstance(outcome, store_records.Batch)
             and not outcome.is_snapshot
         ):
-            outcome = await self._client.read(topic, None, 0, 0, read.progress)
+            outcome = await self._list_after(outcome, topic, read)
         read.outcome = outcome
         late = self._late.get(topic, [])
         if read not in late:
@@ -173,6 +173,14 @@
             )
             read.on_late(read.outcome)
 
+    async def _list_after(
+        self, preceding: store_records.Batch, topic: str, read: _Read
+    ) -> Outcome:
+        listing = await self._client.read(topic, None, 0, 0, read.progress)
+        if isinstance(listing, store_records.Batch):
+            return attrs.evolve(listing, preceding=preceding)
+        return listing
+
     def _keep(self, topic: str, read: _Read) -> None:
         """Keeps a late read, or cancels it if older ones are to be kept.
 
--- a/tests/configuration_network.py
+++ b/tests/configuration_network.py
@@ -99,6 +99,8 @@
         missed_wakes: Share of the waiting reads that miss a record.
         records_per_read: Most records of a read; the store limits its size.
         appends: Further records.
+        keeps_connections: Whether the store keeps connections open between
+            requests.
     """
 
     hosts: int
@@ -109,6 +111,7 @@
     missed_wakes: float = 0.0
     records_per_read: int | None = None
     appends: list[Append] = attrs.field(factory=list)
+    keeps_connections: bool = True
 
 
 class _Selector(selectors.SelectSelector):
@@ -277,7 +280,8 @@
         await asyncio.sleep(STORE_LATENCY_S)
         try:
             response = await self._answer(path, query, run)
-            self._connections.append(run)
+            if self.fleet.plan.keeps_connections:
+                self._connections.append(run)
         except aiohttp.ClientError:
             await self.host.running.wait()
             raise
--- a/tests/test_store_restarts_in_virtual_time.py
+++ b/tests/test_store_restarts_in_virtual_time.py
@@ -389,6 +389,31 @@
     assert not fleet.wrong_targets
 
 
+# Guards against changes that are dropped for a listing that ends before them,
+# and read again without a pause. Each read opens a connection.
+@seeds
+def test_store_that_closes_connections_is_read_like_any_other(seed):
+    appends = [
+        *(target(3 * S, n) for n in range(4)),
+        target(8 * S, 2, present=False),
+        target(9 * S, 3, present=False),
+        target(10 * S, 9),
+    ]
+    plan = network.Plan(
+        hosts=HOSTS,
+        end_us=13 * S,
+        faults=[],
+        writes=[],
+        domains=[f"d{number % 3}" for number in EVERYONE],
+        appends=appends,
+        keeps_connections=False,
+    )
+    fleet = fleet_lib.Fleet(plan, seed).run()
+    assert not fleet.wrong_targets
+    # Ten reads a second, each with the pages of a listing.
+    assert len(fleet.store_calls) < 13 * 10 * 3
+
+
 def run_crashes(records, seed):
     """Runs a fleet with three crashes after a restart."""
     acknowledged = records != store.RECORD_LOST
