Count a reset to the same offset as a change of the records

By a test only, not seen in a fleet: records of another log could be replaced by those of the log before it. A reset kept the time of the last change where the new log ends at the offset held before. A listing that had started before the reset ended then counted as later, and looked like a log that had started anew.

The reset now sets that time, so that such a listing decides nothing. The new test fails before this commit; tests/test_store_positions.py passes with it.

--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -194,7 +194,7 @@
         else:
             for record in batch.records:
                 self._add(record)
-        if batch.next_offset != next_offset:
+        if batch.resets_position or batch.next_offset != next_offset:
             self.changed_us = now_us
         self.next_offset = batch.next_offset
         if batch.records:
--- a/tests/test_store_positions.py
+++ b/tests/test_store_positions.py
@@ -97,6 +97,17 @@
     assert not latest.diverges_from(listing, READ_US)
 
 
+# Guards against a reset that is undone by a listing of the previous log, where
+# the new one ends at the same offset.
+def test_listing_that_started_before_a_reset_ended_decides_nothing():
+    latest = held(*HELD, next_offset=4)
+    other = snapshot(record("c", 3), next_offset=4)
+    reset = attrs.evolve(other, resets_position=True, started_us=LATER_US)
+    latest.apply(reset, LATER_US + 2)
+    previous = snapshot(*HELD, next_offset=4)
+    assert not latest.diverges_from(previous, LATER_US + 1)
+
+
 # Guards against all records being sent again after each listing.
 @pytest.mark.parametrize(
     "listing",
