--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -98,7 +98,7 @@
     Attributes:
         next_offset: First offset that has not been read; None before the
             first read.
-        changed_us: Time at which that offset last changed.
+        changed_us: Time at which that offset or the log last changed.
         reset_us: Start of the latest read that replaced the records by those
             of another log; None if they never were replaced.
         resets: How often that has happened.
