Compute the digest of records with any offset

A line with a negative offset, or one of more than 64 bits, would have raised an OverflowError that ends the task that follows a reader, so that the host is told nothing more. Found by reading; the test fails before. The digest takes the offset as text now, which has no limit.

--- a/src/fireflyspindle/adapters/store_records.py
+++ b/src/fireflyspindle/adapters/store_records.py
@@ -275,7 +275,7 @@
     digest = hashlib.blake2b(
         record.key.encode("utf-8", "surrogatepass"), digest_size=8
     )
-    digest.update(record.offset.to_bytes(8))
+    digest.update(b" %d " % record.offset)
     digest.update(record.value or b"")
     return int.from_bytes(digest.digest())
 
--- a/tests/test_store_positions.py
+++ b/tests/test_store_positions.py
@@ -155,6 +155,12 @@
     assert latest.digest != held(record("b", 3, b"x"), next_offset=5).digest
 
 
+# Guards against an odd line that ends the stream, since its digest fails.
+@pytest.mark.parametrize("offset", [-1, 1 << 64])
+def test_record_with_an_odd_offset_has_a_digest(offset):
+    assert held(record("a", offset), next_offset=1).digest
+
+
 # Guards against a follower that waits at an offset of an earlier log.
 @pytest.mark.parametrize("next_offset", [2, 4])
 def test_follower_differs_from_a_reader_that_has_read_later(next_offset):
